--- /dev/null
+++ b/bench/harness.mjs
@@ -0,0 +1,144 @@
+/**
+ * Starts processes for benchmarks and process tests on free loopback ports, and stops them by id.
+ */
+import { spawn } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { dirname, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+const ROOT = dirname(dirname(fileURLToPath(import.meta.url)))
+const MAIN = join(ROOT, 'packages/lagoonswitch/dist/main.js')
+const READY_TIMEOUT_MS = 30_000
+
+/** Finds free ports of the loopback interface. */
+export async function findPorts (count) {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
+    return server
+  }))
+  const ports = servers.map(server => server.address().port)
+  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+/** Waits for a condition; fails after a limit. */
+export async function waitUntil (label, check, timeoutMs = READY_TIMEOUT_MS) {
+  const endMs = Date.now() + timeoutMs
+  while (Date.now() < endMs) {
+    try {
+      if (await check()) return
+    } catch {
+      // Not there yet.
+    }
+    await sleep(50)
+  }
+  throw new Error(`${label} did not happen within ${timeoutMs} ms`)
+}
+
+/** A set of processes with their settings in a temporary folder. */
+export class Fleet {
+  constructor () {
+    this.folder = mkdtempSync(join(tmpdir(), 'lagoonswitch-'))
+    this.children = new Map()
+    this.members = []
+    this.vms = new Map()
+  }
+
+  /** Reserves ports for VMs; those with the role control become members. */
+  async plan (vms) {
+    for (const vm of vms) {
+      const [calls, local, peers, operators, homes] = await findPorts(5)
+      const planned = { region: 'qc-east', zone: 'qc-east-1', extra: '', ...vm, calls, local, peers, operators, homes }
+      this.vms.set(vm.name, planned)
+      if (vm.roles.includes('control')) this.members.push(`${vm.name}=127.0.0.1:${peers}`)
+    }
+  }
+
+  /** Starts the process of a VM. */
+  startVm (name) {
+    const vm = this.vms.get(name)
+    const file = join(this.folder, `${name}.ini`)
+    writeFileSync(file, `[process]
+name = ${name}
+roles = ${vm.roles}
+region = ${vm.region}
+availability_zone = ${vm.zone}
+data_folder = ${join(this.folder, name)}
+[listen]
+calls = 127.0.0.1:${vm.calls}
+local = 127.0.0.1:${vm.local}
+peers = 127.0.0.1:${vm.peers}
+operators = 127.0.0.1:${vm.operators}
+homes = 127.0.0.1:${vm.homes}
+[control]
+members = ${this.members.join(', ')}
+${vm.extra}
+[log]
+level = ${process.env.BENCH_LOG ?? 'error'}
+`)
+    return this.startScript(name, MAIN, 'run', '--settings', file)
+  }
+
+  /** Starts a Node.js script under a name. */
+  startScript (name, script, ...args) {
+    const child = spawn(process.execPath, [script, ...args.map(String)], { cwd: ROOT, stdio: ['ignore', 'inherit', 'inherit'] })
+    this.children.set(name, child)
+    return child
+  }
+
+  /** Waits until the node of a VM routes calls. */
+  async waitReady (name) {
+    const { local } = this.vms.get(name)
+    await waitUntil(`readiness of ${name}`, async () => (await (await fetch(`http://127.0.0.1:${local}/healthz`)).json()).ready)
+  }
+
+  /** Sends a signal and waits for the end of the process. */
+  async kill (name, signal = 'SIGTERM') {
+    const child = this.children.get(name)
+    this.children.delete(name)
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return child?.exitCode
+    const ended = new Promise(resolve => child.on('exit', resolve))
+    child.kill(signal)
+    return await ended
+  }
+
+  /** Sends JSON to the operators' listener of a control VM. */
+  async operate (name, method, path, body) {
+    const { operators } = this.vms.get(name)
+    const answer = await fetch(`http://127.0.0.1:${operators}${path}`, {
+      method,
+      headers: body === undefined ? {} : { 'content-type': 'application/json' },
+      body: body === undefined ? undefined : JSON.stringify(body)
+    })
+    return { status: answer.status, body: await answer.json() }
+  }
+
+  /** Creates or replaces an entry, whatever its version. */
+  async putEntry (name, declaration) {
+    const { body } = await this.operate(name, 'GET', '/v1/entries')
+    const held = body.entries.find(entry => entry.name === declaration.entry)
+    const answer = await this.operate(name, 'POST', '/v1/changes', {
+      requestId: `bench-${Date.now()}-${Math.random()}`,
+      edits: [{ name: declaration.entry, expectedVersion: held?.version ?? 0, declaration }]
+    })
+    if (answer.status !== 200) throw new Error(JSON.stringify(answer.body))
+    return answer.body
+  }
+
+  /** Stops everything. */
+  async stop () {
+    await Promise.all([...this.children.keys()].map(name => this.kill(name)))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+}
+
+/** Prints percentiles of samples in milliseconds. */
+export function summarize (samples) {
+  const sorted = [...samples].sort((a, b) => a - b)
+  const at = share => sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * share))] ?? NaN
+  return { count: sorted.length, p50: at(0.5), p90: at(0.9), p99: at(0.99), max: sorted.at(-1) ?? NaN }
+}
