Carry calls between processes on a plain socket instead of a gRPC stream

Cause: the gRPC stream of generated frames cost more than the whole latency target. Change: the same generated frames, each behind its protobuf length, on one TCP or TLS socket per pair of processes; frames of one turn leave in one write; pings find silence. Ruled out: slot credits held by entries. At 190 calls/s per node over 630 targets a pair sees under one call a second, so held slots would stay idle.

--- a/bench/harness.mjs
+++ b/bench/harness.mjs
@@ -51,8 +51,8 @@
   /** Reserves ports for VMs; those with the role control become members. */
   async plan (vms) {
     for (const vm of vms) {
-      const [calls, local, peers, operators, homes] = await findPorts(5)
-      const planned = { region: 'qc-east', zone: 'qc-east-1', extra: '', ...vm, calls, local, peers, operators, homes }
+      const [calls, local, peers, operators, homes, links] = await findPorts(6)
+      const planned = { region: 'qc-east', zone: 'qc-east-1', extra: '', ...vm, calls, local, peers, operators, homes, links }
       this.vms.set(vm.name, planned)
       if (vm.roles.includes('control')) this.members.push(`${vm.name}=127.0.0.1:${peers}`)
     }
@@ -74,6 +74,7 @@
 peers = 127.0.0.1:${vm.peers}
 operators = 127.0.0.1:${vm.operators}
 homes = 127.0.0.1:${vm.homes}
+links = 127.0.0.1:${vm.links}
 [control]
 members = ${this.members.join(', ')}
 ${vm.extra}
--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -50,7 +50,8 @@
       random: this._random,
       log: _log,
       metrics: this._metrics,
-      channels: this._channels
+      channels: this._channels,
+      credentials
     }
     const { roles } = _settings.process
     this.control = roles.includes('control') ? new ControlRole(shared) : undefined
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -5,8 +5,8 @@
   DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
 import { CatalogueStore, EndpointView, FeedClient, FeedHub, LEAF_LEVEL, RELAY_LEVEL } from '@lagoonswitch/feed'
-import { FeedService, PeerService, type EvidenceRecord, type ISettings } from '@lagoonswitch/schema'
-import { LeaderClient, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
+import { FeedService, type EvidenceRecord, type ISettings } from '@lagoonswitch/schema'
+import { LeaderClient, LinkListener, type LinkCredentials, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
 import { CallServer } from './calls/CallServer.js'
 import type { ICallOpener } from './calls/CallTypes.js'
 import { ClaimsClient } from './claims/ClaimsClient.js'
@@ -31,6 +31,7 @@
   readonly log: ILog
   readonly metrics: Metrics
   readonly channels: PeerChannels
+  readonly credentials: LinkCredentials
 }
 
 /** A node. */
@@ -41,6 +42,8 @@
   private readonly _evidence: EvidenceCollector
   private readonly _calls: CallServer
   private readonly _peerServer: PeerServer
+  private readonly _linkListener: LinkListener
+  private readonly _linkAddress: string
   private _routes: RouteTable | undefined
   private _forwarded: EvidenceRecord[] = []
   private _isDraining = false
@@ -54,6 +57,7 @@
   constructor (private readonly _options: INodeRoleOptions) {
     const { settings, clock, random, log, metrics, channels, peerAddress } = _options
     const { name, region, availabilityZone } = settings.process
+    this._linkAddress = `${settings.listen.links.host}:${settings.listen.links.port}`
     const incarnation = clock.wallTime().getTime()
     const controlAddresses = settings.control.members.map(member => member.address)
     this._evidence = this._disposables.add(new EvidenceCollector(this.store, clock, log, metrics))
@@ -61,7 +65,7 @@
       node: name,
       region,
       availabilityZone,
-      peerAddress,
+      linkAddress: this._linkAddress,
       incarnation,
       leaseMs: settings.node.targetLeaseMs,
       clock,
@@ -70,6 +74,7 @@
       endpoints: this.endpoints
     }))
     this._peerServer = new PeerServer(this.targets)
+    this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
     const isControl = settings.process.roles.includes('control')
     this.feed = this._disposables.add(new FeedClient({
       node: name,
@@ -134,7 +139,6 @@
    * @param isFeedServed - true when another role of this process serves the feed already
    */
   addServices (listener: PeerListener, isFeedServed: boolean): void {
-    listener.addService(PeerService, this._peerServer.createHandlers())
     if (!isFeedServed) listener.addService(FeedService, this.relay.createHandlers())
   }
 
@@ -143,10 +147,11 @@
    * @returns port of the listener
    */
   async start (): Promise<number> {
-    const { host, port } = this._options.settings.listen.calls
+    const { calls, links } = this._options.settings.listen
+    await this._linkListener.listen(links.host, links.port)
     this._evidence.start()
     this.feed.start()
-    return await this._calls.listen(host, port)
+    return await this._calls.listen(calls.host, calls.port)
   }
 
   /**
@@ -168,6 +173,7 @@
   dispose (): void {
     this._disposables.dispose()
     for (const link of this._links.values()) link.dispose()
+    this._linkListener.close()
   }
 
   private _getRoutes (): RouteTable | undefined {
@@ -177,11 +183,10 @@
   }
 
   private _findOpener (address: string): ICallOpener {
-    if (address === this._options.peerAddress) return this.targets
+    if (address === this._linkAddress) return this.targets
     let link = this._links.get(address)
     if (link === undefined) {
-      const { channels, clock, log, metrics } = this._options
-      link = new PeerLink(address, channels, clock, log, metrics)
+      link = new PeerLink(address, this._options)
       this._links.set(address, link)
     }
     return link
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -238,7 +238,7 @@
     this._attempts++
     const attempt = new Attempt(this._context, this._route, target, this)
     this._attempt = attempt
-    attempt.handle = this._context.findOpener(target.record.peerAddress)
+    attempt.handle = this._context.findOpener(target.record.linkAddress)
       .open(this._createRequest(target.record.targetId, target.record.version), attempt)
     if (!this._isBodyHeld && !this._isStreaming && !this._isDone) this._streamBody()
   }
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -21,7 +21,7 @@
   readonly claims: ClaimsClient
   readonly evidence: EvidenceCollector
   /** Opens calls on the target of this VM or over a link. */
-  readonly findOpener: (peerAddress: string) => ICallOpener
+  readonly findOpener: (linkAddress: string) => ICallOpener
   readonly getBudget: (route: ICompiledRoute) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
   readonly isDraining: () => boolean
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -1,61 +1,65 @@
 /**
- * The link to one other process: a stream that carries many calls.
+ * The link to one other process: a socket that carries many calls.
  */
-import type { ClientDuplexStream } from '@grpc/grpc-js'
-import { formatError, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
-import { PeerClient, type PeerFrame } from '@lagoonswitch/schema'
-import type { PeerChannels } from '@lagoonswitch/transport'
+import type { IClock, IDisposable, ILog, Metrics } from '@lagoonswitch/common'
+import type { PeerFrame } from '@lagoonswitch/schema'
+import { FrameSocket, openLinkSocket, type IFrameListener, type LinkCredentials } from '@lagoonswitch/transport'
 import type {
   FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest, ITargetLoad
 } from '../calls/CallTypes.js'
 import { FlowWindow, WindowUpdates } from './FlowControl.js'
 
 const OPEN_TIMEOUT_MS = 1_000
+const PING_MS = 1_000
+const SILENCE_MS = 3_000
 const LATE_MARGIN_MS = 250
 const MAX_CALL_ID = 0xffff_fffe
+const NO_BYTES = Buffer.alloc(0)
 
-type Stream = ClientDuplexStream<PeerFrame, PeerFrame>
 type Frame = NonNullable<PeerFrame['frame']>
 
-const NO_BYTES = Buffer.alloc(0)
+/** What all links of a process share. */
+export interface ILinkContext {
+  readonly credentials: LinkCredentials
+  readonly clock: IClock
+  readonly log: ILog
+  readonly metrics: Metrics
+}
 
-/** Opens calls on the targets beside another process. */
+/** Opens calls on the targets beside another process; connects when there is a call and no connection. */
 export class PeerLink implements ICallOpener, IDisposable {
   private readonly _calls = new Map<number, RemoteCall>()
   private _waiting: RemoteCall[] = []
-  private _stream: Stream | undefined
-  private _isOpen = false
+  private _connection: LinkConnection | undefined
   private _nextId = 1
-  private _openTimer: IDisposable | undefined
 
   /**
-   * @param _address - peer address of the other process
-   * @param _channels - open channels
+   * @param _address - link address of the other process
+   * @param _context - shared by all links
    */
-  constructor (
-    private readonly _address: string,
-    private readonly _channels: PeerChannels,
-    private readonly _clock: IClock,
-    private readonly _log: ILog,
-    private readonly _metrics: Metrics
-  ) {}
+  constructor (private readonly _address: string, private readonly _context: ILinkContext) {}
 
   open (request: ICallRequest, events: ICallEvents): ICallHandle {
     const callId = this._takeId()
-    const call = new RemoteCall(this, callId, request, events, this._clock)
+    const call = new RemoteCall(this, callId, request, events, this._context.clock)
     this._calls.set(callId, call)
-    if (this._isOpen) {
+    if (this._connection?.isOpen === true) {
       call.sendOpen()
     } else {
       this._waiting.push(call)
-      this._connect()
+      this._connection ??= new LinkConnection(this._address, this._context, {
+        onOpen: () => this._handleOpen(),
+        onFrame: frame => this._handleFrame(frame),
+        onClose: () => this._handleClose(),
+        hasCalls: () => this._calls.size > 0
+      })
     }
     return call
   }
 
   /** Sends a frame of an open call. */
   sendFrame (callId: number, frame: Frame): void {
-    if (this._stream?.writable === true) this._stream.write({ callId, frame })
+    this._connection?.send({ callId, frame })
   }
 
   /** Forgets a call that has ended. */
@@ -64,8 +68,7 @@
   }
 
   dispose (): void {
-    this._openTimer?.dispose()
-    this._stream?.cancel()
+    this._connection?.dispose()
   }
 
   private _takeId (): number {
@@ -75,51 +78,90 @@
     return id
   }
 
-  private _connect (): void {
-    if (this._stream !== undefined) return
-    const stream: Stream = this._channels.getClient(PeerClient, this._address).exchange()
-    this._stream = stream
-    this._openTimer = this._clock.schedule(OPEN_TIMEOUT_MS, () => this._handleClose(stream, 'timeout'))
-    stream.on('metadata', () => this._handleOpen(stream))
-    stream.on('error', error => this._handleClose(stream, formatError(error)))
-    void this._receive(stream)
-  }
-
-  private async _receive (stream: Stream): Promise<void> {
-    try {
-      for await (const { callId, frame } of stream as AsyncIterable<PeerFrame>) {
-        if (frame !== undefined) this._calls.get(callId)?.handleFrame(frame)
-      }
-      this._handleClose(stream, 'ended')
-    } catch (error) {
-      this._handleClose(stream, formatError(error))
-    }
-  }
-
-  private _handleOpen (stream: Stream): void {
-    if (this._stream !== stream) return
-    this._openTimer?.dispose()
-    this._isOpen = true
+  private _handleOpen (): void {
     const waiting = this._waiting
     this._waiting = []
     for (const call of waiting) call.sendOpen()
   }
 
-  private _handleClose (stream: Stream, cause: string): void {
-    if (this._stream !== stream) return
-    this._openTimer?.dispose()
-    this._metrics.count('links_lost_total', this._isOpen ? 'lost' : 'not-opened')
-    this._log.debug('link_lost', { address: this._address, cause })
-    this._stream = undefined
-    this._isOpen = false
+  private _handleFrame ({ callId, frame }: PeerFrame): void {
+    if (frame !== undefined && frame.$case !== 'ping') this._calls.get(callId)?.handleFrame(frame)
+  }
+
+  private _handleClose (): void {
+    this._connection = undefined
     this._waiting = []
-    stream.cancel()
     const calls = [...this._calls.values()]
     this._calls.clear()
     for (const call of calls) call.handleLinkLost()
   }
 }
 
+interface IConnectionEvents {
+  onOpen (): void
+  onFrame (frame: PeerFrame): void
+  onClose (): void
+  /** True while an answer is awaited, so that silence means a fault. */
+  hasCalls (): boolean
+}
+
+/** One connection of a link, with its checks for silence. */
+class LinkConnection implements IFrameListener, IDisposable {
+  private readonly _socket: FrameSocket
+  private readonly _stopping = new AbortController()
+  private _heardMs: number
+  isOpen = false
+
+  constructor (
+    private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
+  ) {
+    this._heardMs = _context.clock.monotonicMs()
+    this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this)
+    void this._runPings()
+  }
+
+  send (frame: PeerFrame): void {
+    this._socket.send(frame)
+  }
+
+  onFrame (frame: PeerFrame): void {
+    this._heardMs = this._context.clock.monotonicMs()
+    this._events.onFrame(frame)
+  }
+
+  onClose (cause: string): void {
+    this._stopping.abort()
+    this._context.metrics.count('links_lost_total', this.isOpen ? 'lost' : 'not-opened')
+    this._context.log.debug('link_lost', { address: this._address, cause })
+    this._events.onClose()
+  }
+
+  dispose (): void {
+    this._stopping.abort()
+    this._socket.dispose()
+  }
+
+  private _handleOpen (): void {
+    this.isOpen = true
+    this._heardMs = this._context.clock.monotonicMs()
+    this._events.onOpen()
+  }
+
+  private async _runPings (): Promise<void> {
+    const { clock } = this._context
+    while (!this._stopping.signal.aborted) {
+      await clock.sleep(this.isOpen ? PING_MS : OPEN_TIMEOUT_MS, this._stopping.signal)
+      if (this._stopping.signal.aborted) return
+      const silentMs = clock.monotonicMs() - this._heardMs
+      if (!this.isOpen || (this._events.hasCalls() && silentMs > SILENCE_MS)) {
+        this._socket.destroy()
+        return
+      }
+      if (silentMs >= PING_MS) this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
+    }
+  }
+}
+
 /** One call on a link. */
 class RemoteCall implements ICallHandle {
   private readonly _window = new FlowWindow()
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -1,8 +1,9 @@
 /**
  * Calls that arrive from other processes for the targets of this VM.
  */
-import { Metadata, type ServerDuplexStream, type UntypedServiceImplementation } from '@grpc/grpc-js'
+import type { Socket } from 'node:net'
 import type { PeerFrame } from '@lagoonswitch/schema'
+import { FrameSocket, type IFrameListener } from '@lagoonswitch/transport'
 import type { ICallEvents, ICallFailure, ICallHandle, ICallOpener, ITargetLoad } from '../calls/CallTypes.js'
 import { WindowUpdates } from './FlowControl.js'
 
@@ -10,71 +11,74 @@
 const HIGHEST_REMAINING_MS = 3_600_000
 const NO_BYTES = Buffer.alloc(0)
 
-type Stream = ServerDuplexStream<PeerFrame, PeerFrame>
 type Frame = NonNullable<PeerFrame['frame']>
 
 /** Serves links of other processes. */
 export class PeerServer {
-  private readonly _links = new Set<Stream>()
+  private readonly _links = new Set<ServedLink>()
 
   /** @param _opener - the targets of this VM */
   constructor (private readonly _opener: ICallOpener) {}
 
-  /** @returns handlers of the peer service for a gRPC server */
-  createHandlers (): UntypedServiceImplementation {
-    return { exchange: (stream: Stream) => { void this._serve(stream) } }
+  /** @param socket - accepted from another process */
+  serve (socket: Socket): void {
+    const link: ServedLink = new ServedLink(socket, this._opener, () => this._links.delete(link))
+    this._links.add(link)
   }
 
   /** Ends all links; the calls on them have ended before. */
   closeLinks (): void {
-    for (const link of this._links) link.end()
-  }
-
-  private async _serve (stream: Stream): Promise<void> {
-    const calls = new Map<number, ServedCall>()
-    this._links.add(stream)
-    stream.on('error', () => undefined)
-    // The other side sends calls only after it has seen this, so a call on a link that never opened was not run.
-    stream.sendMetadata(new Metadata())
-    try {
-      for await (const { callId, frame } of stream as AsyncIterable<PeerFrame>) {
-        if (frame !== undefined) this._handleFrame(stream, calls, callId, frame)
-      }
-    } catch {
-      // The link broke; all its calls are given up below.
-    }
-    this._links.delete(stream)
-    for (const call of calls.values()) call.cancel()
-    stream.end()
+    for (const link of this._links) link.close()
   }
+}
 
-  private _handleFrame (stream: Stream, calls: Map<number, ServedCall>, callId: number, frame: Frame): void {
-    if (frame.$case !== 'open') {
-      calls.get(callId)?.handleFrame(frame)
-      return
+/** One link and the calls on it. */
+class ServedLink implements IFrameListener {
+  private readonly _calls = new Map<number, ServedCall>()
+  private readonly _socket: FrameSocket
+
+  constructor (socket: Socket, private readonly _opener: ICallOpener, private readonly _onClosed: () => void) {
+    this._socket = new FrameSocket(socket, this)
+  }
+
+  close (): void {
+    this._socket.dispose()
+  }
+
+  onFrame ({ callId, frame }: PeerFrame): void {
+    if (frame === undefined) return
+    switch (frame.$case) {
+      case 'ping':
+        this._socket.send({ callId, frame: { $case: 'ping', value: { reply: true } } })
+        return
+      case 'open':
+        this._open(callId, frame.value)
+        return
+      default:
+        this._calls.get(callId)?.handleFrame(frame)
     }
-    if (calls.has(callId) || calls.size >= MAX_CALLS_PER_LINK) {
-      sendFailure(stream, callId, { reason: 'bad-frame', isNotRun: true, retryAfterMs: 0 }, undefined)
+  }
+
+  onClose (): void {
+    this._onClosed()
+    for (const call of [...this._calls.values()]) call.cancel()
+  }
+
+  private _open (callId: number, open: Extract<Frame, { $case: 'open' }>['value']): void {
+    if (this._calls.has(callId) || this._calls.size >= MAX_CALLS_PER_LINK) {
+      sendFailure(this._socket, callId, { reason: 'bad-frame', isNotRun: true, retryAfterMs: 0 }, undefined)
       return
     }
-    const call = new ServedCall(stream, callId, () => calls.delete(callId))
-    calls.set(callId, call)
-    const { value } = frame
+    const call = new ServedCall(this._socket, callId, () => this._calls.delete(callId))
+    this._calls.set(callId, call)
+    const { headers, remainingMs, class: callClass, body, bodyComplete, ...rest } = open
     call.start(this._opener.open({
-      service: value.service,
-      version: value.version,
-      targetId: value.targetId,
-      method: value.method,
-      path: value.path,
-      headers: value.headers,
-      remainingMs: Math.min(value.remainingMs, HIGHEST_REMAINING_MS),
-      callClass: value.class,
-      owner: value.owner,
-      body: value.body,
-      isBodyComplete: value.bodyComplete,
-      slots: value.slots,
-      connections: value.connections,
-      queue: value.queue
+      ...rest,
+      headers,
+      remainingMs: Math.min(remainingMs, HIGHEST_REMAINING_MS),
+      callClass,
+      body,
+      isBodyComplete: bodyComplete
     }, call))
   }
 }
@@ -88,7 +92,7 @@
   private _head: { status: number, headers: readonly string[], load: ITargetLoad } | undefined
 
   constructor (
-    private readonly _stream: Stream, private readonly _callId: number, private readonly _onDone: () => void
+    private readonly _socket: FrameSocket, private readonly _callId: number, private readonly _onDone: () => void
   ) {}
 
   start (handle: ICallHandle): void {
@@ -134,7 +138,7 @@
 
   onFailure (failure: ICallFailure, load: ITargetLoad | undefined): void {
     if (this._hasEnded) return
-    sendFailure(this._stream, this._callId, failure, load)
+    sendFailure(this._socket, this._callId, failure, load)
     this._finish()
   }
 
@@ -164,7 +168,7 @@
   }
 
   private _send (frame: Frame): void {
-    if (!this._hasEnded && this._stream.writable) this._stream.write({ callId: this._callId, frame })
+    if (!this._hasEnded) this._socket.send({ callId: this._callId, frame })
   }
 
   private _finish (): void {
@@ -173,9 +177,10 @@
   }
 }
 
-function sendFailure (stream: Stream, callId: number, failure: ICallFailure, load: ITargetLoad | undefined): void {
-  if (!stream.writable) return
-  stream.write({
+function sendFailure (
+  socket: FrameSocket, callId: number, failure: ICallFailure, load: ITargetLoad | undefined
+): void {
+  socket.send({
     callId,
     frame: {
       $case: 'failure',
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -21,7 +21,7 @@
   readonly node: string
   readonly region: string
   readonly availabilityZone: string
-  readonly peerAddress: string
+  readonly linkAddress: string
   readonly incarnation: number
   readonly leaseMs: number
   readonly clock: IClock
@@ -144,7 +144,7 @@
   }
 
   private _publish (announcement: ITargetAnnouncement, state: EndpointState): void {
-    const { endpoints, incarnation, node, region, availabilityZone, peerAddress } = this._options
+    const { endpoints, incarnation, node, region, availabilityZone, linkAddress } = this._options
     const sequence = (endpoints.getRecord(announcement.id)?.sequence ?? 0) + 1
     endpoints.merge([{
       targetId: announcement.id,
@@ -153,7 +153,7 @@
       state,
       service: announcement.service,
       version: announcement.version,
-      peerAddress,
+      linkAddress,
       region,
       availabilityZone,
       slots: announcement.slots,
--- a/packages/transport/src/Credentials.ts
+++ b/packages/transport/src/Credentials.ts
@@ -12,12 +12,21 @@
   readonly keyFile: string
 }
 
+/** Keys in PEM. */
+export interface ILinkKeys {
+  readonly ca: Buffer
+  readonly cert: Buffer
+  readonly key: Buffer
+}
+
 /** Gives the current keys and tells when the files change. */
 export abstract class LinkCredentials implements IDisposable {
   protected readonly _onChanged = new Emitter<void>()
   /** Fires when new channels must use new keys. */
   readonly onChanged = this._onChanged.event
 
+  /** @returns the current keys, or undefined for links without TLS */
+  abstract readKeys (): ILinkKeys | undefined
   abstract createClientCredentials (): ChannelCredentials
   abstract createServerCredentials (): ServerCredentials
 
@@ -28,6 +37,10 @@
 
 /** Links without TLS. */
 export class PlainCredentials extends LinkCredentials {
+  readKeys (): undefined {
+    return undefined
+  }
+
   createClientCredentials (): ChannelCredentials {
     return credentials.createInsecure()
   }
@@ -48,13 +61,21 @@
       .map(file => watch(file, { persistent: false }, () => this._onChanged.fire()))
   }
 
+  readKeys (): ILinkKeys {
+    return {
+      ca: readFileSync(this._files.caFile),
+      cert: readFileSync(this._files.certFile),
+      key: readFileSync(this._files.keyFile)
+    }
+  }
+
   createClientCredentials (): ChannelCredentials {
-    const { ca, cert, key } = this._readFiles()
+    const { ca, cert, key } = this.readKeys()
     return credentials.createSsl(ca, key, cert)
   }
 
   createServerCredentials (): ServerCredentials {
-    const { ca, cert, key } = this._readFiles()
+    const { ca, cert, key } = this.readKeys()
     return ServerCredentials.createSsl(ca, [{ cert_chain: cert, private_key: key }], true)
   }
 
@@ -62,14 +83,6 @@
     for (const watcher of this._watchers) watcher.close()
     super.dispose()
   }
-
-  private _readFiles (): { ca: Buffer, cert: Buffer, key: Buffer } {
-    return {
-      ca: readFileSync(this._files.caFile),
-      cert: readFileSync(this._files.certFile),
-      key: readFileSync(this._files.keyFile)
-    }
-  }
 }
 
 /**
--- /dev/null
+++ b/packages/transport/src/FrameSocket.ts
@@ -0,0 +1,122 @@
+/**
+ * A socket that carries generated messages, each behind its length as protobuf libraries write it.
+ */
+import type { Socket } from 'node:net'
+import { BinaryReader, BinaryWriter } from '@bufbuild/protobuf/wire'
+import { toBuffer, type IDisposable } from '@lagoonswitch/common'
+import { PeerFrame } from '@lagoonswitch/schema'
+
+/** Largest frame, in bytes. */
+const MAX_FRAME_BYTES = 1_048_576
+const MAX_LENGTH_BYTES = 4
+
+/** Receives what happens on a socket. */
+export interface IFrameListener {
+  onFrame (frame: PeerFrame): void
+  /** Called once. */
+  onClose (cause: string): void
+}
+
+/** Sends and receives frames; all frames of one turn of the event loop leave in one write. */
+export class FrameSocket implements IDisposable {
+  private _out: Uint8Array[] = []
+  private _isFlushing = false
+  private _in: Buffer = Buffer.alloc(0)
+  private _isClosed = false
+
+  /**
+   * @param _socket - connected, or about to be
+   * @param _listener - receives frames
+   */
+  constructor (private readonly _socket: Socket, private readonly _listener: IFrameListener) {
+    _socket.setNoDelay(true)
+    _socket.on('data', chunk => this._receive(chunk))
+    _socket.on('error', error => this._close(error.message))
+    _socket.on('close', () => this._close('closed'))
+    _socket.on('end', () => this._close('ended'))
+  }
+
+  /**
+   * Sends a frame.
+   * @param frame - message
+   */
+  send (frame: PeerFrame): void {
+    if (this._isClosed) return
+    const writer = new BinaryWriter()
+    PeerFrame.encode(frame, writer.fork())
+    this._out.push(writer.join().finish())
+    if (this._isFlushing) return
+    this._isFlushing = true
+    process.nextTick(() => this._flush())
+  }
+
+  dispose (): void {
+    this._flush()
+    this._isClosed = true
+    this._socket.end()
+  }
+
+  /** Cuts the connection at once. */
+  destroy (): void {
+    this._socket.destroy()
+  }
+
+  private _flush (): void {
+    this._isFlushing = false
+    if (this._isClosed || this._out.length === 0) return
+    const out = this._out
+    this._out = []
+    this._socket.write(out.length === 1 ? out[0] ?? '' : Buffer.concat(out))
+  }
+
+  private _receive (chunk: Buffer): void {
+    let data = this._in.length === 0 ? chunk : Buffer.concat([this._in, chunk])
+    while (data.length > 0 && !this._isClosed) {
+      const frame = readFrame(data)
+      if (frame === undefined) break
+      if (frame.length > MAX_FRAME_BYTES) {
+        this._fail('a frame is too large')
+        return
+      }
+      const end = frame.start + frame.length
+      if (data.length < end) break
+      if (!this._deliver(data.subarray(frame.start, end))) return
+      data = data.subarray(end)
+    }
+    this._in = data
+  }
+
+  private _deliver (bytes: Buffer): boolean {
+    let frame: PeerFrame
+    try {
+      frame = PeerFrame.decode(bytes)
+    } catch {
+      this._fail('a frame can\'t be decoded')
+      return false
+    }
+    this._listener.onFrame(frame)
+    return true
+  }
+
+  private _fail (cause: string): void {
+    this._socket.destroy()
+    this._close(cause)
+  }
+
+  private _close (cause: string): void {
+    if (this._isClosed) return
+    this._isClosed = true
+    this._socket.destroy()
+    this._listener.onClose(cause)
+  }
+}
+
+/** Finds the length of the next frame; undefined while its length isn't whole. */
+function readFrame (data: Buffer): { start: number, length: number } | undefined {
+  const lengthBytes = data.subarray(0, MAX_LENGTH_BYTES)
+  const last = lengthBytes.findIndex(byte => byte < 0x80)
+  if (last < 0) {
+    return data.length < MAX_LENGTH_BYTES ? undefined : { start: MAX_LENGTH_BYTES, length: Infinity }
+  }
+  return { start: last + 1, length: new BinaryReader(toBuffer(lengthBytes)).uint32() }
+}
