Tests of calls and at-most-once, and the faults they found

Cause, each shown by a test that failed first: a body larger than 16 kB stalled on a link that had just been opened, since nobody told the sender to go on; a heartbeat of a target brought it back into service while its process was stopping, so a planned stop cut a call; a read whose only target answered 500 was refused as not run; a call whose first attempt may have run was refused as not run when its second was not. Change: the link tells the sender to go on; a withdrawn target returns as another instance only; a stopping process asks its links for no further calls; one attempt that may have run makes the whole call doubtful. Ruled out: the planned stop failing because of the closing link alone; the 502 stayed away only with both changes.

--- /dev/null
+++ b/packages/control/src/catalogue/CatalogueMachine.test.ts
@@ -0,0 +1,132 @@
+import { beforeEach, expect, test } from 'vitest'
+import { CatalogueStore } from '@lagoonswitch/feed'
+import {
+  CatalogueCommand, ChangeOutcome, ChangeReply, MoveStatus, parseEntry, formatEntry, type EntryEdit
+} from '@lagoonswitch/schema'
+import { CatalogueMachine } from './CatalogueMachine.js'
+
+const NOW_MS = Date.UTC(2026, 0, 1)
+const BY = '2026-01-01T01:00:00Z'
+let store: CatalogueStore
+let machine: CatalogueMachine
+let requests = 0
+
+function createDeclaration (name: string, extra: object = {}): object {
+  return {
+    entry: name,
+    owner: 'beaulieu',
+    class: 'first',
+    limits: { slots: 9, connections: 130 },
+    routes: [{ name: 'read', path: `/${name}`, methods: ['GET'], idempotency: 'safe' }],
+    version: 'v1',
+    ...extra
+  }
+}
+
+function createEdit (name: string, expectedVersion: number, extra: object = {}): EntryEdit {
+  const entry = parseEntry(createDeclaration(name, extra))
+  return { name, expectedVersion, declaration: entry.ok ? formatEntry(entry.val) : JSON.stringify(createDeclaration(name, extra)) }
+}
+
+function change (edits: EntryEdit[], operator = 'ann', requestId = `request-${requests++}`): ChangeReply {
+  return ChangeReply.decode(machine.apply(CatalogueCommand.encode({
+    nowMs: NOW_MS, command: { $case: 'change', value: { requestId, operator, edits } }
+  }).finish()))
+}
+
+function decideMove (status: MoveStatus, sharePpm: number, expectedVersion = store.getMove('desk')?.version ?? 0): ChangeReply {
+  return ChangeReply.decode(machine.apply(CatalogueCommand.encode({
+    nowMs: NOW_MS,
+    command: { $case: 'move', value: { service: 'desk', expectedVersion, status, sharePpm, reason: 'test', late: false } }
+  }).finish()))
+}
+
+beforeEach(() => {
+  store = new CatalogueStore()
+  machine = new CatalogueMachine(store)
+  machine.apply(CatalogueCommand.encode({ nowMs: NOW_MS, command: { $case: 'bootstrap', value: { epoch: 5 } } }).finish())
+})
+
+test('equal versions give one winner and one conflict', () => {
+  expect(change([createEdit('desk', 0)], 'ann').outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED)
+  const lost = change([createEdit('desk', 0, { owner: 'other' })], 'bob')
+  expect(lost.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_CONFLICT)
+  expect(lost.winnerOperator).toBe('ann')
+  expect(lost.winner?.version).toBe(2)
+})
+
+test('resent change gets the first answer', () => {
+  const first = change([createEdit('desk', 0)], 'ann', 'request-same')
+  change([createEdit('desk', 2, { owner: 'other' })])
+  const again = change([createEdit('desk', 0)], 'ann', 'request-same')
+  expect(again).toEqual({ ...first, repeated: true })
+})
+
+test('resent change gets the first answer after a snapshot', () => {
+  const first = change([createEdit('desk', 0)], 'ann', 'request-same')
+  const copy = new CatalogueMachine(new CatalogueStore())
+  copy.restoreSnapshot(machine.takeSnapshot())
+  machine = copy
+  expect(change([createEdit('desk', 0)], 'ann', 'request-same')).toEqual({ ...first, repeated: true })
+})
+
+test('request id of another operator gives no answer away', () => {
+  change([createEdit('desk', 0)], 'ann', 'request-same')
+  const other = change([createEdit('desk', 0)], 'bob', 'request-same')
+  expect(other.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_REQUEST_REUSED)
+})
+
+test('bad edit refuses the whole change', () => {
+  const reply = change([createEdit('desk', 0), createEdit('press', 0, { unknown: 1 })])
+  expect(reply.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_INVALID)
+  expect(reply.message).toMatch(/press.*unknown/i)
+  expect(store.view.entries.size).toBe(0)
+})
+
+test('dangling reference is refused', () => {
+  const routes = [{ name: 'read', path: '/x', methods: ['GET'], idempotency: 'safe', service: 'nowhere' }]
+  expect(change([createEdit('desk', 0, { routes })]).message).toMatch(/no entry is named nowhere/)
+})
+
+test('removing a referenced entry is refused', () => {
+  const routes = [{ name: 'read', path: '/x', methods: ['GET'], idempotency: 'safe', service: 'desk' }]
+  change([createEdit('desk', 0), createEdit('front', 0, { routes })])
+  const reply = change([{ name: 'desk', expectedVersion: 2, declaration: '' }])
+  expect(reply.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_INVALID)
+  expect(store.view.entries.has('desk')).toBe(true)
+})
+
+test('move in the past is refused', () => {
+  const move = { to: 'v2', by: '2025-12-31T00:00:00Z' }
+  expect(change([createEdit('desk', 0, { move })]).message).toMatch(/in the past; set a later time/)
+})
+
+test('impossible limits are refused', () => {
+  const reply = change([createEdit('desk', 0, { limits: { slots: 20, connections: 10 } })])
+  expect(reply.message).toMatch(/20 slots can't be used with 10 connections/)
+})
+
+test('version changes through a move only', () => {
+  change([createEdit('desk', 0)])
+  expect(change([createEdit('desk', 2, { version: 'v2' })]).message).toMatch(/declare a move to v2/)
+  change([createEdit('desk', 2, { move: { to: 'v2', by: BY } })])
+  decideMove(MoveStatus.MOVE_STATUS_DONE, 1_000_000)
+  const version = store.getRecord('desk')?.version ?? 0
+  expect(change([createEdit('desk', version, { version: 'v2' })]).outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED)
+})
+
+test('decision of a deposed leader is void', () => {
+  change([createEdit('desk', 0, { move: { to: 'v2', by: BY } })])
+  const seen = store.getMove('desk')?.version ?? 0
+  decideMove(MoveStatus.MOVE_STATUS_TAKEN_BACK, 0)
+  const late = decideMove(MoveStatus.MOVE_STATUS_RUNNING, 500_000, seen)
+  expect(late.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_CONFLICT)
+  expect(store.getMove('desk')?.status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
+
+test('withdrawn move is taken back', () => {
+  change([createEdit('desk', 0, { move: { to: 'v2', by: BY } })])
+  change([createEdit('desk', 2)])
+  expect(store.getMove('desk')?.status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+  expect(store.getMove('desk')?.reason).toMatch(/withdrawn/)
+})
--- a/packages/lagoonswitch/src/http/LocalController.ts
+++ b/packages/lagoonswitch/src/http/LocalController.ts
@@ -15,7 +15,8 @@
   version: z.string().min(1).max(63),
   address: z.string().regex(/^(127\.\d+\.\d+\.\d+|\[::1\]|localhost|[0-9.]+):\d{1,5}$/, 'use IP:PORT'),
   slots: z.number().int().min(1).max(MAX_SLOTS),
-  connections: z.number().int().min(1).max(MAX_SLOTS)
+  connections: z.number().int().min(1).max(MAX_SLOTS),
+  instance: z.string().max(128).default('')
 })
 
 /** Announce, heartbeat, withdraw. */
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -162,6 +162,7 @@
     const { clock } = this._options
     const endMs = clock.monotonicMs() + timeoutMs
     this.targets.drain()
+    this._peerServer.drain()
     this.relay.drain()
     await clock.sleep(WITHDRAW_MS)
     this._isDraining = true
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -7,6 +7,7 @@
 import { ClaimStatus, type CallClass, type RecordedAnswer } from '@lagoonswitch/schema'
 import type { ClaimResult, IClaim } from '../claims/ClaimsClient.js'
 import type { ICompiledRoute } from '../routing/RouteTable.js'
+import type { ITargetState } from '../routing/TargetPool.js'
 import { Attempt } from './Attempt.js'
 import type { ICallContext } from './CallContext.js'
 import {
@@ -51,10 +52,14 @@
   private _isStreaming = false
   private _attempt: Attempt | undefined
   private _attempts = 0
+  private _lastFailure: ICallFailure | undefined
   private _claim: IClaim | undefined
   private _recorded: { status: number, headers: readonly string[], chunks: Buffer[], bytes: number } | undefined
   private _deadline: IDisposable | undefined
   private _hasHead = false
+  private _mayHaveRun = false
+  /** Answer bytes that wait in the caller's connection. */
+  private _unacknowledged = 0
   private _isDone = false
   private _isCallerGone = false
 
@@ -91,6 +96,7 @@
     if (this._isDone) return
     if (this._canRetryAnswer(status)) {
       this._attempt?.cancel()
+      this._mayHaveRun = true
       this._context.metrics.count('retries_total', 'answer')
       this._send()
       return
@@ -108,8 +114,8 @@
       this._attempt?.handle?.acknowledge(chunk.length)
       return
     }
-    const handle = this._attempt?.handle
-    this._response.once('drain', () => handle?.acknowledge(chunk.length))
+    if (this._unacknowledged === 0) this._response.once('drain', () => this._acknowledge())
+    this._unacknowledged += chunk.length
   }
 
   onEnd (): void {
@@ -128,12 +134,14 @@
       this._response.destroy()
       return
     }
+    if (!failure.isNotRun) this._mayHaveRun = true
     if (this._canRetryFailure(failure)) {
+      this._lastFailure = failure
       this._context.metrics.count('retries_total', failure.reason)
       this._send()
       return
     }
-    this._refuse(failure.reason, failure.isNotRun ? 'not-run' : 'unknown', failure.retryAfterMs)
+    this._refuse(failure.reason, 'not-run', failure.retryAfterMs)
   }
 
   onBodyDrain (): void {
@@ -225,13 +233,9 @@
   }
 
   private _send (): void {
-    const { pool } = this._context
-    const { service } = this._route
-    const version = this._pickVersion()
-    const target = pool.pickTarget(service, version, this._tried) ??
-      pool.pickTarget(service, this._getOtherVersion(version), this._tried)
+    const target = this._pickTarget()
     if (target === undefined) {
-      this._refuse('no-target', 'not-run', RETRY_AFTER_MS)
+      this._refuseWithoutTarget()
       return
     }
     this._tried.add(target.record.targetId)
@@ -243,6 +247,20 @@
     if (!this._isBodyHeld && !this._isStreaming && !this._isDone) this._streamBody()
   }
 
+  private _pickTarget (): ITargetState | undefined {
+    const { pool } = this._context
+    const { service } = this._route
+    const version = this._pickVersion()
+    return pool.pickTarget(service, version, this._tried) ??
+      pool.pickTarget(service, this._getOtherVersion(version), this._tried)
+  }
+
+  /** With no target left to try, the caller learns why the last one failed. */
+  private _refuseWithoutTarget (): void {
+    const { reason, retryAfterMs } = this._lastFailure ?? { reason: 'no-target' as const, retryAfterMs: RETRY_AFTER_MS }
+    this._refuse(reason, 'not-run', retryAfterMs)
+  }
+
   private _createRequest (targetId: string, version: string): ICallRequest {
     const { limits, owner } = this._route.serviceEntry
     return {
@@ -294,7 +312,7 @@
 
   private _canRetryAnswer (status: number): boolean {
     return status >= FIRST_SERVER_ERROR && this._route.isRepeatable && this._depth === 0 && this._canSendAgain() &&
-      this._context.getBudget(this._route).spend()
+      this._pickTarget() !== undefined && this._context.getBudget(this._route).spend()
   }
 
   /** Only the first layer of a chain repeats what may have run; every layer may repeat what was not run. */
@@ -308,6 +326,12 @@
     return false
   }
 
+  private _acknowledge (): void {
+    const bytes = this._unacknowledged
+    this._unacknowledged = 0
+    this._attempt?.handle?.acknowledge(bytes)
+  }
+
   private _startRecording (status: number, headers: readonly string[]): void {
     if (this._claim !== undefined) this._recorded = { status, headers, chunks: [], bytes: 0 }
   }
@@ -347,6 +371,8 @@
   /** @returns false, so that checks can return it */
   private _refuse (reason: RefusalReason, run: RunState, retryAfterMs: number, detail?: string): false {
     if (this._isDone) return false
+    // One attempt that may have run is enough to make the whole call doubtful.
+    if (run === 'not-run' && this._mayHaveRun) run = 'unknown'
     this._settle(run === 'not-run' ? ClaimStatus.CLAIM_STATUS_RELEASED : ClaimStatus.CLAIM_STATUS_UNKNOWN)
     this._attempt?.cancel()
     this._finish(reason)
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -32,6 +32,8 @@
   private _waiting: RemoteCall[] = []
   private _connection: LinkConnection | undefined
   private _nextId = 1
+  /** The other process is stopping; a new connection is tried once this one has ended. */
+  private _isDraining = false
 
   /**
    * @param _address - link address of the other process
@@ -43,7 +45,10 @@
     const callId = this._takeId()
     const call = new RemoteCall(this, callId, request, events, this._context.clock)
     this._calls.set(callId, call)
-    if (this._connection?.isOpen === true) {
+    if (this._isDraining) {
+      // The caller of this method gets its handle before the refusal.
+      queueMicrotask(() => call.refuse('draining'))
+    } else if (this._connection?.isOpen === true) {
       call.sendOpen()
     } else {
       this._waiting.push(call)
@@ -85,11 +90,14 @@
   }
 
   private _handleFrame ({ callId, frame }: PeerFrame): void {
-    if (frame !== undefined && frame.$case !== 'ping') this._calls.get(callId)?.handleFrame(frame)
+    if (frame === undefined || frame.$case === 'ping') return
+    if (frame.$case === 'drain') this._isDraining = true
+    else this._calls.get(callId)?.handleFrame(frame)
   }
 
   private _handleClose (): void {
     this._connection = undefined
+    this._isDraining = false
     this._waiting = []
     const calls = [...this._calls.values()]
     this._calls.clear()
@@ -208,9 +216,17 @@
       }
     })
     this._window.spend(body.length)
-    for (const chunk of this._early) this.sendBody(chunk)
+    const early = this._early
     this._early = []
+    let isOpen = true
+    for (const chunk of early) isOpen = this.sendBody(chunk)
     if (this._isEarlyEnd) this.endBody()
+    else if (early.length > 0 && isOpen) this._events.onBodyDrain()
+  }
+
+  /** Ends a call that was never sent. */
+  refuse (reason: FailureReason): void {
+    this._fail(reason, true)
   }
 
   sendBody (chunk: Buffer): boolean {
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -16,6 +16,7 @@
 /** Serves links of other processes. */
 export class PeerServer {
   private readonly _links = new Set<ServedLink>()
+  private _isDraining = false
 
   /** @param _opener - the targets of this VM */
   constructor (private readonly _opener: ICallOpener) {}
@@ -24,6 +25,13 @@
   serve (socket: Socket): void {
     const link: ServedLink = new ServedLink(socket, this._opener, () => this._links.delete(link))
     this._links.add(link)
+    if (this._isDraining) link.drain()
+  }
+
+  /** Asks the other processes to open no further calls. */
+  drain (): void {
+    this._isDraining = true
+    for (const link of this._links) link.drain()
   }
 
   /** Ends all links; the calls on them have ended before. */
@@ -45,6 +53,10 @@
     this._socket.dispose()
   }
 
+  drain (): void {
+    this._socket.send({ callId: 0, frame: { $case: 'drain', value: {} } })
+  }
+
   onFrame ({ callId, frame }: PeerFrame): void {
     if (frame === undefined) return
     switch (frame.$case) {
@@ -80,6 +92,7 @@
       body,
       isBodyComplete: bodyComplete
     }, call))
+    if (body.length > 0) call.countBody(body.length)
   }
 }
 
@@ -148,6 +161,11 @@
     this._sendWindow(this._bodyUpdates.take())
   }
 
+  /** Counts body bytes that have been taken over. */
+  countBody (bytes: number): void {
+    this._sendWindow(this._bodyUpdates.add(bytes))
+  }
+
   private _receiveBody (chunk: Buffer): void {
     const isOpen = this._handle?.sendBody(chunk) !== false
     const due = this._bodyUpdates.add(chunk.length)
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -16,6 +16,8 @@
   readonly address: string
   readonly slots: number
   readonly connections: number
+  /** Differs between two runs of a target under one id. */
+  readonly instance: string
 }
 
 /** Owns the connections to one target. */
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -47,7 +47,7 @@
   }
 
   /**
-   * Takes an announcement or a heartbeat.
+   * Takes an announcement or a heartbeat. A target that has withdrawn comes back as another instance only.
    * @param announcement - from a target on this VM
    */
   announce (announcement: ITargetAnnouncement): void {
@@ -55,10 +55,6 @@
     if (held !== undefined && isSameAnnouncement(held.target.announcement, announcement)) {
       held.leaseTimer.dispose()
       held.leaseTimer = this._startLease(announcement.id)
-      if (held.target.isDraining) {
-        held.target.isDraining = false
-        this._publish(announcement, EndpointState.ENDPOINT_STATE_READY)
-      }
       return
     }
     held?.leaseTimer.dispose()
@@ -174,5 +170,5 @@
 
 function isSameAnnouncement (a: ITargetAnnouncement, b: ITargetAnnouncement): boolean {
   return a.service === b.service && a.version === b.version && a.address === b.address &&
-    a.slots === b.slots && a.connections === b.connections
+    a.slots === b.slots && a.connections === b.connections && a.instance === b.instance
 }
--- /dev/null
+++ b/tests/Calls.test.ts
@@ -0,0 +1,232 @@
+import { connect } from 'node:net'
+import { once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { DESK, World, waitFor } from './support/World.js'
+
+let world: World
+
+function answer (text: string): (request: IncomingMessage, response: ServerResponse) => void {
+  return (request, response) => {
+    request.resume()
+    request.on('end', () => response.end(text))
+  }
+}
+
+function readProblem (body: string): { reason: string, run: string } {
+  return JSON.parse(body) as { reason: string, run: string }
+}
+
+async function sendRaw (port: number, text: string): Promise<string> {
+  const socket = connect(port, '127.0.0.1')
+  socket.write(text)
+  let received = ''
+  socket.on('data', chunk => { received += chunk.toString() })
+  await Promise.race([once(socket, 'close'), sleep(1_000)])
+  socket.destroy()
+  return received
+}
+
+beforeEach(async () => {
+  world = await World.start(['n1', 'n2'])
+  await world.putEntry(DESK)
+})
+
+afterEach(async () => { await world.stop() })
+
+test('call reaches a target on another VM', async () => {
+  const target = await world.addTarget('n2', 't1', 'v1', answer('hello'))
+  const reply = await world.call('n1', 'GET', '/read?x=1', { 'x-own': 'kept', connection: 'x-hop', 'x-hop': 'dropped' })
+  expect([reply.status, reply.body]).toEqual([200, 'hello'])
+  const { headers, url } = target.requests[0] as IncomingMessage
+  expect(url).toBe('/read?x=1')
+  expect(headers['x-own']).toBe('kept')
+  expect(headers['x-hop']).toBeUndefined()
+  expect(Number(headers['lagoon-deadline-ms'])).toBeGreaterThan(0)
+  expect(headers['lagoon-depth']).toBe('1')
+})
+
+test('no route and no target are refused as not run', async () => {
+  expect((await world.call('n1', 'GET', '/nowhere')).status).toBe(404)
+  const reply = await world.call('n1', 'GET', '/read')
+  expect(readProblem(reply.body)).toMatchObject({ reason: 'no-target', run: 'not-run' })
+})
+
+test('large bodies stream both ways', async () => {
+  const size = 3_000_000
+  await world.addTarget('n2', 't1', 'v1', (request, response) => { request.pipe(response) })
+  const reply = await world.call('n1', 'POST', '/once', {}, 'a'.repeat(size))
+  expect(reply.status).toBe(200)
+  expect(reply.body.length).toBe(size)
+})
+
+test('crossed answers reach their own callers', async () => {
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    const delayMs = Number(new URL(request.url ?? '', 'http://x').searchParams.get('delay'))
+    setTimeout(() => response.end(request.url), delayMs)
+  })
+  // As many at once as the slots and the queue of the entry take.
+  for (let round = 0; round < 4; round++) {
+    const paths = Array.from({ length: 12 }, (_, index) => `/read?id=${round}-${index}&delay=${(index * 37) % 50}`)
+    const replies = await Promise.all(paths.map(async path => await world.call('n1', 'GET', path)))
+    expect(replies.map(reply => reply.body)).toEqual(paths)
+  }
+})
+
+test('broken connection before the answer: read is sent again, single try is not', async () => {
+  const bad = await world.addTarget('n2', 't1', 'v1', request => request.socket.destroy())
+  const lost = await world.call('n1', 'POST', '/once')
+  expect(lost.status).toBe(502)
+  expect(readProblem(lost.body)).toMatchObject({ reason: 'broken', run: 'unknown' })
+  expect(bad.requests.length).toBe(1)
+  await world.addTarget('n2', 't2', 'v1', answer('good'))
+  expect((await world.call('n1', 'GET', '/read')).body).toBe('good')
+})
+
+test('answer cut in the middle is not whole for the caller', async () => {
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    response.writeHead(200, { 'content-length': 100 })
+    response.write('half')
+    setTimeout(() => request.socket.destroy(), 50)
+  })
+  await expect(world.call('n1', 'GET', '/read')).rejects.toThrow()
+})
+
+test('hanging target ends at the deadline as unknown', async () => {
+  await world.addTarget('n2', 't1', 'v1', () => {})
+  const reply = await world.call('n1', 'POST', '/once', { 'lagoon-deadline-ms': '200' })
+  expect(reply.status).toBe(504)
+  expect(readProblem(reply.body)).toMatchObject({ reason: 'deadline', run: 'unknown' })
+})
+
+test('slots are never exceeded', async () => {
+  let running = 0
+  let highest = 0
+  await world.addTarget('n2', 't1', 'v1', (_request, response) => {
+    running++
+    highest = Math.max(highest, running)
+    setTimeout(() => { running--; response.end('ok') }, 20)
+  })
+  const replies = await Promise.all(Array.from({ length: 60 }, async (_, index) =>
+    await world.call(index % 2 === 0 ? 'n1' : 'n2', 'POST', '/once')))
+  expect(highest).toBeLessThanOrEqual(4)
+  const refused = replies.filter(reply => reply.status !== 200)
+  expect(refused.length).toBeGreaterThan(0)
+  for (const reply of refused) expect(readProblem(reply.body).run).toBe('not-run')
+})
+
+test('dead target process beside a live one: reads go on', async () => {
+  const dead = await world.addTarget('n2', 't1', 'v1', answer('dead'))
+  await world.addTarget('n2', 't2', 'v1', answer('live'))
+  await dead.close()
+  for (let index = 0; index < 20; index++) expect((await world.call('n1', 'GET', '/read')).body).toBe('live')
+})
+
+test('crashed node with its target: calls not sent are sent elsewhere', async () => {
+  await world.startNode('n3')
+  await world.addTarget('n3', 't1', 'v1', answer('gone'))
+  await world.addTarget('n2', 't2', 'v1', answer('live'))
+  world.crashNode('n3')
+  for (let index = 0; index < 10; index++) expect((await world.call('n1', 'POST', '/once')).body).toBe('live')
+})
+
+test('withdrawn target gets no new calls and finishes the old ones', async () => {
+  const leaving = await world.addTarget('n2', 't1', 'v1', (_request, response) => { setTimeout(() => response.end('old'), 300) })
+  const running = world.call('n1', 'GET', '/read')
+  await waitFor('the call at the target', () => leaving.requests.length === 1)
+  await world.addTarget('n2', 't2', 'v1', answer('new'))
+  world.getNode('n2').role.targets.withdraw('t1')
+  for (let index = 0; index < 10; index++) expect((await world.call('n1', 'GET', '/read')).body).toBe('new')
+  expect((await running).body).toBe('old')
+  expect(leaving.requests.length).toBe(1)
+})
+
+test('planned stop of a node cuts no call', async () => {
+  await world.startNode('n3')
+  await world.addTarget('n3', 't1', 'v1', (_request, response) => { setTimeout(() => response.end('slow'), 150) })
+  await world.addTarget('n2', 't2', 'v1', (_request, response) => { setTimeout(() => response.end('slow'), 150) })
+  const replies: number[] = []
+  const state = { isStopped: false }
+  const load = (async () => {
+    while (!state.isStopped) {
+      const batch = Array.from({ length: 4 }, async () => await world.call('n1', 'POST', '/once'))
+      replies.push(...(await Promise.all(batch)).map(reply => reply.status))
+    }
+  })()
+  await sleep(200)
+  await world.getNode('n3').role.stop(5_000)
+  state.isStopped = true
+  await load
+  expect(replies.length).toBeGreaterThan(4)
+  expect(replies.filter(status => status !== 200)).toEqual([])
+})
+
+test('target seen failing is left out', async () => {
+  const bad = await world.addTarget('n2', 't1', 'v1', (_request, response) => { response.writeHead(500).end('bad') })
+  await world.addTarget('n2', 't2', 'v1', answer('good'))
+  for (let index = 0; index < 60; index++) await world.call('n1', 'POST', '/once')
+  const before = bad.requests.length
+  for (let index = 0; index < 20; index++) expect((await world.call('n1', 'POST', '/once')).body).toBe('good')
+  expect(bad.requests.length).toBe(before)
+})
+
+test('fault common to all targets does not empty the pool', async () => {
+  for (const id of ['t1', 't2']) {
+    await world.addTarget('n2', id, 'v1', (_request, response) => { response.writeHead(500).end('bad') })
+  }
+  for (let index = 0; index < 40; index++) expect((await world.call('n1', 'POST', '/once')).status).toBe(500)
+})
+
+test('failing answer of the only target is passed on', async () => {
+  await world.addTarget('n2', 't1', 'v1', (_request, response) => { response.writeHead(500).end('bad') })
+  const reply = await world.call('n1', 'GET', '/read')
+  expect([reply.status, reply.body]).toEqual([500, 'bad'])
+})
+
+test('refusal after an attempt that may have run does not say not run', async () => {
+  const breaking = await world.addTarget('n2', 't1', 'v1', request => request.socket.destroy())
+  const dead = await world.addTarget('n2', 't2', 'v1', answer('never'))
+  await dead.close()
+  for (let index = 0; index < 8; index++) {
+    const before = breaking.requests.length
+    const reply = await world.call('n1', 'GET', '/read')
+    expect(readProblem(reply.body).run).toBe(breaking.requests.length > before ? 'unknown' : 'not-run')
+  }
+})
+
+test('too deep chain is cut', async () => {
+  await world.addTarget('n2', 't1', 'v1', answer('x'))
+  const reply = await world.call('n1', 'GET', '/read', { 'lagoon-depth': '16' })
+  expect(readProblem(reply.body).reason).toBe('too-deep')
+})
+
+test('smuggling shapes are refused before any target', async () => {
+  const target = await world.addTarget('n2', 't1', 'v1', answer('x'))
+  const { port } = world.getNode('n1')
+  const shapes = [
+    'POST /once HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd',
+    'POST /once HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n',
+    'POST /once HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n',
+    'POST /once HTTP/1.1\r\nhost: a\r\ncontent-length : 3\r\n\r\nabc',
+    'GET /read HTTP/1.1\r\nhost: a\r\nx: a\rb\r\n\r\n'
+  ]
+  for (const shape of shapes) expect(await sendRaw(port, shape)).toMatch(/^HTTP\/1\.1 400 /)
+  expect(target.requests.length).toBe(0)
+})
+
+test('large header section is refused', async () => {
+  const { port } = world.getNode('n1')
+  expect(await sendRaw(port, `GET /read HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`)).toMatch(/^HTTP\/1\.1 431 /)
+})
+
+test('caller that goes away frees the slot', async () => {
+  const target = await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    if (request.url !== '/read?hang') response.end('ok')
+  }, 1)
+  const socket = connect(world.getNode('n1').port, '127.0.0.1')
+  socket.write('GET /read?hang HTTP/1.1\r\nhost: a\r\n\r\n')
+  await waitFor('the call at the target', () => target.requests.length === 1)
+  socket.destroy()
+  expect((await world.call('n1', 'GET', '/read')).body).toBe('ok')
+})
--- /dev/null
+++ b/tests/support/World.ts
@@ -0,0 +1,255 @@
+/**
+ * A control VM and nodes in this process, over real sockets, with targets whose behaviour a test chooses.
+ */
+import { createServer as createHttpServer, request, type IncomingHttpHeaders, type IncomingMessage, type ServerResponse } from 'node:http'
+import { once } from 'node:events'
+import { createServer, type AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Metrics, NullLog, SeededRandom, SystemClock } from '@lagoonswitch/common'
+import { ControlRole, MemoryStorage } from '@lagoonswitch/control'
+import { NodeRole } from '@lagoonswitch/node'
+import { ChangeOutcome, formatEntry, parseEntry, parseSettings, type ISettings } from '@lagoonswitch/schema'
+import { PeerChannels, PeerListener, PlainCredentials } from '@lagoonswitch/transport'
+
+const WAIT_LIMIT_MS = 15_000
+
+export interface IReply {
+  status: number
+  headers: IncomingHttpHeaders
+  body: string
+}
+
+export interface INode {
+  role: NodeRole
+  metrics: Metrics
+  listener: PeerListener
+  port: number
+}
+
+export interface ITarget {
+  id: string
+  port: number
+  requests: IncomingMessage[]
+  close: () => Promise<void>
+}
+
+export async function findPorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'))
+  await Promise.all(servers.map(async server => await once(server, 'listening')))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(async server => await new Promise(resolve => server.close(resolve))))
+  return ports
+}
+
+export async function waitFor (label: string, check: () => boolean | Promise<boolean>): Promise<void> {
+  const endMs = Date.now() + WAIT_LIMIT_MS
+  while (Date.now() < endMs) {
+    if (await check()) return
+    await sleep(20)
+  }
+  throw new Error(`${label} did not happen`)
+}
+
+export class World {
+  readonly clock = new SystemClock()
+  readonly channels = new PeerChannels(new PlainCredentials())
+  readonly nodes = new Map<string, INode>()
+  readonly storages = new Map<string, MemoryStorage>()
+  control!: ControlRole
+  private _controlListener = new PeerListener(new PlainCredentials())
+  private _controlPort = 0
+  private readonly _targets: ITarget[] = []
+  private readonly _heartbeats: NodeJS.Timeout[] = []
+  private _changes = 0
+
+  static async start (nodes: readonly string[], extra = ''): Promise<World> {
+    const world = new World()
+    world._controlPort = (await findPorts(1))[0] ?? 0
+    await world.startControl(extra)
+    for (const name of nodes) await world.startNode(name, extra)
+    return world
+  }
+
+  async startControl (extra = ''): Promise<void> {
+    this._controlListener = new PeerListener(new PlainCredentials())
+    this.control = new ControlRole({
+      settings: this._createSettings('c1', 'control', 0, 0, extra),
+      peerAddress: `127.0.0.1:${this._controlPort}`,
+      clock: this.clock,
+      random: new SeededRandom(1),
+      log: new NullLog(),
+      metrics: new Metrics(),
+      channels: this.channels,
+      createStorage: group => this._getStorage(group)
+    })
+    this.control.addServices(this._controlListener)
+    await this._controlListener.listen('127.0.0.1', this._controlPort)
+    await this.control.start()
+    await waitFor('an epoch', () => this.control.store.version.epoch > 0)
+  }
+
+  stopControl (): void {
+    this.control.dispose()
+    this._controlListener.close()
+  }
+
+  async startNode (name: string, extra = ''): Promise<INode> {
+    const [peers, links] = await findPorts(2)
+    const metrics = new Metrics()
+    const listener = new PeerListener(new PlainCredentials())
+    const role = new NodeRole({
+      settings: this._createSettings(name, 'node', peers ?? 0, links ?? 0, extra),
+      peerAddress: `127.0.0.1:${peers}`,
+      clock: this.clock,
+      random: new SeededRandom(2),
+      log: new NullLog(),
+      metrics,
+      channels: this.channels,
+      credentials: new PlainCredentials()
+    })
+    role.addServices(listener, false)
+    await listener.listen('127.0.0.1', peers ?? 0)
+    const port = await role.start()
+    const node = { role, metrics, listener, port }
+    this.nodes.set(name, node)
+    await waitFor(`readiness of ${name}`, () => role.isReady)
+    return node
+  }
+
+  /** Ends a node without a word, as a crash does. */
+  crashNode (name: string): void {
+    const node = this.getNode(name)
+    node.listener.close()
+    node.role.dispose()
+    this.nodes.delete(name)
+  }
+
+  getNode (name: string): INode {
+    const node = this.nodes.get(name)
+    if (node === undefined) throw new Error(`no node ${name}`)
+    return node
+  }
+
+  async putEntry (declaration: object): Promise<void> {
+    const entry = parseEntry(declaration)
+    if (entry.err) throw new Error(entry.val.map(error => error.message).join('\n'))
+    const name = entry.val.entry
+    const record = this.control.store.getRecord(name)
+    const reply = await this.control.applyChange({
+      requestId: `change-${this._changes++}`,
+      operator: 'test',
+      edits: [{ name, expectedVersion: record?.version ?? 0, declaration: formatEntry(entry.val) }]
+    })
+    if (reply.err) throw reply.val
+    if (reply.val.outcome !== ChangeOutcome.CHANGE_OUTCOME_ACCEPTED) throw new Error(reply.val.message)
+    const { version } = this.control.store.version
+    await waitFor('the version at all nodes', () => [...this.nodes.values()].every(node => node.role.store.version.version >= version))
+  }
+
+  async addTarget (
+    node: string, id: string, version: string, handle: (request: IncomingMessage, response: ServerResponse) => void,
+    slots = 4
+  ): Promise<ITarget> {
+    const requests: IncomingMessage[] = []
+    const server = createHttpServer((incoming, response) => {
+      requests.push(incoming)
+      handle(incoming, response)
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const { port } = server.address() as AddressInfo
+    const announce = (): void => {
+      this.nodes.get(node)?.role.targets.announce({
+        id, service: 'desk', version, address: `127.0.0.1:${port}`, slots, connections: 16, instance: ''
+      })
+    }
+    announce()
+    this._heartbeats.push(setInterval(announce, 500))
+    const target: ITarget = {
+      id,
+      port,
+      requests,
+      close: async () => {
+        server.closeAllConnections()
+        await new Promise(resolve => server.close(resolve))
+      }
+    }
+    this._targets.push(target)
+    await waitFor(`${id} at all nodes`, () => [...this.nodes.values()].every(other =>
+      other.role.endpoints.getRecord(id) !== undefined))
+    return target
+  }
+
+  async call (
+    node: string, method: string, path: string, headers: Record<string, string> = {}, body = ''
+  ): Promise<IReply> {
+    const { port } = this.getNode(node)
+    return await new Promise<IReply>((resolve, reject) => {
+      const outgoing = request({ host: '127.0.0.1', port, method, path, headers, agent: false }, answer => {
+        const chunks: Buffer[] = []
+        answer.on('data', (chunk: Buffer) => chunks.push(chunk))
+        answer.on('end', () => resolve({
+          status: answer.statusCode ?? 0, headers: answer.headers, body: Buffer.concat(chunks).toString()
+        }))
+        answer.on('error', reject)
+      })
+      outgoing.on('error', reject)
+      outgoing.end(body)
+    })
+  }
+
+  async stop (): Promise<void> {
+    for (const timer of this._heartbeats) clearInterval(timer)
+    for (const { role, listener } of this.nodes.values()) {
+      await role.stop(0)
+      role.dispose()
+      listener.close()
+    }
+    this.stopControl()
+    this.channels.dispose()
+    await Promise.all(this._targets.map(async target => await target.close()))
+  }
+
+  private _getStorage (group: string): MemoryStorage {
+    let storage = this.storages.get(group)
+    if (storage === undefined) {
+      storage = new MemoryStorage(`disk-${group}`)
+      this.storages.set(group, storage)
+    }
+    return storage
+  }
+
+  private _createSettings (name: string, role: string, peers: number, links: number, extra: string): ISettings {
+    const settings = parseSettings(`[process]
+name = ${name}
+roles = ${role}
+region = r1
+availability_zone = z1
+data_folder = unused
+[listen]
+calls = 127.0.0.1:0
+peers = 127.0.0.1:${peers}
+links = 127.0.0.1:${links}
+[control]
+members = c1=127.0.0.1:${this._controlPort}
+claim_shards = 2
+heartbeat = 20ms
+election_timeout = 200ms
+${extra}`, `${name}.ini`)
+    if (settings.err) throw new Error(settings.val.map(error => error.message).join('\n'))
+    return settings.val
+  }
+}
+
+/** A service with a read, an update that may repeat, and a keyed route. */
+export const DESK = {
+  entry: 'desk',
+  owner: 'beaulieu',
+  class: 'first',
+  limits: { slots: 4, connections: 16, queue: 8, deadline: '2s', retry_budget: 0.5 },
+  routes: [
+    { name: 'read', path: '/read', methods: ['GET', 'POST'], idempotency: 'safe' },
+    { name: 'order', path: '/order', methods: ['POST'], idempotency: 'keyed' },
+    { name: 'once', path: '/once', methods: ['POST'], idempotency: 'single-try' }
+  ],
+  version: 'v1'
+}
