--- /dev/null
+++ b/packages/feed/src/CatalogueStore.test.ts
@@ -0,0 +1,145 @@
+import { beforeEach, expect, test } from 'vitest'
+import fc from 'fast-check'
+import { compareVersions } from '@lagoonswitch/common'
+import { formatEntry, parseEntry, type CatalogueDelta, type EntryRecord } from '@lagoonswitch/schema'
+import { CatalogueStore } from './CatalogueStore.js'
+
+let source: CatalogueStore
+let copy: CatalogueStore
+
+function createRecord (name: string, version: number, service = name): EntryRecord {
+  const entry = parseEntry({
+    entry: name,
+    owner: 'o',
+    class: 'low',
+    limits: { slots: 1, connections: 1 },
+    routes: [{ name: 'r', path: `/${name}`, methods: ['GET'], idempotency: 'safe', service }],
+    version: `v${version}`
+  })
+  return { name, version, declaration: entry.ok ? formatEntry(entry.val) : '', removed: false }
+}
+
+function createTombstone (name: string, version: number): EntryRecord {
+  return { name, version, declaration: '', removed: true }
+}
+
+function commit (version: number, ...records: EntryRecord[]): void {
+  source.commitRecords({ epoch: 1, version }, records, [])
+}
+
+function takeDelta (): CatalogueDelta {
+  const delta = source.computeDelta(copy.version)
+  if (delta === undefined) throw new Error('nothing to send')
+  return delta
+}
+
+beforeEach(() => {
+  source = new CatalogueStore()
+  copy = new CatalogueStore()
+  commit(1, createRecord('a', 1))
+  copy.applyDelta(takeDelta())
+})
+
+test('delta carries only what changed', () => {
+  commit(2, createRecord('b', 2))
+  commit(3, createRecord('b', 3))
+  const delta = takeDelta()
+  expect(delta.full).toBe(false)
+  expect(delta.entries.map(record => record.version)).toEqual([3])
+  expect(copy.applyDelta(delta).ok).toBe(true)
+  expect(copy.digest).toEqual(source.digest)
+})
+
+test('older and equal versions are refused', () => {
+  const old = { ...takeDeltaOf(0), version: { epoch: 1, version: 1 } }
+  expect(copy.applyDelta(old).ok).toBe(false)
+  expect(copy.applyDelta({ ...old, version: { epoch: 0, version: 99 } }).ok).toBe(false)
+  expect(copy.version.version).toBe(1)
+})
+
+test('higher epoch wins over a higher version', () => {
+  const reborn = new CatalogueStore()
+  reborn.commitRecords({ epoch: 2, version: 1 }, [createRecord('z', 1)], [])
+  const delta = reborn.computeDelta(copy.version)
+  expect(delta?.full).toBe(true)
+  expect(delta !== undefined && copy.applyDelta(delta).ok).toBe(true)
+  expect([...copy.view.entries.keys()]).toEqual(['z'])
+})
+
+test('dangling route refuses the whole version', () => {
+  commit(2, createRecord('b', 2), createRecord('c', 2, 'b'))
+  const delta = takeDelta()
+  const partial = { ...delta, entries: delta.entries.filter(record => record.name !== 'b') }
+  const before = copy.view
+  expect(copy.applyDelta(partial).ok).toBe(false)
+  expect(copy.view).toBe(before)
+})
+
+test('digest catches a changed byte', () => {
+  commit(2, createRecord('b', 2))
+  const delta = takeDelta()
+  const [record] = delta.entries
+  const forged = { ...delta, entries: [{ ...record as EntryRecord, declaration: record?.declaration.replace('"low"', '"high"') ?? '' }] }
+  expect(copy.applyDelta(forged).ok).toBe(false)
+  expect(copy.view.entries.has('b')).toBe(false)
+})
+
+test('delta for another base is refused', () => {
+  commit(2, createRecord('b', 2))
+  commit(3, createRecord('c', 3))
+  const delta = source.computeDelta({ epoch: 1, version: 2 })
+  expect(delta !== undefined && copy.applyDelta(delta).ok).toBe(false)
+})
+
+test('removed entries leave the copy', () => {
+  commit(2, createRecord('b', 2))
+  copy.applyDelta(takeDelta())
+  commit(3, createTombstone('b', 3))
+  copy.applyDelta(takeDelta())
+  expect([...copy.view.entries.keys()]).toEqual(['a'])
+  expect(copy.digest).toEqual(source.digest)
+})
+
+test('forgotten tombstones give the whole catalogue', () => {
+  for (let version = 2; version < 1_100; version++) commit(version, createTombstone(`t${version}`, version))
+  const delta = takeDelta()
+  expect(delta.full).toBe(true)
+  expect(copy.applyDelta(delta).ok).toBe(true)
+  expect(copy.digest).toEqual(source.digest)
+})
+
+test('updates that cross, repeat and reorder never go back', () => {
+  const change = fc.record({ name: fc.constantFrom('a', 'b', 'c', 'd'), removed: fc.boolean() })
+  const arrival = fc.record({ delta: fc.nat(30), base: fc.nat(30) })
+  fc.assert(fc.property(fc.array(change, { minLength: 1, maxLength: 20 }), fc.array(arrival, { maxLength: 60 }), (changes, arrivals) => {
+    const origin = new CatalogueStore()
+    const versions: CatalogueStore[] = []
+    for (const [index, { name, removed }] of changes.entries()) {
+      const version = index + 1
+      origin.commitRecords({ epoch: 1, version }, [removed ? createTombstone(name, version) : createRecord(name, version)], [])
+      const frozen = new CatalogueStore()
+      frozen.restoreContent(origin.getContent())
+      versions.push(frozen)
+    }
+    const holder = new CatalogueStore()
+    let last = holder.version
+    for (const { delta, base } of arrivals) {
+      const sender = versions[delta % versions.length]
+      const update = sender?.computeDelta({ epoch: base === 0 ? 0 : 1, version: base % versions.length })
+      if (update === undefined) continue
+      const before = holder.view
+      const applied = holder.applyDelta(update)
+      if (applied.err) expect(holder.view).toBe(before)
+      expect(compareVersions(holder.version, last)).toBeGreaterThanOrEqual(0)
+      last = holder.version
+      const same = versions[holder.version.version - 1]
+      if (holder.version.epoch > 0) expect(holder.digest).toEqual(same?.digest)
+    }
+  }), { seed: 3, numRuns: 200 })
+})
+
+function takeDeltaOf (version: number): CatalogueDelta {
+  const delta = source.computeDelta({ epoch: 0, version })
+  if (delta === undefined) throw new Error('nothing to send')
+  return delta
+}
--- /dev/null
+++ b/packages/feed/src/EndpointView.test.ts
@@ -0,0 +1,61 @@
+import { expect, test } from 'vitest'
+import fc from 'fast-check'
+import { EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
+import { EndpointView } from './EndpointView.js'
+
+function createRecord (targetId: string, incarnation: number, sequence: number, state = EndpointState.ENDPOINT_STATE_READY): EndpointRecord {
+  return {
+    targetId,
+    incarnation,
+    sequence,
+    state,
+    service: 's',
+    version: 'v1',
+    linkAddress: 'x:1',
+    region: 'r',
+    availabilityZone: 'z',
+    slots: 1,
+    node: 'n'
+  }
+}
+
+test('any order gives the same view', () => {
+  const record = fc.record({ id: fc.constantFrom('a', 'b'), incarnation: fc.nat(3), sequence: fc.nat(5) })
+  fc.assert(fc.property(fc.array(record, { maxLength: 30 }), fc.nat(), (items, shift) => {
+    const records = items.map(item => createRecord(item.id, item.incarnation, item.sequence))
+    const one = new EndpointView()
+    const other = new EndpointView()
+    one.merge(records)
+    const turned = [...records.slice(shift % (records.length + 1)), ...records]
+    for (const item of turned.reverse()) other.merge([item])
+    const list = (view: EndpointView): string[] => view.getRecords().map(item => `${item.targetId} ${item.incarnation} ${item.sequence}`).sort()
+    expect(list(other)).toEqual(list(one))
+  }), { seed: 5 })
+})
+
+test('late removal does not beat a newer announcement', () => {
+  const view = new EndpointView()
+  const old = createRecord('a', 1, 1)
+  view.merge([old])
+  view.merge([createRecord('a', 1, 2)])
+  view.markGone([old])
+  expect(view.getRecord('a')?.state).toBe(EndpointState.ENDPOINT_STATE_READY)
+})
+
+test('silent target is marked as gone', () => {
+  const view = new EndpointView()
+  const record = createRecord('a', 1, 1)
+  view.merge([record])
+  view.markGone([record])
+  expect(view.getRecord('a')).toMatchObject({ state: EndpointState.ENDPOINT_STATE_GONE, sequence: 2 })
+})
+
+test('source is not told its own news', () => {
+  const view = new EndpointView()
+  const origins: unknown[] = []
+  view.onChanged(({ origin }) => origins.push(origin))
+  const source = {}
+  view.merge([createRecord('a', 1, 1)], source)
+  view.merge([createRecord('a', 1, 1)], source)
+  expect(origins).toEqual([source])
+})
--- /dev/null
+++ b/tests/Feed.test.ts
@@ -0,0 +1,139 @@
+import { afterEach, expect, test } from 'vitest'
+import { EndpointState, FeedService } from '@lagoonswitch/schema'
+import { NullLog, Metrics, SeededRandom } from '@lagoonswitch/common'
+import { CatalogueStore, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
+import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
+import { DESK, World, findPorts, waitFor } from './support/World.js'
+
+const ONE_STREAM = 'source_streams = 1'
+let world: World
+
+function changeOwner (owner: string): Promise<void> {
+  return world.putEntry({ ...DESK, owner })
+}
+
+function startFakeClient (addresses: readonly string[], store: CatalogueStore): FeedClient {
+  const client = new FeedClient({
+    node: 'fake',
+    region: 'r1',
+    availabilityZone: 'z1',
+    feedAddress: '',
+    incarnation: 1,
+    controlAddresses: addresses,
+    isMesh: false,
+    clock: world.clock,
+    random: new SeededRandom(1),
+    log: new NullLog(),
+    metrics: new Metrics(),
+    channels: world.channels,
+    store,
+    endpoints: new EndpointView(),
+    computeFleetStatus: () => ({ nodes: 1, lowest: store.version }),
+    takeEvidence: () => []
+  })
+  client.start()
+  return client
+}
+
+afterEach(async () => { await world.stop() })
+
+test('full source sends nodes to a relay', async () => {
+  world = await World.start(['n1', 'n2', 'n3'], ONE_STREAM)
+  await changeOwner('first')
+  const levels = [...world.nodes.values()].map(node => node.role.feed.level).sort()
+  expect(levels).toEqual([1, 2, 2])
+  await waitFor('all nodes counted', () => world.control.hub.computeFleetStatus().nodes === 3)
+})
+
+test('nodes below a relay that dies find another source', async () => {
+  world = await World.start(['n1', 'n2', 'n3'], ONE_STREAM)
+  await changeOwner('first')
+  const relay = [...world.nodes].find(([, node]) => node.role.feed.level === 1)?.[0] ?? ''
+  world.crashNode(relay)
+  await waitFor('new sources', () => [...world.nodes.values()].every(node => node.role.feed.level > 0))
+  await changeOwner('second')
+  for (const node of world.nodes.values()) expect(node.role.store.view.entries.get('desk')?.owner).toBe('second')
+})
+
+test('herd of control VMs returns and goes on from the same version', async () => {
+  world = await World.start(['n1', 'n2'])
+  await changeOwner('first')
+  const before = world.getNode('n1').role.store.version
+  world.stopControl()
+  await world.startControl()
+  await changeOwner('second')
+  expect(world.getNode('n1').role.store.version).toEqual({ epoch: before.epoch, version: before.version + 1 })
+})
+
+test('hundreds of missed changes arrive as one', async () => {
+  world = await World.start(['n1'])
+  await changeOwner('first')
+  world.crashNode('n1')
+  for (let index = 0; index < 300; index++) await changeOwner(`owner-${index}`)
+  const { role } = await world.startNode('n1')
+  expect(role.store.view.entries.get('desk')?.owner).toBe('owner-299')
+})
+
+test('restarted node does not start from a source without a quorum', async () => {
+  world = await World.start([])
+  await changeOwner('first')
+  const [port] = await findPorts(1)
+  const stale = new CatalogueStore()
+  stale.restoreContent(world.control.store.getContent())
+  const hub = new FeedHub({
+    name: 'stale',
+    clock: world.clock,
+    log: new NullLog(),
+    metrics: new Metrics(),
+    store: stale,
+    endpoints: new EndpointView(),
+    maxStreams: 10,
+    subscriberLevel: 1,
+    isCurrent: () => true,
+    confirm: async () => ({ confirmed: false, version: undefined, message: 'no quorum' }),
+    onEvidence: () => {}
+  })
+  const listener = new PeerListener(new PlainCredentials())
+  listener.addService(FeedService, hub.createHandlers())
+  await listener.listen('127.0.0.1', port ?? 0)
+  const store = new CatalogueStore()
+  const client = startFakeClient([`127.0.0.1:${port}`], store)
+  await waitFor('the stale version', () => store.version.epoch > 0)
+  expect(client.isReady).toBe(false)
+  client.dispose()
+  hub.dispose()
+  listener.close()
+})
+
+test('source that is behind is left', async () => {
+  world = await World.start(['n1'])
+  await changeOwner('first')
+  const store = new CatalogueStore()
+  store.restoreContent(world.control.store.getContent())
+  store.commitRecords({ epoch: store.version.epoch + 1, version: 1 }, [], [])
+  const client = startFakeClient([world.control.listStatus()[0]?.leaderAddress ?? ''], store)
+  await new Promise(resolve => setTimeout(resolve, 500))
+  expect(client.level).toBe(0)
+  expect(store.version.version).toBe(1)
+  client.dispose()
+})
+
+test('crashed node takes its targets out of every view', async () => {
+  world = await World.start(['n1', 'n2', 'n3'], ONE_STREAM)
+  await changeOwner('first')
+  await world.addTarget('n3', 't3', 'v1', (_request, response) => response.end())
+  world.crashNode('n3')
+  await waitFor('the removal', () => [...world.nodes.values()].every(node =>
+    node.role.endpoints.getRecord('t3')?.state === EndpointState.ENDPOINT_STATE_GONE))
+})
+
+test('target is known again after the control VMs forgot it', async () => {
+  world = await World.start(['n1', 'n2'])
+  await changeOwner('first')
+  await world.addTarget('n1', 't1', 'v1', (_request, response) => response.end('ok'))
+  world.stopControl()
+  await world.startControl()
+  await waitFor('the target at the control VM', () =>
+    world.control.endpoints.getRecord('t1')?.state === EndpointState.ENDPOINT_STATE_READY)
+  expect((await world.call('n2', 'GET', '/read')).body).toBe('ok')
+})
