--- /dev/null
+++ b/bench/commit.mjs
@@ -0,0 +1,81 @@
+/**
+ * Commit latency and rate of the replicated log: three members in this process over real gRPC, with synced
+ * files beside storage in memory, so that the share of the disk shows. Claims of idempotency keys are such commits.
+ * Usage: node bench/commit.mjs [SECONDS]
+ */
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { NullLog, SystemClock, SystemRandom } from '@lagoonswitch/common'
+import { ClaimsMachine, FileStorage, GrpcTransport, MemoryStorage, RaftGroup, createRaftHandlers } from '@lagoonswitch/control'
+import { ClaimsCommand, RaftService } from '@lagoonswitch/schema'
+import { PeerChannels, PeerListener, PlainCredentials } from '@lagoonswitch/transport'
+import { findPorts, summarize, waitUntil } from './harness.mjs'
+
+const SECONDS = Number(process.argv[2] ?? 4)
+const MEMBERS = 3
+const FINGERPRINT = Buffer.alloc(32, 1)
+let keys = 0
+
+async function measure (label, createStorage, workers) {
+  const ports = await findPorts(MEMBERS)
+  const initialMembers = ports.map((port, index) => ({ name: `c${index}`, address: `127.0.0.1:${port}` }))
+  const parts = []
+  for (const [index, port] of ports.entries()) {
+    const channels = new PeerChannels(new PlainCredentials())
+    const listener = new PeerListener(new PlainCredentials())
+    const group = new RaftGroup({
+      group: 'g',
+      name: `c${index}`,
+      initialMembers,
+      heartbeatMs: 100,
+      electionTimeoutMs: 1000,
+      snapshotEntries: 1_000_000,
+      clock: new SystemClock(),
+      random: new SystemRandom(),
+      log: new NullLog(),
+      storage: createStorage(index),
+      transport: new GrpcTransport(channels, 1000),
+      machine: new ClaimsMachine({ retentionMs: 3_600_000, capacity: 10_000_000 })
+    })
+    listener.addService(RaftService, createRaftHandlers(new Map([['g', group]])))
+    await listener.listen('127.0.0.1', port)
+    await group.start()
+    parts.push({ channels, listener, group })
+  }
+  const findLeader = () => parts.find(({ group }) => group.isReadyLeader)?.group
+  await waitUntil('a leader', () => findLeader() !== undefined)
+  const leader = findLeader()
+  const samples = []
+  const endMs = performance.now() + SECONDS * 1000
+  const cpu = process.cpuUsage()
+  await Promise.all(Array.from({ length: workers }, async () => {
+    while (performance.now() < endMs) {
+      const startedMs = performance.now()
+      const value = { key: `service/route\nkey-${keys++}`, token: `token-${keys}`, fingerprint: FINGERPRINT, leaseMs: 5000 }
+      const result = await leader.propose(ClaimsCommand.encode({ nowMs: Date.now(), command: { $case: 'claim', value } }).finish())
+      if (result.ok) samples.push(performance.now() - startedMs)
+    }
+  }))
+  const { user, system } = process.cpuUsage(cpu)
+  const { count, p50, p99, max } = summarize(samples)
+  console.log(`${label} workers=${workers}: ${(count / SECONDS).toFixed(0)} commits/s, p50=${p50.toFixed(2)} p99=${p99.toFixed(2)} ` +
+    `max=${max.toFixed(1)} ms, cpu of three members per commit=${((user + system) / count).toFixed(0)} us`)
+  for (const { channels, listener, group } of parts) {
+    group.dispose()
+    listener.close()
+    channels.dispose()
+  }
+  await sleep(200)
+}
+
+const folder = mkdtempSync(join(tmpdir(), 'commit-'))
+let run = 0
+for (const workers of [1, 32, 512]) {
+  run++
+  await measure('synced files', index => new FileStorage(join(folder, `${run}-${index}`)), workers)
+  await measure('memory      ', index => new MemoryStorage(`m${index}`), workers)
+}
+rmSync(folder, { recursive: true, force: true })
+process.exit(0)
--- /dev/null
+++ b/bench/feed-nodes.mjs
@@ -0,0 +1,82 @@
+/**
+ * Many light nodes in one process: the feed client and the relay of a node, without its calls.
+ * Settings come as JSON in the first argument; reports go to the parent.
+ */
+import { Metrics, NullLog, SystemClock, SystemRandom } from '@lagoonswitch/common'
+import { CatalogueStore, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
+import { FeedService } from '@lagoonswitch/schema'
+import { PeerChannels, PeerListener, PlainCredentials } from '@lagoonswitch/transport'
+
+const { first, count, control, isPlain, relayStreams } = JSON.parse(process.argv[2])
+const ZONES = 8
+const clock = new SystemClock()
+const random = new SystemRandom()
+const log = new NullLog()
+const metrics = new Metrics()
+const nodes = []
+
+for (let index = first; index < first + count; index++) {
+  const store = new CatalogueStore()
+  const endpoints = new EndpointView()
+  const channels = new PeerChannels(new PlainCredentials())
+  const listener = new PeerListener(new PlainCredentials())
+  const zone = index % ZONES
+  const holder = {}
+  const hub = new FeedHub({
+    name: `n${index}`,
+    clock,
+    random,
+    log,
+    metrics,
+    store,
+    endpoints,
+    maxStreams: isPlain ? 0 : relayStreams,
+    subscriberLevel: 2,
+    isCurrent: () => holder.client.level === 1 && holder.client.isCurrent && holder.client.isReady,
+    confirm: async () => await holder.client.confirm(),
+    onEvidence: () => {}
+  })
+  listener.addService(FeedService, hub.createHandlers())
+  const port = await listener.listen('127.0.0.1', 0)
+  const client = new FeedClient({
+    node: `n${index}`,
+    region: `r${zone % 3}`,
+    availabilityZone: `z${zone}`,
+    feedAddress: isPlain ? '' : `127.0.0.1:${port}`,
+    incarnation: Date.now(),
+    controlAddresses: control,
+    isMesh: false,
+    clock,
+    random,
+    log,
+    metrics,
+    channels,
+    store,
+    endpoints,
+    computeFleetStatus: () => {
+      const below = hub.computeFleetStatus()
+      const isOwnLower = below.nodes === 0 || store.version.version < below.lowest.version
+      return { nodes: below.nodes + 1, lowest: isOwnLower ? store.version : below.lowest }
+    },
+    takeEvidence: () => []
+  })
+  store.onChanged(({ version }) => process.send({ kind: 'applied', node: index, version: version.version, atMs: Date.now() }))
+  client.onReady(() => process.send({ kind: 'ready', node: index, atMs: Date.now(), level: client.level }))
+  holder.client = client
+  nodes.push({ client, hub, store })
+  client.start()
+}
+
+process.on('message', message => {
+  if (message.kind === 'usage') {
+    const { user, system } = process.cpuUsage()
+    process.send({
+      kind: 'usage',
+      cpuMs: (user + system) / 1000,
+      rss: process.memoryUsage().rss,
+      levels: nodes.map(node => node.client.level)
+    })
+  }
+})
+process.on('disconnect', () => process.exit(0))
+process.on('SIGTERM', () => process.exit(0))
--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -69,7 +69,7 @@
   readonly onFailed = this._onFailed.event
 
   constructor (private readonly _options: IControlRoleOptions) {
-    const { settings, clock, log, metrics } = _options
+    const { settings, clock, random, log, metrics } = _options
     this._leaderClient = new LeaderClient(_options.channels, clock, settings.control.members.map(member => member.address))
     this._catalogue = this._addGroup(CATALOGUE_GROUP, new CatalogueMachine(this.store))
     for (let shard = 0; shard < settings.control.claimShards; shard++) {
@@ -82,6 +82,7 @@
     this._hub = this._disposables.add(new FeedHub({
       name: settings.process.name,
       clock,
+      random,
       log,
       metrics,
       store: this.store,
--- a/packages/feed/src/EndpointView.test.ts
+++ b/packages/feed/src/EndpointView.test.ts
@@ -3,12 +3,12 @@
 import { EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
 import { EndpointView } from './EndpointView.js'
 
-function createRecord (targetId: string, incarnation: number, sequence: number, state = EndpointState.ENDPOINT_STATE_READY): EndpointRecord {
+function createRecord (targetId: string, incarnation: number, sequence: number): EndpointRecord {
   return {
     targetId,
     incarnation,
     sequence,
-    state,
+    state: EndpointState.ENDPOINT_STATE_READY,
     service: 's',
     version: 'v1',
     linkAddress: 'x:1',
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -16,10 +16,15 @@
 import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL, type IFleetStatus } from './FeedHub.js'
 
 const STALL_MS = 3_500
+/** Time without a current source after which a node looks for another one. */
+const ORPHAN_MS = 4_000
 const REPORT_MS = 1_000
+/** Longest time between two beats of a node whose version has not changed. */
+const BEAT_MS = 5_000
+const RELAYS_PER_ROUND = 3
 const CONFIRM_TIMEOUT_MS = 5_000
 const BACKOFF_BASE_MS = 100
-const BACKOFF_MAX_MS = 3_000
+const BACKOFF_MAX_MS = 1_500
 const UNCONFIRMED_MS = 30_000
 const MAX_KNOWN_RELAYS = 64
 
@@ -66,6 +71,8 @@
   private _relays: string[] = []
   private _stream: Stream | undefined
   private _level = 0
+  private _lastLevel = 0
+  private _lastSentBeatMs = -Infinity
   private _source = ''
   private _lastBeatMs = -Infinity
   private _isConfirmed = false
@@ -136,25 +143,35 @@
   }
 
   private async _runSubscription (): Promise<void> {
-    const { clock } = this._options
-    let candidates: string[] = []
     while (!this._stopping.signal.aborted) {
-      if (candidates.length === 0) candidates = this._shuffle([...this._options.controlAddresses])
-      const address = candidates.shift() ?? ''
-      const level = this._pickLevel(address)
-      const ended = await this._follow(address, level)
+      const ended = await this._runRound()
       if (ended.wasWelcome) this._backoff.reset()
+      await this._options.clock.sleep(this._backoff.computeNextMs(ended.retryAfterMs), this._stopping.signal)
+    }
+  }
+
+  /**
+   * Tries a few sources one after another until one takes this node, and follows it to its end. A node that
+   * was fed by a relay tries other relays first, so that the few streams of the control VMs stay for relays.
+   */
+  private async _runRound (): Promise<IEnded> {
+    const control = this._shuffle([...this._options.controlAddresses])[0] ?? ''
+    const wasLeaf = this._lastLevel === LEAF_LEVEL
+    const queue = wasLeaf ? [...this._pickRelays(this._relays), control] : [control]
+    let ended: IEnded = { wasWelcome: false, relays: [], retryAfterMs: 0 }
+    while (queue.length > 0 && !this._stopping.signal.aborted) {
+      const address = queue.shift() ?? ''
+      ended = await this._follow(address, this._pickLevel(address))
       this._rememberRelays(ended.relays)
-      if (level !== MESH_LEVEL) {
-        const isFromControl = level === RELAY_LEVEL
-        const others = ended.wasWelcome && !isFromControl ? this._relays : ended.relays
-        if (isFromControl || ended.wasWelcome) {
-          candidates.unshift(...this._shuffle(others.filter(other => other !== address && other !== this._options.feedAddress)))
-        }
-      }
-      const pauseMs = this._backoff.computeNextMs(ended.retryAfterMs)
-      if (ended.relays.length === 0 || candidates.length === 0) await clock.sleep(pauseMs, this._stopping.signal)
+      if (ended.wasWelcome) return ended
+      if (address === control) queue.push(...this._pickRelays(ended.relays))
     }
+    return ended
+  }
+
+  private _pickRelays (relays: readonly string[]): string[] {
+    const others = relays.filter(address => address !== this._options.feedAddress)
+    return this._shuffle(others.slice(0, RELAYS_PER_ROUND * 2)).slice(0, RELAYS_PER_ROUND)
   }
 
   private _pickLevel (address: string): number {
@@ -210,7 +227,7 @@
           case 'beat':
             this._checkBeat(frame.value.version ?? NO_VERSION)
             heardMs = clock.monotonicMs()
-            this._lastBeatMs = heardMs
+            if (frame.value.current) this._lastBeatMs = heardMs
         }
         if (redirect.relays.length > 0 || redirect.retryAfterMs > 0) break
       }
@@ -230,8 +247,12 @@
     void (async () => {
       while (!ended.signal.aborted) {
         await clock.sleep(REPORT_MS, ended.signal)
-        if (ended.signal.aborted || clock.monotonicMs() - getHeardMs() < STALL_MS) continue
-        metrics.count('feed_source_left_total', 'stalled')
+        if (ended.signal.aborted) return
+        const nowMs = clock.monotonicMs()
+        const isStalled = nowMs - getHeardMs() >= STALL_MS
+        const isOrphan = this._stream === stream && nowMs - this._lastBeatMs >= ORPHAN_MS
+        if (!isStalled && !isOrphan) continue
+        metrics.count('feed_source_left_total', isStalled ? 'stalled' : 'not-current')
         stream.cancel()
         return
       }
@@ -242,6 +263,7 @@
   private _enter (stream: Stream, level: number, source: string, relays: readonly string[]): void {
     this._stream = stream
     this._level = level
+    this._lastLevel = level
     this._source = source
     this._lastBeatMs = this._options.clock.monotonicMs()
     this._rememberRelays(relays)
@@ -324,7 +346,7 @@
     while (!this._stopping.signal.aborted) {
       await this._options.clock.sleep(REPORT_MS, this._stopping.signal)
       if (this._stream === undefined) continue
-      this._sendBeat()
+      if (this._options.clock.monotonicMs() - this._lastSentBeatMs >= BEAT_MS) this._sendBeat()
       const records = this._options.takeEvidence()
       if (records.length > 0) this._send({ $case: 'evidence', value: { records } })
       if (!this._isConfirmed) void this._confirmFirst()
@@ -333,6 +355,7 @@
 
   private _sendBeat (): void {
     if (this._options.isMesh) return
+    this._lastSentBeatMs = this._options.clock.monotonicMs()
     const fleet = this._options.computeFleetStatus()
     this._send({
       $case: 'beat',
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -4,7 +4,7 @@
 import type { ServerDuplexStream, UntypedServiceImplementation } from '@grpc/grpc-js'
 import {
   DisposableStore, NO_VERSION, compareVersions, toDisposable,
-  type ICatalogueVersion, type IClock, type IDisposable, type ILog, type Metrics
+  type ICatalogueVersion, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
 import {
   EndpointState, type ConfirmReply, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp, type Hello
@@ -18,6 +18,8 @@
 const COALESCE_MS = 20
 const GONE_GRACE_MS = 3_000
 const BUSY_RETRY_MS = 500
+const MAX_LISTED_RELAYS = 8
+const MIN_RELAYS_PER_ZONE = 2
 const MAX_ADMISSIONS_PER_SECOND = 200
 
 /** Level of a mesh link between control VMs, which carries endpoints only. */
@@ -33,6 +35,7 @@
 export interface IFeedHubOptions {
   readonly name: string
   readonly clock: IClock
+  readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
   readonly store: CatalogueStore
@@ -68,6 +71,7 @@
 export class FeedHub implements IDisposable {
   private readonly _store = new DisposableStore()
   private readonly _subscribers = new Set<ISubscriber>()
+  private readonly _zones = new Set<string>()
   private readonly _stopping = new AbortController()
   private _admittedInWindow = 0
   private _confirming: Promise<ConfirmReply> | undefined
@@ -93,13 +97,20 @@
     return this._subscribers.size
   }
 
-  /** @returns feed addresses of the relays below this hub */
-  listRelays (): string[] {
-    const relays: string[] = []
+  /**
+   * Lists relays below this hub, the nearest to a node first.
+   * @param near - a node that looks for one
+   * @returns feed addresses, a bounded number
+   */
+  listRelays (near: Hello | undefined): string[] {
+    const relays: Array<{ address: string, distance: number }> = []
     for (const { hello } of this._subscribers) {
-      if (hello?.level === RELAY_LEVEL && hello.feedAddress !== '') relays.push(hello.feedAddress)
+      if (hello?.level !== RELAY_LEVEL || hello.feedAddress === '') continue
+      const distance = hello.availabilityZone === near?.availabilityZone ? 0 : hello.region === near?.region ? 1 : 2
+      relays.push({ address: hello.feedAddress, distance: distance + this._options.random.next() })
     }
-    return relays
+    relays.sort((a, b) => a.distance - b.distance)
+    return relays.slice(0, MAX_LISTED_RELAYS).map(relay => relay.address)
   }
 
   /** @returns number of nodes below and the lowest version among them */
@@ -118,7 +129,7 @@
   drain (): void {
     this._isDraining = true
     for (const subscriber of this._subscribers) {
-      this._redirect(subscriber, 'draining', 0)
+      this._redirect(subscriber, subscriber.hello, 'draining', 0)
     }
   }
 
@@ -179,7 +190,7 @@
     const refusal = this._findRefusal(hello)
     if (refusal !== undefined) {
       this._options.metrics.count('feed_refusals_total', refusal)
-      this._redirect(subscriber, refusal, BUSY_RETRY_MS)
+      this._redirect(subscriber, hello, refusal, BUSY_RETRY_MS)
       return
     }
     this._admittedInWindow++
@@ -191,7 +202,7 @@
     this._subscribers.add(subscriber)
     this._send(subscriber, {
       $case: 'welcome',
-      value: { source: this._options.name, level: hello.level, relays: this.listRelays() }
+      value: { source: this._options.name, level: hello.level, relays: this.listRelays(hello) }
     })
     this._sendCatalogue(subscriber)
     this._send(subscriber, {
@@ -207,14 +218,26 @@
       if (hello.level !== subscriberLevel) return 'level'
       if (!isCurrent()) return 'not-current'
       if (compareVersions(hello.held ?? NO_VERSION, store.version) > 0) return 'behind'
-      if (this._subscribers.size >= maxStreams) return 'full'
+      if (this._subscribers.size >= maxStreams || this._isZoneFull(hello)) return 'full'
     }
     if (this._admittedInWindow >= MAX_ADMISSIONS_PER_SECOND) return 'storm'
     return undefined
   }
 
-  private _redirect (subscriber: ISubscriber, reason: string, retryAfterMs: number): void {
-    this._send(subscriber, { $case: 'redirect', value: { relays: this.listRelays(), retryAfterMs, reason } })
+  /** Relays are spread over the availability zones that have been seen. */
+  private _isZoneFull (hello: Hello): boolean {
+    if (hello.level !== RELAY_LEVEL) return false
+    this._zones.add(hello.availabilityZone)
+    const limit = Math.max(MIN_RELAYS_PER_ZONE, Math.ceil(this._options.maxStreams / this._zones.size))
+    let count = 0
+    for (const subscriber of this._subscribers) {
+      if (subscriber.hello?.availabilityZone === hello.availabilityZone) count++
+    }
+    return count >= limit
+  }
+
+  private _redirect (subscriber: ISubscriber, near: Hello | undefined, reason: string, retryAfterMs: number): void {
+    this._send(subscriber, { $case: 'redirect', value: { relays: this.listRelays(near), retryAfterMs, reason } })
     subscriber.stream.end()
   }
 
@@ -272,9 +295,8 @@
     while (!this._stopping.signal.aborted) {
       await this._options.clock.sleep(BEAT_MS, this._stopping.signal)
       this._admittedInWindow = 0
-      if (!this._options.isCurrent()) continue
-      const version = { ...this._options.store.version }
-      for (const subscriber of this._subscribers) this._send(subscriber, { $case: 'beat', value: { version } })
+      const value = { version: { ...this._options.store.version }, current: this._options.isCurrent() }
+      for (const subscriber of this._subscribers) this._send(subscriber, { $case: 'beat', value })
     }
   }
 
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -98,6 +98,7 @@
     this.relay = this._disposables.add(new FeedHub({
       name,
       clock,
+      random,
       log,
       metrics,
       store: this.store,
--- a/packages/transport/src/PeerChannels.ts
+++ b/packages/transport/src/PeerChannels.ts
@@ -5,7 +5,7 @@
 import type { IDisposable } from '@lagoonswitch/common'
 import type { LinkCredentials } from './Credentials.js'
 
-const KEEPALIVE_MS = 2_000
+const KEEPALIVE_MS = 10_000
 const KEEPALIVE_TIMEOUT_MS = 2_000
 const MAX_RECONNECT_MS = 1_000
 const FIRST_RECONNECT_MS = 100
--- a/packages/transport/src/PeerListener.ts
+++ b/packages/transport/src/PeerListener.ts
@@ -5,7 +5,7 @@
 import type { LinkCredentials } from './Credentials.js'
 import { MAX_MESSAGE_BYTES } from './PeerChannels.js'
 
-const KEEPALIVE_MS = 2_000
+const KEEPALIVE_MS = 10_000
 const KEEPALIVE_TIMEOUT_MS = 2_000
 const MAX_STREAMS = 1_000
 
--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -83,6 +83,7 @@
   const hub = new FeedHub({
     name: 'stale',
     clock: world.clock,
+    random: new SeededRandom(1),
     log: new NullLog(),
     metrics: new Metrics(),
     store: stale,
