Moves: find late, rare and low-traffic faults; finish good versions at low traffic

Traces showed three reasons: the test that leaves out one target began empty when the target was first seen; windows with calls to one version only were dropped; at a share near 100% failures of the new version tell nothing, because nearly all calls are its own. Low traffic never reached 10 calls. Change: such a test starts from the evidence so far; windows wait until both versions have calls; a rise over the old version's earlier rates starts a comparison at 20%, and a rise that comes back with the share without showing on the old version ends the move; all routes together are tested as well; a step may expose ten times the calls that went well before it.

--- a/packages/common/src/evidence/SequentialTest.ts
+++ b/packages/common/src/evidence/SequentialTest.ts
@@ -10,7 +10,9 @@
  */
 
 const TOLERATED_ODDS = 1.15
-const WORSE_ODDS = [1.5, 2, 4, 8, 16, 64] as const
+const WORSE_ODDS = [1.5, 4, 16, 128] as const
+const LOWEST_RATE = 0.002
+const HIGHEST_RATE = 0.95
 const MAX_LOG = 700
 
 /** Evidence that the events of one kind fall on the new version too often. */
@@ -32,11 +34,38 @@
     for (const [index, odds] of WORSE_ODDS.entries()) {
       const worse = computeShare(odds, newCalls, oldCalls)
       const gain = newEvents * Math.log(worse / tolerated) + oldEvents * Math.log((1 - worse) / (1 - tolerated))
-      this._logRatios[index] = Math.max(-MAX_LOG, Math.min(MAX_LOG, (this._logRatios[index] ?? 0) + gain))
+      this._add(index, gain)
     }
     this._peakLog = Math.max(this._peakLog, this._computeMixtureLog())
   }
 
+  /**
+   * Adds one window without calls to the old version. The old version's earlier rate stands in for them, so a
+   * fault common to both versions looks like one of the new version; a rejection calls for a comparison.
+   * @param newCalls - calls to the new version
+   * @param newEvents - events among them
+   * @param usualRate - share of such events among earlier calls to the old version
+   */
+  addBaselineWindow (newCalls: number, newEvents: number, usualRate: number): void {
+    if (newCalls === 0) return
+    const tolerated = Math.min(HIGHEST_RATE, Math.max(LOWEST_RATE, usualRate) * TOLERATED_ODDS)
+    for (const [index, odds] of WORSE_ODDS.entries()) {
+      const worse = odds * tolerated / (1 - tolerated + odds * tolerated)
+      const gain = newEvents * Math.log(worse / tolerated) +
+        (newCalls - newEvents) * Math.log((1 - worse) / (1 - tolerated))
+      this._add(index, gain)
+    }
+    this._peakLog = Math.max(this._peakLog, this._computeMixtureLog())
+  }
+
+  /** @returns a test with the same evidence */
+  clone (): SequentialTest {
+    const copy = new SequentialTest()
+    for (const [index, value] of this._logRatios.entries()) copy._logRatios[index] = value
+    copy._peakLog = this._peakLog
+    return copy
+  }
+
   /**
    * @param alpha - rate of false alarms that is accepted, over the whole run
    * @returns true when the new version is worse at that rate
@@ -45,6 +74,10 @@
     return this._peakLog >= Math.log(1 / alpha)
   }
 
+  private _add (index: number, gain: number): void {
+    this._logRatios[index] = Math.max(-MAX_LOG, Math.min(MAX_LOG, (this._logRatios[index] ?? 0) + gain))
+  }
+
   private _computeMixtureLog (): number {
     const highest = Math.max(...this._logRatios)
     const sum = this._logRatios.reduce((total, value) => total + Math.exp(value - highest), 0)
--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -10,7 +10,8 @@
 const MIN_BASELINE_CALLS = 50
 /** A difference that no caller notices. */
 const LATENCY_SLACK_MS = 1
-const NO_TARGET = ''
+/** Stands for all routes together, whose evidence comes sooner than that of one route. */
+const ALL_ROUTES = 'all routes'
 
 /** Outcomes of one route on one target in one window. */
 export interface IOutcomes {
@@ -40,26 +41,38 @@
 /** Tests of one route. The test with an excluded target sees the new version without that target. */
 class RouteComparison {
   readonly latencyOld = new Array<number>(LATENCY_BUCKETS).fill(0)
+  private readonly _all = createTests()
+  /** Tests without the calls of one target. */
   private readonly _tests = new Map<string, SequentialTest[]>()
+  private _rises = { all: createTests(), without: new Map<string, SequentialTest[]>() }
+  private _oldRise = createTests()
+  private _waitingNew: IOutcomes[] = []
+  private _waitingOld: IOutcomes[] = []
   newCalls = 0
   oldCalls = 0
   newFailures = 0
   oldFailures = 0
 
+  /** Windows without calls to both versions tell nothing alone, so they wait for the next ones. */
   addWindow (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
+    this._addRise(newOutcomes, oldOutcomes)
+    this._waitingNew.push(...newOutcomes)
+    this._waitingOld.push(...oldOutcomes)
+    if (countCalls(this._waitingNew) === 0 || countCalls(this._waitingOld) === 0) return
+    this._testWindow(this._waitingNew, this._waitingOld)
+    this._waitingNew = []
+    this._waitingOld = []
+  }
+
+  private _testWindow (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
     const thresholds = this._computeThresholds()
     const oldSide = sumOutcomes(oldOutcomes, thresholds)
-    for (const outcomes of newOutcomes) this._getTests(outcomes.targetId)
+    for (const outcomes of newOutcomes) this._ensureTests(outcomes.targetId)
+    const all = sumOutcomes(newOutcomes, thresholds)
+    addToTests(this._all, all, oldSide)
     for (const [excluded, tests] of this._tests) {
-      const kept = newOutcomes.filter(outcomes => outcomes.targetId !== excluded)
-      const newSide = sumOutcomes(kept, thresholds)
-      tests[0]?.addWindow(newSide.calls, newSide.failures, oldSide.calls, oldSide.failures)
-      if (thresholds.length === 0) continue
-      for (const index of SLOW_QUANTILES.keys()) {
-        tests[index + 1]?.addWindow(newSide.timed, newSide.slow[index] ?? 0, oldSide.timed, oldSide.slow[index] ?? 0)
-      }
+      addToTests(tests, sumOutcomes(newOutcomes.filter(outcomes => outcomes.targetId !== excluded), thresholds), oldSide)
     }
-    const all = sumOutcomes(newOutcomes, [])
     this.newCalls += all.calls
     this.newFailures += all.failures
     this.oldCalls += oldSide.calls
@@ -69,24 +82,62 @@
     }
   }
 
-  findKind (alpha: number): 'failures' | 'latency' | undefined {
-    for (let index = 0; index <= SLOW_QUANTILES.length; index++) {
-      if (this._isRejected(index, alpha)) return index === 0 ? 'failures' : 'latency'
+  findKind (failureAlpha: number, latencyAlpha: number): 'failures' | 'latency' | undefined {
+    if (this._isRejected(0, failureAlpha)) return 'failures'
+    for (const index of SLOW_QUANTILES.keys()) {
+      if (this._isRejected(index + 1, latencyAlpha)) return 'latency'
     }
     return undefined
   }
 
+  /** Finds a rise of the new version over the old version's earlier rates, without any single target, too. */
+  findRise (alpha: number): boolean {
+    return this._rises.all.some((test, index) => test.isRejected(alpha) && (this._rises.without.size < 2 ||
+      [...this._rises.without.values()].every(tests => tests[index]?.isRejected(alpha) === true)))
+  }
+
+  /** Finds a rise of the old version over its own earlier rates. */
+  findCommonRise (alpha: number): boolean {
+    return this._oldRise.some(test => test.isRejected(alpha))
+  }
+
+  resetRise (): void {
+    this._rises = { all: createTests(), without: new Map() }
+    this._oldRise = createTests()
+  }
+
+  private _addRise (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
+    if (this.oldCalls < MIN_BASELINE_CALLS) return
+    const thresholds = this._computeThresholds()
+    const { all, without } = this._rises
+    for (const { targetId } of newOutcomes) {
+      if (!without.has(targetId)) without.set(targetId, all.map(test => test.clone()))
+    }
+    this._addBaseline(all, sumOutcomes(newOutcomes, thresholds))
+    for (const [excluded, tests] of without) {
+      this._addBaseline(tests, sumOutcomes(newOutcomes.filter(outcomes => outcomes.targetId !== excluded), thresholds))
+    }
+    this._addBaseline(this._oldRise, sumOutcomes(oldOutcomes, thresholds))
+  }
+
+  private _addBaseline (tests: readonly SequentialTest[], side: ISide): void {
+    tests[0]?.addBaselineWindow(side.calls, side.failures, this.oldFailures / this.oldCalls)
+    for (const [index, quantile] of SLOW_QUANTILES.entries()) {
+      tests[index + 1]?.addBaselineWindow(side.timed, side.slow[index] ?? 0, 1 - quantile)
+    }
+  }
+
   /** With several targets, the fault must show without each single one of them. */
   private _isRejected (index: number, alpha: number): boolean {
-    const targets = [...this._tests.keys()].filter(id => id !== NO_TARGET)
-    if (this._tests.get(NO_TARGET)?.[index]?.isRejected(alpha) !== true) return false
-    if (targets.length < 2) return true
-    return targets.every(id => this._tests.get(id)?.[index]?.isRejected(alpha) === true)
+    if (this._all[index]?.isRejected(alpha) !== true) return false
+    if (this._tests.size < 2) return true
+    return [...this._tests.values()].every(tests => tests[index]?.isRejected(alpha) === true)
   }
 
-  private _getTests (excluded: string): void {
-    if (!this._tests.has(NO_TARGET)) this._tests.set(NO_TARGET, createTests())
-    if (!this._tests.has(excluded)) this._tests.set(excluded, createTests())
+  /** A target that is new has had no calls so far, so leaving it out leaves all the evidence until now. */
+  private _ensureTests (excluded: string): void {
+    if (this._tests.has(excluded)) return
+    this._tests.set(excluded, this._all.map(test => test.clone()))
   }
 
   /** Bucket above which a call is slow, from calls of earlier windows only. */
@@ -108,6 +159,8 @@
 /** Evidence of one move since it began. */
 export class VersionComparison {
   private readonly _routes = new Map<string, RouteComparison>()
+  private _newCalls = 0
+  private _oldCalls = 0
 
   /**
    * Adds what was seen in one window.
@@ -117,28 +170,47 @@
   addWindow (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
     const routes = new Set([...newOutcomes, ...oldOutcomes].map(outcomes => outcomes.route))
     for (const route of routes) {
-      let comparison = this._routes.get(route)
-      if (comparison === undefined) {
-        comparison = new RouteComparison()
-        this._routes.set(route, comparison)
-      }
       const isOfRoute = (outcomes: IOutcomes): boolean => outcomes.route === route
-      comparison.addWindow(newOutcomes.filter(isOfRoute), oldOutcomes.filter(isOfRoute))
+      this._getRoute(route).addWindow(newOutcomes.filter(isOfRoute), oldOutcomes.filter(isOfRoute))
     }
+    this._getRoute(ALL_ROUTES).addWindow(newOutcomes, oldOutcomes)
+    this._newCalls += countCalls(newOutcomes)
+    this._oldCalls += countCalls(oldOutcomes)
   }
 
   /** @returns calls to the new version since the start */
   getNewCalls (): number {
-    let calls = 0
-    for (const route of this._routes.values()) calls += route.newCalls
-    return calls
+    return this._newCalls
   }
 
   /** @returns calls to the old version since the start */
   getOldCalls (): number {
-    let calls = 0
-    for (const route of this._routes.values()) calls += route.oldCalls
-    return calls
+    return this._oldCalls
+  }
+
+  /**
+   * Tells whether the new version does worse than the old one did before, which shows even while the old one
+   * takes few calls. A fault common to both looks the same, so the answer to it is a comparison.
+   * @param alpha - rate of false alarms
+   * @returns true for a rise
+   */
+  findRise (alpha: number): boolean {
+    const share = this._computeShare(alpha)
+    return [...this._routes.values()].some(route => route.findRise(share))
+  }
+
+  /**
+   * Tells whether the old version does worse than before as well.
+   * @param alpha - rate of false alarms
+   * @returns true for a fault that both versions share
+   */
+  findCommonRise (alpha: number): boolean {
+    return [...this._routes.values()].some(route => route.findCommonRise(alpha))
+  }
+
+  /** Starts to look for a rise anew. */
+  resetRise (): void {
+    for (const route of this._routes.values()) route.resetRise()
   }
 
   /**
@@ -147,9 +219,9 @@
    * @returns the finding, or undefined
    */
   findFault (alpha: number): IFinding | undefined {
-    const share = alpha / Math.max(1, this._routes.size * (SLOW_QUANTILES.length + 1))
+    const share = this._computeShare(alpha / 2)
     for (const [route, comparison] of this._routes) {
-      const kind = comparison.findKind(share)
+      const kind = comparison.findKind(route === ALL_ROUTES ? alpha / 2 : share, share)
       if (kind === undefined) continue
       const detail = kind === 'failures'
         ? `${comparison.newFailures} of ${comparison.newCalls} calls failed, ` +
@@ -159,6 +231,30 @@
     }
     return undefined
   }
+
+  private _getRoute (route: string): RouteComparison {
+    let comparison = this._routes.get(route)
+    if (comparison === undefined) {
+      comparison = new RouteComparison()
+      this._routes.set(route, comparison)
+    }
+    return comparison
+  }
+
+  private _computeShare (alpha: number): number {
+    return alpha / Math.max(1, this._routes.size * (SLOW_QUANTILES.length + 1))
+  }
+}
+
+function addToTests (tests: readonly SequentialTest[], newSide: ISide, oldSide: ISide): void {
+  tests[0]?.addWindow(newSide.calls, newSide.failures, oldSide.calls, oldSide.failures)
+  for (const index of newSide.slow.keys()) {
+    tests[index + 1]?.addWindow(newSide.timed, newSide.slow[index] ?? 0, oldSide.timed, oldSide.slow[index] ?? 0)
+  }
+}
+
+function countCalls (outcomes: readonly IOutcomes[]): number {
+  return outcomes.reduce((sum, { calls }) => sum + calls, 0)
 }
 
 function createTests (): SequentialTest[] {
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -13,8 +13,24 @@
 
 const WINDOW_MS = 1_000
 const FALSE_ALARM_RATE = 0.01
-/** Calls to the new version in a step after which it may be left. */
-const ENOUGH_CALLS = 10
+/** A step may expose this many times as many calls as went well before, and as many more from the start. */
+const EXPOSURE_GROWTH = 10
+/** Calls to the new version without which no move is done. */
+const ENOUGH_CALLS = 30
+/**
+ * Share at which a suspected fault is compared with the old version. The smaller the share, the more each
+ * failure of the new version tells and the fewer callers meet it.
+ */
+const PROBE_SHARE_PPM = 200_000
+const PROBE_CALLS = 60
+const SHORTEST_PROBE_MS = 10_000
+const LONGEST_PROBE_MS = 300_000
+/** Rate of needless probes over one move. */
+const NEEDLESS_PROBE_RATE = 0.05
+/** A fault that leaves with the share of calls and comes back with it is one of the version under load. */
+const RISES_TO_TAKE_BACK = 2
+/** Rate at which a rise of the old version is seen where there is none; seeing one only spares the new version. */
+const COMMON_RISE_RATE = 0.2
 const DEFAULT_WATCH_MS = 600_000
 
 /** What the controller needs of its process. */
@@ -30,15 +46,23 @@
   readonly propose: (command: Uint8Array) => Promise<boolean>
 }
 
+interface IProbe {
+  readonly resumePpm: number
+  readonly startedMs: number
+  readonly callsBefore: number
+}
+
 interface IOpenMove {
   /** Start of the move, which tells it from another move of the same service. */
   readonly startedMs: number
   readonly comparison: VersionComparison
   windowNew: IOutcomes[]
   windowOld: IOutcomes[]
-  /** Calls to the new version when the present step began. */
-  callsAtStep: number
-  stepVersion: number
+  /** Wall time since which this process has seen evidence. */
+  readonly seenFromMs: number
+  probe: IProbe | undefined
+  /** Rises that a comparison at a lower share did not show on either version. */
+  returningRises: number
 }
 
 /** What an operator reads of a move beside its record. */
@@ -122,15 +146,12 @@
         comparison: new VersionComparison(),
         windowNew: [],
         windowOld: [],
-        callsAtStep: 0,
-        stepVersion: move.version
+        seenFromMs: this._options.clock.wallTime().getTime(),
+        probe: undefined,
+        returningRises: 0
       }
       this._open.set(move.service, open)
     }
-    if (open.stepVersion !== move.version) {
-      open.stepVersion = move.version
-      open.callsAtStep = open.comparison.getNewCalls()
-    }
     return open
   }
 
@@ -141,6 +162,14 @@
         `${fault.kind} on route ${fault.route}: ${fault.detail}`)
     }
     const nowMs = this._options.clock.wallTime().getTime()
+    if (open.probe !== undefined) return this._decideProbe(move, open, open.probe, nowMs)
+    if (move.sharePpm > PROBE_SHARE_PPM && open.comparison.findRise(NEEDLESS_PROBE_RATE)) {
+      if (open.returningRises >= RISES_TO_TAKE_BACK - 1) {
+        return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
+          `faults of version ${move.to} come back with its share of calls`)
+      }
+      return this._startProbe(move, open, nowMs)
+    }
     if (move.status === MoveStatus.MOVE_STATUS_WATCHING) return this._decideWatch(move, open, nowMs)
     return this._decideStep(move, open, nowMs)
   }
@@ -154,28 +183,64 @@
     return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault in the watch time')
   }
 
+  private _startProbe (move: MoveRecord, open: IOpenMove, nowMs: number): MoveCommand {
+    open.probe = { resumePpm: move.sharePpm, startedMs: nowMs, callsBefore: open.comparison.getNewCalls() }
+    return this._createCommand(move, move.status, PROBE_SHARE_PPM, 'fault suspected, comparing with the old version')
+  }
+
+  /** A rise that the old version shows as well is no fault of the new one. */
+  private _decideProbe (move: MoveRecord, open: IOpenMove, probe: IProbe, nowMs: number): MoveCommand | undefined {
+    const lengthMs = nowMs - probe.startedMs
+    const calls = open.comparison.getNewCalls() - probe.callsBefore
+    const isEnough = lengthMs >= SHORTEST_PROBE_MS && calls >= PROBE_CALLS
+    this._report(move, open, `compared at ${formatShare(PROBE_SHARE_PPM)} for ${calls} calls`)
+    if (!isEnough && lengthMs < LONGEST_PROBE_MS) return undefined
+    const isCommon = open.comparison.findCommonRise(COMMON_RISE_RATE)
+    if (!isCommon) open.returningRises++
+    open.probe = undefined
+    open.comparison.resetRise()
+    return this._createCommand(move, move.status, probe.resumePpm, 'both versions do alike')
+  }
+
   private _decideStep (move: MoveRecord, open: IOpenMove, nowMs: number): MoveCommand | undefined {
     const entry = this._options.store.view.entries.get(move.service)
     const steps = planSteps(move.startedMs, move.byMs, entry?.move?.first_share ?? 0)
     const next = steps.find(step => step.sharePpm > move.sharePpm)
     if (next === undefined) return undefined
-    const obstacle = this._findObstacle(move, open, entry?.move?.prefer === 'time')
+    const obstacle = this._findObstacle(move, open, steps, entry?.move?.prefer === 'time')
     this._report(move, open, formatNext(next, obstacle))
     if (nowMs < next.startMs) return undefined
     if (obstacle !== undefined) return this._reportLate(move, steps, nowMs, obstacle)
     const isDone = next.sharePpm === FULL_SHARE_PPM
+    if (isDone) open.comparison.resetRise()
     const status = isDone ? MoveStatus.MOVE_STATUS_WATCHING : MoveStatus.MOVE_STATUS_RUNNING
     return this._createCommand(move, status, next.sharePpm, isDone ? 'done, watching for late faults' : 'evidence is clean')
   }
 
-  private _findObstacle (move: MoveRecord, open: IOpenMove, isTimeFirst: boolean): string | undefined {
+  private _findObstacle (
+    move: MoveRecord, open: IOpenMove, steps: readonly IMoveStep[], isTimeFirst: boolean
+  ): string | undefined {
     const targets = this._options.endpoints.getRecords().filter(record => record.service === move.service &&
       record.version === move.to && record.state === EndpointState.ENDPOINT_STATE_READY)
     if (targets.length === 0) return `no ready target of version ${move.to}; start some`
     if (move.sharePpm === 0 || isTimeFirst) return undefined
-    const calls = open.comparison.getNewCalls() - open.callsAtStep
-    if (calls >= ENOUGH_CALLS) return undefined
-    return `only ${calls} of ${ENOUGH_CALLS} calls seen at this share; send more calls or set prefer: time`
+    const calls = open.comparison.getNewCalls()
+    const needed = this._computeNeededCalls(move, open, steps)
+    if (calls >= needed) return undefined
+    return `${calls} of ${needed} calls seen on version ${move.to}; send more calls or set prefer: time`
+  }
+
+  /** The calls that the next step will expose must be in proportion to those that went well before. */
+  private _computeNeededCalls (move: MoveRecord, open: IOpenMove, steps: readonly IMoveStep[]): number {
+    const index = steps.findIndex(step => step.sharePpm > move.sharePpm)
+    const next = steps[index]
+    const following = steps[index + 1]
+    if (next === undefined || following === undefined) return ENOUGH_CALLS
+    const nowMs = this._options.clock.wallTime().getTime()
+    const calls = open.comparison.getNewCalls() + open.comparison.getOldCalls()
+    const callsPerMs = calls / Math.max(WINDOW_MS, nowMs - open.seenFromMs)
+    const exposed = callsPerMs * Math.max(0, following.startMs - next.startMs) * next.sharePpm / FULL_SHARE_PPM
+    return Math.ceil(Math.max(0, exposed - EXPOSURE_GROWTH) / EXPOSURE_GROWTH)
   }
 
   /** Says once that the set time can't be kept, as soon as it has passed or a whole step is lost. */
@@ -211,10 +276,14 @@
 }
 
 function formatNext (next: IMoveStep, obstacle: string | undefined): string {
-  const share = `${(next.sharePpm * 100 / FULL_SHARE_PPM).toFixed(1)}% at ${new Date(next.startMs).toISOString()}`
+  const share = `${formatShare(next.sharePpm)} at ${new Date(next.startMs).toISOString()}`
   return obstacle === undefined ? share : `${share}, held: ${obstacle}`
 }
 
+function formatShare (sharePpm: number): string {
+  return `${(sharePpm * 100 / FULL_SHARE_PPM).toFixed(1)}%`
+}
+
 function toOutcomes (record: EvidenceRecord): IOutcomes {
   const latency = new Map<number, number>()
   for (const [index, bucket] of (record.latency?.buckets ?? []).entries()) {
