--- /dev/null
+++ b/packages/common/src/evidence/Evidence.test.ts
@@ -0,0 +1,95 @@
+import { expect, test } from 'vitest'
+import { SeededRandom } from '../Random.js'
+import { SequentialTest } from './SequentialTest.js'
+import { VersionComparison, type IOutcomes } from './VersionComparison.js'
+import { computeBucket, computeBucketEndMs, LATENCY_BUCKETS } from './LatencyScale.js'
+
+const ALPHA = 0.05
+
+function draw (random: SeededRandom, calls: number, rate: number): number {
+  let events = 0
+  for (let call = 0; call < calls; call++) if (random.next() < rate) events++
+  return events
+}
+
+function createOutcomes (targetId: string, calls: number, failures: number, bucket = 20): IOutcomes {
+  return { route: 'r', targetId, calls, failures, latency: new Map([[bucket, calls]]) }
+}
+
+test('false alarms stay under the stated rate at any time', () => {
+  const random = new SeededRandom(1)
+  let alarms = 0
+  for (let run = 0; run < 400; run++) {
+    const statistic = new SequentialTest()
+    for (let window = 0; window < 200; window++) {
+      // A common fault comes and goes; both versions share it.
+      const rate = window % 50 < 10 ? 0.3 : 0.01
+      statistic.addWindow(10, draw(random, 10, rate), 50, draw(random, 50, rate))
+    }
+    if (statistic.isRejected(ALPHA)) alarms++
+  }
+  expect(alarms / 400).toBeLessThanOrEqual(ALPHA)
+})
+
+test('worse version is found', () => {
+  const random = new SeededRandom(2)
+  const statistic = new SequentialTest()
+  for (let window = 0; window < 60; window++) statistic.addWindow(5, draw(random, 5, 0.2), 50, draw(random, 50, 0.01))
+  expect(statistic.isRejected(0.001)).toBe(true)
+})
+
+test('one bad target is not a bad version', () => {
+  const comparison = new VersionComparison()
+  for (let window = 0; window < 100; window++) {
+    comparison.addWindow([createOutcomes('n1', 5, 4), createOutcomes('n2', 5, 0), createOutcomes('n3', 5, 0)],
+      [createOutcomes('o1', 50, 0)])
+  }
+  expect(comparison.findFault(0.01)).toBeUndefined()
+})
+
+test('fault on all targets is a bad version', () => {
+  const comparison = new VersionComparison()
+  for (let window = 0; window < 10; window++) {
+    comparison.addWindow([createOutcomes('n1', 5, 2), createOutcomes('n2', 5, 2)], [createOutcomes('o1', 50, 0)])
+  }
+  expect(comparison.findFault(0.01)).toMatchObject({ kind: 'failures' })
+})
+
+test('target that joins late keeps the evidence so far', () => {
+  const comparison = new VersionComparison()
+  for (let window = 0; window < 10; window++) {
+    comparison.addWindow([createOutcomes('n1', 5, 2), createOutcomes('n2', 5, 2)], [createOutcomes('o1', 50, 0)])
+  }
+  comparison.addWindow([createOutcomes('n3', 1, 0)], [createOutcomes('o1', 50, 0)])
+  expect(comparison.findFault(0.01)).toBeDefined()
+})
+
+test('windows with one version only wait for the other', () => {
+  const comparison = new VersionComparison()
+  for (let window = 0; window < 40; window++) {
+    comparison.addWindow([createOutcomes('n1', 1, 1)], [])
+    comparison.addWindow([], [createOutcomes('o1', 1, 0)])
+  }
+  expect(comparison.findFault(0.01)).toBeDefined()
+})
+
+test('slower version is found, a difference under a millisecond is not', () => {
+  const compare = (oldMs: number, newMs: number): boolean => {
+    const comparison = new VersionComparison()
+    for (let window = 0; window < 200; window++) {
+      comparison.addWindow([createOutcomes('n1', 5, 0, computeBucket(newMs))], [createOutcomes('o1', 20, 0, computeBucket(oldMs))])
+    }
+    return comparison.findFault(0.01)?.kind === 'latency'
+  }
+  expect(compare(20, 30)).toBe(true)
+  expect(compare(0.5, 1)).toBe(false)
+  expect(compare(20, 20)).toBe(false)
+})
+
+test('buckets cover every latency', () => {
+  for (const ms of [0, 0.05, 0.1, 1, 10, 999, 1e9]) {
+    const bucket = computeBucket(ms)
+    expect(bucket).toBeLessThan(LATENCY_BUCKETS)
+    if (ms < 1e5) expect(computeBucketEndMs(bucket)).toBeGreaterThanOrEqual(ms * 0.999)
+  }
+})
--- /dev/null
+++ b/tests/Processes.test.ts
@@ -0,0 +1,100 @@
+import { spawn } from 'node:child_process'
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+// @ts-expect-error the harness of the benchmarks is plain JavaScript
+import { Fleet, findPorts, waitUntil } from '../bench/harness.mjs'
+
+const MOVE_MS = 6_000
+const ENTRY = {
+  entry: 'desk',
+  owner: 'beaulieu',
+  class: 'first',
+  limits: { slots: 9, connections: 130 },
+  routes: [
+    { name: 'read', path: '/read', methods: ['GET'], idempotency: 'safe' },
+    { name: 'order', path: '/order', methods: ['POST'], idempotency: 'keyed' }
+  ],
+  version: 'v1'
+}
+
+let fleet: Fleet
+
+async function runCtl (...args: string[]): Promise<{ code: number, output: string }> {
+  const { operators } = fleet.vms.get('c1')
+  const child = spawn(process.execPath, ['packages/lagoonctl/dist/main.js', ...args, '--control', `127.0.0.1:${operators}`])
+  let output = ''
+  child.stdout.on('data', chunk => { output += String(chunk) })
+  child.stderr.on('data', chunk => { output += String(chunk) })
+  const code = await new Promise<number>(resolve => child.on('close', status => resolve(status ?? -1)))
+  return { code, output }
+}
+
+async function call (node: string, path: string, options?: RequestInit): Promise<number> {
+  const answer = await fetch(`http://127.0.0.1:${fleet.vms.get(node).calls}${path}`, options)
+  await answer.text()
+  return answer.status
+}
+
+function writeDeclaration (declaration: object): string {
+  const file = join(fleet.folder, 'desk.yaml')
+  writeFileSync(file, JSON.stringify(declaration))
+  return file
+}
+
+async function startTarget (id: string, version: string): Promise<void> {
+  const [port] = await findPorts(1)
+  fleet.startScript(id, 'bench/stand-in-target.mjs', id, 'desk', version, port, fleet.vms.get('n1').local)
+}
+
+beforeEach(async () => {
+  fleet = new Fleet()
+  await fleet.plan([{ name: 'c1', roles: 'control' }, { name: 'n1', roles: 'node' }])
+  fleet.startVm('c1')
+  fleet.startVm('n1')
+  await fleet.waitReady('n1')
+})
+
+afterEach(async () => { await fleet.stop() })
+
+test('two processes carry a change, calls and a move', async () => {
+  await startTarget('t1', 'v1')
+  await startTarget('t2', 'v2')
+  expect(await runCtl('apply', writeDeclaration(ENTRY))).toMatchObject({ code: 0 })
+  await waitUntil('a call', async () => await call('n1', '/read') === 200)
+  const by = new Date(Date.now() + MOVE_MS).toISOString()
+  const move = { ...ENTRY, move: { to: 'v2', by, first_share: 0.2, watch: '1s', prefer: 'time' } }
+  expect(await runCtl('apply', writeDeclaration(move))).toMatchObject({ code: 0 })
+  const waiting = runCtl('move', 'wait', 'desk')
+  const done = await waiting
+  expect(done).toMatchObject({ code: 0 })
+  expect(done.output).toMatch(/desk: done, v2 takes all calls/)
+}, 60_000)
+
+test('killed processes come back with everything accepted', async () => {
+  await startTarget('t1', 'v1')
+  await runCtl('apply', writeDeclaration(ENTRY))
+  const order = { method: 'POST', headers: { 'idempotency-key': 'k' }, body: 'x' }
+  await waitUntil('an order', async () => await call('n1', '/order', order) === 200)
+  await fleet.kill('c1', 'SIGKILL')
+  await fleet.kill('n1', 'SIGKILL')
+  fleet.startVm('c1')
+  fleet.startVm('n1')
+  await fleet.waitReady('n1')
+  expect((await runCtl('get', 'desk')).output).toMatch(/desk {2}owner beaulieu/)
+  await waitUntil('the recorded answer', async () => await call('n1', '/order', order) === 200)
+}, 60_000)
+
+test('graceful stop exits with 0', async () => {
+  expect(await fleet.kill('n1', 'SIGTERM')).toBe(0)
+  expect(await fleet.kill('c1', 'SIGTERM')).toBe(0)
+}, 60_000)
+
+test('exit codes tell what went wrong', async () => {
+  await runCtl('apply', writeDeclaration(ENTRY))
+  expect((await runCtl('check', writeDeclaration({ ...ENTRY, colour: 'red' }))).code).toBe(3)
+  expect((await runCtl('apply', writeDeclaration({ ...ENTRY, version: 'v9' }))).code).toBe(3)
+  expect((await runCtl('get', 'nothing')).code).toBe(1)
+  await fleet.kill('c1')
+  expect((await runCtl('status')).code).toBe(5)
+}, 60_000)
