--- a/bench/harness.mjs
+++ b/bench/harness.mjs
@@ -13,15 +13,24 @@
 const MAIN = join(ROOT, 'packages/lagoonswitch/dist/main.js')
 const READY_TIMEOUT_MS = 30_000
 
+/** Ports below the range from which the system takes those of outgoing connections. */
+const FIRST_PORT = 10_000
+const PORT_RANGE = 20_000
+let nextPort = process.pid * 101 % PORT_RANGE
+
 /** Finds free ports of the loopback interface. */
 export async function findPorts (count) {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
+  const ports = []
+  while (ports.length < count) {
+    nextPort = (nextPort + 1) % PORT_RANGE
+    const port = FIRST_PORT + nextPort
     const server = createServer()
-    await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
-    return server
-  }))
-  const ports = servers.map(server => server.address().port)
-  await Promise.all(servers.map(server => new Promise(resolve => server.close(resolve))))
+    const isFree = await new Promise(resolve => {
+      server.once('error', () => resolve(false))
+      server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+    })
+    if (isFree) ports.push(port)
+  }
   return ports
 }
 
--- a/bench/stand-in-target.mjs
+++ b/bench/stand-in-target.mjs
@@ -16,7 +16,7 @@
   request.resume()
   if (request.url === '/stats') {
     running--
-    response.end(JSON.stringify({ highest, doubles: [...runs.values()].filter(count => count > 1).length, keys: runs.size }))
+    response.end(JSON.stringify({ highest, runs: [...runs] }))
     return
   }
   const key = request.headers['idempotency-key']
--- a/tests/support/World.ts
+++ b/tests/support/World.ts
@@ -1,9 +1,10 @@
 /**
  * A control VM and nodes in this process, over real sockets, with targets whose behaviour a test chooses.
  */
+// @ts-expect-error the harness of the benchmarks is plain JavaScript
+import { findPorts as findFreePorts } from '../../bench/harness.mjs'
 import { createServer as createHttpServer, request, type IncomingHttpHeaders, type IncomingMessage, type ServerResponse } from 'node:http'
-import { once } from 'node:events'
-import { createServer, type AddressInfo } from 'node:net'
+import type { AddressInfo } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Metrics, NullLog, SeededRandom, SystemClock } from '@lagoonswitch/common'
 import { ControlRole, MemoryStorage } from '@lagoonswitch/control'
@@ -33,13 +34,7 @@
   close: () => Promise<void>
 }
 
-export async function findPorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer().listen(0, '127.0.0.1'))
-  await Promise.all(servers.map(async server => await once(server, 'listening')))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(async server => await new Promise(resolve => server.close(resolve))))
-  return ports
-}
+export const findPorts = findFreePorts as (count: number) => Promise<number[]>
 
 export async function waitFor (label: string, check: () => boolean | Promise<boolean>): Promise<void> {
   const endMs = Date.now() + WAIT_LIMIT_MS
