--- a/bench/stand-in-target.mjs
+++ b/bench/stand-in-target.mjs
@@ -21,7 +21,10 @@
   }
   const key = request.headers['idempotency-key']
   if (key !== undefined) runs.set(key, (runs.get(key) ?? 0) + 1)
-  if (Number(delayMs) > 0) await sleep(Number(delayMs))
+  // A cancelled call stops, as the platform promises of its targets.
+  const cancelled = new AbortController()
+  response.on('close', () => cancelled.abort())
+  if (Number(delayMs) > 0) await sleep(Number(delayMs), undefined, { signal: cancelled.signal }).catch(() => undefined)
   running--
   response.writeHead(Math.random() < Number(failShare) ? 500 : 200, { 'content-length': ANSWER.length })
   response.end(ANSWER)
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -11,6 +11,8 @@
 import type { LocalTarget } from './LocalTarget.js'
 import type { ISlotTicket } from './SlotGate.js'
 
+const ABORT_GRACE_MS = 10
+
 /** Carries one call; plain callbacks, since every call passes here. */
 export class TargetCall implements ICallHandle, Dispatcher.DispatchHandler {
   private readonly _ticket: ISlotTicket
@@ -60,7 +62,7 @@
 
   cancel (): void {
     if (this._hasEnded) return
-    this._finish()
+    this._finish(true)
     this._controller?.abort(new Error('cancelled'))
   }
 
@@ -141,17 +143,19 @@
 
   private _fail (reason: FailureReason): void {
     if (this._hasEnded) return
-    this._finish()
+    this._finish(true)
     this._controller?.abort(new Error(reason))
     this._events.onFailure({ reason, isNotRun: !this._hasStarted, retryAfterMs: 0 }, this._target.gate.load)
   }
 
-  private _finish (): void {
+  private _finish (isAborted = false): void {
     this._hasEnded = true
     this._deadline?.dispose()
     this._body?.destroy()
+    // A target learns a moment later that a call was given up; until then the call holds its slot.
+    if (isAborted && this._hasStarted) this._clock.schedule(ABORT_GRACE_MS, () => this._ticket.release())
     // The ticket is missing only while acquire itself refuses the call.
-    this._ticket?.release()
+    else this._ticket?.release()
     this._onFinished()
   }
 }
--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -42,9 +42,10 @@
   return file
 }
 
-async function startTarget (id: string, version: string): Promise<void> {
+async function startTarget (id: string, version: string): Promise<number> {
   const [port] = await findPorts(1)
   fleet.startScript(id, 'bench/stand-in-target.mjs', id, 'desk', version, port, fleet.vms.get('n1').local)
+  return port as number
 }
 
 beforeEach(async () => {
@@ -71,18 +72,35 @@
   expect(done.output).toMatch(/desk: done, v2 takes all calls/)
 }, 60_000)
 
+async function sendOrder (key: string): Promise<string> {
+  const answer = await fetch(`http://127.0.0.1:${fleet.vms.get('n1').calls}/order`, {
+    method: 'POST', headers: { 'idempotency-key': key }, body: 'x'
+  })
+  await answer.text()
+  return answer.status === 200 ? (answer.headers.has('lagoon-repeated') ? 'repeated' : 'run') : 'refused'
+}
+
+async function countRuns (port: number): Promise<number[]> {
+  const { runs } = await (await fetch(`http://127.0.0.1:${port}/stats`)).json() as { runs: Array<[string, number]> }
+  return runs.map(([, count]) => count)
+}
+
 test('killed processes come back with everything accepted', async () => {
-  await startTarget('t1', 'v1')
+  const port = await startTarget('t1', 'v1')
   await runCtl('apply', writeDeclaration(ENTRY))
-  const order = { method: 'POST', headers: { 'idempotency-key': 'k' }, body: 'x' }
-  await waitUntil('an order', async () => await call('n1', '/order', order) === 200)
+  await waitUntil('an order', async () => await sendOrder('kept') === 'run')
+  await waitUntil('its record', async () => await sendOrder('kept') === 'repeated')
+  // The record of this one may be lost with the node; it must not run again all the same.
+  await sendOrder('doubtful')
   await fleet.kill('c1', 'SIGKILL')
   await fleet.kill('n1', 'SIGKILL')
   fleet.startVm('c1')
   fleet.startVm('n1')
   await fleet.waitReady('n1')
   expect((await runCtl('get', 'desk')).output).toMatch(/desk {2}owner beaulieu/)
-  await waitUntil('the recorded answer', async () => await call('n1', '/order', order) === 200)
+  await waitUntil('the recorded answer', async () => await sendOrder('kept') === 'repeated')
+  expect(await sendOrder('doubtful')).not.toBe('run')
+  expect(await countRuns(port)).toEqual([1, 1])
 }, 60_000)
 
 test('graceful stop exits with 0', async () => {
