--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -13,6 +13,7 @@
 import { PeerLink } from './links/PeerLink.js'
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
+import { OwnerLimits } from './routing/OwnerLimits.js'
 import { RetryBudget } from './routing/RetryBudget.js'
 import { RouteTable, type ICompiledRoute } from './routing/RouteTable.js'
 import { TargetPool } from './routing/TargetPool.js'
@@ -121,6 +122,7 @@
       claims: new ClaimsClient(
         new LeaderClient(channels, clock, controlAddresses), settings.control.claimShards),
       evidence: this._evidence,
+      owners: new OwnerLimits(),
       findOpener: address => this._findOpener(address),
       getBudget: route => this._getBudget(route),
       getRoutes: () => this._getRoutes(),
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -57,6 +57,8 @@
   private _recorded: { status: number, headers: readonly string[], chunks: Buffer[], bytes: number } | undefined
   private _deadline: IDisposable | undefined
   private _hasHead = false
+  /** Owner whose running calls count this one. */
+  private _owner: string | undefined
   private _mayHaveRun = false
   /** Answer bytes that wait in the caller's connection. */
   private _unacknowledged = 0
@@ -77,7 +79,7 @@
 
   /** Starts the call. */
   start (): void {
-    if (!this._readHead()) return
+    if (!this._readHead() || !this._enterOwner()) return
     this._deadline = this._context.clock.schedule(this._getRemainingMs(), () => this._handleDeadline())
     const { method } = this._request
     const isEmpty = (method === 'GET' || method === 'HEAD') || this._request.headers['content-length'] === '0'
@@ -173,6 +175,13 @@
     return true
   }
 
+  private _enterOwner (): boolean {
+    const { owner, limits } = this._route.entry
+    if (!this._context.owners.enter(owner, limits.owner_slots)) return this._refuse('owner-limit', 'not-run', RETRY_AFTER_MS)
+    this._owner = owner
+    return true
+  }
+
   private _holdBody (limit: number): void {
     const chunks: Buffer[] = []
     let bytes = 0
@@ -401,6 +410,7 @@
   private _finish (outcome: string): void {
     this._isDone = true
     this._deadline?.dispose()
+    if (this._owner !== undefined) this._context.owners.leave(this._owner)
     this._context.metrics.count('calls_total', outcome)
     this._context.metrics.getRecorder('call_duration').record(this._context.clock.monotonicMs() - this._startedMs)
     this._onDone()
--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -195,6 +195,16 @@
   }
 })
 
+test('owner has no more calls running than allowed', async () => {
+  await world.putEntry({ ...DESK, limits: { ...DESK.limits, owner_slots: 2 } })
+  await world.addTarget('n2', 't1', 'v1', (_request, response) => { setTimeout(() => response.end('ok'), 200) })
+  const replies = await Promise.all(Array.from({ length: 5 }, async () => await world.call('n1', 'GET', '/read')))
+  const refused = replies.filter(reply => reply.status === 429)
+  expect(refused.length).toBe(3)
+  for (const reply of refused) expect(readProblem(reply.body)).toMatchObject({ reason: 'owner-limit', run: 'not-run' })
+  expect((await world.call('n1', 'GET', '/read')).status).toBe(200)
+})
+
 test('too deep chain is cut', async () => {
   await world.addTarget('n2', 't1', 'v1', answer('x'))
   const reply = await world.call('n1', 'GET', '/read', { 'lagoon-depth': '16' })
