--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -4,24 +4,19 @@
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { IDisposable } from '@lagoonswitch/common'
-import { ClaimStatus, type CallClass, type RecordedAnswer } from '@lagoonswitch/schema'
-import type { ClaimResult, IClaim } from '../claims/ClaimsClient.js'
-import type { ICompiledRoute } from '../routing/RouteTable.js'
+import type { RecordedAnswer } from '@lagoonswitch/schema'
+import type { ClaimResult } from '../claims/ClaimsClient.js'
+import { KeyHolder } from '../claims/KeyHolder.js'
 import type { ITargetState } from '../routing/TargetPool.js'
 import { Attempt } from './Attempt.js'
 import type { ICallContext } from './CallContext.js'
-import {
-  MAX_CALL_DEPTH, type FailureReason, type ICallEvents, type ICallFailure, type ICallRequest
-} from './CallTypes.js'
-import {
-  CLASS_HEADER, DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER, REPEATED_HEADER, copyRequestHeaders
-} from './Headers.js'
+import { hasBody, readCallHead, type ICallHead } from './CallHead.js'
+import type { FailureReason, ICallEvents, ICallFailure, ICallRequest } from './CallTypes.js'
+import { REPEATED_HEADER } from './Headers.js'
 import { sendRefusal, type IRefusal, type RefusalReason, type RunState } from './Refusal.js'
-import { findClass } from '../routing/RouteTable.js'
 
 const MAX_ATTEMPTS = 3
 const HELD_BODY_BYTES = 16_384
-const MAX_KEY_LENGTH = 255
 const RETRY_AFTER_MS = 1_000
 const FIRST_SERVER_ERROR = 500
 const FINAL_REASONS = new Set<FailureReason>(['deadline', 'deadline-queue', 'cancelled'])
@@ -41,11 +36,9 @@
 export class Call implements ICallEvents {
   private readonly _startedMs: number
   private readonly _tried = new Set<string>()
-  private _route!: ICompiledRoute
-  private _callClass!: CallClass
+  /** Set by the first step; nothing else runs without it. */
+  private _head!: ICallHead
   private _dueMs = 0
-  private _depth = 0
-  private _headers: string[] = []
   /** Start of the body, kept so that it can be sent again. */
   private _body: Buffer = NO_BYTES
   private _isBodyHeld = false
@@ -53,8 +46,7 @@
   private _attempt: Attempt | undefined
   private _attempts = 0
   private _lastFailure: ICallFailure | undefined
-  private _claim: IClaim | undefined
-  private _recorded: { status: number, headers: readonly string[], chunks: Buffer[], bytes: number } | undefined
+  private readonly _key: KeyHolder
   private _deadline: IDisposable | undefined
   private _hasHead = false
   /** Owner whose running calls count this one. */
@@ -72,6 +64,7 @@
     private readonly _onDone: () => void
   ) {
     this._startedMs = _context.clock.monotonicMs()
+    this._key = new KeyHolder(_context.claims, _context.settings.node.answerBytes)
     _response.on('close', () => this._handleCallerClose())
     _request.on('error', () => undefined)
     _response.on('error', () => undefined)
@@ -81,16 +74,12 @@
   start (): void {
     if (!this._readHead() || !this._enterOwner()) return
     this._deadline = this._context.clock.schedule(this._getRemainingMs(), () => this._handleDeadline())
-    const { method } = this._request
-    const isEmpty = (method === 'GET' || method === 'HEAD') || this._request.headers['content-length'] === '0'
-    const hasBody = this._request.headers['transfer-encoding'] !== undefined ||
-      Number(this._request.headers['content-length'] ?? 0) > 0
-    if (isEmpty && !hasBody) {
+    if (!hasBody(this._request)) {
       this._isBodyHeld = true
       this._proceed()
       return
     }
-    const limit = this._route.isKeyed ? this._context.settings.node.keyedBodyBytes : HELD_BODY_BYTES
+    const limit = this._head.route.isKeyed ? this._context.settings.node.keyedBodyBytes : HELD_BODY_BYTES
     this._holdBody(limit)
   }
 
@@ -104,14 +93,14 @@
       return
     }
     this._hasHead = true
-    this._startRecording(status, headers)
+    this._key.recordHead(status, headers)
     if (this._isCallerGone) return
     this._response.writeHead(status, headers as string[])
   }
 
   onData (chunk: Buffer): void {
     if (this._isDone) return
-    this._recordChunk(chunk)
+    this._key.recordChunk(chunk)
     if (this._isCallerGone || this._response.write(chunk)) {
       this._attempt?.handle?.acknowledge(chunk.length)
       return
@@ -122,7 +111,7 @@
 
   onEnd (): void {
     if (this._isDone) return
-    this._settleAnswered()
+    this._key.settleAnswered()
     this._finish('answered')
     if (!this._isCallerGone) this._response.end()
   }
@@ -131,7 +120,7 @@
     if (this._isDone) return
     if (this._hasHead) {
       // A part of the answer is out; cutting the connection shows the caller that it isn't whole.
-      this._settle(ClaimStatus.CLAIM_STATUS_UNKNOWN)
+      this._key.settleUnknown()
       this._finish('cut')
       this._response.destroy()
       return
@@ -151,32 +140,18 @@
   }
 
   private _readHead (): boolean {
-    const { headers, method, url } = this._request
-    if (this._context.isDraining()) return this._refuse('process-draining', 'not-run', RETRY_AFTER_MS)
-    const routes = this._context.getRoutes()
-    if (routes === undefined) return this._refuse('not-ready', 'not-run', RETRY_AFTER_MS)
-    const route = routes.findRoute(headers.host ?? '', method ?? '', url ?? '/')
-    if (route === undefined) return this._refuse('no-route', 'not-run', 0)
-    this._route = route
-    this._depth = readNumber(headers[DEPTH_HEADER]) ?? 0
-    if (this._depth >= MAX_CALL_DEPTH) return this._refuse('too-deep', 'not-run', 0)
-    const wished = readNumber(headers[DEADLINE_HEADER])
-    if (headers[DEADLINE_HEADER] !== undefined && wished === undefined) {
-      return this._refuse('bad-header', 'not-run', 0, `${DEADLINE_HEADER} must be a whole number of milliseconds`)
+    const head = readCallHead(this._context, this._request)
+    if (head.err) {
+      const { reason, run, retryAfterMs, detail } = head.val
+      return this._refuse(reason, run, retryAfterMs, detail)
     }
-    this._dueMs = this._startedMs + Math.min(route.deadlineMs, wished ?? Infinity)
-    const classHeader = headers[CLASS_HEADER]
-    const callClass = classHeader === undefined ? route.callClass : findClass(String(classHeader))
-    if (callClass === undefined) return this._refuse('bad-header', 'not-run', 0, `${CLASS_HEADER} is unknown`)
-    this._callClass = Math.max(route.callClass, callClass)
-    if (route.isKeyed && !isUsableKey(headers[KEY_HEADER])) return this._refuse('key-missing', 'not-run', 0)
-    this._headers = copyRequestHeaders(this._request.rawHeaders)
-    this._headers.push(DEPTH_HEADER, String(this._depth + 1))
+    this._head = head.val
+    this._dueMs = this._startedMs + head.val.allowedMs
     return true
   }
 
   private _enterOwner (): boolean {
-    const { owner, limits } = this._route.entry
+    const { owner, limits } = this._head.route.entry
     if (!this._context.owners.enter(owner, limits.owner_slots)) return this._refuse('owner-limit', 'not-run', RETRY_AFTER_MS)
     this._owner = owner
     return true
@@ -192,7 +167,7 @@
       stop()
       this._request.pause()
       this._body = Buffer.concat(chunks)
-      if (this._route.isKeyed) this._refuse('body-too-large', 'not-run', 0)
+      if (this._head.route.isKeyed) this._refuse('body-too-large', 'not-run', 0)
       else this._proceed()
     }
     const onEnd = (): void => {
@@ -211,20 +186,20 @@
 
   private _proceed (): void {
     if (this._isDone) return
-    this._context.getBudget(this._route).recordCall()
-    if (this._route.isKeyed) void this._claimKey()
+    this._context.getBudget(this._head.route).recordCall()
+    if (this._head.route.isKeyed) void this._claimKey()
     else this._send()
   }
 
   private async _claimKey (): Promise<void> {
-    const { method, url, headers } = this._request
+    const { method, url } = this._request
     const fingerprint = createHash('sha256').update(`${method} ${url}\n`).update(this._body).digest()
     const result = await this._context.claims.claim(
-      this._route.key, String(headers[KEY_HEADER]), fingerprint, this._getRemainingMs())
+      this._head.route.key, this._head.key, fingerprint, this._getRemainingMs())
     this._context.metrics.count('claims_total', result.kind)
-    if (result.kind === 'granted') this._claim = result.claim
+    if (result.kind === 'granted') this._key.hold(result.claim)
     if (this._isDone) {
-      this._settle(ClaimStatus.CLAIM_STATUS_RELEASED)
+      this._key.settleReleased()
       return
     }
     switch (result.kind) {
@@ -249,7 +224,7 @@
     }
     this._tried.add(target.record.targetId)
     this._attempts++
-    const attempt = new Attempt(this._context, this._route, target, this)
+    const attempt = new Attempt(this._context, this._head.route, target, this)
     this._attempt = attempt
     attempt.handle = this._context.findOpener(target.record.linkAddress)
       .open(this._createRequest(target.record.targetId, target.record.version), attempt)
@@ -258,7 +233,7 @@
 
   private _pickTarget (): ITargetState | undefined {
     const { pool } = this._context
-    const { service } = this._route
+    const { service } = this._head.route
     const version = this._pickVersion()
     return pool.pickTarget(service, version, this._tried) ??
       pool.pickTarget(service, this._getOtherVersion(version), this._tried)
@@ -271,16 +246,16 @@
   }
 
   private _createRequest (targetId: string, version: string): ICallRequest {
-    const { limits, owner } = this._route.serviceEntry
+    const { limits, owner } = this._head.route.serviceEntry
     return {
-      service: this._route.service,
+      service: this._head.route.service,
       version,
       targetId,
       method: this._request.method ?? 'GET',
       path: this._request.url ?? '/',
-      headers: this._headers,
+      headers: this._head.headers,
       remainingMs: this._getRemainingMs(),
-      callClass: this._callClass,
+      callClass: this._head.callClass,
       owner,
       body: this._body,
       isBodyComplete: this._isBodyHeld,
@@ -302,14 +277,14 @@
   }
 
   private _pickVersion (): string {
-    const { split, service } = this._route
+    const { split, service } = this._head.route
     if (split.to === '' || split.sharePpm === 0 || this._context.evidence.isCut(service)) return split.from
     return this._context.random.next() * 1_000_000 < split.sharePpm ? split.to : split.from
   }
 
   /** A version without a ready target falls back to the other one, but never to one that is cut or taken back. */
   private _getOtherVersion (version: string): string {
-    const { split, service } = this._route
+    const { split, service } = this._head.route
     if (version === split.to) return split.from
     const isUsable = split.to !== '' && split.sharePpm > 0 && !this._context.evidence.isCut(service)
     return isUsable ? split.to : ''
@@ -320,17 +295,17 @@
   }
 
   private _canRetryAnswer (status: number): boolean {
-    return status >= FIRST_SERVER_ERROR && this._route.isRepeatable && this._depth === 0 && this._canSendAgain() &&
-      this._pickTarget() !== undefined && this._context.getBudget(this._route).spend()
+    return status >= FIRST_SERVER_ERROR && this._head.route.isRepeatable && this._head.depth === 0 && this._canSendAgain() &&
+      this._pickTarget() !== undefined && this._context.getBudget(this._head.route).spend()
   }
 
   /** Only the first layer of a chain repeats what may have run; every layer may repeat what was not run. */
   private _canRetryFailure ({ reason, isNotRun }: ICallFailure): boolean {
-    const isRetryable = isNotRun || (this._route.isRepeatable && this._depth === 0)
+    const isRetryable = isNotRun || (this._head.route.isRepeatable && this._head.depth === 0)
     if (!isRetryable || FINAL_REASONS.has(reason) || !this._canSendAgain()) return false
     // These attempts cost the targets nothing, and a leaving target must not use up the budget.
     if (isNotRun && FREE_REASONS.has(reason)) return true
-    if (this._context.getBudget(this._route).spend()) return true
+    if (this._context.getBudget(this._head.route).spend()) return true
     this._context.metrics.count('retries_denied_total', reason)
     return false
   }
@@ -341,32 +316,6 @@
     this._attempt?.handle?.acknowledge(bytes)
   }
 
-  private _startRecording (status: number, headers: readonly string[]): void {
-    if (this._claim !== undefined) this._recorded = { status, headers, chunks: [], bytes: 0 }
-  }
-
-  private _recordChunk (chunk: Buffer): void {
-    if (this._recorded === undefined) return
-    this._recorded.bytes += chunk.length
-    if (this._recorded.bytes <= this._context.settings.node.answerBytes) this._recorded.chunks.push(chunk)
-  }
-
-  private _settleAnswered (): void {
-    if (this._recorded === undefined) return
-    const { status, headers, chunks, bytes } = this._recorded
-    const isWhole = bytes <= this._context.settings.node.answerBytes
-    const answer: RecordedAnswer = {
-      status, headers: headers as string[], body: isWhole ? Buffer.concat(chunks) : NO_BYTES
-    }
-    this._settle(ClaimStatus.CLAIM_STATUS_ANSWERED, answer)
-  }
-
-  private _settle (status: ClaimStatus, answer?: RecordedAnswer): void {
-    if (this._claim === undefined) return
-    void this._context.claims.settle(this._claim, status, answer)
-    this._claim = undefined
-  }
-
   private _sendRecorded (answer: RecordedAnswer | undefined): void {
     if (answer === undefined) {
       this._refuse('key-unknown', 'unknown', 0)
@@ -382,7 +331,8 @@
     if (this._isDone) return false
     // One attempt that may have run is enough to make the whole call doubtful.
     if (run === 'not-run' && this._mayHaveRun) run = 'unknown'
-    this._settle(run === 'not-run' ? ClaimStatus.CLAIM_STATUS_RELEASED : ClaimStatus.CLAIM_STATUS_UNKNOWN)
+    if (run === 'not-run') this._key.settleReleased()
+    else this._key.settleUnknown()
     this._attempt?.cancel()
     this._finish(reason)
     this._context.metrics.count('refusals_total', reason)
@@ -402,7 +352,7 @@
     if (this._isDone || this._isCallerGone) return
     this._isCallerGone = true
     // A claimed call goes on, so that a repeat gets its answer.
-    if (this._claim !== undefined && this._isBodyHeld) return
+    if (this._key.isHeld && this._isBodyHeld) return
     this._attempt?.cancel()
     this._finish('caller-gone')
   }
@@ -420,11 +370,3 @@
     return Math.max(0, Math.floor(this._dueMs - this._context.clock.monotonicMs()))
   }
 }
-
-function readNumber (value: string | string[] | undefined): number | undefined {
-  return typeof value === 'string' && /^\d{1,9}$/.test(value) ? Number(value) : undefined
-}
-
-function isUsableKey (key: string | string[] | undefined): boolean {
-  return typeof key === 'string' && key.length > 0 && key.length <= MAX_KEY_LENGTH
-}
