A comparison outlives its leader and an answer that is not committed

Cause, found by reading: a leader that took over during a comparison after 'done' left the share at 20% to the end of the watch; the end of a comparison counted although its decision had not been committed. Change: such a leader goes on with the comparison; state kept beside the log returns to what it was when a proposal fails. Measured: the test of the first failed before (share 200000 in place of 1000000) and passes now; the test of the second passed before as well, since the schedule raised the share.

--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -156,6 +156,29 @@
   expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_WATCHING)
 })
 
+test('new leader ends a comparison that it did not start', async () => {
+  startMove()
+  await run(LENGTH_S)
+  await run(2, 0.2)
+  expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_WATCHING, sharePpm: 200_000 })
+  controller = createController()
+  await run(14)
+  expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_WATCHING, sharePpm: FULL_SHARE_PPM })
+})
+
+test('comparison whose end is not committed counts once', async () => {
+  startMove()
+  await run(80)
+  await run(1, 0.2)
+  expect(getMove().sharePpm).toBe(200_000)
+  isCommitting = false
+  await run(15)
+  isCommitting = true
+  await run(30)
+  expect(getMove().status).not.toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+  expect(getMove().sharePpm).toBeGreaterThan(200_000)
+})
+
 test('decision without a quorum changes nothing', async () => {
   startMove()
   await run(50)
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -126,8 +126,12 @@
       open.comparison.addWindow(mergeOutcomes(open.windowNew), mergeOutcomes(open.windowOld))
       open.windowNew = []
       open.windowOld = []
+      const { probe, returningRises } = open
       const command = this._decideMove(move, open)
-      if (command !== undefined) await this._propose(move, command)
+      if (command === undefined || await this._propose(move, command)) continue
+      // What was not committed has not happened, so it is decided anew.
+      open.probe = probe
+      open.returningRises = returningRises
     }
   }
 
@@ -162,6 +166,10 @@
         `${fault.kind} on route ${fault.route}: ${fault.detail}`)
     }
     const nowMs = this._options.clock.wallTime().getTime()
+    if (move.status === MoveStatus.MOVE_STATUS_WATCHING && move.sharePpm < FULL_SHARE_PPM) {
+      // A leader that takes over during a comparison goes on with it.
+      open.probe ??= { resumePpm: FULL_SHARE_PPM, startedMs: nowMs, callsBefore: open.comparison.getNewCalls() }
+    }
     if (open.probe !== undefined) return this._decideProbe(move, open, open.probe, nowMs)
     if (move.sharePpm > PROBE_SHARE_PPM && open.comparison.findRise(NEEDLESS_PROBE_RATE)) {
       if (open.returningRises >= RISES_TO_TAKE_BACK - 1) {
@@ -257,7 +265,7 @@
     return { service: move.service, expectedVersion: move.version, status, sharePpm, reason, late: move.late }
   }
 
-  private async _propose (move: MoveRecord, command: MoveCommand): Promise<void> {
+  private async _propose (move: MoveRecord, command: MoveCommand): Promise<boolean> {
     const nowMs = this._options.clock.wallTime().getTime()
     const isCommitted = await this._options.propose(
       CatalogueCommand.encode({ nowMs, command: { $case: 'move', value: command } }).finish())
@@ -266,6 +274,7 @@
     this._options.log.info('move_decided', {
       service: move.service, to: move.to, status, share: command.sharePpm, reason: command.reason, committed: isCommitted
     })
+    return isCommitted
   }
 
   private _report (move: MoveRecord, open: IOpenMove, next: string): void {
