--- a/bench/moves.mjs
+++ b/bench/moves.mjs
@@ -39,16 +39,16 @@
   const sides = { new: new Map(), old: new Map() }
   let failedByVersion = 0
   for (let call = 0; call < rate; call++) {
-    const side = random.next() < share ? 'new' : 'old'
-    let pick = random.next()
+    const side = random.draw() < share ? 'new' : 'old'
+    let pick = random.draw()
     const route = ROUTES.find(([, weight]) => (pick -= weight) < 0)?.[0] ?? 'browse'
-    const target = Math.floor(random.next() * targets)
+    const target = Math.floor(random.draw() * targets)
     const effect = KINDS[kind]({ second, share, route, target })
     const applies = side === 'new' || effect.isCommon === true
     const failure = BASE_FAILURE + (applies ? effect.failure ?? 0 : 0)
-    const isFailure = random.next() < failure
-    const latencyMs = BASE_MS * Math.exp((random.next() + random.next() + random.next() - 1.5) * 0.8) * (side === 'new' ? effect.slow ?? 1 : 1)
-    if (side === 'new' && isFailure && !effect.isCommon && random.next() > BASE_FAILURE / failure) failedByVersion++
+    const isFailure = random.draw() < failure
+    const latencyMs = BASE_MS * Math.exp((random.draw() + random.draw() + random.draw() - 1.5) * 0.8) * (side === 'new' ? effect.slow ?? 1 : 1)
+    if (side === 'new' && isFailure && !effect.isCommon && random.draw() > BASE_FAILURE / failure) failedByVersion++
     const key = `${route} ${target}`
     const counts = sides[side].get(key) ?? { route, targetId: `${side}-${target}`, calls: 0, failures: 0, latency: new Map() }
     counts.calls++
@@ -63,11 +63,11 @@
 async function replay (policy, kind, rate, targets, seed) {
   const random = new SeededRandom(seed)
   const clock = new ManualClock()
-  const startMs = clock.wallTime().getTime()
+  const startMs = clock.readWallTime().getTime()
   const store = new CatalogueStore()
   const machine = new CatalogueMachine(store)
   const endpoints = new EndpointView()
-  const apply = command => machine.apply(CatalogueCommand.encode({ nowMs: clock.wallTime().getTime(), command }).finish())
+  const apply = command => machine.apply(CatalogueCommand.encode({ nowMs: clock.readWallTime().getTime(), command }).finish())
   apply({ $case: 'bootstrap', value: { epoch: 1 } })
   const entry = parseEntry({
     entry: 'desk',
--- a/packages/common/src/Backoff.ts
+++ b/packages/common/src/Backoff.ts
@@ -25,7 +25,7 @@
    */
   computeNextMs (floorMs = 0): number {
     const span = Math.max(0, this._lastMs * GROWTH - this._baseMs)
-    this._lastMs = Math.min(this._maxMs, this._baseMs + this._random.next() * span)
+    this._lastMs = Math.min(this._maxMs, this._baseMs + this._random.draw() * span)
     return this._lastMs + floorMs
   }
 
--- a/packages/common/src/Clock.ts
+++ b/packages/common/src/Clock.ts
@@ -6,9 +6,9 @@
 /** Source of time and timers. */
 export interface IClock {
   /** @returns milliseconds from an arbitrary start; never runs back */
-  monotonicMs (): number
+  readMonotonicMs (): number
   /** @returns the wall time, which may step in either direction */
-  wallTime (): Date
+  readWallTime (): Date
   /**
    * Calls back once after a delay.
    * @param delayMs - delay in milliseconds
@@ -26,8 +26,8 @@
 
 /** Base of clocks: builds {@link sleep} from {@link schedule}. */
 export abstract class Clock implements IClock {
-  abstract monotonicMs (): number
-  abstract wallTime (): Date
+  abstract readMonotonicMs (): number
+  abstract readWallTime (): Date
   abstract schedule (delayMs: number, callback: () => void): IDisposable
 
   async sleep (delayMs: number, signal?: AbortSignal): Promise<void> {
@@ -46,11 +46,11 @@
 
 /** The clock of the machine. */
 export class SystemClock extends Clock {
-  monotonicMs (): number {
+  readMonotonicMs (): number {
     return performance.now()
   }
 
-  wallTime (): Date {
+  readWallTime (): Date {
     return new Date()
   }
 
--- a/packages/common/src/ManualClock.ts
+++ b/packages/common/src/ManualClock.ts
@@ -25,11 +25,11 @@
     super()
   }
 
-  monotonicMs (): number {
+  readMonotonicMs (): number {
     return this._nowMs
   }
 
-  wallTime (): Date {
+  readWallTime (): Date {
     return new Date(this._wallStartMs + this._nowMs)
   }
 
--- a/packages/common/src/Random.ts
+++ b/packages/common/src/Random.ts
@@ -8,7 +8,7 @@
 /** Source of random numbers. */
 export interface IRandom {
   /** @returns a number from 0 (included) to 1 (excluded) */
-  next (): number
+  draw (): number
 }
 
 /** Replays the same numbers for the same seed. */
@@ -20,14 +20,14 @@
     this._generator = xoroshiro128plus(seed)
   }
 
-  next (): number {
+  draw (): number {
     return (this._generator.next() >>> 0) / UINT32_RANGE
   }
 }
 
 /** Numbers of the runtime. */
 export class SystemRandom implements IRandom {
-  next (): number {
+  draw (): number {
     return Math.random()
   }
 }
--- a/packages/common/src/evidence/Evidence.test.ts
+++ b/packages/common/src/evidence/Evidence.test.ts
@@ -8,7 +8,7 @@
 
 function draw (random: SeededRandom, calls: number, rate: number): number {
   let events = 0
-  for (let call = 0; call < calls; call++) if (random.next() < rate) events++
+  for (let call = 0; call < calls; call++) if (random.draw() < rate) events++
   return events
 }
 
--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -148,9 +148,9 @@
   async refresh (): Promise<Result<void, NoQuorumError>> {
     const reply = await this._confirm()
     if (!reply.confirmed) return Err(new NoQuorumError(false))
-    const endMs = this._options.clock.monotonicMs() + CHANGE_TIMEOUT_MS
+    const endMs = this._options.clock.readMonotonicMs() + CHANGE_TIMEOUT_MS
     while (this.store.version.version < (reply.version?.version ?? 0)) {
-      if (this._options.clock.monotonicMs() > endMs) return Err(new NoQuorumError(false))
+      if (this._options.clock.readMonotonicMs() > endMs) return Err(new NoQuorumError(false))
       await this._options.clock.sleep(BOOTSTRAP_RETRY_MS)
     }
     return Ok(undefined)
@@ -247,7 +247,7 @@
    * the last value of a field wins when encoded messages are joined.
    */
   private _stampTime (command: Uint8Array): Buffer {
-    const nowMs = this._options.clock.wallTime().getTime()
+    const nowMs = this._options.clock.readWallTime().getTime()
     return Buffer.concat([command, CatalogueCommand.encode({ nowMs, command: undefined }).finish()])
   }
 
@@ -291,7 +291,7 @@
         region: settings.process.region,
         availabilityZone: settings.process.availabilityZone,
         feedAddress: '',
-        incarnation: clock.wallTime().getTime(),
+        incarnation: clock.readWallTime().getTime(),
         controlAddresses: [member.address],
         isMesh: true,
         clock,
@@ -313,7 +313,7 @@
     const { clock } = this._options
     while (!this._stopping.signal.aborted && this.store.version.epoch === 0) {
       if (this._catalogue.isReadyLeader) {
-        const epoch = clock.wallTime().getTime()
+        const epoch = clock.readWallTime().getTime()
         await this._catalogue.propose(CatalogueCommand.encode({
           nowMs: epoch, command: { $case: 'bootstrap', value: { epoch } }
         }).finish())
--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -37,7 +37,7 @@
 }
 
 function startMove (prefer = 'check', hasTarget = true): void {
-  const by = new Date(clock.wallTime().getTime() + LENGTH_S * 1000).toISOString()
+  const by = new Date(clock.readWallTime().getTime() + LENGTH_S * 1000).toISOString()
   const entry = parseEntry({
     entry: 'desk',
     owner: 'o',
@@ -47,7 +47,7 @@
     version: 'v1',
     move: { to: 'v2', by, first_share: 0.01, watch: `${WATCH_S}s`, prefer }
   }).unwrap()
-  const nowMs = clock.wallTime().getTime()
+  const nowMs = clock.readWallTime().getTime()
   machine.apply(CatalogueCommand.encode({ nowMs, command: { $case: 'bootstrap', value: { epoch: 1 } } }).finish())
   machine.apply(CatalogueCommand.encode({
     nowMs,
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -150,7 +150,7 @@
         comparison: new VersionComparison(),
         windowNew: [],
         windowOld: [],
-        seenFromMs: this._options.clock.wallTime().getTime(),
+        seenFromMs: this._options.clock.readWallTime().getTime(),
         probe: undefined,
         returningRises: 0
       }
@@ -165,7 +165,7 @@
       return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
         `${fault.kind} on route ${fault.route}: ${fault.detail}`)
     }
-    const nowMs = this._options.clock.wallTime().getTime()
+    const nowMs = this._options.clock.readWallTime().getTime()
     if (move.status === MoveStatus.MOVE_STATUS_WATCHING && move.sharePpm < FULL_SHARE_PPM) {
       // A leader that takes over during a comparison goes on with it.
       open.probe ??= { resumePpm: FULL_SHARE_PPM, startedMs: nowMs, callsBefore: open.comparison.getNewCalls() }
@@ -244,7 +244,7 @@
     const next = steps[index]
     const following = steps[index + 1]
     if (next === undefined || following === undefined) return ENOUGH_CALLS
-    const nowMs = this._options.clock.wallTime().getTime()
+    const nowMs = this._options.clock.readWallTime().getTime()
     const calls = open.comparison.getNewCalls() + open.comparison.getOldCalls()
     const callsPerMs = calls / Math.max(WINDOW_MS, nowMs - open.seenFromMs)
     const exposed = callsPerMs * Math.max(0, following.startMs - next.startMs) * next.sharePpm / FULL_SHARE_PPM
@@ -266,7 +266,7 @@
   }
 
   private async _propose (move: MoveRecord, command: MoveCommand): Promise<boolean> {
-    const nowMs = this._options.clock.wallTime().getTime()
+    const nowMs = this._options.clock.readWallTime().getTime()
     const isCommitted = await this._options.propose(
       CatalogueCommand.encode({ nowMs, command: { $case: 'move', value: command } }).finish())
     const status = MoveStatus[command.status]
--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -68,7 +68,7 @@
   /** True while a leader is known to be in touch with this replica, or this replica leads a quorum. */
   get isCurrent (): boolean {
     if (this._leader !== undefined) return this._leader.isReady && this._leader.hasQuorumContact()
-    return this._options.clock.monotonicMs() - this._leaderContactMs < this._options.electionTimeoutMs
+    return this._options.clock.readMonotonicMs() - this._leaderContactMs < this._options.electionTimeoutMs
   }
 
   /** Loads the durable state and starts to take part; rejects when the state is damaged. */
@@ -170,7 +170,7 @@
       const isUpToDate = this._isUpToDate(request)
       if (request.preVote) return { term: replica.term, granted: isUpToDate }
       if (request.term > replica.term) {
-        this._becomeFollower()
+        this._enterFollower()
         await replica.saveTerm(request.term, isUpToDate ? request.candidate : '')
       } else if (replica.votedFor === '' && isUpToDate) {
         await replica.saveTerm(request.term, request.candidate)
@@ -229,7 +229,7 @@
   /** Stops taking part; open proposals end without an answer. */
   dispose (): void {
     this._stopping.abort()
-    this._becomeFollower()
+    this._enterFollower()
     this._store.dispose()
     void this._replica.lock.run(async () => { await this._options.storage.close() }).catch(() => undefined)
   }
@@ -263,11 +263,11 @@
 
   private async _followLeader (term: number, leader: string): Promise<void> {
     const replica = this._replica
-    if (this._role !== 'follower' || term > replica.term) this._becomeFollower()
+    if (this._role !== 'follower' || term > replica.term) this._enterFollower()
     replica.dropUnsynced()
     if (term > replica.term) await replica.saveTerm(term, '')
     this._leaderId = leader
-    this._leaderContactMs = this._options.clock.monotonicMs()
+    this._leaderContactMs = this._options.clock.readMonotonicMs()
     this._resetElection()
   }
 
@@ -278,12 +278,12 @@
 
   private _isLeaderAlive (): boolean {
     if (this._leader !== undefined) return this._leader.hasQuorumContact()
-    return this._options.clock.monotonicMs() - this._leaderContactMs < this._options.electionTimeoutMs
+    return this._options.clock.readMonotonicMs() - this._leaderContactMs < this._options.electionTimeoutMs
   }
 
   private _resetElection (): void {
     const { clock, electionTimeoutMs, random } = this._options
-    this._electionAtMs = clock.monotonicMs() + electionTimeoutMs * (1 + random.next())
+    this._electionAtMs = clock.readMonotonicMs() + electionTimeoutMs * (1 + random.draw())
   }
 
   private async _runElections (): Promise<void> {
@@ -295,7 +295,7 @@
         if (!this._leader.hasQuorumContact()) this._stepDown(this._replica.term)
         continue
       }
-      const isDue = this._replica.isVoter && clock.monotonicMs() >= this._electionAtMs
+      const isDue = this._replica.isVoter && clock.readMonotonicMs() >= this._electionAtMs
       if (isDue) await this._campaign().catch(error => this._options.log.warn('election_failed', { error: formatError(error) }))
     }
   }
@@ -351,14 +351,14 @@
 
   /** Leaves the current role at once; the new term is synced as soon as the storage is free. */
   private _stepDown (term: number): void {
-    this._becomeFollower()
+    this._enterFollower()
     void this._replica.lock.run(async () => {
       if (this._role === 'follower') this._replica.dropUnsynced()
       if (term > this._replica.term) await this._replica.saveTerm(term, '')
     }).catch(() => undefined)
   }
 
-  private _becomeFollower (): void {
+  private _enterFollower (): void {
     const wasLeader = this._leader !== undefined
     this._leader?.dispose()
     this._leader = undefined
@@ -388,7 +388,7 @@
   }
 
   private _handleFailure (error: Error): void {
-    this._becomeFollower()
+    this._enterFollower()
     this._setRole('failed')
     this._options.log.error('replica_failed', {
       group: this.group, error: formatError(error), remedy: 'mend the disk and restart, or replace this control VM'
--- a/packages/control/src/raft/RaftLeader.ts
+++ b/packages/control/src/raft/RaftLeader.ts
@@ -44,7 +44,7 @@
     private readonly _term: number,
     private readonly _onHigherTerm: (term: number) => void
   ) {
-    this._startedMs = _replica.options.clock.monotonicMs()
+    this._startedMs = _replica.options.clock.readMonotonicMs()
     this._firstIndex = _replica.log.lastIndex + 1
     this.updatePeers()
     this.appendEntry(LogEntryKind.LOG_ENTRY_KIND_NOOP, new Uint8Array())
@@ -83,7 +83,7 @@
     if (!this._isActive) return false
     if (this._computeQuorumAckMs() === Infinity) return true
     return await new Promise<boolean>(resolve => {
-      this._barriers.add({ sinceMs: this._replica.options.clock.monotonicMs(), resolve })
+      this._barriers.add({ sinceMs: this._replica.options.clock.readMonotonicMs(), resolve })
       this._wakePeers()
     })
   }
@@ -92,7 +92,7 @@
   hasQuorumContact (): boolean {
     const { clock, electionTimeoutMs } = this._replica.options
     const ackMs = Math.max(this._computeQuorumAckMs(), this._startedMs)
-    return clock.monotonicMs() - ackMs < electionTimeoutMs
+    return clock.readMonotonicMs() - ackMs < electionTimeoutMs
   }
 
   /**
@@ -191,7 +191,7 @@
   }
 
   private async _exchange (peer: IPeer): Promise<boolean> {
-    const sentMs = this._replica.options.clock.monotonicMs()
+    const sentMs = this._replica.options.clock.readMonotonicMs()
     try {
       const isDone = peer.nextIndex <= this._replica.log.baseIndex
         ? await this._sendSnapshot(peer)
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -77,7 +77,7 @@
    * @param votedFor - replica id, or empty
    */
   async saveTerm (term: number, votedFor: string): Promise<void> {
-    await this._guard(this.options.storage.saveHardState({ term, votedFor }))
+    await this._checkWrite(this.options.storage.saveHardState({ term, votedFor }))
     this.term = term
     this.votedFor = votedFor
   }
@@ -88,7 +88,7 @@
    */
   async syncEntries (entries: readonly LogEntry[]): Promise<void> {
     if (entries.length === 0) return
-    await this._guard(this.options.storage.append(entries))
+    await this._checkWrite(this.options.storage.append(entries))
     this.syncedIndex += entries.length
   }
 
@@ -100,7 +100,7 @@
     if (index <= this.commitIndex) {
       throw await this._fail(new Error(`refusing to remove the committed entry ${index}`))
     }
-    await this._guard(this.options.storage.truncateFrom(index))
+    await this._checkWrite(this.options.storage.truncateFrom(index))
     this.log.truncateFrom(index)
     this.syncedIndex = Math.min(this.syncedIndex, this.log.lastIndex)
     this.updateMembers()
@@ -150,7 +150,7 @@
    */
   async installSnapshot (snapshot: ISnapshot): Promise<void> {
     const { lastIndex, lastTerm } = snapshot.header
-    await this._guard(this.options.storage.saveSnapshot(snapshot, lastIndex, lastTerm, []))
+    await this._checkWrite(this.options.storage.saveSnapshot(snapshot, lastIndex, lastTerm, []))
     this.log.resetTo(lastIndex, lastTerm)
     this.syncedIndex = lastIndex
     this._restore(snapshot)
@@ -185,7 +185,7 @@
     const baseIndex = Math.max(this.log.baseIndex, lastIndex - trailing)
     const baseTerm = this.log.getTerm(baseIndex) ?? lastTerm
     const kept = this.log.getRange(baseIndex + 1, this.syncedIndex)
-    await this._guard(this.options.storage.saveSnapshot(snapshot, baseIndex, baseTerm, kept))
+    await this._checkWrite(this.options.storage.saveSnapshot(snapshot, baseIndex, baseTerm, kept))
     this._snapshot = snapshot
     this.log.compactTo(baseIndex)
   }
@@ -198,7 +198,7 @@
     return this._snapshot?.header.members?.members ?? []
   }
 
-  private async _guard (write: Promise<void>): Promise<void> {
+  private async _checkWrite (write: Promise<void>): Promise<void> {
     if (this._hasFailed) throw new Error('the replica has failed')
     try {
       await write
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -83,7 +83,7 @@
 
   private _checkPath (from: string, to: string): void {
     if (this._cluster.cuts.has(`${from}>${to}`)) throw new Error('lost')
-    if (this._cluster.lossRate > 0 && this._cluster.random.next() < this._cluster.lossRate) throw new Error('lost')
+    if (this._cluster.lossRate > 0 && this._cluster.random.draw() < this._cluster.lossRate) throw new Error('lost')
   }
 }
 
--- a/packages/feed/src/CatalogueStore.ts
+++ b/packages/feed/src/CatalogueStore.ts
@@ -191,7 +191,7 @@
 ): Result<void, FeedError> {
   for (const record of records) {
     const previous = state.records.get(record.name)
-    if (previous !== undefined && !previous.removed) toggleDigest(state.digest, 'entry', EntryRecord.encode(previous).finish())
+    if (previous !== undefined && !previous.removed) updateDigest(state.digest, 'entry', EntryRecord.encode(previous).finish())
     state.records.set(record.name, record)
     if (record.removed) {
       state.entries.delete(record.name)
@@ -200,13 +200,13 @@
     const entry = parseDeclaration(record.declaration)
     if (entry.err) return entry
     state.entries.set(record.name, entry.val)
-    toggleDigest(state.digest, 'entry', EntryRecord.encode(record).finish())
+    updateDigest(state.digest, 'entry', EntryRecord.encode(record).finish())
   }
   for (const move of moves) {
     const previous = state.moves.get(move.service)
-    if (previous !== undefined) toggleDigest(state.digest, 'move', MoveRecord.encode(previous).finish())
+    if (previous !== undefined) updateDigest(state.digest, 'move', MoveRecord.encode(previous).finish())
     state.moves.set(move.service, move)
-    toggleDigest(state.digest, 'move', MoveRecord.encode(move).finish())
+    updateDigest(state.digest, 'move', MoveRecord.encode(move).finish())
   }
   return Ok(undefined)
 }
@@ -222,7 +222,7 @@
 }
 
 /** The digest is the XOR of the hashes of all live records, so each change costs one hash. */
-function toggleDigest (digest: Buffer, kind: string, bytes: Uint8Array): void {
+function updateDigest (digest: Buffer, kind: string, bytes: Uint8Array): void {
   const hash = createHash('sha256').update(kind).update(bytes).digest()
   for (let index = 0; index < DIGEST_BYTES; index++) {
     digest[index] = (digest[index] ?? 0) ^ (hash[index] ?? 0)
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -112,7 +112,7 @@
 
   /** True while the source shows that it holds the newest version. */
   get isCurrent (): boolean {
-    return this._options.clock.monotonicMs() - this._lastBeatMs < STALL_MS
+    return this._options.clock.readMonotonicMs() - this._lastBeatMs < STALL_MS
   }
 
   /** Starts the subscription and the reports. */
@@ -204,13 +204,13 @@
         }
       }
     })
-    let heardMs = clock.monotonicMs()
+    let heardMs = clock.readMonotonicMs()
     const watch = this._startStallWatch(stream, () => heardMs)
     try {
       for await (const { frame } of stream as AsyncIterable<FeedDown>) {
         switch (frame?.$case) {
           case 'welcome':
-            heardMs = clock.monotonicMs()
+            heardMs = clock.readMonotonicMs()
             wasWelcome = true
             this._enter(stream, level, frame.value.source, frame.value.relays)
             break
@@ -226,7 +226,7 @@
             break
           case 'beat':
             this._checkBeat(frame.value.version ?? NO_VERSION)
-            heardMs = clock.monotonicMs()
+            heardMs = clock.readMonotonicMs()
             if (frame.value.current) this._lastBeatMs = heardMs
         }
         if (redirect.relays.length > 0 || redirect.retryAfterMs > 0) break
@@ -248,7 +248,7 @@
       while (!ended.signal.aborted) {
         await clock.sleep(REPORT_MS, ended.signal)
         if (ended.signal.aborted) return
-        const nowMs = clock.monotonicMs()
+        const nowMs = clock.readMonotonicMs()
         const isStalled = nowMs - getHeardMs() >= STALL_MS
         const isOrphan = this._stream === stream && nowMs - this._lastBeatMs >= ORPHAN_MS
         if (!isStalled && !isOrphan) continue
@@ -265,11 +265,11 @@
     this._level = level
     this._lastLevel = level
     this._source = source
-    this._lastBeatMs = this._options.clock.monotonicMs()
+    this._lastBeatMs = this._options.clock.readMonotonicMs()
     this._rememberRelays(relays)
     this._options.log.info('feed_joined', { source, level })
     this._pending = this._options.endpoints.getRecords().filter(record => this._isOwn(record))
-    this._bumpOwn()
+    this._announceOwn()
     void this._confirmFirst()
   }
 
@@ -280,7 +280,7 @@
   }
 
   /** A new attachment sends own records as newer ones, so that a late removal elsewhere can't win. */
-  private _bumpOwn (): void {
+  private _announceOwn (): void {
     const own = this._pending.filter(record => record.state !== EndpointState.ENDPOINT_STATE_GONE)
     this._pending = []
     this._options.endpoints.merge(own.map(record => ({ ...record, sequence: record.sequence + 1 })))
@@ -346,7 +346,7 @@
     while (!this._stopping.signal.aborted) {
       await this._options.clock.sleep(REPORT_MS, this._stopping.signal)
       if (this._stream === undefined) continue
-      if (this._options.clock.monotonicMs() - this._lastSentBeatMs >= BEAT_MS) this._sendBeat()
+      if (this._options.clock.readMonotonicMs() - this._lastSentBeatMs >= BEAT_MS) this._sendBeat()
       const records = this._options.takeEvidence()
       if (records.length > 0) this._send({ $case: 'evidence', value: { records } })
       if (!this._isConfirmed) void this._confirmFirst()
@@ -355,7 +355,7 @@
 
   private _sendBeat (): void {
     if (this._options.isMesh) return
-    this._lastSentBeatMs = this._options.clock.monotonicMs()
+    this._lastSentBeatMs = this._options.clock.readMonotonicMs()
     const fleet = this._options.computeFleetStatus()
     this._send({
       $case: 'beat',
@@ -381,7 +381,7 @@
 
   private _shuffle (items: string[]): string[] {
     for (let index = items.length - 1; index > 0; index--) {
-      const other = Math.floor(this._options.random.next() * (index + 1))
+      const other = Math.floor(this._options.random.draw() * (index + 1))
       const item = items[index] ?? ''
       items[index] = items[other] ?? ''
       items[other] = item
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -107,7 +107,7 @@
     for (const { hello } of this._subscribers) {
       if (hello?.level !== RELAY_LEVEL || hello.feedAddress === '') continue
       const distance = hello.availabilityZone === near?.availabilityZone ? 0 : hello.region === near?.region ? 1 : 2
-      relays.push({ address: hello.feedAddress, distance: distance + this._options.random.next() })
+      relays.push({ address: hello.feedAddress, distance: distance + this._options.random.draw() })
     }
     relays.sort((a, b) => a.distance - b.distance)
     return relays.slice(0, MAX_LISTED_RELAYS).map(relay => relay.address)
--- a/packages/lagoonctl/src/Commands.ts
+++ b/packages/lagoonctl/src/Commands.ts
@@ -81,7 +81,7 @@
   }
 
   /** Shows what apply would change. */
-  async diff (path: string, isPruning: boolean): Promise<number> {
+  async showDifference (path: string, isPruning: boolean): Promise<number> {
     const difference = await this._compare(path, isPruning)
     if (typeof difference === 'number') return difference
     this._print(difference.edits, difference.lines.length === 0 ? 'nothing differs' : difference.lines.join('\n'))
@@ -100,7 +100,7 @@
   }
 
   /** Prints the whole catalogue as declarations. */
-  async export (): Promise<number> {
+  async exportEntries (): Promise<number> {
     const entries = await this._listEntries()
     if (typeof entries === 'number') return entries
     process.stdout.write(entries.map(entry => stringify(entry.declaration)).join('---\n'))
@@ -108,7 +108,7 @@
   }
 
   /** Prints the state of the system. */
-  async status (): Promise<number> {
+  async showStatus (): Promise<number> {
     const answer = await this._client.send('GET', '/v1/status')
     if (answer.err) return this._fail(answer.val.message, EXIT.unreachable)
     if (answer.val.status !== 200) return this._fail(formatProblem(answer.val.body), EXIT.failed)
@@ -117,7 +117,7 @@
   }
 
   /** Prints all moves. */
-  async moves (): Promise<number> {
+  async showMoves (): Promise<number> {
     const moves = await this._listMoves()
     if (typeof moves === 'number') return moves
     this._print(moves, moves.length === 0 ? 'no moves' : moves.map(formatMove).join('\n'))
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -59,7 +59,7 @@
     const { settings, clock, random, log, metrics, channels, peerAddress } = _options
     const { name, region, availabilityZone } = settings.process
     this._linkAddress = `${settings.listen.links.host}:${settings.listen.links.port}`
-    const incarnation = clock.wallTime().getTime()
+    const incarnation = clock.readWallTime().getTime()
     const controlAddresses = settings.control.members.map(member => member.address)
     this._evidence = this._disposables.add(new EvidenceCollector(this.store, clock, log, metrics))
     this.targets = this._disposables.add(new TargetSide({
@@ -165,14 +165,14 @@
    */
   async stop (timeoutMs: number): Promise<void> {
     const { clock } = this._options
-    const endMs = clock.monotonicMs() + timeoutMs
+    const endMs = clock.readMonotonicMs() + timeoutMs
     this.targets.drain()
     this._peerServer.drain()
     this.relay.drain()
     await clock.sleep(WITHDRAW_MS)
     this._isDraining = true
-    await this._calls.stop(Math.max(0, endMs - clock.monotonicMs()))
-    while (this.targets.getRunningCount() > 0 && clock.monotonicMs() < endMs) await clock.sleep(WITHDRAW_MS / 10)
+    await this._calls.stop(Math.max(0, endMs - clock.readMonotonicMs()))
+    while (this.targets.getRunningCount() > 0 && clock.readMonotonicMs() < endMs) await clock.sleep(WITHDRAW_MS / 10)
     this._peerServer.closeLinks()
   }
 
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -26,7 +26,7 @@
     readonly target: ITargetState,
     private readonly _events: ICallEvents
   ) {
-    this._startedMs = _context.clock.monotonicMs()
+    this._startedMs = _context.clock.readMonotonicMs()
     _context.pool.recordStart(target)
   }
 
@@ -74,7 +74,7 @@
   private _note (outcome: 'good' | 'failed' | 'neutral'): void {
     if (this._isNoted) return
     this._isNoted = true
-    const latencyMs = this._context.clock.monotonicMs() - this._startedMs
+    const latencyMs = this._context.clock.readMonotonicMs() - this._startedMs
     this._context.pool.recordEnd(this.target, outcome, latencyMs)
     if (outcome === 'neutral') return
     const { service, version, targetId } = this.target.record
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -63,7 +63,7 @@
     private readonly _response: ServerResponse,
     private readonly _onDone: () => void
   ) {
-    this._startedMs = _context.clock.monotonicMs()
+    this._startedMs = _context.clock.readMonotonicMs()
     this._key = new KeyHolder(_context.claims, _context.settings.node.answerBytes)
     _response.on('close', () => this._handleCallerClose())
     _request.on('error', () => undefined)
@@ -279,7 +279,7 @@
   private _pickVersion (): string {
     const { split, service } = this._head.route
     if (split.to === '' || split.sharePpm === 0 || this._context.evidence.isCut(service)) return split.from
-    return this._context.random.next() * 1_000_000 < split.sharePpm ? split.to : split.from
+    return this._context.random.draw() * 1_000_000 < split.sharePpm ? split.to : split.from
   }
 
   /** A version without a ready target falls back to the other one, but never to one that is cut or taken back. */
@@ -362,11 +362,11 @@
     this._deadline?.dispose()
     if (this._owner !== undefined) this._context.owners.leave(this._owner)
     this._context.metrics.count('calls_total', outcome)
-    this._context.metrics.getRecorder('call_duration').record(this._context.clock.monotonicMs() - this._startedMs)
+    this._context.metrics.getRecorder('call_duration').record(this._context.clock.readMonotonicMs() - this._startedMs)
     this._onDone()
   }
 
   private _getRemainingMs (): number {
-    return Math.max(0, Math.floor(this._dueMs - this._context.clock.monotonicMs()))
+    return Math.max(0, Math.floor(this._dueMs - this._context.clock.readMonotonicMs()))
   }
 }
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -123,7 +123,7 @@
   constructor (
     private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
   ) {
-    this._heardMs = _context.clock.monotonicMs()
+    this._heardMs = _context.clock.readMonotonicMs()
     this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this)
     void this._runPings()
   }
@@ -133,7 +133,7 @@
   }
 
   onFrame (frame: PeerFrame): void {
-    this._heardMs = this._context.clock.monotonicMs()
+    this._heardMs = this._context.clock.readMonotonicMs()
     this._events.onFrame(frame)
   }
 
@@ -151,7 +151,7 @@
 
   private _handleOpen (): void {
     this.isOpen = true
-    this._heardMs = this._context.clock.monotonicMs()
+    this._heardMs = this._context.clock.readMonotonicMs()
     this._events.onOpen()
   }
 
@@ -160,7 +160,7 @@
     while (!this._stopping.signal.aborted) {
       await clock.sleep(this.isOpen ? PING_MS : OPEN_TIMEOUT_MS, this._stopping.signal)
       if (this._stopping.signal.aborted) return
-      const silentMs = clock.monotonicMs() - this._heardMs
+      const silentMs = clock.readMonotonicMs() - this._heardMs
       if (!this.isOpen || (this._events.hasCalls() && silentMs > SILENCE_MS)) {
         this._socket.destroy()
         return
@@ -188,7 +188,7 @@
     private readonly _events: ICallEvents,
     private readonly _clock: IClock
   ) {
-    this._dueMs = _clock.monotonicMs() + _request.remainingMs
+    this._dueMs = _clock.readMonotonicMs() + _request.remainingMs
     // The other process watches the deadline as well; the margin lets its more exact answer win.
     this._deadline = _clock.schedule(_request.remainingMs + LATE_MARGIN_MS, () => this._fail('deadline', !this._isSent))
   }
@@ -196,7 +196,7 @@
   /** Sends the call; the link is open. */
   sendOpen (): void {
     if (this._hasEnded) return
-    const remainingMs = Math.floor(this._dueMs - this._clock.monotonicMs())
+    const remainingMs = Math.floor(this._dueMs - this._clock.readMonotonicMs())
     if (remainingMs <= 0) {
       this._fail('deadline', true)
       return
--- a/packages/node/src/moves/EvidenceCollector.ts
+++ b/packages/node/src/moves/EvidenceCollector.ts
@@ -82,7 +82,7 @@
    */
   isCut (service: string): boolean {
     const guard = this._guards.get(service)
-    return guard !== undefined && guard.cutUntilMs > this._clock.monotonicMs()
+    return guard !== undefined && guard.cutUntilMs > this._clock.readMonotonicMs()
   }
 
   /** @returns evidence since the last call, for the control VMs */
@@ -135,7 +135,7 @@
     guard.comparison.addWindow(select(move.to), select(move.from))
     const fault = guard.comparison.findFault(FALSE_CUT_RATE)
     if (fault === undefined || this.isCut(move.service)) return
-    guard.cutUntilMs = this._clock.monotonicMs() + CUT_MS
+    guard.cutUntilMs = this._clock.readMonotonicMs() + CUT_MS
     this._metrics.count('versions_cut_total', fault.kind)
     this._log.warn('version_cut', {
       service: move.service, version: move.to, route: fault.route, kind: fault.kind, detail: fault.detail
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -68,7 +68,7 @@
   pickTarget (service: string, version: string, tried: ReadonlySet<string>): ITargetState | undefined {
     const all = this._groups.get(formatGroup(service, version))
     if (all === undefined) return undefined
-    const nowMs = this._options.clock.monotonicMs()
+    const nowMs = this._options.clock.readMonotonicMs()
     const open = all.filter(state => !tried.has(state.record.targetId))
     const usable = this._filterEjected(open, all.length, nowMs)
     return this._pickNear(usable, nowMs)
@@ -118,11 +118,11 @@
   /** Notes the load that a target's own process reported. */
   recordLoad (state: ITargetState, load: ITargetLoad): void {
     state.hint = load
-    state.hintMs = this._options.clock.monotonicMs()
+    state.hintMs = this._options.clock.readMonotonicMs()
   }
 
   private _eject (state: ITargetState, reason: string): void {
-    const nowMs = this._options.clock.monotonicMs()
+    const nowMs = this._options.clock.readMonotonicMs()
     if (state.ejectedUntilMs > nowMs) return
     const lengthMs = Math.min(EJECT_MAX_MS, EJECT_BASE_MS * 2 ** state.ejections)
     state.ejections++
@@ -157,7 +157,7 @@
   private _pickOfTwo (states: readonly ITargetState[], nowMs: number): ITargetState | undefined {
     let best: ITargetState | undefined
     for (let choice = 0; choice < CHOICES; choice++) {
-      const state = states[Math.floor(this._options.random.next() * states.length)]
+      const state = states[Math.floor(this._options.random.draw() * states.length)]
       if (state === undefined) return undefined
       if (best === undefined || this._computeScore(state, nowMs) < this._computeScore(best, nowMs)) best = state
     }
@@ -201,7 +201,7 @@
     return {
       record,
       inFlight: 0,
-      addedMs: this._options.clock.monotonicMs(),
+      addedMs: this._options.clock.readMonotonicMs(),
       latencyMs: 0,
       failureRate: 0,
       calls: 0,
--- a/packages/node/src/targets/SlotGate.ts
+++ b/packages/node/src/targets/SlotGate.ts
@@ -57,7 +57,7 @@
    * @returns to give the slot back or to leave the queue
    */
   acquire (request: ISlotRequest): ISlotTicket {
-    const nowMs = this._clock.monotonicMs()
+    const nowMs = this._clock.readMonotonicMs()
     const waiter: IWaiter = {
       request,
       rank: nowMs + request.callClass * AGING_MS,
@@ -121,7 +121,7 @@
   private _grant (waiter: IWaiter): void {
     waiter.timer?.dispose()
     waiter.state = 'running'
-    waiter.grantedMs = this._clock.monotonicMs()
+    waiter.grantedMs = this._clock.readMonotonicMs()
     this._inFlight++
     this._served++
     waiter.request.onGranted()
@@ -139,7 +139,7 @@
       waiter.timer?.dispose()
     } else if (waiter.state === 'running') {
       this._inFlight--
-      const tookMs = this._clock.monotonicMs() - waiter.grantedMs
+      const tookMs = this._clock.readMonotonicMs() - waiter.grantedMs
       this._serviceMs += (tookMs - this._serviceMs) * SERVICE_WEIGHT
     }
     waiter.state = 'ended'
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -35,7 +35,7 @@
     private readonly _onFinished: () => void
   ) {
     this._isBodyEnded = _request.isBodyComplete
-    this._dueMs = _clock.monotonicMs() + _request.remainingMs
+    this._dueMs = _clock.readMonotonicMs() + _request.remainingMs
     this._deadline = _clock.schedule(_request.remainingMs, () => this._fail('deadline'))
     this._ticket = _target.gate.acquire({
       callClass: _request.callClass,
@@ -109,7 +109,7 @@
   private _send (): void {
     if (this._hasEnded) return
     const { method, path, headers, body } = this._request
-    const leftMs = Math.max(1, Math.floor(this._dueMs - this._clock.monotonicMs()))
+    const leftMs = Math.max(1, Math.floor(this._dueMs - this._clock.readMonotonicMs()))
     const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBody.length === 0
     this._target.pool.dispatch({
       method: method as Dispatcher.HttpMethod,
--- a/packages/transport/src/LeaderClient.ts
+++ b/packages/transport/src/LeaderClient.ts
@@ -35,19 +35,19 @@
    * @returns the result of the state machine; an indeterminate error when the command may have taken effect
    */
   async propose (group: string, command: Uint8Array, timeoutMs: number): Promise<Result<Uint8Array, NoQuorumError>> {
-    const endMs = this._clock.monotonicMs() + timeoutMs
+    const endMs = this._clock.readMonotonicMs() + timeoutMs
     let indeterminate = false
     for (;;) {
-      const leftMs = endMs - this._clock.monotonicMs()
+      const leftMs = endMs - this._clock.readMonotonicMs()
       if (leftMs <= 0) return Err(new NoQuorumError(indeterminate))
-      const reply = await this._attempt(group, command, Math.min(leftMs, ATTEMPT_TIMEOUT_MS))
+      const reply = await this._sendOnce(group, command, Math.min(leftMs, ATTEMPT_TIMEOUT_MS))
       if (reply?.committed === true) return Ok(reply.result)
       if (reply === undefined || reply.indeterminate) indeterminate = true
       await this._clock.sleep(Math.min(RETRY_PAUSE_MS, leftMs))
     }
   }
 
-  private async _attempt (group: string, command: Uint8Array, timeoutMs: number): Promise<ProposeReply | undefined> {
+  private async _sendOnce (group: string, command: Uint8Array, timeoutMs: number): Promise<ProposeReply | undefined> {
     const address = this._leaders.get(group) ?? this._pickNext()
     try {
       const client = this._channels.getClient(ControlClient, address)
--- a/packages/transport/src/PeerListener.ts
+++ b/packages/transport/src/PeerListener.ts
@@ -2,12 +2,15 @@
  * The gRPC server of a process.
  */
 import { Server, type ServiceDefinition, type UntypedServiceImplementation } from '@grpc/grpc-js'
+import { SystemClock, type IDisposable } from '@lagoonswitch/common'
 import type { LinkCredentials } from './Credentials.js'
 import { MAX_MESSAGE_BYTES } from './PeerChannels.js'
 
 const KEEPALIVE_MS = 10_000
 const KEEPALIVE_TIMEOUT_MS = 2_000
 const MAX_STREAMS = 1_000
+/** Certificate files change one after another; the keys are read once all are there. */
+const REBIND_DELAY_MS = 500
 
 /** Listens for other processes. */
 export class PeerListener {
@@ -18,6 +21,8 @@
     'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS
   })
 
+  private _rebinding: IDisposable | undefined
+
   /** @param _credentials - keys of the links */
   constructor (private readonly _credentials: LinkCredentials) {}
 
@@ -37,12 +42,9 @@
    * @returns the port in use
    */
   async listen (host: string, port: number): Promise<number> {
-    return await new Promise<number>((resolve, reject) => {
-      this._server.bindAsync(`${host}:${port}`, this._credentials.createServerCredentials(), (error, bound) => {
-        if (error !== null) reject(error)
-        else resolve(bound)
-      })
-    })
+    const bound = await this._bind(host, port)
+    this._credentials.onChanged(() => this._bindAgain(host, bound))
+    return bound
   }
 
   /**
@@ -50,6 +52,7 @@
    * @param timeoutMs - after this the rest is cut
    */
   async stop (timeoutMs: number): Promise<void> {
+    this._rebinding?.dispose()
     await new Promise<void>(resolve => {
       const timer = setTimeout(() => this._server.forceShutdown(), timeoutMs)
       this._server.tryShutdown(() => {
@@ -61,6 +64,25 @@
 
   /** Cuts everything at once. */
   close (): void {
+    this._rebinding?.dispose()
     this._server.forceShutdown()
   }
+
+  private async _bind (host: string, port: number): Promise<number> {
+    return await new Promise<number>((resolve, reject) => {
+      this._server.bindAsync(`${host}:${port}`, this._credentials.createServerCredentials(), (error, bound) => {
+        if (error !== null) reject(error)
+        else resolve(bound)
+      })
+    })
+  }
+
+  /** Changed keys hold for new connections; running ones go on with the old keys. */
+  private _bindAgain (host: string, port: number): void {
+    this._rebinding?.dispose()
+    this._rebinding = new SystemClock().schedule(REBIND_DELAY_MS, () => {
+      this._server.unbind(`${host}:${port}`)
+      void this._bind(host, port).catch(() => this._bindAgain(host, port))
+    })
+  }
 }
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -8,7 +8,11 @@
 import fc from 'fast-check'
 import { generate } from 'selfsigned'
 import { Metrics, NullLog, SystemClock } from '@lagoonswitch/common'
-import { FrameSocket, LinkListener, MutualTlsCredentials, PlainCredentials, type LinkCredentials } from '@lagoonswitch/transport'
+import { FeedClient, FeedService, type ConfirmReply, type ConfirmRequest } from '@lagoonswitch/schema'
+import {
+  FrameSocket, LinkListener, MutualTlsCredentials, PeerChannels, PeerListener, PlainCredentials, createUnaryHandler, sendUnary,
+  type LinkCredentials
+} from '@lagoonswitch/transport'
 import type { ICallEvents, ICallFailure, ICallOpener, ICallRequest } from '@lagoonswitch/node'
 import { PeerLink, PeerServer } from '@lagoonswitch/node'
 
@@ -67,8 +71,10 @@
   })
 }
 
-async function createCertificates (name: string): Promise<MutualTlsCredentials> {
-  const pems = await generate([{ name: 'commonName', value: name }], { keySize: 2048 })
+async function createCertificates (name: string, subject = name): Promise<MutualTlsCredentials> {
+  const pems = await generate([{ name: 'commonName', value: subject }], {
+    keySize: 2048, extensions: [{ name: 'subjectAltName', altNames: [{ type: 7, ip: '127.0.0.1' }] }]
+  })
   const files = { caFile: join(folder, `${name}-ca`), certFile: join(folder, `${name}-cert`), keyFile: join(folder, `${name}-key`) }
   await writeFile(files.caFile, pems.cert)
   await writeFile(files.certFile, pems.cert)
@@ -109,6 +115,34 @@
   stranger.dispose()
 })
 
+test('changed keys of the gRPC listener hold without a restart', async () => {
+  const own = await createCertificates('own', 'first')
+  const server = new PeerListener(own)
+  server.addService(FeedService, {
+    subscribe: () => {},
+    confirm: createUnaryHandler(async () => ({ confirmed: true, version: undefined, message: '' }))
+  })
+  const port = await server.listen('127.0.0.1', 0)
+  const confirm = async (credentials: LinkCredentials): Promise<boolean> => {
+    const channels = new PeerChannels(credentials)
+    const client = channels.getClient(FeedClient, `127.0.0.1:${port}`)
+    const reply = await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, 1_000)
+      .catch(() => undefined)
+    channels.dispose()
+    return reply?.confirmed === true
+  }
+  expect(await confirm(own)).toBe(true)
+  const old = { createClientCredentials: ((credentials) => () => credentials)(own.createClientCredentials()), onChanged: own.onChanged }
+  const renewed = await createCertificates('own', 'second')
+  const endMs = Date.now() + 10_000
+  while (!await confirm(renewed) && Date.now() < endMs) await sleep(50)
+  expect(await confirm(renewed)).toBe(true)
+  expect(await confirm(old as unknown as LinkCredentials)).toBe(false)
+  own.dispose()
+  renewed.dispose()
+  server.close()
+}, 30_000)
+
 test('nobody listening is certainly not run', async () => {
   const credentials = new PlainCredentials()
   const port = await listen(credentials)
