--- a/bench/moves.mjs
+++ b/bench/moves.mjs
@@ -151,7 +151,8 @@
   return { isDone: doneAt !== undefined && doneAt <= MOVE_S && status !== 'taken back', isTakenBack: status === 'taken back', failed, calls, firstFaultAt, endedAt }
 }
 
-for (const [label, rate, targets] of [['Beaulieu', 60, 7], ['low traffic', 1, 4]]) {
+const SIZES = [['Beaulieu', 60, 7], ['Verband', 40, 6], ['low traffic', 1, 4]]
+for (const [label, rate, targets] of SIZES) {
   console.log(`${label}: ${rate} calls/s, ${targets} targets of each version, ${REPLAYS} replays of each kind`)
   for (const kind of Object.keys(KINDS)) {
     const cells = []
--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -11,7 +11,7 @@
 /** A difference that no caller notices. */
 const LATENCY_SLACK_MS = 1
 /** Stands for all routes together, whose evidence comes sooner than that of one route. */
-const ALL_ROUTES = 'all routes'
+const ALL_ROUTES = '*'
 
 /** Outcomes of one route on one target in one window. */
 export interface IOutcomes {
@@ -25,7 +25,8 @@
 
 /** A version that does worse. */
 export interface IFinding {
-  readonly route: string
+  /** Where it shows: on a route, or over all routes. */
+  readonly place: string
   readonly kind: 'failures' | 'latency'
   readonly detail: string
 }
@@ -227,7 +228,7 @@
         ? `${comparison.newFailures} of ${comparison.newCalls} calls failed, ` +
           `${comparison.oldFailures} of ${comparison.oldCalls} on the old version`
         : `slower than the old version in ${comparison.newCalls} calls`
-      return { route, kind, detail }
+      return { place: route === ALL_ROUTES ? 'over all routes' : `on route ${route}`, kind, detail }
     }
     return undefined
   }
--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -113,7 +113,7 @@
   startMove()
   await run(30, 1)
   expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_TAKEN_BACK, sharePpm: 0 })
-  expect(getMove().reason).toMatch(/failures on route/)
+  expect(getMove().reason).toMatch(/failures (on route r|over all routes): \d+ of \d+ calls failed/)
   await run(100)
   expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
 })
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -163,7 +163,7 @@
     const fault = open.comparison.findFault(FALSE_ALARM_RATE)
     if (fault !== undefined) {
       return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
-        `${fault.kind} on route ${fault.route}: ${fault.detail}`)
+        `${fault.kind} ${fault.place}: ${fault.detail}`)
     }
     const nowMs = this._options.clock.readWallTime().getTime()
     if (move.status === MoveStatus.MOVE_STATUS_WATCHING && move.sharePpm < FULL_SHARE_PPM) {
--- a/packages/lagoonctl/src/main.ts
+++ b/packages/lagoonctl/src/main.ts
@@ -4,7 +4,7 @@
  */
 import { readFile } from 'node:fs/promises'
 import sade from 'sade'
-import { parseDurationMs } from '@lagoonswitch/common'
+import { SettingsError, formatError, parseDurationMs } from '@lagoonswitch/common'
 import { Commands, EXIT } from './Commands.js'
 import { OperatorClient } from './OperatorClient.js'
 
@@ -22,20 +22,34 @@
 }
 
 async function createCommands (options: IOptions): Promise<Commands> {
-  const file = options['token-file']
-  const token = file === undefined ? process.env.LAGOONCTL_TOKEN ?? '' : (await readFile(file, 'utf8')).trim()
+  const token = await readToken(options['token-file'])
   return new Commands(new OperatorClient(options.control.split(','), token), options.json === true)
 }
 
+async function readToken (file: string | undefined): Promise<string> {
+  if (file === undefined) return process.env.LAGOONCTL_TOKEN ?? ''
+  try {
+    return (await readFile(file, 'utf8')).trim()
+  } catch (error) {
+    throw new SettingsError(file, 0, '--token-file', formatError(error), 'name a readable file')
+  }
+}
+
 async function run (options: IOptions, command: (commands: Commands) => Promise<number>): Promise<void> {
   try {
     process.exitCode = await command(await createCommands(options))
   } catch (error) {
-    console.error(`lagoonctl: ${error instanceof Error ? error.message : String(error)}`)
-    process.exitCode = EXIT.failed
+    console.error(`lagoonctl: ${formatError(error)}`)
+    process.exitCode = error instanceof SettingsError ? EXIT.usage : EXIT.failed
   }
 }
 
+function readTimeoutMs (text: string): number {
+  const timeoutMs = parseDurationMs(text)
+  if (timeoutMs !== undefined) return timeoutMs
+  throw new SettingsError('command line', 0, '--timeout', `'${text}' is no duration`, 'use a number and a unit, such as 30s or 10m')
+}
+
 const program = sade('lagoonctl').version(VERSION)
   .option('--control, -c', 'Operators\' listeners of the control VMs, comma-separated', DEFAULT_CONTROL)
   .option('--token-file', 'File with the operator\'s token; or set LAGOONCTL_TOKEN')
@@ -62,7 +76,7 @@
 program.command('move wait <service>', 'Wait until a move is done or taken back')
   .option('--timeout', 'Longest wait', DEFAULT_WAIT)
   .action(async (service: string, options: IOptions) => await run(options, async commands =>
-    await commands.waitMove(service, parseDurationMs(options.timeout ?? DEFAULT_WAIT) ?? 0)))
+    await commands.waitMove(service, readTimeoutMs(options.timeout ?? DEFAULT_WAIT))))
 program.command('members replace <name> <address>', 'Add a control VM, or replace one that lost its disk')
   .action(async (name: string, address: string, options: IOptions) => await run(options, async commands =>
     await commands.replaceMember(name, address)))
--- a/packages/node/src/moves/EvidenceCollector.ts
+++ b/packages/node/src/moves/EvidenceCollector.ts
@@ -138,7 +138,7 @@
     guard.cutUntilMs = this._clock.readMonotonicMs() + CUT_MS
     this._metrics.count('versions_cut_total', fault.kind)
     this._log.warn('version_cut', {
-      service: move.service, version: move.to, route: fault.route, kind: fault.kind, detail: fault.detail
+      service: move.service, version: move.to, place: fault.place, kind: fault.kind, detail: fault.detail
     })
   }
 
