A command that can't be decoded stops no control VM

Cause: the leader commits what it is sent, and the state machines threw on bytes that are no command: every control VM would have stopped, and stopped again at each restart. Found by reading, shown by a property test (seed 13: one byte 0x45 is enough). Change: such a command is applied without effect; a second bootstrap is a conflict; a change without a request id or without an edit is invalid (the same test found both answered as accepted, without effect). Measured: both property tests failed before and pass after 2000 runs each.

--- a/packages/control/src/catalogue/CatalogueMachine.test.ts
+++ b/packages/control/src/catalogue/CatalogueMachine.test.ts
@@ -1,4 +1,5 @@
 import { beforeEach, expect, test } from 'vitest'
+import fc from 'fast-check'
 import { CatalogueStore } from '@lagoonswitch/feed'
 import {
   CatalogueCommand, ChangeOutcome, ChangeReply, MoveStatus, parseEntry, formatEntry, type EntryEdit
@@ -124,6 +125,15 @@
   expect(store.getMove('desk')?.status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
 })
 
+test('random bytes as a command change nothing and stop no replica', () => {
+  change([createEdit('desk', 0)])
+  const before = store.view
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 64 }), bytes => {
+    expect(ChangeReply.decode(machine.apply(bytes)).outcome).not.toBe(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED)
+    expect(store.view).toBe(before)
+  }), { seed: 13, numRuns: 2_000 })
+})
+
 test('withdrawn move is taken back', () => {
   change([createEdit('desk', 0, { move: { to: 'v2', by: BY } })])
   change([createEdit('desk', 2)])
--- a/packages/control/src/catalogue/CatalogueMachine.ts
+++ b/packages/control/src/catalogue/CatalogueMachine.ts
@@ -9,7 +9,7 @@
   checkMoveTime, checkReferences, formatEntry, parseEntry,
   type EntryEdit, type EntryRecord, type IEntry, type MoveCommand, type MoveRecord, type RequestRecord
 } from '@lagoonswitch/schema'
-import { StateMachine } from '../raft/StateMachine.js'
+import { StateMachine, decodeCommand } from '../raft/StateMachine.js'
 
 const MAX_REQUESTS = 10_000
 
@@ -39,8 +39,9 @@
   }
 
   apply (bytes: Uint8Array): Uint8Array {
-    const { nowMs, command } = CatalogueCommand.decode(bytes)
-    this._nowMs = Math.max(this._nowMs, nowMs)
+    const decoded = decodeCommand(data => CatalogueCommand.decode(data), bytes)
+    const command = decoded?.command
+    this._nowMs = Math.max(this._nowMs, decoded?.nowMs ?? 0)
     switch (command?.$case) {
       case 'change': return ChangeReply.encode(this._applyChange(command.value)).finish()
       case 'move': return ChangeReply.encode(this._applyMove(command.value)).finish()
@@ -79,11 +80,18 @@
   }
 
   private _applyBootstrap (epoch: number): ChangeReply {
-    if (this.store.version.epoch === 0) this.store.commitRecords({ epoch, version: 1 }, [], [])
+    if (this.store.version.epoch !== 0 || epoch === 0) {
+      return createReply(ChangeOutcome.CHANGE_OUTCOME_CONFLICT, this.store.version, 'the epoch of a catalogue never changes')
+    }
+    this.store.commitRecords({ epoch, version: 1 }, [], [])
     return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, this.store.version, '')
   }
 
   private _applyChange (change: ChangeCommand): ChangeReply {
+    if (change.requestId === '' || change.edits.length === 0) {
+      return createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version,
+        'a change needs a request id and an edit; send it with lagoonctl apply')
+    }
     const fingerprint = createHash('sha256').update(ChangeCommand.encode(change).finish()).digest('hex')
     const earlier = this._requests.get(change.requestId)
     if (earlier?.reply !== undefined) {
--- a/packages/control/src/claims/ClaimsMachine.test.ts
+++ b/packages/control/src/claims/ClaimsMachine.test.ts
@@ -82,6 +82,13 @@
   expect(claim('b', RETENTION_MS + 1)).toBe(ClaimOutcome.CLAIM_OUTCOME_GRANTED)
 })
 
+test('random bytes as a command stop no replica', () => {
+  claim('a')
+  fc.assert(fc.property(fc.uint8Array({ maxLength: 64 }), bytes => {
+    expect(apply(bytes).outcome).not.toBe(ClaimOutcome.CLAIM_OUTCOME_ANSWERED)
+  }), { seed: 13, numRuns: 2_000 })
+})
+
 test('snapshot keeps claims', () => {
   claim('a')
   const copy = new ClaimsMachine({ retentionMs: RETENTION_MS, capacity: 10 })
--- a/packages/control/src/claims/ClaimsMachine.ts
+++ b/packages/control/src/claims/ClaimsMachine.ts
@@ -5,7 +5,7 @@
   ClaimOutcome, ClaimReply, ClaimStatus, ClaimsCommand, ClaimsSnapshot,
   type ClaimCommand, type ClaimRecord, type SettleCommand
 } from '@lagoonswitch/schema'
-import { StateMachine } from '../raft/StateMachine.js'
+import { StateMachine, decodeCommand } from '../raft/StateMachine.js'
 
 const RELEASED_LEASE_MS = 600_000
 
@@ -36,8 +36,9 @@
   }
 
   apply (bytes: Uint8Array): Uint8Array {
-    const { nowMs, command } = ClaimsCommand.decode(bytes)
-    this._nowMs = Math.max(this._nowMs, nowMs)
+    const decoded = decodeCommand(data => ClaimsCommand.decode(data), bytes)
+    const command = decoded?.command
+    this._nowMs = Math.max(this._nowMs, decoded?.nowMs ?? 0)
     this._removeExpired()
     switch (command?.$case) {
       case 'claim': return ClaimReply.encode(this._applyClaim(command.value)).finish()
--- a/packages/control/src/raft/StateMachine.ts
+++ b/packages/control/src/raft/StateMachine.ts
@@ -2,6 +2,21 @@
  * State that is replicated by a log.
  */
 
+/**
+ * Decodes a command. A command that can't be decoded must not stop the replicas, which would all meet it again
+ * after a restart; it is applied as one without effect.
+ * @param decode - decoder of the generated code
+ * @param bytes - from the log
+ * @returns the command, or undefined
+ */
+export function decodeCommand<T> (decode: (bytes: Uint8Array) => T, bytes: Uint8Array): T | undefined {
+  try {
+    return decode(bytes)
+  } catch {
+    return undefined
+  }
+}
+
 /** A deterministic state: the same commands in the same order give the same state and results. */
 export abstract class StateMachine {
   /**
