Warn at the start when other processes can reach a listener without TLS

Cause: peers off loopback without certificates were accepted in silence. Conclusion: refusing would break today's plain links between VMs, so it stays a warning.

--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -8,7 +8,7 @@
 } from '@lagoonswitch/common'
 import { ControlRole } from '@lagoonswitch/control'
 import { NodeRole } from '@lagoonswitch/node'
-import type { ISettings } from '@lagoonswitch/schema'
+import { isLoopback, type ISettings } from '@lagoonswitch/schema'
 import { PeerChannels, PeerListener, createLinkCredentials } from '@lagoonswitch/transport'
 import { HomesController } from './http/HomesController.js'
 import { startHttpApp } from './http/HttpApp.js'
@@ -86,6 +86,7 @@
       ]
       await this._startApp([OperatorController, MetricsController], controlProviders, listen.operators)
     }
+    this._warnOfOpenLinks()
     this._log.info('process_started', { name: process.name, roles: process.roles.join('+') })
     return Ok(undefined)
   }
@@ -107,6 +108,13 @@
     this._log.info('process_stopped', { name: this._settings.process.name })
   }
 
+  /** Without certificates, whoever reaches the listeners of other processes can act as one. */
+  private _warnOfOpenLinks (): void {
+    const { listen, tls } = this._settings
+    const isOpen = tls.caFile === '' && !(isLoopback(listen.peers.host) && isLoopback(listen.links.host))
+    if (isOpen) this._log.warn('links_without_tls', { remedy: 'set ca_file, cert_file and key_file in [tls]' })
+  }
+
   private async _startApp (
     controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number }
   ): Promise<void> {
