A target whose node was away for 3 s is known again

Reading the path showed a tie: a control VM that loses a node marks its targets as gone with the next sequence after 3 s; a node that attaches later announces them with that very sequence, so the removal stayed for good and the new leader saw no target of the new version. Change: with equal sequences the target's own process wins; a node that attaches is also told of its own targets that were taken for gone. Measured: a test of the tie failed before and passes now; tests of the feed and of real processes pass. The test now prints moves and status when it fails.

--- a/packages/feed/src/EndpointView.test.ts
+++ b/packages/feed/src/EndpointView.test.ts
@@ -42,6 +42,16 @@
   expect(view.getRecord('a')?.state).toBe(EndpointState.ENDPOINT_STATE_READY)
 })
 
+test('target that comes back after its removal is known again', () => {
+  const view = new EndpointView()
+  const record = createRecord('a', 1, 1)
+  view.merge([record])
+  view.markGone([record])
+  // A new attachment announces own records with the next sequence, which the removal has used as well.
+  view.merge([{ ...record, sequence: 2 }])
+  expect(view.getRecord('a')?.state).toBe(EndpointState.ENDPOINT_STATE_READY)
+})
+
 test('silent target is marked as gone', () => {
   const view = new EndpointView()
   const record = createRecord('a', 1, 1)
--- a/packages/feed/src/EndpointView.ts
+++ b/packages/feed/src/EndpointView.ts
@@ -17,7 +17,12 @@
  * @returns positive when a is newer
  */
 export function compareEndpoints (a: EndpointRecord, b: EndpointRecord): number {
-  return a.incarnation - b.incarnation || a.sequence - b.sequence
+  return a.incarnation - b.incarnation || a.sequence - b.sequence || computeStateRank(a) - computeStateRank(b)
+}
+
+/** With equal sequences, what the target's own process says beats what another one concluded from silence. */
+function computeStateRank (record: EndpointRecord): number {
+  return record.state === EndpointState.ENDPOINT_STATE_GONE ? 0 : 1
 }
 
 /** Merges records in any order to the same view. */
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -207,7 +207,8 @@
     this._sendCatalogue(subscriber)
     this._send(subscriber, {
       $case: 'endpoints',
-      value: { full: true, records: this._options.endpoints.getRecords().filter(isLive) }
+      // A node is told of its own targets that were taken for gone, so that it can announce them again.
+      value: { full: true, records: this._options.endpoints.getRecords().filter(record => isLive(record) || record.node === hello.node) }
     })
   }
 
--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -122,8 +122,15 @@
     await waitUntil('an order without the leader', async () => (await fetch(`http://127.0.0.1:${calls}/order`, {
       method: 'POST', headers: { 'idempotency-key': 'k' }
     })).status === 200)
-    await waitUntil('done', async () =>
-      (await three.operate(survivor, 'GET', '/v1/moves')).body.moves[0].status.startsWith('done'))
+    let seen = ''
+    await waitUntil('done', async () => {
+      const { body } = await three.operate(survivor, 'GET', '/v1/moves')
+      seen = JSON.stringify(body)
+      return body.moves[0].status.startsWith('done')
+    }).catch(async error => {
+      const { body } = await three.operate(survivor, 'GET', '/v1/status')
+      throw new Error(`${String(error)}: ${seen} ${JSON.stringify(body)}`)
+    })
     expect((await (await fetch(`http://127.0.0.1:${first}/stats`)).json()).runs.length +
       (await (await fetch(`http://127.0.0.1:${second}/stats`)).json()).runs.length).toBe(1)
   } finally {
