Leave-one-out tests stand once; waiting windows are added up

Cause, found by reading the change again: the tests without one target stood twice, for comparisons and for rises; windows that wait for calls to the other version were kept one by one, so an open move without calls to its new version grew without end; a field of the call frame was always 0, and formatBucket was called by nobody. Change: one class holds the tests without each target; waiting windows are added up by the function that the controller had, which moves beside it; the field and the function are gone.

--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -39,13 +39,46 @@
   timed: number
 }
 
-/** Tests of one route. The test with an excluded target sees the new version without that target. */
+/** Tests of the new version, each also without the calls of one target. */
+class SparingTests {
+  private readonly _all = createTests()
+  private readonly _without = new Map<string, SequentialTest[]>()
+
+  /**
+   * Adds a window.
+   * @param outcomes - calls to the new version
+   * @param thresholds - buckets above which a call is slow
+   * @param addSide - adds the sums of some calls to some tests
+   */
+  add (
+    outcomes: readonly IOutcomes[], thresholds: readonly number[],
+    addSide: (tests: readonly SequentialTest[], side: ISide) => void
+  ): void {
+    for (const { targetId } of outcomes) this._ensureTarget(targetId)
+    addSide(this._all, sumOutcomes(outcomes, thresholds))
+    for (const [excluded, tests] of this._without) {
+      addSide(tests, sumOutcomes(outcomes.filter(({ targetId }) => targetId !== excluded), thresholds))
+    }
+  }
+
+  /** With several targets, the fault must show without each single one of them. */
+  isRejected (index: number, alpha: number): boolean {
+    if (this._all[index]?.isRejected(alpha) !== true) return false
+    if (this._without.size < 2) return true
+    return [...this._without.values()].every(tests => tests[index]?.isRejected(alpha) === true)
+  }
+
+  /** A target that is new has had no calls so far, so leaving it out leaves all the evidence until now. */
+  private _ensureTarget (targetId: string): void {
+    if (!this._without.has(targetId)) this._without.set(targetId, this._all.map(test => test.clone()))
+  }
+}
+
+/** Tests of one route. */
 class RouteComparison {
   readonly latencyOld = new Array<number>(LATENCY_BUCKETS).fill(0)
-  private readonly _all = createTests()
-  /** Tests without the calls of one target. */
-  private readonly _tests = new Map<string, SequentialTest[]>()
-  private _rises = { all: createTests(), without: new Map<string, SequentialTest[]>() }
+  private readonly _tests = new SparingTests()
+  private _rise = new SparingTests()
   private _oldRise = createTests()
   private _waitingNew: IOutcomes[] = []
   private _waitingOld: IOutcomes[] = []
@@ -57,8 +90,8 @@
   /** Windows without calls to both versions tell nothing alone, so they wait for the next ones. */
   addWindow (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
     this._addRise(newOutcomes, oldOutcomes)
-    this._waitingNew.push(...newOutcomes)
-    this._waitingOld.push(...oldOutcomes)
+    this._waitingNew = mergeOutcomes([...this._waitingNew, ...newOutcomes])
+    this._waitingOld = mergeOutcomes([...this._waitingOld, ...oldOutcomes])
     if (countCalls(this._waitingNew) === 0 || countCalls(this._waitingOld) === 0) return
     this._testWindow(this._waitingNew, this._waitingOld)
     this._waitingNew = []
@@ -68,12 +101,8 @@
   private _testWindow (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
     const thresholds = this._computeThresholds()
     const oldSide = sumOutcomes(oldOutcomes, thresholds)
-    for (const outcomes of newOutcomes) this._ensureTests(outcomes.targetId)
-    const all = sumOutcomes(newOutcomes, thresholds)
-    addToTests(this._all, all, oldSide)
-    for (const [excluded, tests] of this._tests) {
-      addToTests(tests, sumOutcomes(newOutcomes.filter(outcomes => outcomes.targetId !== excluded), thresholds), oldSide)
-    }
+    this._tests.add(newOutcomes, thresholds, (tests, newSide) => addToTests(tests, newSide, oldSide))
+    const all = sumOutcomes(newOutcomes, [])
     this.newCalls += all.calls
     this.newFailures += all.failures
     this.oldCalls += oldSide.calls
@@ -84,17 +113,16 @@
   }
 
   findKind (failureAlpha: number, latencyAlpha: number): 'failures' | 'latency' | undefined {
-    if (this._isRejected(0, failureAlpha)) return 'failures'
+    if (this._tests.isRejected(0, failureAlpha)) return 'failures'
     for (const index of SLOW_QUANTILES.keys()) {
-      if (this._isRejected(index + 1, latencyAlpha)) return 'latency'
+      if (this._tests.isRejected(index + 1, latencyAlpha)) return 'latency'
     }
     return undefined
   }
 
   /** Finds a rise of the new version over the old version's earlier rates, without any single target, too. */
   findRise (alpha: number): boolean {
-    return this._rises.all.some((test, index) => test.isRejected(alpha) && (this._rises.without.size < 2 ||
-      [...this._rises.without.values()].every(tests => tests[index]?.isRejected(alpha) === true)))
+    return [0, ...SLOW_QUANTILES].some((_, index) => this._rise.isRejected(index, alpha))
   }
 
   /** Finds a rise of the old version over its own earlier rates. */
@@ -103,21 +131,14 @@
   }
 
   resetRise (): void {
-    this._rises = { all: createTests(), without: new Map() }
+    this._rise = new SparingTests()
     this._oldRise = createTests()
   }
 
   private _addRise (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
     if (this.oldCalls < MIN_BASELINE_CALLS) return
     const thresholds = this._computeThresholds()
-    const { all, without } = this._rises
-    for (const { targetId } of newOutcomes) {
-      if (!without.has(targetId)) without.set(targetId, all.map(test => test.clone()))
-    }
-    this._addBaseline(all, sumOutcomes(newOutcomes, thresholds))
-    for (const [excluded, tests] of without) {
-      this._addBaseline(tests, sumOutcomes(newOutcomes.filter(outcomes => outcomes.targetId !== excluded), thresholds))
-    }
+    this._rise.add(newOutcomes, thresholds, (tests, side) => this._addBaseline(tests, side))
     this._addBaseline(this._oldRise, sumOutcomes(oldOutcomes, thresholds))
   }
 
@@ -128,19 +149,6 @@
     }
   }
 
-  /** With several targets, the fault must show without each single one of them. */
-  private _isRejected (index: number, alpha: number): boolean {
-    if (this._all[index]?.isRejected(alpha) !== true) return false
-    if (this._tests.size < 2) return true
-    return [...this._tests.values()].every(tests => tests[index]?.isRejected(alpha) === true)
-  }
-
-  /** A target that is new has had no calls so far, so leaving it out leaves all the evidence until now. */
-  private _ensureTests (excluded: string): void {
-    if (this._tests.has(excluded)) return
-    this._tests.set(excluded, this._all.map(test => test.clone()))
-  }
-
   /** Bucket above which a call is slow, from calls of earlier windows only. */
   private _computeThresholds (): number[] {
     const total = this.latencyOld.reduce((sum, count) => sum + count, 0)
@@ -277,11 +285,18 @@
   return side
 }
 
-/**
- * Formats the upper bound of a latency bucket.
- * @param bucket - index from 0
- * @returns text in milliseconds
- */
-export function formatBucket (bucket: number): string {
-  return `${computeBucketEndMs(bucket).toFixed(1)} ms`
+/** Adds up the outcomes of each route and target, so that what waits stays bounded. */
+function mergeOutcomes (outcomes: readonly IOutcomes[]): IOutcomes[] {
+  const merged = new Map<string, { route: string, targetId: string, calls: number, failures: number, latency: Map<number, number> }>()
+  for (const item of outcomes) {
+    const key = `${item.route}\n${item.targetId}`
+    const sum = merged.get(key) ?? {
+      route: item.route, targetId: item.targetId, calls: 0, failures: 0, latency: new Map<number, number>()
+    }
+    sum.calls += item.calls
+    sum.failures += item.failures
+    for (const [bucket, count] of item.latency) sum.latency.set(bucket, (sum.latency.get(bucket) ?? 0) + count)
+    merged.set(key, sum)
+  }
+  return [...merged.values()]
 }
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -123,7 +123,7 @@
         continue
       }
       const open = this._getOpen(move)
-      open.comparison.addWindow(mergeOutcomes(open.windowNew), mergeOutcomes(open.windowOld))
+      open.comparison.addWindow(open.windowNew, open.windowOld)
       open.windowNew = []
       open.windowOld = []
       const { probe, returningRises } = open
@@ -300,19 +300,3 @@
   }
   return { route: record.route, targetId: record.targetId, calls: record.calls, failures: record.failures, latency }
 }
-
-/** Adds the reports of all nodes on one route and target. */
-function mergeOutcomes (outcomes: readonly IOutcomes[]): IOutcomes[] {
-  const merged = new Map<string, { route: string, targetId: string, calls: number, failures: number, latency: Map<number, number> }>()
-  for (const item of outcomes) {
-    const key = `${item.route}\n${item.targetId}`
-    const sum = merged.get(key) ?? {
-      route: item.route, targetId: item.targetId, calls: 0, failures: 0, latency: new Map<number, number>()
-    }
-    sum.calls += item.calls
-    sum.failures += item.failures
-    for (const [bucket, count] of item.latency) sum.latency.set(bucket, (sum.latency.get(bucket) ?? 0) + count)
-    merged.set(key, sum)
-  }
-  return [...merged.values()]
-}
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -220,8 +220,7 @@
         bodyComplete: request.isBodyComplete,
         slots: request.slots,
         connections: request.connections,
-        queue: request.queue,
-        ownerSlots: 0
+        queue: request.queue
       }
     })
     this._window.spend(request.body.length)
