--- a/bench/feed-nodes.mjs
+++ b/bench/feed-nodes.mjs
@@ -3,7 +3,7 @@
  * Settings come as JSON in the first argument; reports go to the parent.
  */
 import { Metrics, NullLog, SystemClock, SystemRandom } from '@lagoonswitch/common'
-import { CatalogueStore, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
+import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
 import { FeedService } from '@lagoonswitch/schema'
 import { PeerChannels, PeerListener, PlainCredentials } from '@lagoonswitch/transport'
 
@@ -21,7 +21,7 @@
   const channels = new PeerChannels(new PlainCredentials())
   const listener = new PeerListener(new PlainCredentials())
   const zone = index % ZONES
-  const holder = {}
+  const holder = { directory: new ControlDirectory(control) }
   const hub = new FeedHub({
     name: `n${index}`,
     clock,
@@ -34,6 +34,7 @@
     subscriberLevel: 2,
     isCurrent: () => holder.client.level === 1 && holder.client.isCurrent && holder.client.isReady,
     confirm: async () => await holder.client.confirm(),
+    directory: holder.directory,
     onEvidence: () => {}
   })
   listener.addService(FeedService, hub.createHandlers())
@@ -44,7 +45,7 @@
     availabilityZone: `z${zone}`,
     feedAddress: isPlain ? '' : `127.0.0.1:${port}`,
     incarnation: Date.now(),
-    controlAddresses: control,
+    directory: holder.directory,
     isMesh: false,
     clock,
     random,
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 export default [
   ...neostandard({
     ts: true,
-    ignores: ['**/dist/**', '**/generated/**', 'node_modules/**', 'data/**', 'bench/out/**']
+    ignores: ['**/dist/**', '**/generated/**', 'node_modules/**', 'data/**', 'bench/out/**', 'target/**', 'journal/**']
   }),
   {
     rules: {
--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -7,21 +7,23 @@
   DisposableStore, Emitter, Err, NoQuorumError, Ok, formatError, type IClock, type IDisposable, type ILog,
   type IRandom, type Metrics, type Result
 } from '@lagoonswitch/common'
-import { CatalogueStore, EndpointView, FeedClient, FeedHub, RELAY_LEVEL } from '@lagoonswitch/feed'
+import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub, RELAY_LEVEL } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, ChangeReply, ControlClient, ControlService, FeedClient as FeedStub, FeedService, RaftService,
-  type ChangeCommand, type ConfirmReply, type ConfirmRequest, type Evidence, type EvidenceRecord, type ISettings,
+  CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, ControlClient, ControlService, EndpointState, FeedClient as FeedStub,
+  FeedService, MoveStatus, RaftService,
+  type ConfirmReply, type ConfirmRequest, type Evidence, type EvidenceRecord, type ISettings,
   type ProposeReply, type ProposeRequest, type ReportReply
 } from '@lagoonswitch/schema'
 import { LeaderClient, createUnaryHandler, sendUnary, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
-import { CatalogueMachine } from './catalogue/CatalogueMachine.js'
+import { CatalogueMachine, isMoveOpen } from './catalogue/CatalogueMachine.js'
 import { ClaimsMachine } from './claims/ClaimsMachine.js'
+import { Publisher, type IPublicationDraft, type OrderOutcome } from './catalogue/Publisher.js'
 import { MoveController } from './moves/MoveController.js'
 import { FileStorage } from './raft/FileStorage.js'
 import { GrpcTransport, createRaftHandlers } from './raft/GrpcTransport.js'
 import { RaftGroup } from './raft/RaftGroup.js'
 import type { RaftStorage } from './raft/RaftStorage.js'
-import type { IRaftStatus } from './raft/RaftTypes.js'
+import type { IAutomaticMembership, IRaftStatus } from './raft/RaftTypes.js'
 import type { StateMachine } from './raft/StateMachine.js'
 
 /** Name of the group that holds the catalogue. */
@@ -39,10 +41,19 @@
   return `claims-${shard}`
 }
 
+/** Edits of single entries by one operator. */
+export interface IEntryChange {
+  readonly requestId: string
+  readonly operator: string
+  readonly edits: Array<{ name: string, expectedVersion: number, declaration: string }>
+}
+
 /** What a control VM is made of. */
 export interface IControlRoleOptions {
   readonly settings: ISettings
   readonly peerAddress: string
+  /** Peer addresses of control VMs that the settings name. */
+  readonly seedAddresses: readonly string[]
   readonly clock: IClock
   readonly random: IRandom
   readonly log: ILog
@@ -63,6 +74,10 @@
   private readonly _stopping = new AbortController()
   private readonly _onFailed = new Emitter<string>()
 
+  private readonly _meshLinks = new Map<string, FeedClient>()
+  private readonly _publisher: Publisher
+
+  readonly directory: ControlDirectory
   readonly store = new CatalogueStore()
   readonly endpoints = new EndpointView()
   /** Fires when a replica of this process can't go on. */
@@ -70,8 +85,12 @@
 
   constructor (private readonly _options: IControlRoleOptions) {
     const { settings, clock, random, log, metrics } = _options
-    this._leaderClient = new LeaderClient(_options.channels, clock, settings.control.members.map(member => member.address))
-    this._catalogue = this._addGroup(CATALOGUE_GROUP, new CatalogueMachine(this.store))
+    this.directory = new ControlDirectory(_options.seedAddresses)
+    this._leaderClient = new LeaderClient(_options.channels, clock, () => this.directory.listAddresses())
+    const machine = new CatalogueMachine(this.store)
+    this._catalogue = this._addGroup(CATALOGUE_GROUP, machine)
+    this._publisher = new Publisher({ clock, log, store: this.store, machine, group: this._catalogue })
+    this._disposables.add(this._catalogue.onMembers(members => this.directory.setMembers(members)))
     for (let shard = 0; shard < settings.control.claimShards; shard++) {
       const machine = new ClaimsMachine({
         retentionMs: settings.control.answerRetentionMs, capacity: settings.control.claimCapacity
@@ -91,6 +110,7 @@
       subscriberLevel: RELAY_LEVEL,
       isCurrent: () => this._catalogue.isCurrent && this.store.version.epoch > 0,
       confirm: async () => await this._confirm(),
+      directory: this.directory,
       onEvidence: records => this._handleEvidence(records)
     }))
     this._moves = this._disposables.add(new MoveController({
@@ -135,8 +155,9 @@
    * @param change - edits of one operator
    * @returns the reply of the state machine, or that no quorum answered
    */
-  async applyChange (change: ChangeCommand): Promise<Result<ChangeReply, NoQuorumError>> {
-    const command = CatalogueCommand.encode({ nowMs: 0, command: { $case: 'change', value: change } }).finish()
+  async applyChange (change: IEntryChange): Promise<Result<ChangeReply, NoQuorumError>> {
+    const value = ChangeCommand.fromPartial(change)
+    const command = CatalogueCommand.encode({ nowMs: 0, command: { $case: 'change', value } }).finish()
     const result = await this._leaderClient.propose(CATALOGUE_GROUP, command, CHANGE_TIMEOUT_MS)
     return result.ok ? Ok(ChangeReply.decode(result.val)) : result
   }
@@ -156,6 +177,63 @@
     return Ok(undefined)
   }
 
+  /**
+   * Publishes all entries as a whole; only the leader does so.
+   * @param draft - all entries
+   * @returns the outcome, or that no quorum answered
+   */
+  async publish (draft: IPublicationDraft): Promise<Result<OrderOutcome, NoQuorumError>> {
+    return await this._publisher.publish(draft)
+  }
+
+  /**
+   * Notes an order that can't be read.
+   * @param problem - what is wrong with it
+   */
+  reportBadOrder (problem: string): void {
+    this._options.metrics.count('orders_refused_total', 'invalid')
+    this._options.log.warn('order_refused', { problem })
+  }
+
+  /**
+   * Starts a move apart from the entry of the service; only the leader does so.
+   * @param service - name of the service
+   * @param to - new version
+   * @param withinMs - time until all calls must go to it
+   * @returns the outcome, or that no quorum answered
+   */
+  async startMove (service: string, to: string, withinMs: number): Promise<Result<OrderOutcome, NoQuorumError>> {
+    if (this._catalogue.role !== 'leader') return Ok({ kind: 'elsewhere', leaderAddress: this.leaderAddress })
+    const command = CatalogueCommand.encode({
+      nowMs: this._options.clock.readWallTime().getTime(),
+      command: { $case: 'order', value: { service, from: this._findVersionInUse(service, to), to, withinMs: Math.round(withinMs) } }
+    }).finish()
+    const proposed = await this._catalogue.propose(command)
+    if (proposed.err) return Err(proposed.val instanceof NoQuorumError ? proposed.val : new NoQuorumError(false))
+    const reply = ChangeReply.decode(proposed.val)
+    const { message, repeated } = reply
+    switch (reply.outcome) {
+      case ChangeOutcome.CHANGE_OUTCOME_ACCEPTED: return Ok({ kind: 'accepted', isRepeated: repeated })
+      case ChangeOutcome.CHANGE_OUTCOME_CONFLICT: return Ok({ kind: 'conflict', message })
+      default: return Ok({ kind: 'invalid', message })
+    }
+  }
+
+  /**
+   * Makes sure that this process leads and holds everything accepted before this call.
+   * @returns nothing, or who leads, or that no quorum answered
+   */
+  async checkCurrent (): Promise<Result<OrderOutcome, NoQuorumError>> {
+    if (this._catalogue.role !== 'leader') return Ok({ kind: 'elsewhere', leaderAddress: this.leaderAddress })
+    const barrier = await this._catalogue.readBarrier()
+    return barrier.ok ? Ok({ kind: 'accepted', isRepeated: false }) : Err(new NoQuorumError(false))
+  }
+
+  /** Peer address of the leader of the catalogue, empty while none is known. */
+  get leaderAddress (): string {
+    return this._catalogue.getStatus().leaderAddress
+  }
+
   /** @returns the state of all groups */
   listStatus (): IRaftStatus[] {
     return [...this._groups.values()].map(group => group.getStatus())
@@ -168,7 +246,7 @@
    * @returns one line for each group
    */
   async replaceMember (name: string, address: string): Promise<string[]> {
-    return await this._changeGroups(async group => await group.replaceMember(name, address))
+    return await this._changeGroups(async group => await group.membership.replaceMember(name, address))
   }
 
   /**
@@ -177,12 +255,13 @@
    * @returns one line for each group
    */
   async removeMember (name: string): Promise<string[]> {
-    return await this._changeGroups(async group => await group.removeMember(name))
+    return await this._changeGroups(async group => await group.membership.removeMember(name))
   }
 
   dispose (): void {
     this._stopping.abort()
     this._disposables.dispose()
+    for (const link of this._meshLinks.values()) link.dispose()
     for (const group of this._groups.values()) group.dispose()
   }
 
@@ -202,6 +281,7 @@
       group: name,
       name: settings.process.name,
       initialMembers: settings.control.members,
+      automatic: this._createAutomatic(),
       heartbeatMs: settings.control.heartbeatMs,
       electionTimeoutMs: settings.control.electionTimeoutMs,
       snapshotEntries: settings.control.snapshotEntries,
@@ -281,31 +361,73 @@
     }
   }
 
+  private _createAutomatic (): IAutomaticMembership | undefined {
+    const { settings, peerAddress, seedAddresses } = this._options
+    if (settings.control.seeds.length === 0) return undefined
+    return {
+      address: peerAddress,
+      availabilityZone: settings.process.availabilityZone,
+      founders: [...seedAddresses].sort(),
+      isFirstStart: settings.control.firstStart,
+      fullVoters: 2 * settings.control.toleratedLosses + 1,
+      listAddresses: () => this.directory.listAddresses()
+    }
+  }
+
+  /** The version that takes the calls now; empty when several do. */
+  private _findVersionInUse (service: string, to: string): string {
+    const declared = this.store.view.entries.get(service)?.version
+    const last = this.store.getMove(service)
+    if (last !== undefined && !isMoveOpen(last)) {
+      return last.status === MoveStatus.MOVE_STATUS_DONE ? last.to : last.from
+    }
+    if (declared !== undefined) return declared
+    const versions = new Set(this.endpoints.getRecords()
+      .filter(record => record.service === service && record.version !== to && record.state === EndpointState.ENDPOINT_STATE_READY)
+      .map(record => record.version))
+    return versions.size === 1 ? [...versions][0] ?? '' : ''
+  }
+
   /** Endpoints travel between all control VMs, so that each source knows all targets. */
   private _startMesh (): void {
-    const { settings, clock, random, log, metrics, channels } = this._options
-    for (const member of settings.control.members) {
-      if (member.name === settings.process.name) continue
-      const client = this._disposables.add(new FeedClient({
-        node: `control:${settings.process.name}`,
-        region: settings.process.region,
-        availabilityZone: settings.process.availabilityZone,
-        feedAddress: '',
-        incarnation: clock.readWallTime().getTime(),
-        controlAddresses: [member.address],
-        isMesh: true,
-        clock,
-        random,
-        log,
-        metrics,
-        channels,
-        store: new CatalogueStore(),
-        endpoints: this.endpoints,
-        computeFleetStatus: () => ({ nodes: 0, lowest: { epoch: 0, version: 0 } }),
-        takeEvidence: () => []
-      }))
-      client.start()
+    this._updateMesh()
+    this._disposables.add(this.directory.onChanged(() => this._updateMesh()))
+  }
+
+  private _updateMesh (): void {
+    const wanted = new Set(this.directory.listAddresses().filter(address => address !== this._options.peerAddress))
+    for (const [address, link] of this._meshLinks) {
+      if (wanted.has(address)) continue
+      link.dispose()
+      this._meshLinks.delete(address)
     }
+    for (const address of wanted) {
+      if (!this._meshLinks.has(address)) this._meshLinks.set(address, this._createMeshLink(address))
+    }
+  }
+
+  private _createMeshLink (address: string): FeedClient {
+    const { settings, clock, random, log, metrics, channels } = this._options
+    const link = new FeedClient({
+      node: `control:${settings.process.name}`,
+      region: settings.process.region,
+      availabilityZone: settings.process.availabilityZone,
+      feedAddress: '',
+      incarnation: clock.readWallTime().getTime(),
+      directory: new ControlDirectory([address]),
+      isMesh: true,
+      clock,
+      random,
+      log,
+      metrics,
+      channels,
+      store: new CatalogueStore(),
+      endpoints: this.endpoints,
+      computeFleetStatus: () => ({ nodes: 0, lowest: { epoch: 0, version: 0 } }),
+      takeEvidence: () => []
+    })
+    link.start()
+    return link
   }
 
   /** The first leader of a new group gives the catalogue its epoch. */
--- a/packages/control/src/catalogue/CatalogueMachine.test.ts
+++ b/packages/control/src/catalogue/CatalogueMachine.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { CatalogueStore } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, ChangeOutcome, ChangeReply, MoveStatus, parseEntry, formatEntry, type EntryEdit
+  CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, MoveStatus, parseEntry, formatEntry, type EntryEdit
 } from '@lagoonswitch/schema'
 import { CatalogueMachine } from './CatalogueMachine.js'
 
@@ -26,12 +26,13 @@
 
 function createEdit (name: string, expectedVersion: number, extra: object = {}): EntryEdit {
   const entry = parseEntry(createDeclaration(name, extra))
-  return { name, expectedVersion, declaration: entry.ok ? formatEntry(entry.val) : JSON.stringify(createDeclaration(name, extra)) }
+  const declaration = entry.ok ? formatEntry(entry.val) : JSON.stringify(createDeclaration(name, extra))
+  return { name, expectedVersion, declaration, annotation: '' }
 }
 
 function change (edits: EntryEdit[], operator = 'ann', requestId = `request-${requests++}`): ChangeReply {
   return ChangeReply.decode(machine.apply(CatalogueCommand.encode({
-    nowMs: NOW_MS, command: { $case: 'change', value: { requestId, operator, edits } }
+    nowMs: NOW_MS, command: { $case: 'change', value: ChangeCommand.fromPartial({ requestId, operator, edits }) }
   }).finish()))
 }
 
--- a/packages/control/src/catalogue/CatalogueMachine.ts
+++ b/packages/control/src/catalogue/CatalogueMachine.ts
@@ -2,16 +2,25 @@
  * The replicated catalogue: accepts or refuses changes, and records the state of moves.
  */
 import { createHash } from 'node:crypto'
+import { inflateRawSync } from 'node:zlib'
 import { DeclarationError, Err, Ok, type ICatalogueVersion, type Result } from '@lagoonswitch/common'
 import { CatalogueStore } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, CatalogueSnapshot, ChangeCommand, ChangeOutcome, ChangeReply, MoveStatus,
+  CatalogueCommand, CatalogueSnapshot, ChangeCommand, ChangeOutcome, ChangeReply, EntryEdits, MoveStatus,
   checkMoveTime, checkReferences, formatEntry, parseEntry,
-  type EntryEdit, type EntryRecord, type IEntry, type MoveCommand, type MoveRecord, type RequestRecord
+  type EntryEdit, type EntryRecord, type IEntry, type MoveCommand, type MoveOrder, type MoveRecord, type RequestRecord
 } from '@lagoonswitch/schema'
 import { StateMachine, decodeCommand } from '../raft/StateMachine.js'
 
 const MAX_REQUESTS = 10_000
+/** Largest size of the edits of one change, in bytes; bounds what a few packed bytes can unfold to. */
+const MAX_EDITS_BYTES = 64 * 1_048_576
+const PPM = 1_000_000
+/** Parts of the time of an ordered move: until all calls go to the new version, and to watch it after that. */
+const ORDERED_RAMP_SHARE = 0.72
+const ORDERED_WATCH_SHARE = 0.12
+/** Largest share of the first step of an ordered move. */
+const ORDERED_FIRST_SHARE = 0.04
 
 interface IPrepared {
   readonly records: EntryRecord[]
@@ -45,6 +54,7 @@
     switch (command?.$case) {
       case 'change': return ChangeReply.encode(this._applyChange(command.value)).finish()
       case 'move': return ChangeReply.encode(this._applyMove(command.value)).finish()
+      case 'order': return ChangeReply.encode(this._applyOrder(command.value)).finish()
       case 'bootstrap': return ChangeReply.encode(this._applyBootstrap(command.value.epoch)).finish()
       default: return ChangeReply.encode(createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version,
         'unknown command; update the control VMs')).finish()
@@ -52,7 +62,7 @@
   }
 
   takeSnapshot (): Uint8Array {
-    const { version, compactedVersion, records, moves } = this.store.getContent()
+    const { version, compactedVersion, records, moves, publication } = this.store.getContent()
     return CatalogueSnapshot.encode({
       version: { ...version },
       nowMs: this._nowMs,
@@ -60,7 +70,8 @@
       moves: [...moves],
       requests: [...this._requests.values()],
       compactedVersion,
-      lastOperators: Object.fromEntries(this._lastOperators)
+      lastOperators: Object.fromEntries(this._lastOperators),
+      publication
     }).finish()
   }
 
@@ -75,10 +86,21 @@
       version: { epoch: snapshot.version?.epoch ?? 0, version: snapshot.version?.version ?? 0 },
       compactedVersion: snapshot.compactedVersion,
       records: snapshot.entries,
-      moves: snapshot.moves
+      moves: snapshot.moves,
+      publication: snapshot.publication
     })
   }
 
+  /**
+   * Finds the answer to a change that was accepted before.
+   * @param requestId - id of the change
+   * @returns the answer, or undefined when no such change was accepted
+   */
+  findAccepted (requestId: string): ChangeReply | undefined {
+    const reply = this._requests.get(requestId)?.reply
+    return reply?.outcome === ChangeOutcome.CHANGE_OUTCOME_ACCEPTED ? reply : undefined
+  }
+
   private _applyBootstrap (epoch: number): ChangeReply {
     if (this.store.version.epoch !== 0 || epoch === 0) {
       return createReply(ChangeOutcome.CHANGE_OUTCOME_CONFLICT, this.store.version, 'the epoch of a catalogue never changes')
@@ -88,11 +110,13 @@
   }
 
   private _applyChange (change: ChangeCommand): ChangeReply {
-    if (change.requestId === '' || change.edits.length === 0) {
+    const isEmpty = change.edits.length === 0 && change.packedEdits.length === 0 && change.publication === undefined
+    if (change.requestId === '' || isEmpty) {
       return createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version,
         'a change needs a request id and an edit; send it with lagoonctl apply')
     }
-    const fingerprint = createHash('sha256').update(ChangeCommand.encode(change).finish()).digest('hex')
+    const fingerprint = change.publication?.digest ??
+      createHash('sha256').update(ChangeCommand.encode(change).finish()).digest('hex')
     const earlier = this._requests.get(change.requestId)
     if (earlier?.reply !== undefined) {
       if (earlier.fingerprint === fingerprint) return { ...earlier.reply, repeated: true }
@@ -100,6 +124,9 @@
         `request id ${change.requestId} belongs to another change; use a new request id`)
     }
     const reply = this._decideChange(change)
+    // A publication is known by its content alone, so one that was refused may fit later.
+    const isRefused = reply.outcome !== ChangeOutcome.CHANGE_OUTCOME_ACCEPTED
+    if (isRefused && change.publication !== undefined) return reply
     this._requests.set(change.requestId, { requestId: change.requestId, fingerprint, atMs: this._nowMs, reply })
     if (this._requests.size > MAX_REQUESTS) {
       const oldest = this._requests.keys().next().value
@@ -112,7 +139,17 @@
     if (this.store.version.epoch === 0) {
       return createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version, 'the catalogue has no epoch yet; retry')
     }
-    const conflict = change.edits.find(edit => edit.expectedVersion !== this._getEntryVersion(edit.name))
+    const { publication } = change
+    const current = this.store.view.publication
+    if (publication !== undefined && change.baseDigest !== (current?.digest ?? '')) {
+      return createReply(ChangeOutcome.CHANGE_OUTCOME_CONFLICT, this.store.version,
+        `publication ${current?.number ?? 0} is in place; read it, merge and publish again`)
+    }
+    const edits = readEdits(change)
+    if (edits === undefined) {
+      return createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version, 'the edits can\'t be read; send them again')
+    }
+    const conflict = edits.find(edit => edit.expectedVersion !== this._getEntryVersion(edit.name))
     if (conflict !== undefined) {
       return {
         ...createReply(ChangeOutcome.CHANGE_OUTCOME_CONFLICT, this.store.version,
@@ -123,16 +160,16 @@
       }
     }
     const version = { epoch: this.store.version.epoch, version: this.store.version.version + 1 }
-    const prepared = this._prepareEdits(change.edits, version.version)
+    const prepared = this._prepareEdits(edits, version.version)
     if (prepared.err) {
       const message = prepared.val.map(error => error.message).join('\n')
       return createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version, message)
     }
-    if (prepared.val.records.length === 0) {
+    if (prepared.val.records.length === 0 && publication === undefined) {
       return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, this.store.version, 'nothing differs')
     }
     for (const record of prepared.val.records) this._lastOperators.set(record.name, change.operator)
-    this.store.commitRecords(version, prepared.val.records, prepared.val.moves)
+    this.store.commitRecords(version, prepared.val.records, prepared.val.moves, publication)
     return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, version, '')
   }
 
@@ -144,7 +181,7 @@
       const previous = this.store.view.entries.get(edit.name)
       if (edit.declaration === '') {
         entries.delete(edit.name)
-        prepared.records.push({ name: edit.name, version, declaration: '', removed: true })
+        prepared.records.push({ name: edit.name, version, declaration: '', removed: true, annotation: '' })
         this._closeMove(edit.name, undefined, version, prepared.moves)
         continue
       }
@@ -157,8 +194,9 @@
       if (problem !== undefined) errors.push(problem)
       entries.set(edit.name, entry.val)
       const declaration = formatEntry(entry.val)
-      if (declaration === this.store.getRecord(edit.name)?.declaration) continue
-      prepared.records.push({ name: edit.name, version, declaration, removed: false })
+      const known = this.store.getRecord(edit.name)
+      if (declaration === known?.declaration && edit.annotation === known.annotation) continue
+      prepared.records.push({ name: edit.name, version, declaration, removed: false, annotation: edit.annotation })
       this._prepareMove(entry.val, previous, version, prepared.moves)
     }
     errors.push(...checkReferences(entries))
@@ -187,7 +225,7 @@
     }
     moves.push({
       service: entry.entry,
-      from: entry.version,
+      from: entry.version ?? '',
       to: move.to,
       byMs: Date.parse(move.by),
       startedMs: this._nowMs,
@@ -196,7 +234,10 @@
       stepStartedMs: this._nowMs,
       reason: 'accepted',
       version,
-      late: false
+      late: false,
+      ordered: false,
+      watchMs: 0,
+      firstSharePpm: 0
     })
   }
 
@@ -232,12 +273,57 @@
     return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, version, '')
   }
 
+  /** An order that is repeated finds its move; another one waits until the open move has ended. */
+  private _applyOrder (order: MoveOrder): ChangeReply {
+    const known = this.store.getMove(order.service)
+    const isKnown = known?.ordered === true && known.to === order.to
+    if (isKnown && (isMoveOpen(known) || this._nowMs < known.startedMs + order.withinMs)) {
+      return { ...createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, this.store.version, ''), repeated: true }
+    }
+    if (known !== undefined && isMoveOpen(known)) {
+      return createReply(ChangeOutcome.CHANGE_OUTCOME_CONFLICT, this.store.version,
+        `the move to ${known.to} is open; wait until it has ended`)
+    }
+    const isUsable = order.service !== '' && order.to !== '' && order.to !== order.from && order.withinMs > 0
+    if (!isUsable || !this.store.view.entries.has(order.service)) {
+      return createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version,
+        `no move of ${order.service} to ${order.to} can be made; name an entry, another version and a time`)
+    }
+    const version = { epoch: this.store.version.epoch, version: this.store.version.version + 1 }
+    this.store.commitRecords(version, [], [{
+      service: order.service,
+      from: order.from,
+      to: order.to,
+      byMs: Math.floor(this._nowMs + order.withinMs * ORDERED_RAMP_SHARE),
+      startedMs: this._nowMs,
+      status: MoveStatus.MOVE_STATUS_RUNNING,
+      sharePpm: 0,
+      stepStartedMs: this._nowMs,
+      reason: 'accepted',
+      version: version.version,
+      late: false,
+      ordered: true,
+      watchMs: Math.floor(order.withinMs * ORDERED_WATCH_SHARE),
+      firstSharePpm: ORDERED_FIRST_SHARE * PPM
+    }])
+    return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, version, '')
+  }
+
   private _getEntryVersion (name: string): number {
     const record = this.store.getRecord(name)
     return record === undefined || record.removed ? 0 : record.version
   }
 }
 
+function readEdits (change: ChangeCommand): EntryEdit[] | undefined {
+  if (change.packedEdits.length === 0) return change.edits
+  try {
+    return EntryEdits.decode(inflateRawSync(change.packedEdits, { maxOutputLength: MAX_EDITS_BYTES })).edits
+  } catch {
+    return undefined
+  }
+}
+
 function parseDeclaration (edit: EntryEdit): Result<IEntry, DeclarationError[]> {
   let value: unknown
   try {
--- /dev/null
+++ b/packages/control/src/catalogue/Publisher.ts
@@ -0,0 +1,201 @@
+/**
+ * Publishes all entries as a whole, under a number that must follow on the one in place.
+ */
+import { deflateRawSync } from 'node:zlib'
+import { Err, NoQuorumError, Ok, type IClock, type ILog, type Result } from '@lagoonswitch/common'
+import {
+  CatalogueCommand, ChangeOutcome, ChangeReply, EntryEdits, checkReferences, formatEntry, parseEntry,
+  type CallerLimits, type EntryEdit, type EntryRecord, type IEntry, type Publication
+} from '@lagoonswitch/schema'
+import type { CatalogueStore } from '@lagoonswitch/feed'
+import type { RaftGroup } from '../raft/RaftGroup.js'
+import type { CatalogueMachine } from './CatalogueMachine.js'
+
+/** Edits above this size are deflated, in bytes. */
+const PACK_BYTES = 2_048
+/** Times that a publication is compared anew when another change came between. */
+const MAX_ROUNDS = 4
+
+/** One entry of a publication. */
+export interface IPublishedEntry {
+  readonly name: string
+  /** Checked when it is published. */
+  readonly declaration: unknown
+  readonly annotation: string
+}
+
+/** A publication as an operator sends it. */
+export interface IPublicationDraft {
+  readonly number: number
+  /** Number of the publication that it builds on, 0 for the first one. */
+  readonly baseNumber: number
+  /** Tells equal drafts from others. */
+  readonly digest: string
+  readonly callerLimits: CallerLimits
+  readonly annotation: string
+  readonly entries: readonly IPublishedEntry[]
+}
+
+/** What became of an order to this control VM. */
+export type OrderOutcome =
+  { readonly kind: 'accepted', readonly isRepeated: boolean } |
+  { readonly kind: 'conflict' | 'invalid', readonly message: string } |
+  /** Another control VM leads. */
+  { readonly kind: 'elsewhere', readonly leaderAddress: string }
+
+/** What the publisher needs of its process. */
+export interface IPublisherOptions {
+  readonly clock: IClock
+  readonly log: ILog
+  readonly store: CatalogueStore
+  readonly machine: CatalogueMachine
+  readonly group: RaftGroup
+}
+
+/** Turns drafts into changes of the entries that differ. */
+export class Publisher {
+  constructor (private readonly _options: IPublisherOptions) {}
+
+  /**
+   * Publishes a draft; only the leader does so.
+   * @param draft - all entries
+   * @returns the outcome, or that no quorum answered; the draft may be in place then
+   */
+  async publish (draft: IPublicationDraft): Promise<Result<OrderOutcome, NoQuorumError>> {
+    const entries = parseEntries(draft.entries)
+    if (entries.err) return Ok({ kind: 'invalid', message: entries.val })
+    const startedMs = this._options.clock.readMonotonicMs()
+    const result = await this._publishEntries(draft, entries.val)
+    this._options.log.info('publication_decided', {
+      number: draft.number,
+      base: draft.baseNumber,
+      digest: draft.digest.slice(0, 12),
+      outcome: result.ok ? result.val.kind : 'no-quorum',
+      message: result.ok && 'message' in result.val ? result.val.message : undefined,
+      took_ms: Math.round(this._options.clock.readMonotonicMs() - startedMs)
+    })
+    return result
+  }
+
+  private async _publishEntries (
+    draft: IPublicationDraft, entries: ReadonlyMap<string, string>
+  ): Promise<Result<OrderOutcome, NoQuorumError>> {
+    const { group, machine, store } = this._options
+    const requestId = `publication:${draft.digest}`
+    for (let round = 0; round < MAX_ROUNDS; round++) {
+      if (machine.findAccepted(requestId) !== undefined) return Ok({ kind: 'accepted', isRepeated: true })
+      if (group.role !== 'leader') return Ok({ kind: 'elsewhere', leaderAddress: group.getStatus().leaderAddress })
+      if (!group.isReadyLeader || store.version.epoch === 0) return Err(new NoQuorumError(false))
+      const current = store.view.publication
+      const refusal = checkNumber(draft, current)
+      if (refusal !== undefined) {
+        const barrier = await group.readBarrier()
+        if (barrier.err) return Err(new NoQuorumError(false))
+        if (store.view.publication === current) return Ok(refusal)
+        continue
+      }
+      const command = createCommand(draft, requestId, entries, store)
+      const proposed = await group.propose(command)
+      if (proposed.err) return Err(proposed.val instanceof NoQuorumError ? proposed.val : new NoQuorumError(false))
+      const reply = ChangeReply.decode(proposed.val)
+      if (reply.outcome === ChangeOutcome.CHANGE_OUTCOME_ACCEPTED) return Ok({ kind: 'accepted', isRepeated: reply.repeated })
+      if (reply.outcome === ChangeOutcome.CHANGE_OUTCOME_INVALID) return Ok({ kind: 'invalid', message: reply.message })
+    }
+    return Ok({ kind: 'conflict', message: 'other changes came between each time; read the catalogue and publish again' })
+  }
+}
+
+function checkNumber (draft: IPublicationDraft, current: Publication | undefined): OrderOutcome | undefined {
+  const number = current?.number ?? 0
+  if (draft.baseNumber !== number) {
+    return { kind: 'conflict', message: `publication ${number} is in place, not ${draft.baseNumber}; read it, merge and publish again` }
+  }
+  if (draft.number > number) return undefined
+  return { kind: 'invalid', message: `number ${draft.number} does not follow on ${number}; choose a higher one` }
+}
+
+/** @returns canonical declarations by name, or every problem */
+function parseEntries (entries: readonly IPublishedEntry[]): Result<Map<string, string>, string> {
+  const parsed = new Map<string, IEntry>()
+  const problems: string[] = []
+  for (const { name, declaration } of entries) {
+    const entry = parseEntry(declaration)
+    if (entry.err) problems.push(...entry.val.map(error => error.message))
+    else if (parsed.has(name)) problems.push(`${name}: the entry is declared twice; remove one`)
+    else parsed.set(name, entry.val)
+  }
+  if (problems.length === 0) problems.push(...checkReferences(parsed).map(error => error.message))
+  if (problems.length > 0) return Err(problems.join('\n'))
+  return Ok(new Map([...parsed].map(([name, entry]) => [name, formatEntry(entry)])))
+}
+
+function createCommand (
+  draft: IPublicationDraft, requestId: string, entries: ReadonlyMap<string, string>, store: CatalogueStore
+): Uint8Array {
+  const { records } = store.getContent()
+  const edits = computeEdits(draft, entries, records)
+  const encoded = EntryEdits.encode({ edits }).finish()
+  const isPacked = encoded.length > PACK_BYTES
+  const names = draft.entries.map(({ name }) => name)
+  const isNatural = computeNaturalOrder(names, records).every((name, index) => name === names[index])
+  return CatalogueCommand.encode({
+    nowMs: 0,
+    command: {
+      $case: 'change',
+      value: {
+        requestId,
+        operator: 'publisher',
+        edits: isPacked ? [] : edits,
+        packedEdits: isPacked ? deflateRawSync(encoded) : Buffer.alloc(0),
+        baseDigest: store.view.publication?.digest ?? '',
+        publication: {
+          number: draft.number,
+          baseNumber: draft.baseNumber,
+          digest: draft.digest,
+          callerLimits: draft.callerLimits,
+          annotation: draft.annotation,
+          order: isNatural ? [] : names
+        }
+      }
+    }
+  }).finish()
+}
+
+function computeEdits (
+  draft: IPublicationDraft, entries: ReadonlyMap<string, string>, records: readonly EntryRecord[]
+): EntryEdit[] {
+  const held = new Map(records.filter(record => !record.removed).map(record => [record.name, record]))
+  const edits: EntryEdit[] = []
+  for (const { name, annotation } of draft.entries) {
+    const known = held.get(name)
+    held.delete(name)
+    const declaration = entries.get(name) ?? ''
+    if (known?.declaration === declaration && known.annotation === annotation) continue
+    edits.push({ name, expectedVersion: known?.version ?? 0, declaration, annotation })
+  }
+  for (const { name, version } of held.values()) {
+    edits.push({ name, expectedVersion: version, declaration: '', annotation: '' })
+  }
+  return edits
+}
+
+/** The order in which the store will hold the entries, so that only another order must be kept. */
+function computeNaturalOrder (names: readonly string[], records: readonly EntryRecord[]): string[] {
+  const published = new Set(names)
+  const known = records.map(record => record.name).filter(name => published.has(name))
+  const held = new Set(known)
+  return [...known, ...names.filter(name => !held.has(name))]
+}
+
+/**
+ * Lists the records of the publication in place, in the order in which they were published.
+ * @param store - of the catalogue
+ * @returns live records
+ */
+export function listPublished (store: CatalogueStore): EntryRecord[] {
+  const live = store.getContent().records.filter(record => !record.removed)
+  const order = store.view.publication?.order ?? []
+  if (order.length === 0) return live
+  const places = new Map(order.map((name, index) => [name, index]))
+  return live.sort((a, b) => (places.get(a.name) ?? order.length) - (places.get(b.name) ?? order.length))
+}
--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -1,7 +1,9 @@
 import { beforeEach, expect, test } from 'vitest'
 import { ManualClock, Metrics, NullLog } from '@lagoonswitch/common'
 import { CatalogueStore, EndpointView } from '@lagoonswitch/feed'
-import { CatalogueCommand, EndpointState, MoveStatus, formatEntry, parseEntry, type MoveRecord } from '@lagoonswitch/schema'
+import {
+  CatalogueCommand, ChangeCommand, EndpointRecord, EndpointState, MoveStatus, formatEntry, parseEntry, type MoveRecord
+} from '@lagoonswitch/schema'
 import { CatalogueMachine } from '../catalogue/CatalogueMachine.js'
 import { MoveController } from './MoveController.js'
 import { FULL_SHARE_PPM, planSteps } from './MoveSchedule.js'
@@ -53,11 +55,13 @@
     nowMs,
     command: {
       $case: 'change',
-      value: { requestId: 'r', operator: 'o', edits: [{ name: 'desk', expectedVersion: 0, declaration: formatEntry(entry) }] }
+      value: ChangeCommand.fromPartial({
+        requestId: 'r', operator: 'o', edits: [{ name: 'desk', expectedVersion: 0, declaration: formatEntry(entry) }]
+      })
     }
   }).finish())
   if (!hasTarget) return
-  endpoints.merge([{
+  endpoints.merge([EndpointRecord.fromPartial({
     targetId: 't',
     incarnation: 1,
     sequence: 1,
@@ -69,7 +73,7 @@
     availabilityZone: '',
     slots: 4,
     node: 'n'
-  }])
+  })])
 }
 
 /** Runs seconds with 100 calls each, of which the new version fails a part. */
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -6,12 +6,12 @@
 } from '@lagoonswitch/common'
 import type { CatalogueStore, EndpointView } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, EndpointState, MoveStatus, type EvidenceRecord, type MoveCommand, type MoveRecord
+  CatalogueCommand, EndpointState, MoveStatus, type EvidenceRecord, type IEntry, type MoveCommand, type MoveRecord
 } from '@lagoonswitch/schema'
 import { isMoveOpen } from '../catalogue/CatalogueMachine.js'
 import { FULL_SHARE_PPM, planSteps, type IMoveStep } from './MoveSchedule.js'
 
-const WINDOW_MS = 1_000
+const WINDOW_MS = 250
 const FALSE_ALARM_RATE = 0.01
 /** A step may expose this many times as many calls as went well before, and as many more from the start. */
 const EXPOSURE_GROWTH = 10
@@ -25,6 +25,9 @@
 const PROBE_CALLS = 60
 const SHORTEST_PROBE_MS = 10_000
 const LONGEST_PROBE_MS = 300_000
+/** Parts of the time of a move that a comparison takes at least and at most; the bounds above hold for long moves. */
+const SHORTEST_PROBE_SHARE = 0.1
+const LONGEST_PROBE_SHARE = 0.25
 /** Rate of needless probes over one move. */
 const NEEDLESS_PROBE_RATE = 0.05
 /** A fault that leaves with the share of calls and comes back with it is one of the version under load. */
@@ -95,7 +98,7 @@
       if (move === undefined || !isMoveOpen(move)) continue
       const open = this._getOpen(move)
       if (record.version === move.to) open.windowNew.push(toOutcomes(record))
-      else if (record.version === move.from) open.windowOld.push(toOutcomes(record))
+      else if (record.version === move.from || move.from === '') open.windowOld.push(toOutcomes(record))
     }
   }
 
@@ -184,7 +187,7 @@
 
   private _decideWatch (move: MoveRecord, open: IOpenMove, nowMs: number): MoveCommand | undefined {
     const entry = this._options.store.view.entries.get(move.service)
-    const watchMs = parseDurationMs(entry?.move?.watch ?? '') ?? DEFAULT_WATCH_MS
+    const watchMs = move.ordered ? move.watchMs : parseDurationMs(entry?.move?.watch ?? '') ?? DEFAULT_WATCH_MS
     const endMs = move.stepStartedMs + watchMs
     this._report(move, open, `final at ${new Date(endMs).toISOString()}`)
     if (nowMs < endMs) return undefined
@@ -200,9 +203,10 @@
   private _decideProbe (move: MoveRecord, open: IOpenMove, probe: IProbe, nowMs: number): MoveCommand | undefined {
     const lengthMs = nowMs - probe.startedMs
     const calls = open.comparison.getNewCalls() - probe.callsBefore
-    const isEnough = lengthMs >= SHORTEST_PROBE_MS && calls >= PROBE_CALLS
+    const moveMs = move.byMs - move.startedMs
+    const isEnough = lengthMs >= Math.min(SHORTEST_PROBE_MS, moveMs * SHORTEST_PROBE_SHARE) && calls >= PROBE_CALLS
     this._report(move, open, `compared at ${formatShare(PROBE_SHARE_PPM)} for ${calls} calls`)
-    if (!isEnough && lengthMs < LONGEST_PROBE_MS) return undefined
+    if (!isEnough && lengthMs < Math.min(LONGEST_PROBE_MS, moveMs * LONGEST_PROBE_SHARE)) return undefined
     const isCommon = open.comparison.findCommonRise(COMMON_RISE_RATE)
     if (!isCommon) open.returningRises++
     open.probe = undefined
@@ -212,10 +216,10 @@
 
   private _decideStep (move: MoveRecord, open: IOpenMove, nowMs: number): MoveCommand | undefined {
     const entry = this._options.store.view.entries.get(move.service)
-    const steps = planSteps(move.startedMs, move.byMs, entry?.move?.first_share ?? 0)
+    const steps = planSteps(move.startedMs, move.byMs, getFirstShare(move, entry))
     const next = steps.find(step => step.sharePpm > move.sharePpm)
     if (next === undefined) return undefined
-    const obstacle = this._findObstacle(move, open, steps, entry?.move?.prefer === 'time')
+    const obstacle = this._findObstacle(move, open, steps, move.ordered || entry?.move?.prefer === 'time')
     this._report(move, open, formatNext(next, obstacle))
     if (nowMs < next.startMs) return undefined
     if (obstacle !== undefined) return this._reportLate(move, steps, nowMs, obstacle)
@@ -284,6 +288,10 @@
   }
 }
 
+function getFirstShare (move: MoveRecord, entry: IEntry | undefined): number {
+  return move.ordered ? move.firstSharePpm / FULL_SHARE_PPM : entry?.move?.first_share ?? 0
+}
+
 function formatNext (next: IMoveStep, obstacle: string | undefined): string {
   const share = `${formatShare(next.sharePpm)} at ${new Date(next.startMs).toISOString()}`
   return obstacle === undefined ? share : `${share}, held: ${obstacle}`
--- /dev/null
+++ b/packages/control/src/raft/GroupMembership.ts
@@ -0,0 +1,234 @@
+/**
+ * How a group is founded, and how its members change: by operators, or by themselves.
+ */
+import { Err, NoQuorumError, Ok, StorageError, waitAtMost, type Result } from '@lagoonswitch/common'
+import {
+  LogEntryKind, Members, type IdentifyReply, type JoinReply, type JoinRequest, type LogEntry, type Member
+} from '@lagoonswitch/schema'
+import { MemberKeeper } from './MemberKeeper.js'
+import type { RaftError } from './RaftGroup.js'
+import type { RaftLeader } from './RaftLeader.js'
+import type { IAutomaticMembership, IRaftOptions } from './RaftTypes.js'
+import type { Replica } from './Replica.js'
+
+/** Interval of decisions on members, and of wishes to join. */
+const KEEP_MS = 200
+const JOIN_MS = 300
+/** Entries that a learner may lack when it becomes a voter; they are on their way to it. */
+const CATCH_UP_ENTRIES = 8
+
+/** What membership needs of its group. */
+export interface IMembershipHost {
+  readonly getLeader: () => RaftLeader | undefined
+  readonly getLeaderAddress: () => string
+  readonly hasLeaderContact: () => boolean
+  readonly waitApplied: (entry: LogEntry) => Promise<Result<Uint8Array, RaftError>>
+  readonly createNotLeaderError: () => RaftError
+  /** Lets this replica campaign without waiting. */
+  readonly startElection: () => void
+}
+
+/** Runs until the signal is aborted. */
+export class GroupMembership {
+  private readonly _keeper: MemberKeeper
+  private _nextAddress = 0
+
+  constructor (
+    private readonly _options: IRaftOptions, private readonly _replica: Replica, private readonly _host: IMembershipHost,
+    private readonly _stopping: AbortSignal
+  ) {
+    this._keeper = new MemberKeeper(_options.automatic?.fullVoters ?? 1)
+  }
+
+  /** Starts to found the group, to join it and to keep its members. */
+  start (): void {
+    const { automatic, initialMembers, name } = this._options
+    if (automatic === undefined) {
+      if (initialMembers[0]?.name === name) void this._runFounding(initialMembers.map(member => member.address))
+      return
+    }
+    const [first] = automatic.founders
+    if (automatic.isFirstStart && first === automatic.address) void this._runFounding(automatic.founders)
+    void this._runJoin(automatic)
+    void this._runKeep()
+  }
+
+  /** Answers who this replica is. */
+  handleIdentify (): IdentifyReply {
+    const { replicaId, members } = this._replica
+    const { name, automatic } = this._options
+    return { replicaId, name, initialized: members.length > 0, availabilityZone: automatic?.availabilityZone ?? '' }
+  }
+
+  /** Notes that another replica wants to take part, or tells who leads. */
+  handleJoin ({ member }: JoinRequest): JoinReply {
+    const isLeading = this._host.getLeader()?.isReady === true
+    if (isLeading && member !== undefined) this._keeper.noteWish(member, this._options.clock.readMonotonicMs())
+    return { noted: isLeading, leaderAddress: isLeading ? '' : this._host.getLeaderAddress() }
+  }
+
+  /**
+   * Adds a VM as a learner, waits until it has caught up and makes it a voter. A voter of the same
+   * name under another replica id is removed only after that.
+   * @param name - name of the VM
+   * @param address - its peer address
+   * @returns nothing, or why the change was not made
+   */
+  async replaceMember (name: string, address: string): Promise<Result<void, RaftError>> {
+    const identity = await this._identify(address)
+    if (identity === undefined || identity.name !== name) {
+      return Err(new StorageError(`no process named ${name} answers at ${address}`, 'start it and repeat the command'))
+    }
+    const { replicaId, availabilityZone } = identity
+    const learner: Member = { name, replicaId, address, voter: false, availabilityZone }
+    const others = (): readonly Member[] => this._replica.members.filter(member => member.replicaId !== replicaId)
+    const added = await this._changeMembers(() => [...others(), learner])
+    if (added.err) return added
+    const caughtUp = await this._waitCaughtUp(replicaId)
+    if (caughtUp.err) return caughtUp
+    const promoted = await this._changeMembers(() => [...others(), { ...learner, voter: true }])
+    if (promoted.err) return promoted
+    const isOld = (member: Member): boolean => member.name === name && member.replicaId !== replicaId
+    if (!this._replica.members.some(isOld)) return promoted
+    return await this._changeMembers(() => this._replica.members.filter(member => !isOld(member)))
+  }
+
+  /**
+   * Removes a VM.
+   * @param name - name of the VM
+   * @returns nothing, or why the change was not made
+   */
+  async removeMember (name: string): Promise<Result<void, RaftError>> {
+    return await this._changeMembers(() => this._replica.members.filter(member => member.name !== name))
+  }
+
+  private async _changeMembers (compute: () => readonly Member[]): Promise<Result<void, RaftError>> {
+    const leader = this._host.getLeader()
+    if (leader === undefined) return Err(this._host.createNotLeaderError())
+    if (!leader.canChangeMembers()) return Err(new NoQuorumError(false))
+    const done = await this._host.waitApplied(leader.appendMembers(compute()))
+    return done.ok ? Ok(undefined) : done
+  }
+
+  private async _waitCaughtUp (replicaId: string): Promise<Result<void, RaftError>> {
+    const goal = this._replica.commitIndex
+    for (let leader = this._host.getLeader(); leader !== undefined && !this._stopping.aborted; leader = this._host.getLeader()) {
+      if (leader.getMatchIndex(replicaId) >= goal) return Ok(undefined)
+      await this._options.clock.sleep(this._options.heartbeatMs, this._stopping)
+    }
+    return Err(this._host.createNotLeaderError())
+  }
+
+  private async _identify (address: string): Promise<IdentifyReply | undefined> {
+    const { clock, electionTimeoutMs, transport, group } = this._options
+    try {
+      return await waitAtMost(clock, electionTimeoutMs, transport.sendIdentify(address, { group }))
+    } catch {
+      return undefined
+    }
+  }
+
+  /** While this replica leads, members change one after the other until nothing is left to change. */
+  private async _runKeep (): Promise<void> {
+    const { clock, log, group } = this._options
+    while (!this._stopping.aborted) {
+      await clock.sleep(KEEP_MS, this._stopping)
+      const leader = this._host.getLeader()
+      if (leader === undefined || !leader.canChangeMembers()) continue
+      const next = this._keeper.decide({
+        selfId: this._replica.replicaId,
+        members: this._replica.members,
+        getSilenceMs: id => leader.getSilenceMs(id),
+        isReplaced: id => leader.isReplaced(id),
+        isCaughtUp: id => leader.getMatchIndex(id) + CATCH_UP_ENTRIES >= this._replica.commitIndex && leader.getMatchIndex(id) > 0
+      }, clock.readMonotonicMs())
+      if (next === undefined) continue
+      const entry = leader.appendMembers(next)
+      log.info('members_changed', {
+        group,
+        index: entry.index,
+        voters: next.filter(member => member.voter).map(member => member.name).join('+'),
+        learners: next.filter(member => !member.voter).map(member => member.name).join('+')
+      })
+      await this._host.waitApplied(entry)
+    }
+  }
+
+  /** A replica that is no voter, or hears no leader that knows it, asks to take part. */
+  private async _runJoin (automatic: IAutomaticMembership): Promise<void> {
+    const { clock, name, log, group } = this._options
+    let hint = ''
+    let isJoined = true
+    while (!this._stopping.aborted) {
+      await clock.sleep(JOIN_MS, this._stopping)
+      const isMember = this._replica.isVoter && this._host.hasLeaderContact()
+      if (isMember !== isJoined) log.info(isMember ? 'group_joined' : 'group_left', { group, replica: this._replica.replicaId })
+      isJoined = isMember
+      if (isMember || this._host.getLeader() !== undefined || this._replica.hasFailed) continue
+      const { replicaId } = this._replica
+      const { address, availabilityZone } = automatic
+      const member: Member = { name, replicaId, address, voter: false, availabilityZone }
+      hint = await this._sendJoin(hint === '' ? this._pickAddress(automatic) : hint, member)
+    }
+  }
+
+  private _pickAddress ({ listAddresses, address }: IAutomaticMembership): string {
+    const others = listAddresses().filter(other => other !== address)
+    this._nextAddress++
+    return others[this._nextAddress % Math.max(1, others.length)] ?? ''
+  }
+
+  /** @returns address of the leader to ask next, empty for any other address */
+  private async _sendJoin (address: string, member: Member): Promise<string> {
+    const { clock, electionTimeoutMs, transport, group } = this._options
+    if (address === '') return ''
+    try {
+      const reply = await waitAtMost(clock, electionTimeoutMs, transport.sendJoin(address, { group, member }))
+      return reply.noted ? address : reply.leaderAddress
+    } catch {
+      return ''
+    }
+  }
+
+  /**
+   * Starts a new group. Only the first member of the list does so, and only while every member
+   * answers and none has ever been part of a group: a lost disk can't restart an old group.
+   */
+  private async _runFounding (addresses: readonly string[]): Promise<void> {
+    const { name, clock, automatic, log, group, initialMembers } = this._options
+    while (!this._stopping.aborted && this._replica.members.length === 0) {
+      const identities = await Promise.all(addresses.map(async (address, index) =>
+        address === automatic?.address || initialMembers[index]?.name === name ? this.handleIdentify() : await this._identify(address)))
+      if (identities.some(identity => identity?.initialized === true)) {
+        const remedy = automatic === undefined ? 'run lagoonctl members replace' : 'none needed; it joins by itself'
+        log.warn('waiting_for_replacement', { group, remedy })
+        return
+      }
+      if (identities.every(identity => identity !== undefined)) {
+        await this._writeInitialMembers(identities.map((identity, index): Member => ({
+          name: initialMembers[index]?.name ?? identity?.name ?? '',
+          address: addresses[index] ?? '',
+          replicaId: identity?.replicaId ?? '',
+          voter: true,
+          availabilityZone: identity?.availabilityZone ?? ''
+        })))
+        return
+      }
+      await clock.sleep(JOIN_MS, this._stopping)
+    }
+  }
+
+  private async _writeInitialMembers (members: Member[]): Promise<void> {
+    const replica = this._replica
+    await replica.lock.run(async () => {
+      if (replica.members.length > 0 || replica.log.lastIndex > 0) return
+      await replica.saveTerm(1, replica.replicaId)
+      const data = Members.encode({ members }).finish() as Buffer
+      const entry: LogEntry = { index: 1, term: 1, kind: LogEntryKind.LOG_ENTRY_KIND_MEMBERS, data }
+      replica.log.push(entry)
+      await replica.syncEntries([entry])
+      replica.updateMembers()
+      this._host.startElection()
+    })
+  }
+}
--- a/packages/control/src/raft/GrpcTransport.ts
+++ b/packages/control/src/raft/GrpcTransport.ts
@@ -4,9 +4,9 @@
 import type { UntypedServiceImplementation } from '@grpc/grpc-js'
 import {
   RaftClient, type AppendReply, type AppendRequest, type IdentifyReply, type IdentifyRequest,
-  type InstallSnapshotReply, type InstallSnapshotRequest, type VoteReply, type VoteRequest
+  type InstallSnapshotReply, type InstallSnapshotRequest, type JoinReply, type JoinRequest, type VoteReply, type VoteRequest
 } from '@lagoonswitch/schema'
-import { createUnaryHandler, sendUnary, type PeerChannels } from '@lagoonswitch/transport'
+import { createUnaryHandler, isTimeout, sendUnary, type PeerChannels, type UnaryMethod } from '@lagoonswitch/transport'
 import type { RaftGroup } from './RaftGroup.js'
 import { RaftTransport } from './RaftTransport.js'
 
@@ -23,24 +23,36 @@
   }
 
   async sendVote (address: string, request: VoteRequest): Promise<VoteReply> {
-    const client = this._getClient(address)
-    return await sendUnary<VoteRequest, VoteReply>(client.vote.bind(client), request, this._timeoutMs)
+    return await this._send<VoteRequest, VoteReply>(address, client => client.vote.bind(client), request)
   }
 
   async sendAppend (address: string, request: AppendRequest): Promise<AppendReply> {
-    const client = this._getClient(address)
-    return await sendUnary<AppendRequest, AppendReply>(client.append.bind(client), request, this._timeoutMs)
+    return await this._send<AppendRequest, AppendReply>(address, client => client.append.bind(client), request)
   }
 
   async sendSnapshot (address: string, request: InstallSnapshotRequest): Promise<InstallSnapshotReply> {
-    const client = this._getClient(address)
-    return await sendUnary<InstallSnapshotRequest, InstallSnapshotReply>(
-      client.installSnapshot.bind(client), request, SNAPSHOT_TIMEOUT_MS)
+    return await this._send<InstallSnapshotRequest, InstallSnapshotReply>(
+      address, client => client.installSnapshot.bind(client), request, SNAPSHOT_TIMEOUT_MS)
   }
 
   async sendIdentify (address: string, request: IdentifyRequest): Promise<IdentifyReply> {
-    const client = this._getClient(address)
-    return await sendUnary<IdentifyRequest, IdentifyReply>(client.identify.bind(client), request, this._timeoutMs)
+    return await this._send<IdentifyRequest, IdentifyReply>(address, client => client.identify.bind(client), request)
+  }
+
+  async sendJoin (address: string, request: JoinRequest): Promise<JoinReply> {
+    return await this._send<JoinRequest, JoinReply>(address, client => client.join.bind(client), request)
+  }
+
+  /** A connection on which no answer comes in time may have gone silent for good, so the next call opens another one. */
+  private async _send<Q, R> (
+    address: string, bind: (client: RaftClient) => UnaryMethod<Q, R>, request: Q, timeoutMs = this._timeoutMs
+  ): Promise<R> {
+    try {
+      return await sendUnary<Q, R>(bind(this._getClient(address)), request, timeoutMs)
+    } catch (error) {
+      if (isTimeout(error)) this._channels.closeClient(RaftClient, address)
+      throw error
+    }
   }
 
   private _getClient (address: string): RaftClient {
@@ -64,6 +76,7 @@
     append: createUnaryHandler(async (request: AppendRequest) => await getGroup(request.group).handleAppend(request)),
     installSnapshot: createUnaryHandler(async (request: InstallSnapshotRequest) =>
       await getGroup(request.group).handleInstallSnapshot(request)),
-    identify: createUnaryHandler(async (request: IdentifyRequest) => getGroup(request.group).handleIdentify())
+    identify: createUnaryHandler(async (request: IdentifyRequest) => getGroup(request.group).membership.handleIdentify()),
+    join: createUnaryHandler(async (request: JoinRequest) => getGroup(request.group).membership.handleJoin(request))
   }
 }
--- a/packages/control/src/raft/RaftGroup.test.ts
+++ b/packages/control/src/raft/RaftGroup.test.ts
@@ -176,7 +176,7 @@
   cluster.kill(lost ?? '')
   cluster.getVm(lost ?? '').loseDisk()
   await cluster.start(lost ?? '')
-  const replaced = await cluster.finish(leader.group?.replaceMember(lost ?? '', lost ?? '') ?? Promise.reject(new Error('no group')))
+  const replaced = await cluster.finish(leader.group?.membership.replaceMember(lost ?? '', lost ?? '') ?? Promise.reject(new Error('no group')))
   expect(replaced.ok).toBe(true)
   cluster.kill(second ?? '')
   await cluster.clock.advance(3_000)
--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -6,10 +6,11 @@
   waitAtMost, type IDisposable, type Result
 } from '@lagoonswitch/common'
 import {
-  LogEntryKind, Members, SnapshotFile,
-  type AppendReply, type AppendRequest, type IdentifyReply, type InstallSnapshotReply, type InstallSnapshotRequest,
+  LogEntryKind, SnapshotFile,
+  type AppendReply, type AppendRequest, type InstallSnapshotReply, type InstallSnapshotRequest,
   type LogEntry, type Member, type VoteReply, type VoteRequest
 } from '@lagoonswitch/schema'
+import { GroupMembership } from './GroupMembership.js'
 import { RaftLeader } from './RaftLeader.js'
 import { Replica } from './Replica.js'
 import type { IRaftOptions, IRaftStatus, RaftRole } from './RaftTypes.js'
@@ -30,6 +31,8 @@
 export class RaftGroup implements IDisposable {
   private readonly _store = new DisposableStore()
   private readonly _replica: Replica
+  private readonly _membership: GroupMembership
+  private readonly _onMembers = new Emitter<readonly Member[]>()
   private readonly _pending = new Map<number, IPending>()
   private readonly _stopping = new AbortController()
   private readonly _onRole = new Emitter<RaftRole>()
@@ -43,11 +46,22 @@
 
   /** Fires when the role changes. */
   readonly onRole = this._onRole.event
+  /** Fires with the members when they may have changed. */
+  readonly onMembers = this._onMembers.event
   /** Fires after commands have been applied. */
   readonly onCommitted = this._onCommitted.event
 
   constructor (private readonly _options: IRaftOptions) {
     this._replica = new Replica(_options)
+    this._membership = new GroupMembership(_options, this._replica, {
+      getLeader: () => this._leader,
+      getLeaderAddress: () => this.getStatus().leaderAddress,
+      hasLeaderContact: () => this._isLeaderAlive(),
+      waitApplied: async entry => await this._waitApplied(entry),
+      createNotLeaderError: () => this._createNotLeaderError(),
+      startElection: () => { this._electionAtMs = 0 }
+    }, this._stopping.signal)
+    this._store.add(this._replica.onMembers.event(members => this._onMembers.fire(members)))
     this._store.add(this._replica.onFailed.event(error => this._handleFailure(error)))
     this._store.add(this._replica.onApplied.event(({ entry, result }) => this._handleApplied(entry, result)))
   }
@@ -75,7 +89,7 @@
   async start (): Promise<void> {
     await this._replica.load()
     this._resetElection()
-    void this._runBootstrap()
+    this._membership.start()
     void this._runElections()
   }
 
@@ -107,39 +121,9 @@
     return confirmed ? Ok(undefined) : Err(new NoQuorumError(false))
   }
 
-  /**
-   * Adds a VM as a learner, waits until it has caught up and makes it a voter. A voter of the same
-   * name under another replica id is removed only after that.
-   * @param name - name of the VM
-   * @param address - its peer address
-   * @returns nothing, or why the change was not made
-   */
-  async replaceMember (name: string, address: string): Promise<Result<void, RaftError>> {
-    const identity = await this._identify(address)
-    if (identity === undefined || identity.name !== name) {
-      return Err(new StorageError(`no process named ${name} answers at ${address}`, 'start it and repeat the command'))
-    }
-    const { replicaId } = identity
-    const learner: Member = { name, replicaId, address, voter: false }
-    const others = (): readonly Member[] => this._replica.members.filter(member => member.replicaId !== replicaId)
-    const added = await this._changeMembers(() => [...others(), learner])
-    if (added.err) return added
-    const caughtUp = await this._waitCaughtUp(replicaId)
-    if (caughtUp.err) return caughtUp
-    const promoted = await this._changeMembers(() => [...others(), { ...learner, voter: true }])
-    if (promoted.err) return promoted
-    const isOld = (member: Member): boolean => member.name === name && member.replicaId !== replicaId
-    if (!this._replica.members.some(isOld)) return promoted
-    return await this._changeMembers(() => this._replica.members.filter(member => !isOld(member)))
-  }
-
-  /**
-   * Removes a VM.
-   * @param name - name of the VM
-   * @returns nothing, or why the change was not made
-   */
-  async removeMember (name: string): Promise<Result<void, RaftError>> {
-    return await this._changeMembers(() => this._replica.members.filter(member => member.name !== name))
+  /** How members change. */
+  get membership (): GroupMembership {
+    return this._membership
   }
 
   /** @returns the state for operators */
@@ -220,12 +204,6 @@
     })
   }
 
-  /** Answers who this replica is. */
-  handleIdentify (): IdentifyReply {
-    const { replicaId, members } = this._replica
-    return { replicaId, name: this._options.name, initialized: members.length > 0 }
-  }
-
   /** Stops taking part; open proposals end without an answer. */
   dispose (): void {
     this._stopping.abort()
@@ -407,73 +385,6 @@
     }
   }
 
-  private async _changeMembers (compute: () => readonly Member[]): Promise<Result<void, RaftError>> {
-    const leader = this._leader
-    if (leader === undefined) return Err(this._createNotLeaderError())
-    if (!leader.canChangeMembers()) return Err(new NoQuorumError(false))
-    const done = await this._waitApplied(leader.appendMembers(compute()))
-    return done.ok ? Ok(undefined) : done
-  }
-
-  private async _waitCaughtUp (replicaId: string): Promise<Result<void, RaftError>> {
-    const goal = this._replica.commitIndex
-    while (this._leader !== undefined && !this._stopping.signal.aborted) {
-      if (this._leader.getMatchIndex(replicaId) >= goal) return Ok(undefined)
-      await this._options.clock.sleep(this._options.heartbeatMs, this._stopping.signal)
-    }
-    return Err(this._createNotLeaderError())
-  }
-
-  private async _identify (address: string): Promise<IdentifyReply | undefined> {
-    const { clock, electionTimeoutMs, transport, group } = this._options
-    try {
-      return await waitAtMost(clock, electionTimeoutMs, transport.sendIdentify(address, { group }))
-    } catch {
-      return undefined
-    }
-  }
-
-  /**
-   * Starts a new group. Only the first member of the list does so, and only while every member
-   * answers and none has ever been part of a group: a lost disk can't restart an old group.
-   */
-  private async _runBootstrap (): Promise<void> {
-    const { initialMembers, name, clock, electionTimeoutMs } = this._options
-    if (initialMembers[0]?.name !== name) return
-    while (!this._stopping.signal.aborted && this._replica.members.length === 0) {
-      const identities = await Promise.all(initialMembers.map(async ({ name: other, address }) =>
-        other === name ? this.handleIdentify() : await this._identify(address)))
-      if (identities.some(identity => identity?.initialized === true)) {
-        this._options.log.warn('waiting_for_replacement', { group: this.group, remedy: 'run lagoonctl members replace' })
-        return
-      }
-      if (identities.every(identity => identity !== undefined)) {
-        await this._writeInitialMembers(identities.map((identity, index): Member => ({
-          name: initialMembers[index]?.name ?? '',
-          address: initialMembers[index]?.address ?? '',
-          replicaId: identity?.replicaId ?? '',
-          voter: true
-        })))
-        return
-      }
-      await clock.sleep(electionTimeoutMs, this._stopping.signal)
-    }
-  }
-
-  private async _writeInitialMembers (members: Member[]): Promise<void> {
-    const replica = this._replica
-    await replica.lock.run(async () => {
-      if (replica.members.length > 0 || replica.log.lastIndex > 0) return
-      await replica.saveTerm(1, replica.replicaId)
-      const data = Members.encode({ members }).finish() as Buffer
-      const entry: LogEntry = { index: 1, term: 1, kind: LogEntryKind.LOG_ENTRY_KIND_MEMBERS, data }
-      replica.log.push(entry)
-      await replica.syncEntries([entry])
-      replica.updateMembers()
-      this._electionAtMs = 0
-    })
-  }
-
   private _createNotLeaderError (): NotLeaderError {
     const leader = this._replica.members.find(member => member.replicaId === this._leaderId)
     return new NotLeaderError(this._role === 'leader' ? '' : leader?.address ?? '')
--- a/packages/control/src/raft/RaftLeader.ts
+++ b/packages/control/src/raft/RaftLeader.ts
@@ -18,6 +18,8 @@
   ackedSentMs: number
   readonly signal: Signal
   isActive: boolean
+  /** True when another replica answered at the address. */
+  isReplaced: boolean
 }
 
 interface IBarrier {
@@ -103,6 +105,24 @@
     return this._peers.get(replicaId)?.matchIndex ?? 0
   }
 
+  /**
+   * @param replicaId - a peer
+   * @returns time since it answered, or since the start of this leadership, in milliseconds
+   */
+  getSilenceMs (replicaId: string): number {
+    if (replicaId === this._replica.replicaId) return 0
+    const ackedMs = this._peers.get(replicaId)?.ackedSentMs ?? -Infinity
+    return this._replica.options.clock.readMonotonicMs() - Math.max(ackedMs, this._startedMs)
+  }
+
+  /**
+   * @param replicaId - a peer
+   * @returns true when another replica answers at its address
+   */
+  isReplaced (replicaId: string): boolean {
+    return this._peers.get(replicaId)?.isReplaced === true
+  }
+
   /** Starts and stops peer tasks after a change of members. */
   updatePeers (): void {
     const wanted = new Map(this._replica.members.map(member => [member.replicaId, member]))
@@ -125,7 +145,8 @@
         matchIndex: 0,
         ackedSentMs: -Infinity,
         signal: new Signal(),
-        isActive: true
+        isActive: true,
+        isReplaced: false
       }
       this._peers.set(member.replicaId, peer)
       void this._runPeer(peer)
@@ -221,6 +242,7 @@
       entries,
       commitIndex
     }))
+    peer.isReplaced = !reply.known
     if (!reply.known) return false
     if (reply.term > this._term) {
       this._onHigherTerm(reply.term)
--- a/packages/control/src/raft/RaftTransport.ts
+++ b/packages/control/src/raft/RaftTransport.ts
@@ -3,7 +3,7 @@
  */
 import type {
   AppendReply, AppendRequest, IdentifyReply, IdentifyRequest, InstallSnapshotReply, InstallSnapshotRequest,
-  VoteReply, VoteRequest
+  JoinReply, JoinRequest, VoteReply, VoteRequest
 } from '@lagoonswitch/schema'
 
 /** Sends requests to the replica at an address; a promise rejects when no answer came. */
@@ -12,4 +12,5 @@
   abstract sendAppend (address: string, request: AppendRequest): Promise<AppendReply>
   abstract sendSnapshot (address: string, request: InstallSnapshotRequest): Promise<InstallSnapshotReply>
   abstract sendIdentify (address: string, request: IdentifyRequest): Promise<IdentifyReply>
+  abstract sendJoin (address: string, request: JoinRequest): Promise<JoinReply>
 }
--- a/packages/control/src/raft/RaftTypes.ts
+++ b/packages/control/src/raft/RaftTypes.ts
@@ -29,6 +29,20 @@
   readonly address: string
 }
 
+/** How the members of a group are found and kept without an operator. */
+export interface IAutomaticMembership {
+  /** Peer address of this process. */
+  readonly address: string
+  readonly availabilityZone: string
+  /** Addresses of the founders; the first one founds the group when the system starts for the first time. */
+  readonly founders: readonly string[]
+  readonly isFirstStart: boolean
+  /** Voters that the group should keep. */
+  readonly fullVoters: number
+  /** Addresses of processes that may know the leader. */
+  readonly listAddresses: () => readonly string[]
+}
+
 /** What a replica is made of. */
 export interface IRaftOptions {
   readonly group: string
@@ -36,6 +50,8 @@
   readonly name: string
   /** Members of a new group; ignored once the group has started. */
   readonly initialMembers: readonly IMemberAddress[]
+  /** Set when VMs join and are replaced by themselves; no initial members are named then. */
+  readonly automatic?: IAutomaticMembership
   readonly heartbeatMs: number
   readonly electionTimeoutMs: number
   readonly snapshotEntries: number
@@ -61,5 +77,5 @@
   readonly snapshotIndex: number
   readonly leaderName: string
   readonly leaderAddress: string
-  readonly members: ReadonlyArray<{ name: string, replicaId: string, address: string, voter: boolean }>
+  readonly members: ReadonlyArray<{ name: string, replicaId: string, address: string, voter: boolean, availabilityZone: string }>
 }
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -16,6 +16,7 @@
   /** Serializes everything that touches the storage. */
   readonly lock = new Mutex()
   readonly onFailed = new Emitter<Error>()
+  readonly onMembers = new Emitter<readonly Member[]>()
   readonly onApplied = new Emitter<{ entry: LogEntry, result: Uint8Array }>()
   /** Replaced by {@link load}. */
   log = new RaftLog(0, 0, [])
@@ -119,11 +120,13 @@
       if (entry?.kind === LogEntryKind.LOG_ENTRY_KIND_MEMBERS) {
         this.members = Members.decode(entry.data).members
         this.membersIndex = index
+        this.onMembers.fire(this.members)
         return
       }
     }
     this.members = this._snapshot?.header.members?.members ?? []
     this.membersIndex = this._snapshot?.header.lastIndex ?? 0
+    this.onMembers.fire(this.members)
   }
 
   /**
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -4,7 +4,7 @@
 import { ManualClock, NullLog, SeededRandom, type IRandom } from '@lagoonswitch/common'
 import type {
   AppendReply, AppendRequest, IdentifyReply, IdentifyRequest, InstallSnapshotReply, InstallSnapshotRequest,
-  VoteReply, VoteRequest
+  JoinReply, JoinRequest, VoteReply, VoteRequest
 } from '@lagoonswitch/schema'
 import { MemoryStorage } from '../raft/MemoryStorage.js'
 import { RaftGroup } from '../raft/RaftGroup.js'
@@ -69,7 +69,11 @@
   }
 
   async sendIdentify (address: string, _request: IdentifyRequest): Promise<IdentifyReply> {
-    return await this._pass(address, async group => group.handleIdentify())
+    return await this._pass(address, async group => group.membership.handleIdentify())
+  }
+
+  async sendJoin (address: string, request: JoinRequest): Promise<JoinReply> {
+    return await this._pass(address, async group => group.membership.handleJoin(request))
   }
 
   private async _pass<T> (address: string, deliver: (group: RaftGroup) => Promise<T>): Promise<T> {
--- a/packages/feed/src/CatalogueStore.ts
+++ b/packages/feed/src/CatalogueStore.ts
@@ -7,7 +7,7 @@
   type ICatalogueVersion, type Result
 } from '@lagoonswitch/common'
 import {
-  EntryRecord, MoveRecord, checkReferences, parseEntry, type CatalogueDelta, type IEntry
+  EntryRecord, MoveRecord, Publication, checkReferences, parseEntry, type CatalogueDelta, type IEntry
 } from '@lagoonswitch/schema'
 
 const DIGEST_BYTES = 16
@@ -18,6 +18,8 @@
   readonly version: ICatalogueVersion
   readonly entries: ReadonlyMap<string, IEntry>
   readonly moves: ReadonlyMap<string, MoveRecord>
+  /** What the entries were last published as; undefined when they were only edited one by one. */
+  readonly publication: Publication | undefined
 }
 
 /** Content of a store, for snapshots. */
@@ -26,6 +28,7 @@
   readonly compactedVersion: number
   readonly records: readonly EntryRecord[]
   readonly moves: readonly MoveRecord[]
+  readonly publication: Publication | undefined
 }
 
 interface IState {
@@ -34,6 +37,7 @@
   records: Map<string, EntryRecord>
   moves: Map<string, MoveRecord>
   entries: Map<string, IEntry>
+  publication: Publication | undefined
   digest: Buffer
 }
 
@@ -41,7 +45,7 @@
 export class CatalogueStore {
   private readonly _onChanged = new Emitter<ICatalogueView>()
   private _state: IState = createEmptyState()
-  private _view: ICatalogueView = { version: NO_VERSION, entries: new Map(), moves: new Map() }
+  private _view: ICatalogueView = { version: NO_VERSION, entries: new Map(), moves: new Map(), publication: undefined }
 
   /** Fires after a new version is in place. */
   readonly onChanged = this._onChanged.event
@@ -77,8 +81,8 @@
 
   /** @returns everything, for a snapshot */
   getContent (): ICatalogueContent {
-    const { version, compactedVersion, records, moves } = this._state
-    return { version, compactedVersion, records: [...records.values()], moves: [...moves.values()] }
+    const { version, compactedVersion, records, moves, publication } = this._state
+    return { version, compactedVersion, records: [...records.values()], moves: [...moves.values()], publication }
   }
 
   /**
@@ -88,6 +92,7 @@
   restoreContent (content: ICatalogueContent): void {
     const next = createEmptyState()
     putRecords(next, content.records, content.moves)
+    putPublication(next, content.publication)
     next.version = content.version
     next.compactedVersion = content.compactedVersion
     this._swap(next)
@@ -98,10 +103,14 @@
    * @param version - the new version
    * @param records - changed records, checked by the caller
    * @param moves - changed moves
+   * @param publication - when the records make a new one
    */
-  commitRecords (version: ICatalogueVersion, records: readonly EntryRecord[], moves: readonly MoveRecord[]): void {
+  commitRecords (
+    version: ICatalogueVersion, records: readonly EntryRecord[], moves: readonly MoveRecord[], publication?: Publication
+  ): void {
     const next = copyState(this._state)
     putRecords(next, records, moves)
+    if (publication !== undefined) putPublication(next, publication)
     next.version = version
     dropTombstones(next)
     this._swap(next)
@@ -113,7 +122,7 @@
    * @returns the delta, or undefined when the other side lacks nothing
    */
   computeDelta (held: ICatalogueVersion): CatalogueDelta | undefined {
-    const { version, compactedVersion, records, moves, digest } = this._state
+    const { version, compactedVersion, records, moves, publication, digest } = this._state
     if (compareVersions(held, version) >= 0) return undefined
     const full = held.epoch !== version.epoch || held.version < compactedVersion
     const since = full ? -1 : held.version
@@ -123,7 +132,8 @@
       full,
       entries: [...records.values()].filter(record => record.version > since && !(full && record.removed)),
       moves: [...moves.values()].filter(move => move.version > since),
-      digest
+      digest,
+      publication
     }
   }
 
@@ -146,6 +156,7 @@
     const next = delta.full ? createEmptyState() : copyState(this._state)
     const put = putRecords(next, delta.entries, delta.moves)
     if (put.err) return put
+    if (delta.publication !== undefined) putPublication(next, delta.publication)
     next.version = { epoch: version.epoch, version: version.version }
     if (delta.full) next.compactedVersion = version.version
     dropTombstones(next)
@@ -160,7 +171,9 @@
 
   private _swap (next: IState): void {
     this._state = next
-    this._view = { version: next.version, entries: next.entries, moves: next.moves }
+    this._view = {
+      version: next.version, entries: next.entries, moves: next.moves, publication: next.publication
+    }
     this._onChanged.fire(this._view)
   }
 }
@@ -172,6 +185,7 @@
     records: new Map(),
     moves: new Map(),
     entries: new Map(),
+    publication: undefined,
     digest: Buffer.alloc(DIGEST_BYTES)
   }
 }
@@ -211,6 +225,12 @@
   return Ok(undefined)
 }
 
+function putPublication (state: IState, publication: Publication | undefined): void {
+  if (state.publication !== undefined) updateDigest(state.digest, 'publication', Publication.encode(state.publication).finish())
+  state.publication = publication
+  if (publication !== undefined) updateDigest(state.digest, 'publication', Publication.encode(publication).finish())
+}
+
 function parseDeclaration (declaration: string): Result<IEntry, FeedError> {
   try {
     const entry = parseEntry(JSON.parse(declaration))
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -10,8 +10,9 @@
   FeedClient as FeedService, EndpointState,
   type ConfirmReply, type ConfirmRequest, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp
 } from '@lagoonswitch/schema'
-import { sendUnary, type PeerChannels } from '@lagoonswitch/transport'
+import { isTimeout, sendUnary, type PeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
+import type { ControlDirectory } from './ControlDirectory.js'
 import type { EndpointView } from './EndpointView.js'
 import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL, type IFleetStatus } from './FeedHub.js'
 
@@ -19,10 +20,14 @@
 /** Time without a current source after which a node looks for another one. */
 const ORPHAN_MS = 4_000
 const REPORT_MS = 1_000
+/** Interval of evidence, a part of the time in which a move must be decided. */
+const EVIDENCE_MS = 250
+/** Shortest time on one control VM before another one that is nearer is chosen instead. */
+const NEARER_MS = 2_000
 /** Longest time between two beats of a node whose version has not changed. */
 const BEAT_MS = 5_000
 const RELAYS_PER_ROUND = 3
-const CONFIRM_TIMEOUT_MS = 5_000
+const CONFIRM_TIMEOUT_MS = 1_500
 const BACKOFF_BASE_MS = 100
 const BACKOFF_MAX_MS = 1_500
 const UNCONFIRMED_MS = 30_000
@@ -36,8 +41,8 @@
   /** Address at which this process serves the feed to others; empty when it doesn't. */
   readonly feedAddress: string
   readonly incarnation: number
-  /** Peer addresses of the control VMs. */
-  readonly controlAddresses: readonly string[]
+  /** The control VMs that are known. */
+  readonly directory: ControlDirectory
   /** True for a link between control VMs, which carries endpoints only. */
   readonly isMesh: boolean
   readonly clock: IClock
@@ -78,6 +83,9 @@
   private _isConfirmed = false
   private _floor: ICatalogueVersion = NO_VERSION
   private _pending: EndpointRecord[] = []
+  /** Control VM that was left or didn't answer last, which is not tried again at once. */
+  private _failedAddress = ''
+  private _isMovingNearer = false
 
   /** Fires once the first version is confirmed by a quorum. */
   readonly onReady = this._onReady.event
@@ -131,8 +139,9 @@
         const client = this._options.channels.getClient(FeedService, address)
         const reply = await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, CONFIRM_TIMEOUT_MS)
         if (reply.confirmed) return reply
-      } catch {
-        this._options.metrics.count('feed_confirm_failures_total', 'unreachable')
+      } catch (error) {
+        this._options.metrics.count('feed_confirm_failures_total', isTimeout(error) ? 'timeout' : 'unreachable')
+        this._options.log.warn('confirmation_failed', { address, error: formatError(error) })
       }
     }
     return { confirmed: false, version: undefined, message: 'no source answered' }
@@ -155,7 +164,7 @@
    * was fed by a relay tries other relays first, so that the few streams of the control VMs stay for relays.
    */
   private async _runRound (): Promise<IEnded> {
-    const control = this._shuffle([...this._options.controlAddresses])[0] ?? ''
+    const control = this._pickControl()
     const wasLeaf = this._lastLevel === LEAF_LEVEL
     const queue = wasLeaf ? [...this._pickRelays(this._relays), control] : [control]
     let ended: IEnded = { wasWelcome: false, relays: [], retryAfterMs: 0 }
@@ -176,7 +185,15 @@
 
   private _pickLevel (address: string): number {
     if (this._options.isMesh) return MESH_LEVEL
-    return this._options.controlAddresses.includes(address) ? RELAY_LEVEL : LEAF_LEVEL
+    return this._options.directory.hasAddress(address) ? RELAY_LEVEL : LEAF_LEVEL
+  }
+
+  /** One in this availability zone first; after a failure any other one. */
+  private _pickControl (): string {
+    const { directory, availabilityZone } = this._options
+    const addresses = directory.listAddresses().filter(address => address !== this._failedAddress)
+    const near = addresses.filter(address => directory.getZone(address) === availabilityZone)
+    return this._shuffle(near.length > 0 ? near : addresses)[0] ?? this._failedAddress
   }
 
   private _rememberRelays (relays: readonly string[]): void {
@@ -205,7 +222,7 @@
       }
     })
     let heardMs = clock.readMonotonicMs()
-    const watch = this._startStallWatch(stream, () => heardMs)
+    const watch = this._startStallWatch(stream, address, () => heardMs)
     try {
       for await (const { frame } of stream as AsyncIterable<FeedDown>) {
         switch (frame?.$case) {
@@ -224,6 +241,10 @@
             this._options.endpoints.merge(frame.value.records, this)
             if (frame.value.full) this._startConfirmation(frame.value.records)
             break
+          case 'members':
+            this._options.directory.setMembers(frame.value.members)
+            this._scheduleNearer(stream, address)
+            break
           case 'beat':
             this._checkBeat(frame.value.version ?? NO_VERSION)
             heardMs = clock.readMonotonicMs()
@@ -238,10 +259,26 @@
     watch.dispose()
     stream.cancel()
     if (this._stream === stream) this._leave()
+    this._failedAddress = this._isMovingNearer ? '' : address
+    this._isMovingNearer = false
     return { wasWelcome, ...redirect }
   }
 
-  private _startStallWatch (stream: Stream, getHeardMs: () => number): IDisposable {
+  /** Control traffic between availability zones is avoided where a control VM is near. */
+  private _scheduleNearer (stream: Stream, address: string): void {
+    const { directory, availabilityZone, clock, isMesh } = this._options
+    const zone = directory.getZone(address)
+    const hasNearer = directory.listAddresses()
+      .some(other => other !== this._failedAddress && directory.getZone(other) === availabilityZone)
+    if (isMesh || zone === availabilityZone || !hasNearer) return
+    this._store.add(clock.schedule(NEARER_MS, () => {
+      if (this._stream !== stream || !this._isConfirmed) return
+      this._isMovingNearer = true
+      stream.cancel()
+    }))
+  }
+
+  private _startStallWatch (stream: Stream, address: string, getHeardMs: () => number): IDisposable {
     const { clock, metrics } = this._options
     const ended = new AbortController()
     void (async () => {
@@ -254,6 +291,8 @@
         if (!isStalled && !isOrphan) continue
         metrics.count('feed_source_left_total', isStalled ? 'stalled' : 'not-current')
         stream.cancel()
+        // The connection may have gone silent for good.
+        if (isStalled) this._options.channels.closeClient(FeedService, address)
         return
       }
     })()
@@ -344,7 +383,7 @@
 
   private async _runReports (): Promise<void> {
     while (!this._stopping.signal.aborted) {
-      await this._options.clock.sleep(REPORT_MS, this._stopping.signal)
+      await this._options.clock.sleep(EVIDENCE_MS, this._stopping.signal)
       if (this._stream === undefined) continue
       if (this._options.clock.readMonotonicMs() - this._lastSentBeatMs >= BEAT_MS) this._sendBeat()
       const records = this._options.takeEvidence()
@@ -375,7 +414,7 @@
   }
 
   private _listSources (): string[] {
-    const controls = this._shuffle([...this._options.controlAddresses])
+    const controls = this._shuffle(this._options.directory.listAddresses())
     return this._level === LEAF_LEVEL ? [...this._relays.slice(0, 2), ...controls] : controls
   }
 
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -11,6 +11,7 @@
 } from '@lagoonswitch/schema'
 import { createUnaryHandler } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
+import type { ControlDirectory } from './ControlDirectory.js'
 import type { EndpointView } from './EndpointView.js'
 
 const BEAT_MS = 1_000
@@ -47,6 +48,8 @@
   readonly isCurrent: () => boolean
   /** Answers with a version that a quorum has confirmed after the call. */
   readonly confirm: () => Promise<ConfirmReply>
+  /** The control VMs, told to subscribers so that they find others when this one fails. */
+  readonly directory: ControlDirectory
   /** Receives evidence from below. */
   readonly onEvidence: (records: readonly EvidenceRecord[]) => void
 }
@@ -80,6 +83,9 @@
   constructor (private readonly _options: IFeedHubOptions) {
     this._store.add(_options.store.onChanged(() => this._handleCatalogueChange()))
     this._store.add(_options.endpoints.onChanged(({ records, origin }) => this._queueEndpoints(records, origin)))
+    this._store.add(_options.directory.onChanged(() => {
+      for (const subscriber of this._subscribers) this._sendMembers(subscriber)
+    }))
     this._store.add(toDisposable(() => this._stopping.abort()))
     void this._runBeats()
   }
@@ -204,6 +210,7 @@
       $case: 'welcome',
       value: { source: this._options.name, level: hello.level, relays: this.listRelays(hello) }
     })
+    this._sendMembers(subscriber)
     this._sendCatalogue(subscriber)
     this._send(subscriber, {
       $case: 'endpoints',
@@ -279,6 +286,15 @@
     })
   }
 
+  private _sendMembers (subscriber: ISubscriber): void {
+    const { directory } = this._options
+    const members = directory.listAddresses().flatMap(address => {
+      const availabilityZone = directory.getZone(address)
+      return availabilityZone === undefined ? [] : [{ address, availabilityZone }]
+    })
+    if (members.length > 0) this._send(subscriber, { $case: 'members', value: { members } })
+  }
+
   private _sendCatalogue (subscriber: ISubscriber): void {
     if (subscriber.hello?.level === MESH_LEVEL) return
     const delta = this._options.store.computeDelta(subscriber.sent)
--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -1,24 +1,26 @@
 /**
  * One process of the system: its roles, listeners and graceful shutdown.
  */
-import type { INestApplication, Provider, Type } from '@nestjs/common'
 import {
   Emitter, Err, Metrics, Ok, SystemClock, SystemRandom, formatError,
   type ILog, type LagoonswitchError, type Result
 } from '@lagoonswitch/common'
 import { ControlRole } from '@lagoonswitch/control'
-import { NodeRole } from '@lagoonswitch/node'
+import { NodeRole, listSeedAddresses, type CallDialect } from '@lagoonswitch/node'
 import { isLoopback, type ISettings } from '@lagoonswitch/schema'
 import { PeerChannels, PeerListener, createLinkCredentials } from '@lagoonswitch/transport'
-import { HomesController } from './http/HomesController.js'
-import { startHttpApp } from './http/HttpApp.js'
-import { HealthController, MetricsController, TargetsController } from './http/LocalController.js'
-import { OperatorController } from './http/OperatorController.js'
-import { OperatorKeys } from './http/OperatorKeys.js'
-import { CONTROL_ROLE, METRICS, NODE_ROLE, OPERATOR_KEYS } from './http/Tokens.js'
+import type { ProcessSurface } from './ProcessSurface.js'
 
 const LISTENER_STOP_MS = 2_000
 
+/** What a platform brings in place of the product's own. */
+export interface IProcessParts {
+  /** How callers and targets name the terms of a call. */
+  readonly dialect?: CallDialect
+  /** How targets, operators and probes are served. */
+  readonly surface?: ProcessSurface
+}
+
 /** Runs the roles that the settings name. */
 export class LagoonProcess {
   private readonly _clock = new SystemClock()
@@ -26,7 +28,7 @@
   private readonly _metrics = new Metrics()
   private readonly _channels: PeerChannels
   private readonly _peers: PeerListener
-  private readonly _apps: INestApplication[] = []
+  private _surface: ProcessSurface | undefined
   private readonly _onFailed = new Emitter<string>()
   private _stopped: Promise<void> | undefined
   readonly control: ControlRole | undefined
@@ -38,14 +40,16 @@
   /**
    * @param _settings - checked settings
    * @param _log - receives events
+   * @param _parts - what a platform brings
    */
-  constructor (private readonly _settings: ISettings, private readonly _log: ILog) {
+  constructor (private readonly _settings: ISettings, private readonly _log: ILog, private readonly _parts: IProcessParts = {}) {
     const credentials = createLinkCredentials(_settings.tls)
     this._channels = new PeerChannels(credentials)
     this._peers = new PeerListener(credentials)
     const shared = {
       settings: _settings,
       peerAddress: `${_settings.listen.peers.host}:${_settings.listen.peers.port}`,
+      seedAddresses: listSeedAddresses(_settings),
       clock: this._clock,
       random: this._random,
       log: _log,
@@ -55,7 +59,7 @@
     }
     const { roles } = _settings.process
     this.control = roles.includes('control') ? new ControlRole(shared) : undefined
-    this.node = roles.includes('node') ? new NodeRole(shared) : undefined
+    this.node = roles.includes('node') ? new NodeRole({ ...shared, dialect: _parts.dialect }) : undefined
     this.control?.onFailed(group => this._onFailed.fire(group))
   }
 
@@ -64,33 +68,31 @@
    * @returns nothing, or why the process can't start
    */
   async start (): Promise<Result<void, LagoonswitchError>> {
-    const { listen, control, process } = this._settings
-    const keys = await OperatorKeys.read(process.roles.includes('control') ? control.tokenFile : '')
-    if (keys.err) return keys
+    const { listen, process } = this._settings
     this.control?.addServices(this._peers)
     this.node?.addServices(this._peers, this.control !== undefined)
     await this._peers.listen(listen.peers.host, listen.peers.port)
     await this.control?.start()
     await this.node?.start()
-    const providers: Provider[] = [{ provide: METRICS, useValue: this._metrics }]
-    if (this.node !== undefined) {
-      const nodeProviders = [...providers, { provide: NODE_ROLE, useValue: this.node }]
-      await this._startApp([TargetsController, HealthController, MetricsController], nodeProviders, listen.local)
-      await this._startApp([HomesController], nodeProviders, listen.homes)
-    }
-    if (this.control !== undefined) {
-      const controlProviders = [
-        ...providers,
-        { provide: CONTROL_ROLE, useValue: this.control },
-        { provide: OPERATOR_KEYS, useValue: keys.val }
-      ]
-      await this._startApp([OperatorController, MetricsController], controlProviders, listen.operators)
-    }
+    this._surface = this._parts.surface ?? await loadProductSurface()
+    await this._surface.start({ settings: this._settings, metrics: this._metrics, node: this.node, control: this.control })
     this._warnOfOpenLinks()
     this._log.info('process_started', { name: process.name, roles: process.roles.join('+') })
     return Ok(undefined)
   }
 
+  /**
+   * Takes what may change while the process runs: the seeds and the service of this VM.
+   * @param next - checked settings
+   */
+  applySettings (next: ISettings): void {
+    this._settings.process.service = next.process.service
+    this._settings.control.seeds = next.control.seeds
+    const seeds = listSeedAddresses(this._settings)
+    this.node?.directory.setSeeds(seeds)
+    this.control?.directory.setSeeds(seeds)
+  }
+
   /** Stops gracefully; further calls wait for the same end. */
   async stop (): Promise<void> {
     this._stopped ??= this._stop()
@@ -100,7 +102,7 @@
   private async _stop (): Promise<void> {
     this._log.info('process_stopping', { name: this._settings.process.name })
     await this.node?.stop(this._settings.process.stopTimeoutMs)
-    for (const app of this._apps) await app.close()
+    await this._surface?.stop()
     this.node?.dispose()
     this.control?.dispose()
     await this._peers.stop(LISTENER_STOP_MS)
@@ -114,13 +116,12 @@
     const isOpen = tls.caFile === '' && !(isLoopback(listen.peers.host) && isLoopback(listen.links.host))
     if (isOpen) this._log.warn('links_without_tls', { remedy: 'set ca_file, cert_file and key_file in [tls]' })
   }
+}
 
-  private async _startApp (
-    controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number }
-  ): Promise<void> {
-    const { app } = await startHttpApp(controllers, providers, address)
-    this._apps.push(app)
-  }
+/** Loaded when it is needed, since it is large and no call waits for it. */
+async function loadProductSurface (): Promise<ProcessSurface> {
+  const { ProductSurface } = await import('./http/ProductSurface.js')
+  return new ProductSurface()
 }
 
 /**
--- a/packages/lagoonswitch/src/PinoLog.ts
+++ b/packages/lagoonswitch/src/PinoLog.ts
@@ -1,35 +1,26 @@
 /**
- * Logs through pino as one line of key=value pairs for each event.
+ * Logs through pino.
  */
-import { once } from 'node:events'
-import { pino, type Logger } from 'pino'
-import * as logfmt from 'pino-logfmt'
-import type { ILog, ILogFields } from '@lagoonswitch/common'
+import { pino, stdTimeFunctions, type Logger } from 'pino'
+import { SystemClock, type ILog, type ILogFields } from '@lagoonswitch/common'
+import { LogSink, createFileWriter } from './LogSink.js'
 
-/** The package's typings don't declare its default export. */
-const createLogfmtStream = (logfmt as unknown as {
-  default: (options: object) => Promise<NodeJS.WritableStream>
-}).default
+const STDOUT = 1
 
-const STDERR = 2
-
-/** Writes to the standard error stream. */
+/** Writes to the standard output. */
 export class PinoLog implements ILog {
-  private constructor (
-    private readonly _logger: Logger, private readonly _stream: NodeJS.WritableStream
-  ) {}
-
-  /**
-   * Opens the log.
-   * @param level - lowest level that is written
-   * @returns the log
-   */
-  static async open (level: string): Promise<PinoLog> {
-    const stream = await createLogfmtStream({
-      destination: STDERR, sync: true, formatTime: true, timeFormat: 'isoUtcDateTime', escapeMultilineStrings: true
-    })
-    const options = { level, base: null, messageKey: 'event', formatters: { level: (label: string) => ({ level: label }) } }
-    return new PinoLog(pino(options, stream), stream)
+  private readonly _sink = new LogSink(createFileWriter(STDOUT), new SystemClock())
+  private readonly _logger: Logger
+
+  /** @param level - lowest level that is written */
+  constructor (level: string) {
+    this._logger = pino({
+      level,
+      base: null,
+      messageKey: 'event',
+      timestamp: stdTimeFunctions.isoTime,
+      formatters: { level: label => ({ level: label }) }
+    }, this._sink)
   }
 
   debug (event: string, fields: ILogFields = {}): void {
@@ -50,8 +41,6 @@
 
   /** Writes what is still in memory. */
   async close (): Promise<void> {
-    const closed = once(this._stream, 'close')
-    this._stream.end()
-    await closed
+    await this._sink.flush()
   }
 }
--- /dev/null
+++ b/packages/lagoonswitch/src/Runner.ts
@@ -0,0 +1,52 @@
+/**
+ * Runs one process from its settings file until it is told to stop.
+ */
+import { SystemClock, formatError } from '@lagoonswitch/common'
+import { readSettings } from '@lagoonswitch/schema'
+import { LagoonProcess, startSafely, type IProcessParts } from './LagoonProcess.js'
+import { PinoLog } from './PinoLog.js'
+import { SettingsWatcher } from './SettingsWatcher.js'
+
+const EXIT_OK = 0
+const EXIT_FAILED = 1
+/** Exit code for settings or options that can't be used. */
+export const EXIT_SETTINGS = 2
+
+/**
+ * Runs a process; it ends by itself.
+ * @param file - INI file
+ * @param parts - what a platform brings in place of the product's own
+ */
+export async function runProcess (file: string, parts: IProcessParts = {}): Promise<void> {
+  const settings = await readSettings(file)
+  if (settings.err) {
+    for (const error of settings.val) console.error(error.message)
+    process.exit(EXIT_SETTINGS)
+  }
+  const log = new PinoLog(settings.val.log.level)
+  const instance = new LagoonProcess(settings.val, log, parts)
+  const watcher = new SettingsWatcher(file, new SystemClock(), log, next => instance.applySettings(next))
+  const stop = async (code: number): Promise<void> => {
+    watcher.stop()
+    await instance.stop()
+    await log.close()
+    process.exit(code)
+  }
+  process.on('SIGTERM', () => { void stop(EXIT_OK) })
+  process.on('SIGINT', () => { void stop(EXIT_OK) })
+  process.on('SIGHUP', () => { void watcher.look() })
+  process.on('unhandledRejection', error => {
+    log.error('unhandled_rejection', { error: formatError(error), stack: error instanceof Error ? error.stack : undefined })
+    void stop(EXIT_FAILED)
+  })
+  instance.onFailed(group => {
+    log.error('process_failed', { group, remedy: 'mend the disk and restart, or replace this control VM' })
+    void stop(EXIT_FAILED)
+  })
+  const started = await startSafely(instance)
+  if (started.err) {
+    log.error('start_failed', { error: started.val })
+    await stop(EXIT_FAILED)
+  }
+  watcher.start()
+}
--- /dev/null
+++ b/packages/lagoonswitch/src/SettingsWatcher.ts
@@ -0,0 +1,62 @@
+/**
+ * Notices that the settings file has changed, with or without a signal.
+ */
+import { readFile } from 'node:fs/promises'
+import { formatError, type IClock, type ILog } from '@lagoonswitch/common'
+import { parseSettings, type ISettings } from '@lagoonswitch/schema'
+
+/** Interval of looking at the file, short against the time in which new settings must hold. */
+const LOOK_MS = 1_000
+
+/** Reads the file again until it is stopped. */
+export class SettingsWatcher {
+  private readonly _stopping = new AbortController()
+  private _text = ''
+
+  /**
+   * @param _file - path of the settings file
+   * @param _clock - source of time
+   * @param _log - receives events
+   * @param _onChanged - called with checked settings that differ
+   */
+  constructor (
+    private readonly _file: string, private readonly _clock: IClock, private readonly _log: ILog,
+    private readonly _onChanged: (settings: ISettings) => void
+  ) {}
+
+  /** Starts to look. */
+  start (): void {
+    void this._run()
+  }
+
+  /** Reads the file now; settings that can't be used change nothing. */
+  async look (): Promise<void> {
+    try {
+      const text = await readFile(this._file, 'utf8')
+      if (text === this._text) return
+      const isFirst = this._text === ''
+      this._text = text
+      if (isFirst) return
+      const settings = parseSettings(text, this._file)
+      if (settings.ok) {
+        this._log.info('settings_reloaded', { file: this._file })
+        this._onChanged(settings.val)
+      } else {
+        this._log.warn('settings_refused', { file: this._file, problem: settings.val.map(error => error.message).join('; ') })
+      }
+    } catch (error) {
+      this._log.warn('settings_unreadable', { file: this._file, error: formatError(error) })
+    }
+  }
+
+  stop (): void {
+    this._stopping.abort()
+  }
+
+  private async _run (): Promise<void> {
+    while (!this._stopping.signal.aborted) {
+      await this.look()
+      await this._clock.sleep(LOOK_MS, this._stopping.signal)
+    }
+  }
+}
--- /dev/null
+++ b/packages/lagoonswitch/src/http/ProductSurface.ts
@@ -0,0 +1,47 @@
+/**
+ * The product's own interface over HTTP, with Nest on Fastify.
+ */
+import type { INestApplication, Provider, Type } from '@nestjs/common'
+import { ProcessSurface, type ISurfaceContext } from '../ProcessSurface.js'
+import { HomesController } from './HomesController.js'
+import { startHttpApp } from './HttpApp.js'
+import { HealthController, MetricsController, TargetsController } from './LocalController.js'
+import { OperatorController } from './OperatorController.js'
+import { OperatorKeys } from './OperatorKeys.js'
+import { CONTROL_ROLE, METRICS, NODE_ROLE, OPERATOR_KEYS } from './Tokens.js'
+
+/** Serves targets, home proxies, operators and metrics. */
+export class ProductSurface extends ProcessSurface {
+  private readonly _apps: INestApplication[] = []
+
+  async start ({ settings, metrics, node, control }: ISurfaceContext): Promise<void> {
+    const keys = await OperatorKeys.read(control === undefined ? '' : settings.control.tokenFile)
+    if (keys.err) throw keys.val
+    const { listen } = settings
+    const providers: Provider[] = [{ provide: METRICS, useValue: metrics }]
+    if (node !== undefined) {
+      const nodeProviders = [...providers, { provide: NODE_ROLE, useValue: node }]
+      await this._startApp([TargetsController, HealthController, MetricsController], nodeProviders, listen.local)
+      await this._startApp([HomesController], nodeProviders, listen.homes)
+    }
+    if (control !== undefined) {
+      const controlProviders = [
+        ...providers,
+        { provide: CONTROL_ROLE, useValue: control },
+        { provide: OPERATOR_KEYS, useValue: keys.val }
+      ]
+      await this._startApp([OperatorController, MetricsController], controlProviders, listen.operators)
+    }
+  }
+
+  async stop (): Promise<void> {
+    for (const app of this._apps) await app.close()
+  }
+
+  private async _startApp (
+    controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number }
+  ): Promise<void> {
+    const { app } = await startHttpApp(controllers, providers, address)
+    this._apps.push(app)
+  }
+}
--- a/packages/lagoonswitch/src/index.ts
+++ b/packages/lagoonswitch/src/index.ts
@@ -1,4 +1,6 @@
 /**
- * The process as a library, for tests.
+ * The process as a library, for platform adapters and tests.
  */
 export * from './LagoonProcess.js'
+export * from './ProcessSurface.js'
+export * from './Runner.js'
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -4,9 +4,10 @@
 import {
   DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
-import { CatalogueStore, EndpointView, FeedClient, FeedHub, LEAF_LEVEL, RELAY_LEVEL } from '@lagoonswitch/feed'
+import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub, LEAF_LEVEL, RELAY_LEVEL } from '@lagoonswitch/feed'
 import { FeedService, type EvidenceRecord, type ISettings } from '@lagoonswitch/schema'
 import { LeaderClient, LinkListener, type LinkCredentials, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
+import { LagoonDialect, type CallDialect } from './calls/CallDialect.js'
 import { CallServer } from './calls/CallServer.js'
 import type { ICallOpener } from './calls/CallTypes.js'
 import { ClaimsClient } from './claims/ClaimsClient.js'
@@ -15,13 +16,19 @@
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { OwnerLimits } from './routing/OwnerLimits.js'
 import { RetryBudget } from './routing/RetryBudget.js'
-import { RouteTable, type ICompiledRoute } from './routing/RouteTable.js'
+import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { TargetPool } from './routing/TargetPool.js'
 import { TargetSide } from './targets/TargetSide.js'
 
 const MAX_FORWARDED_EVIDENCE = 5_000
-/** Time between the withdrawal of the targets and the end of the listeners. */
-const WITHDRAW_MS = 300
+/** Time after which whoever sends calls here has seen that this process isn't ready any more. */
+const NOTICE_MS = 2_500
+/** Parts of the stop timeout after which new calls are refused, and after which running ones are cut. */
+const REFUSE_AT = 0.7
+const CUT_AT = 0.92
+const POLL_MS = 50
+/** Heartbeats of a target may come seconds late. */
+const HEARTBEATS_PER_LEASE = 6
 
 /** What a node is made of. */
 export interface INodeRoleOptions {
@@ -33,6 +40,8 @@
   readonly metrics: Metrics
   readonly channels: PeerChannels
   readonly credentials: LinkCredentials
+  /** How callers and targets name the terms of a call; the product's own headers by default. */
+  readonly dialect?: CallDialect
 }
 
 /** A node. */
@@ -48,7 +57,9 @@
   private _routes: RouteTable | undefined
   private _forwarded: EvidenceRecord[] = []
   private _isDraining = false
+  private _isLeaving = false
 
+  readonly directory: ControlDirectory
   readonly store = new CatalogueStore()
   readonly endpoints = new EndpointView()
   readonly targets: TargetSide
@@ -60,7 +71,8 @@
     const { name, region, availabilityZone } = settings.process
     this._linkAddress = `${settings.listen.links.host}:${settings.listen.links.port}`
     const incarnation = clock.readWallTime().getTime()
-    const controlAddresses = settings.control.members.map(member => member.address)
+    const dialect = _options.dialect ?? new LagoonDialect()
+    this.directory = new ControlDirectory(listSeedAddresses(settings))
     this._evidence = this._disposables.add(new EvidenceCollector(this.store, clock, log, metrics))
     this.targets = this._disposables.add(new TargetSide({
       node: name,
@@ -68,11 +80,12 @@
       availabilityZone,
       linkAddress: this._linkAddress,
       incarnation,
-      leaseMs: settings.node.targetLeaseMs,
+      leaseMs: Math.max(settings.node.targetLeaseMs, HEARTBEATS_PER_LEASE * settings.node.targetHeartbeatMs),
       clock,
       log,
       metrics,
-      endpoints: this.endpoints
+      endpoints: this.endpoints,
+      dialect
     }))
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
@@ -84,7 +97,7 @@
       // A process that is a control VM as well serves the feed as the source, not as a relay.
       feedAddress: isControl ? '' : peerAddress,
       incarnation,
-      controlAddresses,
+      directory: this.directory,
       isMesh: false,
       clock,
       random,
@@ -108,6 +121,7 @@
       subscriberLevel: LEAF_LEVEL,
       isCurrent: () => this.feed.level === RELAY_LEVEL && this.feed.isCurrent && this.feed.isReady,
       confirm: async () => await this.feed.confirm(),
+      directory: this.directory,
       onEvidence: records => this._forwardEvidence(records)
     }))
     this._calls = new CallServer({
@@ -117,25 +131,53 @@
       metrics,
       settings,
       pool: new TargetPool({
-        region, availabilityZone, linkAddress: this._linkAddress, clock, random, metrics, endpoints: this.endpoints
+        region,
+        availabilityZone,
+        linkAddress: this._linkAddress,
+        clock,
+        random,
+        metrics,
+        endpoints: this.endpoints,
+        isReachable: address => this._links.get(address)?.isReachable !== false
       }),
       claims: new ClaimsClient(
-        new LeaderClient(channels, clock, controlAddresses), settings.control.claimShards),
+        new LeaderClient(channels, clock, () => this.directory.listAddresses()), settings.control.claimShards),
       evidence: this._evidence,
       owners: new OwnerLimits(),
       findOpener: address => this._findOpener(address),
-      getBudget: route => this._getBudget(route),
+      getBudget: part => this._getBudget(part),
       getRoutes: () => this._getRoutes(),
-      isDraining: () => this._isDraining
+      isDraining: () => this._isDraining,
+      dialect,
+      getCallerLimits: () => this.store.view.publication?.callerLimits,
+      getCatalogueVersion: () => this.store.version.version
     })
-    this._disposables.add(this.store.onChanged(() => { this._routes = undefined }))
+    this._disposables.add(this.store.onChanged(() => {
+      this._routes = undefined
+      this._calls.applyLimits()
+    }))
     metrics.addGauge('calls_running', () => this._calls.getRunningCount())
     metrics.addGauge('catalogue_version', () => this.store.version.version)
   }
 
   /** True once calls can be routed. */
   get isReady (): boolean {
-    return this.feed.isReady && !this._isDraining
+    return this.feed.isReady && !this._isDraining && !this._isLeaving
+  }
+
+  /** True once announcements of targets can be checked against what was known before. */
+  get canAnnounce (): boolean {
+    return this.feed.isReady
+  }
+
+  /**
+   * Notes an announcement that can't be used.
+   * @param id - as its sender states it
+   * @param problem - what is wrong with it
+   */
+  reportBadAnnouncement (id: string, problem: string): void {
+    this._options.metrics.count('announcements_ignored_total', 'invalid')
+    this._options.log.warn('announcement_refused', { target: id, problem })
   }
 
   /**
@@ -160,19 +202,23 @@
   }
 
   /**
-   * Stops gracefully: withdraws, refuses new calls as not run, and lets the running ones end.
-   * @param timeoutMs - after this the rest is cut
+   * Stops gracefully: tells that it isn't ready and withdraws its targets, serves until its callers have seen that,
+   * refuses further calls as not run, and lets the running ones end.
+   * @param timeoutMs - the rest is cut within this time
    */
   async stop (timeoutMs: number): Promise<void> {
     const { clock } = this._options
-    const endMs = clock.readMonotonicMs() + timeoutMs
+    const startedMs = clock.readMonotonicMs()
+    const getPassedMs = (): number => clock.readMonotonicMs() - startedMs
+    this._isLeaving = true
     this.targets.drain()
     this._peerServer.drain()
     this.relay.drain()
-    await clock.sleep(WITHDRAW_MS)
+    const isServing = (): boolean => getPassedMs() < NOTICE_MS || this._calls.getRunningCount() > 0
+    while (getPassedMs() < timeoutMs * REFUSE_AT && isServing()) await clock.sleep(POLL_MS)
     this._isDraining = true
-    await this._calls.stop(Math.max(0, endMs - clock.readMonotonicMs()))
-    while (this.targets.getRunningCount() > 0 && clock.readMonotonicMs() < endMs) await clock.sleep(WITHDRAW_MS / 10)
+    await this._calls.stop(Math.max(0, timeoutMs * CUT_AT - getPassedMs()))
+    while (this.targets.getRunningCount() > 0 && getPassedMs() < timeoutMs * CUT_AT) await clock.sleep(POLL_MS)
     this._peerServer.closeLinks()
   }
 
@@ -198,12 +244,14 @@
     return link
   }
 
-  private _getBudget (route: ICompiledRoute): RetryBudget {
-    let budget = this._budgets.get(route.key)
-    if (budget === undefined) {
-      budget = new RetryBudget(route.entry.limits.retry_budget)
-      this._budgets.set(route.key, budget)
-    }
+  private _getBudget ({ service, serviceEntry }: IRoutePart): RetryBudget {
+    const ratio = serviceEntry.limits.retry_budget
+    const known = this._budgets.get(service)
+    if (known?.ratio === ratio) return known
+    const { retryWindowMs, retrySlack } = this._options.settings.node
+    const countNodes = (): number => new Set(this.endpoints.getRecords().map(record => record.node)).size
+    const budget = new RetryBudget({ ratio, windowMs: retryWindowMs, slack: retrySlack, countNodes }, this._options.clock)
+    this._budgets.set(service, budget)
     return budget
   }
 
@@ -225,3 +273,13 @@
     else this._options.metrics.count('evidence_dropped_total', 'full', records.length)
   }
 }
+
+/**
+ * Lists the control VMs that the settings name.
+ * @param settings - of this process
+ * @returns peer addresses
+ */
+export function listSeedAddresses ({ control, listen }: ISettings): string[] {
+  const seeds = control.seeds.map(({ host }) => `${host}:${listen.peers.port}`)
+  return [...control.members.map(member => member.address), ...seeds]
+}
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -2,7 +2,7 @@
  * One attempt of a call on one target.
  */
 import type { ICallContext } from './CallContext.js'
-import type { ICallEvents, ICallFailure, ICallHandle, ITargetLoad } from './CallTypes.js'
+import type { FailureReason, ICallEvents, ICallFailure, ICallHandle, ITargetLoad } from './CallTypes.js'
 import type { ICompiledRoute } from '../routing/RouteTable.js'
 import type { ITargetState } from '../routing/TargetPool.js'
 
@@ -10,7 +10,9 @@
 /** Calls after which the latency of a target is taken as its usual one. */
 const WARM_CALLS = 50
 /** Reasons for which the target itself is not to blame. */
-const NEUTRAL_REASONS = new Set(['queue-full', 'shed', 'deadline-queue', 'draining', 'cancelled', 'no-target'])
+const NEUTRAL_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue', 'draining', 'cancelled', 'no-target'])
+/** Reasons that count against a target in the choice, but not against its version. */
+const LOAD_REASONS = new Set<FailureReason>(['target-busy', 'target-replaced', 'link-silent', 'link-lost', 'unreachable'])
 
 /** Passes events on and notes the outcome of the attempt once. */
 export class Attempt implements ICallEvents {
@@ -18,6 +20,7 @@
   private _isNoted = false
   private _isWarm = false
   private _hasEnded = false
+  private _answerBytes = 0
   handle: ICallHandle | undefined
 
   constructor (
@@ -34,17 +37,22 @@
     if (this._hasEnded) return
     this._context.pool.recordLoad(this.target, load)
     this._isWarm = load.served > WARM_CALLS
-    this._note(status >= FIRST_SERVER_ERROR ? 'failed' : 'good')
+    const isFailed = status >= FIRST_SERVER_ERROR
+    if (!isFailed) this._context.pool.recordService(this.target, this._route.key, load.serviceMs)
+    this._note(isFailed ? 'failed' : 'good', true)
     this._events.onHead(status, headers, load)
   }
 
   onData (chunk: Buffer): void {
-    if (!this._hasEnded) this._events.onData(chunk)
+    if (this._hasEnded) return
+    this._answerBytes += chunk.length
+    this._events.onData(chunk)
   }
 
   onEnd (): void {
     if (this._hasEnded) return
     this._hasEnded = true
+    this._context.pool.recordAnswerBytes(this._route.key, this._answerBytes)
     this._events.onEnd()
   }
 
@@ -55,7 +63,7 @@
     if (failure.reason === 'unreachable' || failure.reason === 'connect') {
       this._context.pool.ejectUnreachable(this.target)
     }
-    this._note(NEUTRAL_REASONS.has(failure.reason) ? 'neutral' : 'failed')
+    this._note(NEUTRAL_REASONS.has(failure.reason) ? 'neutral' : 'failed', !LOAD_REASONS.has(failure.reason))
     this._events.onFailure(failure, load)
   }
 
@@ -67,16 +75,16 @@
   cancel (): void {
     if (this._hasEnded) return
     this._hasEnded = true
-    this._note('neutral')
+    this._note('neutral', false)
     this.handle?.cancel()
   }
 
-  private _note (outcome: 'good' | 'failed' | 'neutral'): void {
+  private _note (outcome: 'good' | 'failed' | 'neutral', isOfVersion: boolean): void {
     if (this._isNoted) return
     this._isNoted = true
     const latencyMs = this._context.clock.readMonotonicMs() - this._startedMs
     this._context.pool.recordEnd(this.target, outcome, latencyMs)
-    if (outcome === 'neutral') return
+    if (outcome === 'neutral' || !isOfVersion) return
     const { service, version, targetId } = this.target.record
     this._context.evidence.record(service, version, this._route.key, targetId, outcome === 'failed',
       this._isWarm ? latencyMs : undefined)
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -7,20 +7,31 @@
 import type { RecordedAnswer } from '@lagoonswitch/schema'
 import type { ClaimResult } from '../claims/ClaimsClient.js'
 import { KeyHolder } from '../claims/KeyHolder.js'
+import type { RetryBudget } from '../routing/RetryBudget.js'
+import { FULL_SHARE_PPM, type IRoutePart } from '../routing/RouteTable.js'
 import type { ITargetState } from '../routing/TargetPool.js'
 import { Attempt } from './Attempt.js'
 import type { ICallContext } from './CallContext.js'
 import { hasBody, readCallHead, type ICallHead } from './CallHead.js'
 import type { FailureReason, ICallEvents, ICallFailure, ICallRequest } from './CallTypes.js'
 import { REPEATED_HEADER } from './Headers.js'
+import { isSampled } from './CallSampling.js'
 import { sendRefusal, type IRefusal, type RefusalReason, type RunState } from './Refusal.js'
 
-const MAX_ATTEMPTS = 3
+/** Attempts of one call that may fail before a target has the request. */
+const MAX_SENDS = 6
 const HELD_BODY_BYTES = 16_384
 const RETRY_AFTER_MS = 1_000
 const FIRST_SERVER_ERROR = 500
-const FINAL_REASONS = new Set<FailureReason>(['deadline', 'deadline-queue', 'cancelled'])
-const FREE_REASONS = new Set<FailureReason>(['no-target', 'draining', 'unreachable', 'connect'])
+const FINAL_REASONS = new Set<FailureReason>(['deadline', 'cancelled'])
+/** Failures before the request reached the target, which cost it nothing. */
+const FREE_REASONS = new Set<FailureReason>([
+  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue'
+])
+/** Refusals by a queue after which another target may be asked. */
+const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue'])
+/** Targets that one call may ask for a place in their queues. */
+const MAX_QUEUES = 2
 const NO_BYTES = Buffer.alloc(0)
 const CLAIM_REFUSALS: Readonly<Record<UngrantedKind, IRefusal>> = {
   'in-progress': { reason: 'key-in-progress', run: 'run-earlier', retryAfterMs: RETRY_AFTER_MS },
@@ -38,22 +49,30 @@
   private readonly _tried = new Set<string>()
   /** Set by the first step; nothing else runs without it. */
   private _head!: ICallHead
+  private _callId = ''
+  private _routeKey = ''
   private _dueMs = 0
   /** Start of the body, kept so that it can be sent again. */
   private _body: Buffer = NO_BYTES
   private _isBodyHeld = false
   private _isStreaming = false
   private _attempt: Attempt | undefined
-  private _attempts = 0
+  /** Attempts so far, and those among them that may have run. */
+  private _sends = 0
+  private _runs = 0
+  private _queues = 0
+  private _part: IRoutePart | undefined
   private _lastFailure: ICallFailure | undefined
   private readonly _key: KeyHolder
   private _deadline: IDisposable | undefined
   private _hasHead = false
+  private _status = 0
   /** Owner whose running calls count this one. */
   private _owner: string | undefined
   private _mayHaveRun = false
   /** Answer bytes that wait in the caller's connection. */
   private _unacknowledged = 0
+  private _isTraced = false
   private _isDone = false
   private _isCallerGone = false
 
@@ -87,12 +106,13 @@
     if (this._isDone) return
     if (this._canRetryAnswer(status)) {
       this._attempt?.cancel()
-      this._mayHaveRun = true
-      this._context.metrics.count('retries_total', 'answer')
+      this._noteRun()
+      this._noteRetry('answer')
       this._send()
       return
     }
     this._hasHead = true
+    this._status = status
     this._key.recordHead(status, headers)
     if (this._isCallerGone) return
     this._response.writeHead(status, headers as string[])
@@ -121,31 +141,71 @@
     if (this._hasHead) {
       // A part of the answer is out; cutting the connection shows the caller that it isn't whole.
       this._key.settleUnknown()
-      this._finish('cut')
+      this._finish('cut', failure.reason)
       this._response.destroy()
       return
     }
-    if (!failure.isNotRun) this._mayHaveRun = true
+    if (!failure.isNotRun) this._noteRun()
+    if (QUEUE_REASONS.has(failure.reason)) this._queues++
     if (this._canRetryFailure(failure)) {
       this._lastFailure = failure
-      this._context.metrics.count('retries_total', failure.reason)
+      this._noteRetry(failure.reason)
       this._send()
       return
     }
     this._refuse(failure.reason, 'not-run', failure.retryAfterMs)
   }
 
+  private _noteRun (): void {
+    this._mayHaveRun = true
+    this._runs++
+  }
+
+  private _noteRetry (reason: string): void {
+    const { metrics, log } = this._context
+    metrics.count('retries_total', reason)
+    log.info('call_repeated', {
+      call: this._callId,
+      route: this._head.route.key,
+      target: this._attempt?.target.record.targetId,
+      reason,
+      sends: this._sends,
+      runs: this._runs,
+      repeats_in_window: this._getBudget().countRepeats()
+    })
+  }
+
+  private _getBudget (): RetryBudget {
+    return this._context.getBudget(this._getPart())
+  }
+
+  /** The part of a split route is drawn once, so that repeats don't move calls between services. */
+  private _getPart (): IRoutePart {
+    if (this._part !== undefined) return this._part
+    const { parts, totalWeight } = this._head.route
+    let draw = parts.length === 1 ? 0 : this._context.random.draw() * totalWeight
+    const last = parts[parts.length - 1] as IRoutePart
+    this._part = parts.find(part => {
+      draw -= part.weight
+      return draw < 0
+    }) ?? last
+    return this._part
+  }
+
   onBodyDrain (): void {
     this._request.resume()
   }
 
   private _readHead (): boolean {
+    this._callId = this._context.dialect.readCallId(this._request.headers)
     const head = readCallHead(this._context, this._request)
     if (head.err) {
       const { reason, run, retryAfterMs, detail } = head.val
       return this._refuse(reason, run, retryAfterMs, detail)
     }
     this._head = head.val
+    this._routeKey = head.val.route.key
+    this._isTraced = isSampled(this._callId)
     this._dueMs = this._startedMs + head.val.allowedMs
     return true
   }
@@ -186,7 +246,7 @@
 
   private _proceed (): void {
     if (this._isDone) return
-    this._context.getBudget(this._head.route).recordCall()
+    this._getBudget().recordCall()
     if (this._head.route.isKeyed) void this._claimKey()
     else this._send()
   }
@@ -223,7 +283,8 @@
       return
     }
     this._tried.add(target.record.targetId)
-    this._attempts++
+    this._sends++
+    if (this._isTraced) this._logSend(target)
     const attempt = new Attempt(this._context, this._head.route, target, this)
     this._attempt = attempt
     attempt.handle = this._context.findOpener(target.record.linkAddress)
@@ -233,10 +294,38 @@
 
   private _pickTarget (): ITargetState | undefined {
     const { pool } = this._context
-    const { service } = this._head.route
-    const version = this._pickVersion()
-    return pool.pickTarget(service, version, this._tried) ??
-      pool.pickTarget(service, this._getOtherVersion(version), this._tried)
+    const { service, split } = this._getPart()
+    const isNew = this._isForNewVersion()
+    const terms = { route: this._head.route.key, objectiveLeftMs: this._getObjectiveLeftMs() }
+    const old = { version: split.from, excluded: split.excluded }
+    // A version without a ready target falls back to the other one, but never to one that is cut or taken back.
+    if (!isNew) {
+      return pool.pickTarget(service, old, this._tried, terms) ??
+        (this._isNewVersionUsable() ? pool.pickTarget(service, split.to, this._tried, terms) : undefined)
+    }
+    return pool.pickTarget(service, split.to, this._tried, terms) ?? pool.pickTarget(service, old, this._tried, terms)
+  }
+
+  private _logSend (target: ITargetState): void {
+    const { record } = target
+    this._context.log.info('call_sent', {
+      call: this._callId,
+      route: this._head.route.key,
+      target: record.targetId,
+      node: record.node,
+      known_as: `${record.incarnation}.${record.sequence}`,
+      failure_rate: target.failureRate,
+      in_flight: target.inFlight,
+      load_age_ms: target.getHintAgeMs(this._context.clock.readMonotonicMs()),
+      send: this._sends,
+      left_ms: this._getRemainingMs()
+    })
+  }
+
+  private _getObjectiveLeftMs (): number {
+    const { objectiveMs } = this._head.route
+    if (objectiveMs === 0) return 0
+    return Math.max(1, objectiveMs - (this._context.clock.readMonotonicMs() - this._startedMs))
   }
 
   /** With no target left to try, the caller learns why the last one failed. */
@@ -246,9 +335,9 @@
   }
 
   private _createRequest (targetId: string, version: string): ICallRequest {
-    const { limits, owner } = this._head.route.serviceEntry
+    const { service, serviceEntry: { limits, owner } } = this._getPart()
     return {
-      service: this._head.route.service,
+      service,
       version,
       targetId,
       method: this._request.method ?? 'GET',
@@ -256,6 +345,9 @@
       headers: this._head.headers,
       remainingMs: this._getRemainingMs(),
       callClass: this._head.callClass,
+      callId: this._head.callId,
+      objectiveMs: this._getObjectiveLeftMs(),
+      isRepeatable: this._head.route.isRepeatable,
       owner,
       body: this._body,
       isBodyComplete: this._isBodyHeld,
@@ -276,37 +368,42 @@
     this._request.resume()
   }
 
-  private _pickVersion (): string {
-    const { split, service } = this._head.route
-    if (split.to === '' || split.sharePpm === 0 || this._context.evidence.isCut(service)) return split.from
-    return this._context.random.draw() * 1_000_000 < split.sharePpm ? split.to : split.from
+  private _isForNewVersion (): boolean {
+    return this._isNewVersionUsable() && this._context.random.draw() * FULL_SHARE_PPM < this._getPart().split.sharePpm
   }
 
-  /** A version without a ready target falls back to the other one, but never to one that is cut or taken back. */
-  private _getOtherVersion (version: string): string {
-    const { split, service } = this._head.route
-    if (version === split.to) return split.from
-    const isUsable = split.to !== '' && split.sharePpm > 0 && !this._context.evidence.isCut(service)
-    return isUsable ? split.to : ''
+  private _isNewVersionUsable (): boolean {
+    const { split, service } = this._getPart()
+    return split.to !== '' && split.sharePpm > 0 && !this._context.evidence.isCut(service)
   }
 
   private _canSendAgain (): boolean {
-    return this._isBodyHeld && this._attempts < MAX_ATTEMPTS && this._getRemainingMs() > 0 && !this._isCallerGone
+    return this._isBodyHeld && this._sends < MAX_SENDS && this._runs < this._head.route.maxAttempts &&
+      this._getRemainingMs() > 0 && !this._isCallerGone
   }
 
   private _canRetryAnswer (status: number): boolean {
-    return status >= FIRST_SERVER_ERROR && this._head.route.isRepeatable && this._head.depth === 0 && this._canSendAgain() &&
-      this._pickTarget() !== undefined && this._context.getBudget(this._head.route).spend()
+    return status >= FIRST_SERVER_ERROR && this._head.route.isRepeatable && this._head.depth === 0 &&
+      this._runs + 1 < this._head.route.maxAttempts && this._canSendAgain() &&
+      this._pickTarget() !== undefined && this._spendBudget('answer')
   }
 
   /** Only the first layer of a chain repeats what may have run; every layer may repeat what was not run. */
   private _canRetryFailure ({ reason, isNotRun }: ICallFailure): boolean {
     const isRetryable = isNotRun || (this._head.route.isRepeatable && this._head.depth === 0)
     if (!isRetryable || FINAL_REASONS.has(reason) || !this._canSendAgain()) return false
+    if (QUEUE_REASONS.has(reason) && this._queues >= MAX_QUEUES) return false
     // These attempts cost the targets nothing, and a leaving target must not use up the budget.
     if (isNotRun && FREE_REASONS.has(reason)) return true
-    if (this._context.getBudget(this._head.route).spend()) return true
+    return this._spendBudget(reason)
+  }
+
+  private _spendBudget (reason: string): boolean {
+    if (this._getBudget().spend()) return true
     this._context.metrics.count('retries_denied_total', reason)
+    this._context.log.info('repeat_denied', {
+      call: this._callId, service: this._getPart().service, reason, repeats_in_window: this._getBudget().countRepeats()
+    })
     return false
   }
 
@@ -334,11 +431,11 @@
     if (run === 'not-run') this._key.settleReleased()
     else this._key.settleUnknown()
     this._attempt?.cancel()
-    this._finish(reason)
+    this._finish('refused', reason, run)
     this._context.metrics.count('refusals_total', reason)
     if (!this._isCallerGone) {
       const isClosing = this._context.isDraining() || !this._request.complete
-      sendRefusal(this._response, { reason, run, retryAfterMs, detail }, isClosing)
+      sendRefusal(this._response, { reason, run, retryAfterMs, detail }, isClosing, this._context.dialect)
     }
     return false
   }
@@ -354,18 +451,38 @@
     // A claimed call goes on, so that a repeat gets its answer.
     if (this._key.isHeld && this._isBodyHeld) return
     this._attempt?.cancel()
-    this._finish('caller-gone')
+    this._finish('caller-gone', 'closed')
   }
 
-  private _finish (outcome: string): void {
+  private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
     this._deadline?.dispose()
     if (this._owner !== undefined) this._context.owners.leave(this._owner)
-    this._context.metrics.count('calls_total', outcome)
-    this._context.metrics.getRecorder('call_duration').record(this._context.clock.readMonotonicMs() - this._startedMs)
+    const tookMs = this._context.clock.readMonotonicMs() - this._startedMs
+    this._context.metrics.count('calls_total', reason === '' ? outcome : reason)
+    this._context.metrics.getRecorder('call_duration').record(tookMs)
+    if (outcome !== 'answered' || this._status >= FIRST_SERVER_ERROR || this._isTraced) this._logEnd(outcome, reason, run, tookMs)
     this._onDone()
   }
 
+  private _logEnd (outcome: string, reason: string, run: string, tookMs: number): void {
+    const fields = {
+      call: this._callId,
+      outcome,
+      reason,
+      run,
+      status: this._status,
+      route: this._routeKey,
+      target: this._attempt?.target.record.targetId,
+      sends: this._sends,
+      runs: this._runs,
+      took_ms: Math.round(tookMs),
+      left_ms: this._dueMs === 0 ? undefined : this._getRemainingMs(),
+      catalogue: this._context.getCatalogueVersion()
+    }
+    this._context.log.info('call_ended', fields)
+  }
+
   private _getRemainingMs (): number {
     return Math.max(0, Math.floor(this._dueMs - this._context.clock.readMonotonicMs()))
   }
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -2,13 +2,14 @@
  * What all calls of a process share.
  */
 import type { IClock, ILog, IRandom, Metrics } from '@lagoonswitch/common'
-import type { ISettings } from '@lagoonswitch/schema'
+import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
 import type { OwnerLimits } from '../routing/OwnerLimits.js'
 import type { RetryBudget } from '../routing/RetryBudget.js'
-import type { ICompiledRoute, RouteTable } from '../routing/RouteTable.js'
+import type { IRoutePart, RouteTable } from '../routing/RouteTable.js'
 import type { TargetPool } from '../routing/TargetPool.js'
+import type { CallDialect } from './CallDialect.js'
 import type { ICallOpener } from './CallTypes.js'
 
 /** Services that a call uses. */
@@ -24,7 +25,12 @@
   readonly owners: OwnerLimits
   /** Opens calls on the target of this VM or over a link. */
   readonly findOpener: (linkAddress: string) => ICallOpener
-  readonly getBudget: (route: ICompiledRoute) => RetryBudget
+  readonly getBudget: (part: IRoutePart) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
   readonly isDraining: () => boolean
+  /** Version of the catalogue in force, for logs. */
+  readonly getCatalogueVersion: () => number
+  readonly dialect: CallDialect
+  /** Limits on what callers may send, as the catalogue states them now. */
+  readonly getCallerLimits: () => CallerLimits | undefined
 }
--- /dev/null
+++ b/packages/node/src/calls/CallDialect.ts
@@ -0,0 +1,128 @@
+/**
+ * How callers and targets name the terms of a call in headers; one per protocol that is spoken.
+ */
+import type { IncomingHttpHeaders } from 'node:http'
+import { Err, Ok, type Result } from '@lagoonswitch/common'
+import type { CallClass } from '@lagoonswitch/schema'
+import { findClass } from '../routing/RouteTable.js'
+import { CLASS_HEADER, DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER } from './Headers.js'
+
+const MS_PER_SECOND = 1_000
+
+/** What a caller says of its call. */
+export interface ICallTerms {
+  /** Identity of this attempt of the caller; empty when it gave none. */
+  readonly callId: string
+  /** Time that the caller will wait, in milliseconds. */
+  readonly wishedMs: number | undefined
+  /** Class wished by the caller, which can only lower the class of the route. */
+  readonly callClass: CallClass | undefined
+  /** Calls above this one in a chain. */
+  readonly depth: number
+  /** Idempotency key; empty when none was given. */
+  readonly key: string
+}
+
+/** What a target is told of a call. */
+export interface ITargetTerms {
+  readonly remainingMs: number
+  readonly targetId: string
+}
+
+/** What an answer of a target says of itself. */
+export interface IAnswerSigns {
+  /** True when the target states that it has not run the request. */
+  readonly isNotRun: boolean
+  /** Identity of the call that is answered, where the target repeats it. */
+  readonly callId: string | undefined
+}
+
+/** Reads and writes the terms of calls. */
+export abstract class CallDialect {
+  /** Names in lower case that callers can't pass on to targets. */
+  abstract readonly ownHeaders: ReadonlySet<string>
+
+  /**
+   * @param headers - of the caller
+   * @returns identity of the caller's attempt; empty when it gave none
+   */
+  abstract readCallId (headers: IncomingHttpHeaders): string
+
+  /**
+   * Reads the terms of a call.
+   * @param headers - of the caller
+   * @returns the terms, or what is wrong with a header
+   */
+  abstract readTerms (headers: IncomingHttpHeaders): Result<ICallTerms, string>
+
+  /**
+   * Lists headers that the entering process adds.
+   * @param terms - of the call
+   * @param callerService - service whose VM the call started on
+   * @returns names and values in turn
+   */
+  abstract formatForwardHeaders (terms: ICallTerms, callerService: string): string[]
+
+  /**
+   * Lists headers that the process beside the target adds.
+   * @param terms - of the attempt
+   * @returns names and values in turn
+   */
+  abstract formatTargetHeaders (terms: ITargetTerms): string[]
+
+  /**
+   * Reads what an answer says of itself.
+   * @param status - HTTP status
+   * @param headers - of the target
+   */
+  abstract readAnswer (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): IAnswerSigns
+
+  /**
+   * @param delayMs - time after which a refused caller may come back
+   * @returns value of the Retry-After header
+   */
+  abstract formatRetryAfter (delayMs: number): string
+}
+
+/** The headers of the product's own interface. */
+export class LagoonDialect extends CallDialect {
+  readonly ownHeaders = new Set([DEADLINE_HEADER, DEPTH_HEADER, CLASS_HEADER])
+
+  readCallId (): string {
+    return ''
+  }
+
+  readTerms (headers: IncomingHttpHeaders): Result<ICallTerms, string> {
+    const wishedMs = readNumber(headers[DEADLINE_HEADER])
+    if (headers[DEADLINE_HEADER] !== undefined && wishedMs === undefined) {
+      return Err(`${DEADLINE_HEADER} must be a whole number of milliseconds`)
+    }
+    const classHeader = headers[CLASS_HEADER]
+    const callClass = classHeader === undefined ? undefined : findClass(String(classHeader))
+    if (classHeader !== undefined && callClass === undefined) return Err(`${CLASS_HEADER} is unknown`)
+    const key = headers[KEY_HEADER]
+    return Ok({
+      callId: '', wishedMs, callClass, depth: readNumber(headers[DEPTH_HEADER]) ?? 0, key: typeof key === 'string' ? key : ''
+    })
+  }
+
+  formatForwardHeaders (terms: ICallTerms): string[] {
+    return [DEPTH_HEADER, String(terms.depth + 1)]
+  }
+
+  formatTargetHeaders (terms: ITargetTerms): string[] {
+    return [DEADLINE_HEADER, String(terms.remainingMs)]
+  }
+
+  readAnswer (): IAnswerSigns {
+    return { isNotRun: false, callId: undefined }
+  }
+
+  formatRetryAfter (delayMs: number): string {
+    return String(Math.ceil(delayMs / MS_PER_SECOND))
+  }
+}
+
+function readNumber (value: string | string[] | undefined): number | undefined {
+  return typeof value === 'string' && /^\d{1,9}$/.test(value) ? Number(value) : undefined
+}
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -3,14 +3,16 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { Err, Ok, type Result } from '@lagoonswitch/common'
-import type { CallClass } from '@lagoonswitch/schema'
-import { findClass, type ICompiledRoute } from '../routing/RouteTable.js'
+import type { CallClass, CallerLimits } from '@lagoonswitch/schema'
+import type { ICompiledRoute } from '../routing/RouteTable.js'
 import type { ICallContext } from './CallContext.js'
 import { MAX_CALL_DEPTH } from './CallTypes.js'
-import { CLASS_HEADER, DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER, copyRequestHeaders } from './Headers.js'
+import { copyRequestHeaders } from './Headers.js'
 import type { IRefusal, RefusalReason } from './Refusal.js'
 
 const MAX_KEY_LENGTH = 255
+/** Bytes between a name and its value, and after the value. */
+const SEPARATOR_BYTES = 2
 const RETRY_AFTER_MS = 1_000
 
 /** What a call needs of its head. */
@@ -19,6 +21,8 @@
   /** Time for the answer in milliseconds. */
   readonly allowedMs: number
   readonly callClass: CallClass
+  /** Identity of this attempt of the caller; empty when it gave none. */
+  readonly callId: string
   /** Calls above this one in a chain. */
   readonly depth: number
   /** Headers for the target, names and values in turn. */
@@ -40,26 +44,24 @@
   if (routes === undefined) return refuse('not-ready', RETRY_AFTER_MS)
   const route = routes.findRoute(headers.host ?? '', method ?? '', url ?? '/')
   if (route === undefined) return refuse('no-route')
-  const depth = readNumber(headers[DEPTH_HEADER]) ?? 0
-  if (depth >= MAX_CALL_DEPTH) return refuse('too-deep')
-  const wishedMs = readNumber(headers[DEADLINE_HEADER])
-  if (headers[DEADLINE_HEADER] !== undefined && wishedMs === undefined) {
-    return refuse('bad-header', 0, `${DEADLINE_HEADER} must be a whole number of milliseconds`)
-  }
-  const classHeader = headers[CLASS_HEADER]
-  const callClass = classHeader === undefined ? route.callClass : findClass(String(classHeader))
-  if (callClass === undefined) return refuse('bad-header', 0, `${CLASS_HEADER} is unknown`)
-  const key = headers[KEY_HEADER]
-  if (route.isKeyed && !isUsableKey(key)) return refuse('key-missing')
-  const copied = copyRequestHeaders(request.rawHeaders)
-  copied.push(DEPTH_HEADER, String(depth + 1))
+  const limits = context.getCallerLimits()
+  const oversize = limits === undefined ? undefined : findOversize(request, limits)
+  if (oversize !== undefined) return refuse(oversize)
+  const read = context.dialect.readTerms(headers)
+  if (read.err) return refuse('bad-header', 0, read.val)
+  const terms = read.val
+  if (terms.depth >= MAX_CALL_DEPTH) return refuse('too-deep')
+  if (route.isKeyed && !isUsableKey(terms.key)) return refuse('key-missing')
+  const copied = copyRequestHeaders(request.rawHeaders, context.dialect.ownHeaders)
+  copied.push(...context.dialect.formatForwardHeaders(terms, context.settings.process.service))
   return Ok({
     route,
-    allowedMs: Math.min(route.deadlineMs, wishedMs ?? Infinity),
-    callClass: Math.max(route.callClass, callClass),
-    depth,
+    allowedMs: Math.min(route.deadlineMs, terms.wishedMs ?? Infinity),
+    callClass: Math.max(route.callClass, terms.callClass ?? route.callClass),
+    callId: terms.callId,
+    depth: terms.depth,
     headers: copied,
-    key: route.isKeyed ? String(key) : ''
+    key: route.isKeyed ? terms.key : ''
   })
 }
 
@@ -76,10 +78,12 @@
   return Err({ reason, run: 'not-run', retryAfterMs, detail })
 }
 
-function readNumber (value: string | string[] | undefined): number | undefined {
-  return typeof value === 'string' && /^\d{1,9}$/.test(value) ? Number(value) : undefined
+function findOversize (request: IncomingMessage, limits: CallerLimits): RefusalReason | undefined {
+  if (Number(request.headers['content-length'] ?? 0) > limits.bodyBytes) return 'body-too-large'
+  const headBytes = request.rawHeaders.reduce((sum, text) => sum + text.length + SEPARATOR_BYTES, (request.url ?? '').length)
+  return headBytes > limits.headerBytes ? 'head-too-large' : undefined
 }
 
-function isUsableKey (key: string | string[] | undefined): boolean {
-  return typeof key === 'string' && key.length > 0 && key.length <= MAX_KEY_LENGTH
+function isUsableKey (key: string): boolean {
+  return key.length > 0 && key.length <= MAX_KEY_LENGTH
 }
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -8,6 +8,10 @@
 
 const HEADERS_TIMEOUT_MS = 10_000
 const KEEPALIVE_TIMEOUT_MS = 60_000
+/** Room for the request line and separators beside the headers. */
+const HEAD_MARGIN_BYTES = 4_096
+/** Most connections that wait to be accepted. */
+const BACKLOG = 1_024
 
 /** Accepts calls until it is stopped. */
 export class CallServer {
@@ -41,10 +45,20 @@
   async listen (host: string, port: number): Promise<number> {
     return await new Promise<number>((resolve, reject) => {
       this._server.once('error', reject)
-      this._server.listen(port, host, () => resolve((this._server.address() as AddressInfo).port))
+      this._server.listen(port, host, BACKLOG, () => resolve((this._server.address() as AddressInfo).port))
     })
   }
 
+  /** Takes the limits of the catalogue in force; connections that are open keep the size of heads. */
+  applyLimits (): void {
+    const limits = this._context.getCallerLimits()
+    if (limits === undefined) return
+    const server = this._server as Server & { maxHeaderSize?: number }
+    server.maxHeaderSize = limits.headerBytes + HEAD_MARGIN_BYTES
+    server.headersTimeout = limits.headerTimeoutMs
+    server.keepAliveTimeout = limits.idleTimeoutMs
+  }
+
   /** @returns calls that run now */
   getRunningCount (): number {
     return this._running
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -20,6 +20,12 @@
   /** Time left for the answer in milliseconds. */
   readonly remainingMs: number
   readonly callClass: CallClass
+  /** Identity of the call for logs and for matching answers; empty when the caller gave none. */
+  readonly callId: string
+  /** Time left until the answer is worth less; 0 when none was stated. */
+  readonly objectiveMs: number
+  /** True when the call may run again, so that it needn't wait for a process that is silent. */
+  readonly isRepeatable: boolean
   readonly owner: string
   /** First bytes of the body. */
   readonly body: Buffer
@@ -37,6 +43,8 @@
   readonly queued: number
   /** Calls that the target has taken since it announced itself. */
   readonly served: number
+  /** Time that the call has held its slot, in milliseconds; 0 when it had none. */
+  readonly serviceMs: number
 }
 
 /** A call that ended without a whole answer. */
@@ -50,7 +58,8 @@
 /** Why a call got no whole answer; each has a counter. */
 export type FailureReason =
   'queue-full' | 'shed' | 'deadline' | 'deadline-queue' | 'no-target' | 'draining' | 'unreachable' | 'link-lost' |
-  'connect' | 'broken' | 'cancelled' | 'oversized' | 'bad-frame'
+  'connect' | 'broken' | 'cancelled' | 'oversized' | 'bad-frame' | 'target-busy' | 'target-replaced' | 'crossed' |
+  'link-silent'
 
 /** Receives what happens to one call; nothing follows after the end or a failure. */
 export interface ICallEvents {
--- a/packages/node/src/calls/Headers.ts
+++ b/packages/node/src/calls/Headers.ts
@@ -17,19 +17,19 @@
   'connection', 'keep-alive', 'proxy-authenticate', 'proxy-authorization', 'proxy-connection', 'te', 'trailer',
   'transfer-encoding', 'upgrade', 'expect'
 ])
-const OWN_HEADERS = new Set([DEADLINE_HEADER, DEPTH_HEADER, CLASS_HEADER])
 
 /**
  * Copies the headers of a request that go on to the target.
  * @param raw - names and values in turn
+ * @param ownHeaders - names that only this system sets
  * @returns names and values in turn, without those of the connection and of this system
  */
-export function copyRequestHeaders (raw: readonly string[]): string[] {
+export function copyRequestHeaders (raw: readonly string[], ownHeaders: ReadonlySet<string>): string[] {
   const named = findConnectionNames(raw)
   const headers: string[] = []
   for (let index = 0; index < raw.length; index += 2) {
     const name = (raw[index] ?? '').toLowerCase()
-    if (HOP_HEADERS.has(name) || OWN_HEADERS.has(name) || named?.has(name) === true) continue
+    if (HOP_HEADERS.has(name) || ownHeaders.has(name) || named?.has(name) === true) continue
     headers.push(name, raw[index + 1] ?? '')
   }
   return headers
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -2,12 +2,13 @@
  * Answers that this system gives itself: RFC 9457 problem details with a reason for programs.
  */
 import type { ServerResponse } from 'node:http'
+import type { CallDialect } from './CallDialect.js'
 import type { FailureReason } from './CallTypes.js'
 
 /** Why a call was not carried out; each has a counter. */
 export type RefusalReason = FailureReason |
   'not-ready' | 'no-route' | 'too-deep' | 'bad-header' | 'key-missing' | 'key-mismatch' | 'key-in-progress' |
-  'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'owner-limit' | 'process-draining'
+  'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'head-too-large' | 'owner-limit' | 'process-draining'
 
 /** What is known of whether the target ran the request. */
 export type RunState = 'not-run' | 'unknown' | 'run-earlier'
@@ -32,6 +33,10 @@
   cancelled: { status: 499, title: 'the caller gave up', remedy: 'none needed' },
   oversized: { status: 502, title: 'the answer is too large', remedy: 'lower its size' },
   'bad-frame': { status: 502, title: 'a process of the system broke its protocol', remedy: 'update the processes' },
+  'target-busy': { status: 503, title: 'the target took no more calls', remedy: 'retry after the stated time' },
+  'target-replaced': { status: 503, title: 'another target has the address', remedy: 'retry' },
+  crossed: { status: 502, title: 'the target sent the answer to another call', remedy: 'check whether the request took effect' },
+  'link-silent': { status: 502, title: 'the process beside the target fell silent', remedy: 'check whether the request took effect' },
   'not-ready': { status: 503, title: 'this process has no confirmed catalogue yet', remedy: 'retry; check the control VMs' },
   'no-route': { status: 404, title: 'no route matches', remedy: 'declare a route or correct the path and the method' },
   'too-deep': { status: 508, title: 'the chain of calls is too deep', remedy: 'look for a loop between services' },
@@ -42,12 +47,15 @@
   'key-unknown': { status: 409, title: 'the outcome of the call with this key is unknown', remedy: 'check whether it took effect' },
   'keys-full': { status: 503, title: 'no more keys can be kept', remedy: 'raise claim_capacity or shorten answer_retention' },
   'no-quorum': { status: 503, title: 'the key can\'t be claimed now', remedy: 'retry with the same key; check the control VMs' },
-  'body-too-large': { status: 413, title: 'the body is too large for a keyed call', remedy: 'shorten it or raise keyed_body_bytes' },
+  'body-too-large': { status: 413, title: 'the body is too large', remedy: 'shorten it or raise the limit' },
+  'head-too-large': { status: 431, title: 'the head is too large', remedy: 'send fewer or shorter headers' },
   'owner-limit': { status: 429, title: 'the owner has too many calls running', remedy: 'retry after the stated time' },
   'process-draining': { status: 503, title: 'this process is stopping', remedy: 'use another process' }
 }
 
-const MS_PER_SECOND = 1_000
+/** Statuses that tell a caller that nothing was run. */
+const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
+const BAD_GATEWAY = 502
 
 /** An answer of the system itself. */
 export interface IRefusal {
@@ -62,13 +70,19 @@
  * @param response - of the call; nothing has been sent on it
  * @param refusal - why
  * @param isClosing - true to end the caller's connection afterwards
+ * @param dialect - writes the time after which the caller may come back
+ * @returns the status that was sent
  */
-export function sendRefusal (response: ServerResponse, refusal: IRefusal, isClosing: boolean): void {
+export function sendRefusal (
+  response: ServerResponse, refusal: IRefusal, isClosing: boolean, dialect: CallDialect
+): number {
   const rule = RULES[refusal.reason]
+  const isDoubtful = refusal.run !== 'not-run' && NOT_RUN_STATUSES.has(rule.status)
+  const status = isDoubtful ? BAD_GATEWAY : rule.status
   const body = Buffer.from(JSON.stringify({
     type: `urn:lagoonswitch:problem:${refusal.reason}`,
     title: rule.title,
-    status: rule.status,
+    status,
     detail: refusal.detail ?? rule.remedy,
     reason: refusal.reason,
     run: refusal.run,
@@ -79,8 +93,9 @@
     'content-length': body.length,
     'lagoon-run': refusal.run
   }
-  if (refusal.retryAfterMs > 0) headers['retry-after'] = Math.ceil(refusal.retryAfterMs / MS_PER_SECOND)
+  if (refusal.retryAfterMs > 0) headers['retry-after'] = dialect.formatRetryAfter(refusal.retryAfterMs)
   if (isClosing) headers.connection = 'close'
-  response.writeHead(rule.status, headers)
+  response.writeHead(status, headers)
   response.end(body)
+  return status
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -2,6 +2,7 @@
  * The node: calls between callers and targets.
  */
 export * from './NodeRole.js'
+export * from './calls/CallDialect.js'
 export * from './calls/CallTypes.js'
 export * from './targets/LocalTarget.js'
 export * from './links/PeerLink.js'
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -10,9 +10,15 @@
 import { FlowWindow, WindowUpdates } from './FlowControl.js'
 
 const OPEN_TIMEOUT_MS = 1_000
-const PING_MS = 1_000
+/** Silence after which the other process is asked for a sign of life. */
+const PING_MS = 200
+/** Silence after which no new calls are sent that way, a round trip and a busy moment beyond a ping. */
+const SUSPECT_MS = 450
+/** Silence after which calls that may run again are taken back. */
+const REPEAT_MS = 900
 const SILENCE_MS = 3_000
-const LATE_MARGIN_MS = 250
+/** The process beside the target watches the deadline as well; its more exact answer should win. */
+const LATE_MARGIN_MS = 120
 const MAX_CALL_ID = 0xffff_fffe
 const NO_BYTES = Buffer.alloc(0)
 
@@ -56,12 +62,18 @@
         onOpen: () => this._handleOpen(),
         onFrame: frame => this._handleFrame(frame),
         onClose: () => this._handleClose(),
-        hasCalls: () => this._calls.size > 0
+        hasCalls: () => this._calls.size > 0,
+        onSilent: () => this._handleSilence()
       })
     }
     return call
   }
 
+  /** False while the other process owes a sign of life. */
+  get isReachable (): boolean {
+    return this._connection === undefined || this._connection.getSilenceMs() < SUSPECT_MS
+  }
+
   /** Sends a frame of an open call. */
   sendFrame (callId: number, frame: Frame): void {
     this._connection?.send({ callId, frame })
@@ -95,6 +107,10 @@
     else this._calls.get(callId)?.handleFrame(frame)
   }
 
+  private _handleSilence (): void {
+    for (const call of [...this._calls.values()]) call.handleSilence()
+  }
+
   private _handleClose (): void {
     this._connection = undefined
     this._isDraining = false
@@ -111,6 +127,8 @@
   onClose (): void
   /** True while an answer is awaited, so that silence means a fault. */
   hasCalls (): boolean
+  /** The other process has not answered for a while. */
+  onSilent (): void
 }
 
 /** One connection of a link, with its checks for silence. */
@@ -118,12 +136,15 @@
   private readonly _socket: FrameSocket
   private readonly _stopping = new AbortController()
   private _heardMs: number
+  /** When the first unanswered question was sent, or the connection was asked for. */
+  private _askedMs: number | undefined
   isOpen = false
 
   constructor (
     private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
   ) {
     this._heardMs = _context.clock.readMonotonicMs()
+    this._askedMs = this._heardMs
     this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this)
     void this._runPings()
   }
@@ -134,6 +155,7 @@
 
   onFrame (frame: PeerFrame): void {
     this._heardMs = this._context.clock.readMonotonicMs()
+    this._askedMs = undefined
     this._events.onFrame(frame)
   }
 
@@ -152,22 +174,41 @@
   private _handleOpen (): void {
     this.isOpen = true
     this._heardMs = this._context.clock.readMonotonicMs()
+    this._askedMs = undefined
     this._events.onOpen()
   }
 
+  /** Time since the other process owed a sign of life that has not come; 0 while it owes none. */
+  getSilenceMs (): number {
+    if (this._askedMs === undefined) return 0
+    return this._context.clock.readMonotonicMs() - this._askedMs + (this.isOpen ? PING_MS : 0)
+  }
+
   private async _runPings (): Promise<void> {
     const { clock } = this._context
     while (!this._stopping.signal.aborted) {
-      await clock.sleep(this.isOpen ? PING_MS : OPEN_TIMEOUT_MS, this._stopping.signal)
+      await clock.sleep(PING_MS, this._stopping.signal)
       if (this._stopping.signal.aborted) return
-      const silentMs = clock.readMonotonicMs() - this._heardMs
-      if (!this.isOpen || (this._events.hasCalls() && silentMs > SILENCE_MS)) {
+      if (this._checkSilence()) {
         this._socket.destroy()
         return
       }
-      if (silentMs >= PING_MS) this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
     }
   }
+
+  /** @returns true when the connection is given up */
+  private _checkSilence (): boolean {
+    const nowMs = this._context.clock.readMonotonicMs()
+    const silentMs = this.getSilenceMs()
+    if (!this.isOpen) return silentMs > OPEN_TIMEOUT_MS
+    if (silentMs > SILENCE_MS) return true
+    if (silentMs > REPEAT_MS) this._events.onSilent()
+    const isDue = nowMs - this._heardMs >= PING_MS && (this._events.hasCalls() || this._askedMs !== undefined)
+    if (!isDue) return false
+    this._askedMs ??= nowMs
+    this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
+    return false
+  }
 }
 
 /** One call on a link. */
@@ -177,6 +218,7 @@
   private readonly _deadline: IDisposable
   private readonly _dueMs: number
   private _isSent = false
+  private _hasHead = false
   private _hasEnded = false
   private _early: Buffer[] = []
   private _isEarlyEnd = false
@@ -189,7 +231,6 @@
     private readonly _clock: IClock
   ) {
     this._dueMs = _clock.readMonotonicMs() + _request.remainingMs
-    // The other process watches the deadline as well; the margin lets its more exact answer win.
     this._deadline = _clock.schedule(_request.remainingMs + LATE_MARGIN_MS, () => this._fail('deadline', !this._isSent))
   }
 
@@ -220,7 +261,9 @@
         bodyComplete: request.isBodyComplete,
         slots: request.slots,
         connections: request.connections,
-        queue: request.queue
+        queue: request.queue,
+        callId: request.callId,
+        objectiveMs: Math.max(request.objectiveMs > 0 ? 1 : 0, Math.floor(request.objectiveMs - (request.remainingMs - remainingMs)))
       }
     })
     this._window.spend(request.body.length)
@@ -268,8 +311,9 @@
     if (this._hasEnded) return
     switch (frame.$case) {
       case 'head': {
-        const { status, headers, body, end, inFlight, slots, queued, served } = frame.value
-        this._events.onHead(status, headers, { inFlight, slots, queued, served })
+        const { status, headers, body, end, inFlight, slots, queued, served, serviceMs } = frame.value
+        this._hasHead = true
+        this._events.onHead(status, headers, { inFlight, slots, queued, served, serviceMs })
         if (body.length > 0) this._events.onData(body)
         if (end) this._end()
         return
@@ -283,7 +327,7 @@
         return
       case 'failure': {
         const { reason, notRun, retryAfterMs, inFlight, slots, queued } = frame.value
-        const load: ITargetLoad | undefined = slots > 0 ? { inFlight, slots, queued, served: 0 } : undefined
+        const load: ITargetLoad | undefined = slots > 0 ? { inFlight, slots, queued, served: 0, serviceMs: 0 } : undefined
         this._finish()
         this._events.onFailure({ reason: reason as FailureReason, isNotRun: notRun, retryAfterMs }, load)
         return
@@ -293,6 +337,11 @@
     }
   }
 
+  /** A call that may run again needn't wait until a silent process wakes up. */
+  handleSilence (): void {
+    if (this._request.isRepeatable && !this._hasHead) this._fail('link-silent', !this._isSent)
+  }
+
   /** A call whose opening frame was never sent was certainly not run. */
   handleLinkLost (): void {
     this._fail(this._isSent ? 'link-lost' : 'unreachable', !this._isSent)
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -98,7 +98,10 @@
       isBodyComplete: open.bodyComplete,
       slots: open.slots,
       connections: open.connections,
-      queue: open.queue
+      queue: open.queue,
+      callId: open.callId,
+      objectiveMs: open.objectiveMs,
+      isRepeatable: false
     }, call))
     if (open.body.length > 0) call.countBody(open.body.length)
   }
@@ -190,9 +193,9 @@
     if (this._head === undefined || this._hasEnded) return
     const { status, headers, load } = this._head
     this._head = undefined
-    const { inFlight, slots, queued, served } = load
+    const { inFlight, slots, queued, served, serviceMs } = load
     this._send({
-      $case: 'head', value: { status, headers: headers as string[], body, end, inFlight, slots, queued, served }
+      $case: 'head', value: { status, headers: headers as string[], body, end, inFlight, slots, queued, served, serviceMs }
     })
   }
 
--- a/packages/node/src/moves/EvidenceCollector.test.ts
+++ b/packages/node/src/moves/EvidenceCollector.test.ts
@@ -1,11 +1,11 @@
 import { beforeEach, expect, test } from 'vitest'
 import { ManualClock, Metrics, NullLog } from '@lagoonswitch/common'
 import { CatalogueStore } from '@lagoonswitch/feed'
-import { MoveStatus, type MoveRecord } from '@lagoonswitch/schema'
+import { MoveRecord, MoveStatus } from '@lagoonswitch/schema'
 import { EvidenceCollector } from './EvidenceCollector.js'
 
 const CUT_MS = 15_000
-const MOVE: MoveRecord = {
+const MOVE = MoveRecord.fromPartial({
   service: 'desk',
   from: 'v1',
   to: 'v2',
@@ -17,7 +17,7 @@
   reason: '',
   version: 2,
   late: false
-}
+})
 let clock: ManualClock
 let store: CatalogueStore
 let collector: EvidenceCollector
--- a/packages/node/src/moves/EvidenceCollector.ts
+++ b/packages/node/src/moves/EvidenceCollector.ts
@@ -131,8 +131,9 @@
       guard = { startedMs: move.startedMs, comparison: new VersionComparison(), cutUntilMs: 0 }
       this._guards.set(move.service, guard)
     }
-    const select = (version: string): IOutcomes[] => ofService.filter(counts => counts.version === version)
-    guard.comparison.addWindow(select(move.to), select(move.from))
+    const isOld = (version: string): boolean => move.from === '' ? version !== move.to : version === move.from
+    const newOutcomes: IOutcomes[] = ofService.filter(counts => counts.version === move.to)
+    guard.comparison.addWindow(newOutcomes, ofService.filter(counts => isOld(counts.version)))
     const fault = guard.comparison.findFault(FALSE_CUT_RATE)
     if (fault === undefined || this.isCut(move.service)) return
     guard.cutUntilMs = this._clock.readMonotonicMs() + CUT_MS
--- a/packages/node/src/routing/RetryBudget.ts
+++ b/packages/node/src/routing/RetryBudget.ts
@@ -1,24 +1,79 @@
 /**
- * Bounds the extra attempts of a route to a share of its calls.
+ * Bounds the repeats of calls to a service over a sliding window, as this node's part of what all nodes may make.
  */
-const BURST = 5
+import type { IClock } from '@lagoonswitch/common'
 
-/** Tokens that calls earn and retries spend. */
+const BUCKETS = 10
+/** Part of the bound that is used; the rest covers calls that repeated runs make and nodes that come and go. */
+const USED_SHARE = 0.6
+
+/** What bounds the repeats. */
+export interface IRetryBounds {
+  /** Repeats per call. */
+  readonly ratio: number
+  readonly windowMs: number
+  /** Repeats per window beside the ratio, for all nodes together. */
+  readonly slack: number
+  /** Nodes that share the slack, at least 1. */
+  readonly countNodes: () => number
+}
+
+/** Counts calls and repeats in the window. */
 export class RetryBudget {
-  private _tokens = BURST
+  private readonly _calls = new Array<number>(BUCKETS + 1).fill(0)
+  private readonly _repeats = new Array<number>(BUCKETS + 1).fill(0)
+  private _bucket = 0
 
-  /** @param _ratio - extra attempts per call, from 0 to 1 */
-  constructor (private readonly _ratio: number) {}
+  /**
+   * @param _bounds - of the service
+   * @param _clock - source of time
+   */
+  constructor (private readonly _bounds: IRetryBounds, private readonly _clock: IClock) {}
 
-  /** Earns a part of a token for a call. */
+  get ratio (): number {
+    return this._bounds.ratio
+  }
+
+  /** Notes a call. */
   recordCall (): void {
-    this._tokens = Math.min(BURST + this._ratio * 100, this._tokens + this._ratio)
+    this._advance()
+    this._add(this._calls)
   }
 
-  /** @returns true when an extra attempt is allowed; it is spent then */
+  /** @returns true when a repeat is allowed; it is spent then */
   spend (): boolean {
-    if (this._tokens < 1) return false
-    this._tokens--
+    this._advance()
+    const { ratio, slack, countNodes } = this._bounds
+    const calls = sum(this._calls)
+    const allowed = USED_SHARE * (ratio * calls + slack / Math.max(1, countNodes()))
+    if (sum(this._repeats) + 1 > allowed) return false
+    this._add(this._repeats)
     return true
   }
+
+  /** @returns repeats in the window */
+  countRepeats (): number {
+    this._advance()
+    return sum(this._repeats)
+  }
+
+  private _advance (): void {
+    const bucket = Math.floor(this._clock.readMonotonicMs() / (this._bounds.windowMs / BUCKETS))
+    const steps = Math.min(BUCKETS + 1, bucket - this._bucket)
+    for (let step = 1; step <= steps; step++) {
+      const index = (bucket - steps + step) % (BUCKETS + 1)
+      this._calls[index] = 0
+      this._repeats[index] = 0
+    }
+    this._bucket = bucket
+  }
+
+  private _add (counts: number[]): void {
+    const index = this._bucket % (BUCKETS + 1)
+    counts[index] = (counts[index] ?? 0) + 1
+  }
+}
+
+function sum (counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0)
 }
--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -3,10 +3,13 @@
  */
 import { parseDurationMs } from '@lagoonswitch/common'
 import type { ICatalogueView } from '@lagoonswitch/feed'
-import { CLASSES, CallClass, MoveStatus, type IEntry, type IRoute, type MoveRecord } from '@lagoonswitch/schema'
+import { CLASSES, CallClass, MoveStatus, listParts, type IEntry, type IRoute, type MoveRecord } from '@lagoonswitch/schema'
 
-const FULL_SHARE_PPM = 1_000_000
+/** Share of all calls in parts per million. */
+export const FULL_SHARE_PPM = 1_000_000
 const DEFAULT_DEADLINE_MS = 10_000
+/** Targets that one call may be sent to unless its route says otherwise. */
+const DEFAULT_ATTEMPTS = 3
 const CLASS_NUMBERS: Readonly<Record<typeof CLASSES[number], CallClass>> = {
   first: CallClass.CALL_CLASS_FIRST,
   high: CallClass.CALL_CLASS_HIGH,
@@ -16,10 +19,21 @@
 
 /** Versions of a service and the share of the newer one. */
 export interface IVersionSplit {
+  /** Version in use; empty for every version but those that are left out. */
   readonly from: string
   /** Empty while no move is open. */
   readonly to: string
   readonly sharePpm: number
+  /** Version that takes no calls even where every version may. */
+  readonly excluded: string
+}
+
+/** A service that takes a part of the calls of a route. */
+export interface IRoutePart {
+  readonly service: string
+  readonly weight: number
+  readonly serviceEntry: IEntry
+  readonly split: IVersionSplit
 }
 
 /** A route with everything that a call needs of it. */
@@ -27,14 +41,17 @@
   readonly entry: IEntry
   readonly route: IRoute
   readonly key: string
-  readonly service: string
-  readonly serviceEntry: IEntry
+  readonly parts: readonly IRoutePart[]
+  readonly totalWeight: number
   readonly deadlineMs: number
+  /** Time after which an answer is worth less; 0 when none is stated. */
+  readonly objectiveMs: number
+  /** Most targets that may run one call. */
+  readonly maxAttempts: number
   readonly callClass: CallClass
   readonly isKeyed: boolean
   /** True when a call may be sent again after it may have run. */
   readonly isRepeatable: boolean
-  readonly split: IVersionSplit
 }
 
 /**
@@ -44,16 +61,17 @@
  * @returns the versions and the share
  */
 export function computeSplit (entry: IEntry, move: MoveRecord | undefined): IVersionSplit {
-  const isOfEntry = move !== undefined && entry.move?.to === move.to && Date.parse(entry.move.by) === move.byMs
-  if (!isOfEntry) return { from: entry.version, to: '', sharePpm: 0 }
+  const isOfEntry = move !== undefined &&
+    (move.ordered || (entry.move?.to === move.to && Date.parse(entry.move.by) === move.byMs))
+  if (!isOfEntry) return { from: entry.version ?? '', to: '', sharePpm: 0, excluded: '' }
   switch (move.status) {
     case MoveStatus.MOVE_STATUS_RUNNING:
     case MoveStatus.MOVE_STATUS_WATCHING:
-      return { from: move.from, to: move.to, sharePpm: move.sharePpm }
+      return { from: move.from, to: move.to, sharePpm: move.sharePpm, excluded: move.to }
     case MoveStatus.MOVE_STATUS_DONE:
-      return { from: move.to, to: '', sharePpm: FULL_SHARE_PPM }
+      return { from: move.to, to: '', sharePpm: FULL_SHARE_PPM, excluded: move.from }
     default:
-      return { from: move.from, to: '', sharePpm: 0 }
+      return { from: move.from, to: '', sharePpm: 0, excluded: move.to }
   }
 }
 
@@ -90,39 +108,58 @@
     const end = path.indexOf('?')
     const plain = end < 0 ? path : path.slice(0, end)
     const segment = getFirstSegment(plain)
-    return this._findIn(`${host} ${segment}`, method, plain) ?? this._findIn(`* ${segment}`, method, plain) ??
-      this._findIn(`${host} /`, method, plain) ?? this._findIn('* /', method, plain)
+    const name = normalizeHost(host)
+    return this._findIn(`${name} ${segment}`, method, plain) ?? this._findIn(`${name} /`, method, plain) ??
+      this._findIn(`* ${segment}`, method, plain) ?? this._findIn('* /', method, plain)
   }
 
   private _findIn (bucket: string, method: string, path: string): ICompiledRoute | undefined {
     const routes = this._buckets.get(bucket)
     if (routes === undefined) return undefined
     for (const compiled of routes) {
-      if (matchesPath(compiled.route.path, path) && compiled.route.methods.includes(method as 'GET')) return compiled
+      if (matchesPath(compiled.route.path, path) && matchesMethod(compiled.route, method)) return compiled
     }
     return undefined
   }
 
   private _addRoute (entry: IEntry, route: IRoute): void {
-    const service = route.service ?? entry.entry
-    const serviceEntry = this.view.entries.get(service)
-    if (serviceEntry === undefined) return
-    const key = `${entry.host ?? '*'} ${getFirstSegment(route.path)}`
+    const parts = this._compileParts(entry, route)
+    if (parts.length === 0) return
+    const key = `${normalizeHost(entry.host ?? '*')} ${getFirstSegment(route.path)}`
     const bucket = this._buckets.get(key) ?? []
     this._buckets.set(key, bucket)
     bucket.push({
       entry,
       route,
       key: `${entry.entry}/${route.name}`,
-      service,
-      serviceEntry,
+      parts,
+      totalWeight: parts.reduce((sum, part) => sum + part.weight, 0),
+      objectiveMs: parseDurationMs(route.objective ?? '') ?? 0,
+      maxAttempts: route.attempts ?? DEFAULT_ATTEMPTS,
       deadlineMs: parseDurationMs(route.deadline ?? entry.limits.deadline) ?? DEFAULT_DEADLINE_MS,
       callClass: CLASS_NUMBERS[route.class ?? entry.class],
       isKeyed: route.idempotency === 'keyed',
-      isRepeatable: route.idempotency === 'safe' || route.idempotency === 'idempotent',
-      split: computeSplit(serviceEntry, this.view.moves.get(service))
+      isRepeatable: route.idempotency === 'safe' || route.idempotency === 'idempotent'
     })
   }
+
+  private _compileParts (entry: IEntry, route: IRoute): IRoutePart[] {
+    const parts: IRoutePart[] = []
+    for (const { service, weight } of listParts(entry, route)) {
+      const serviceEntry = this.view.entries.get(service)
+      if (serviceEntry === undefined || weight <= 0) continue
+      parts.push({ service, weight, serviceEntry, split: computeSplit(serviceEntry, this.view.moves.get(service)) })
+    }
+    return parts
+  }
+}
+
+function matchesMethod (route: IRoute, method: string): boolean {
+  return route.methods === undefined || route.methods.includes(method as 'GET')
+}
+
+function normalizeHost (host: string): string {
+  return host.toLowerCase().replace(/:\d+$/, '')
 }
 
 function getFirstSegment (path: string): string {
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -1,39 +1,52 @@
 /**
- * What this process has seen of each target, and the choice among them.
+ * The choice among the targets of a service.
  */
 import type { IClock, IRandom, Metrics } from '@lagoonswitch/common'
 import type { EndpointView } from '@lagoonswitch/feed'
 import { EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
 import type { ITargetLoad } from '../calls/CallTypes.js'
+import { FAILURE_WEIGHT, TargetState, UNKNOWN_SERVICE_MS } from './TargetState.js'
+
+export type { TargetState as ITargetState } from './TargetState.js'
 
-const LATENCY_WEIGHT = 0.2
-const FAILURE_WEIGHT = 0.15
 const EJECT_FAILURE_RATE = 0.5
 const EJECT_MIN_CALLS = 5
 const EJECT_BASE_MS = 2_000
 const EJECT_MAX_MS = 30_000
 /** Part of a pool that may be left out for failures at most. */
 const MAX_EJECTED_SHARE = 0.5
-const SLOW_START_MS = 10_000
-const SLOW_START_FLOOR = 0.1
-const SPILL_LOAD = 0.85
-/** Load up to which a target of this VM is preferred, since it saves a hop; above it others share the calls. */
-const OWN_VM_LOAD = 0.5
-const HINT_LIFE_MS = 1_000
-const CHOICES = 2
-
-/** One target as this process sees it. */
-export interface ITargetState {
-  record: EndpointRecord
-  inFlight: number
-  readonly addedMs: number
-  latencyMs: number
-  failureRate: number
-  calls: number
-  ejectedUntilMs: number
-  ejections: number
-  hint: ITargetLoad | undefined
-  hintMs: number
+const ROUTE_WEIGHT = 0.05
+const BYTES_WEIGHT = 0.1
+/** Objective of a call that states none, in usual times of its route. */
+const ASSUMED_OBJECTIVE_FACTOR = 4
+/** Shape of the Weibull distribution that stands for the times of calls around their mean. */
+const TIME_SHAPE = 1.3
+/** Value of a call's answer in time is 1; a hop to another VM and a change of zone are paid out of it. */
+const HOP_COST = 0.02
+const ZONE_COST = 0.05
+const ZONE_COST_PER_KB = 0.05
+const REGION_COST = 0.3
+/** Largest part of the value that bytes between zones may cost. */
+const MAX_ZONE_COST = 0.5
+const LATENCY_COST = 0.05
+/** Spreads the choice over targets that are nearly alike. */
+const NOISE = 0.015
+const HOP_MS = 1
+const BYTES_PER_KB = 1_024
+
+/** What the choice needs to know of a call. */
+export interface IPickTerms {
+  /** Key of the route, for its usual time. */
+  readonly route: string
+  /** Time left until the answer is worth less, 0 for unknown. */
+  readonly objectiveLeftMs: number
+}
+
+/** Which versions of a service may be picked. */
+export interface IVersionChoice {
+  /** The version; empty for every version but the excluded one. */
+  readonly version: string
+  readonly excluded: string
 }
 
 /** Where this process is. */
@@ -46,12 +59,20 @@
   readonly random: IRandom
   readonly metrics: Metrics
   readonly endpoints: EndpointView
+  /** False while the process at a link address doesn't answer. */
+  readonly isReachable?: (linkAddress: string) => boolean
 }
 
-/** Chooses the less loaded of two targets, near ones first. */
+interface IRouteHistory {
+  usualMs: number
+  answerBytes: number
+}
+
+/** Chooses the target that will most likely answer in time, near ones first. */
 export class TargetPool {
-  private readonly _states = new Map<string, ITargetState>()
-  private readonly _groups = new Map<string, ITargetState[]>()
+  private readonly _states = new Map<string, TargetState>()
+  private readonly _services = new Map<string, TargetState[]>()
+  private readonly _routes = new Map<string, IRouteHistory>()
 
   constructor (private readonly _options: ITargetPoolOptions) {
     this._update(_options.endpoints.getRecords())
@@ -61,30 +82,33 @@
   /**
    * Picks a target.
    * @param service - name of the service
-   * @param version - version of the target
+   * @param choice - version of the target, or which versions may be picked
    * @param tried - targets that this call has tried already
+   * @param terms - of the call
    * @returns the target, or undefined when none is left
    */
-  pickTarget (service: string, version: string, tried: ReadonlySet<string>): ITargetState | undefined {
-    const all = this._groups.get(formatGroup(service, version))
-    if (all === undefined) return undefined
+  pickTarget (
+    service: string, choice: string | IVersionChoice, tried: ReadonlySet<string>, terms?: IPickTerms
+  ): TargetState | undefined {
+    const all = this._listStates(service, choice)
+    if (all.length === 0) return undefined
     const nowMs = this._options.clock.readMonotonicMs()
     const open = all.filter(state => !tried.has(state.record.targetId))
     const usable = this._filterEjected(open, all.length, nowMs)
-    return this._pickNear(usable, nowMs)
+    return this._pickBest(usable, terms, nowMs)
   }
 
   /**
    * @param service - name of the service
-   * @param version - version of the target
+   * @param choice - version of the target, or which versions may be picked
    * @returns how many targets take calls
    */
-  countTargets (service: string, version: string): number {
-    return this._groups.get(formatGroup(service, version))?.length ?? 0
+  countTargets (service: string, choice: string | IVersionChoice): number {
+    return this._listStates(service, choice).length
   }
 
   /** Notes the start of a call. */
-  recordStart (state: ITargetState): void {
+  recordStart (state: TargetState): void {
     state.inFlight++
   }
 
@@ -94,87 +118,129 @@
    * @param outcome - `good`, `failed`, or `neutral` when it says nothing about the target
    * @param latencyMs - time to the first byte of the answer
    */
-  recordEnd (state: ITargetState, outcome: 'good' | 'failed' | 'neutral', latencyMs: number): void {
+  recordEnd (state: TargetState, outcome: 'good' | 'failed' | 'neutral', latencyMs: number): void {
     state.inFlight--
-    if (outcome === 'neutral') return
+    const nowMs = this._options.clock.readMonotonicMs()
+    // Calls that were sent before a target was left out tell nothing new about it.
+    if (outcome === 'neutral' || state.ejectedUntilMs > nowMs) return
     state.calls++
-    state.failureRate += ((outcome === 'failed' ? 1 : 0) - state.failureRate) * FAILURE_WEIGHT
+    state.recordOutcome(outcome === 'failed', nowMs)
     if (outcome === 'good') {
-      state.latencyMs += (latencyMs - state.latencyMs) * (state.calls === 1 ? 1 : LATENCY_WEIGHT)
+      state.recordLatency(latencyMs)
       state.ejections = state.failureRate < FAILURE_WEIGHT ? 0 : state.ejections
       return
     }
     if (state.calls >= EJECT_MIN_CALLS && state.failureRate >= EJECT_FAILURE_RATE) this._eject(state, 'failures')
   }
 
+  /**
+   * Notes how long an answered call held its slot.
+   * @param state - the target
+   * @param route - key of the route
+   * @param serviceMs - milliseconds
+   */
+  recordService (state: TargetState, route: string, serviceMs: number): void {
+    const history = this._getHistory(route)
+    state.recordService(serviceMs, history.usualMs, this._options.clock.readMonotonicMs())
+    const usualMs = serviceMs / state.slowness
+    history.usualMs += (usualMs - history.usualMs) * (history.usualMs === 0 ? 1 : ROUTE_WEIGHT)
+  }
+
+  /**
+   * Notes the size of an answer.
+   * @param route - key of the route
+   * @param bytes - of the body
+   */
+  recordAnswerBytes (route: string, bytes: number): void {
+    const history = this._getHistory(route)
+    history.answerBytes += (bytes - history.answerBytes) * (history.answerBytes === 0 ? 1 : BYTES_WEIGHT)
+  }
+
   /**
    * Leaves out a target that can't be reached at all.
    * @param state - the target
    */
-  ejectUnreachable (state: ITargetState): void {
+  ejectUnreachable (state: TargetState): void {
     this._eject(state, 'unreachable')
   }
 
   /** Notes the load that a target's own process reported. */
-  recordLoad (state: ITargetState, load: ITargetLoad): void {
-    state.hint = load
-    state.hintMs = this._options.clock.readMonotonicMs()
+  recordLoad (state: TargetState, load: ITargetLoad): void {
+    state.recordLoad(load, this._options.clock.readMonotonicMs())
+  }
+
+  private _listStates (service: string, choice: string | IVersionChoice): TargetState[] {
+    const all = this._services.get(service) ?? []
+    const { version, excluded } = typeof choice === 'string' ? { version: choice, excluded: '' } : choice
+    if (version !== '') return all.filter(state => state.record.version === version)
+    return excluded === '' ? all : all.filter(state => state.record.version !== excluded)
   }
 
-  private _eject (state: ITargetState, reason: string): void {
+  private _eject (state: TargetState, reason: string): void {
     const nowMs = this._options.clock.readMonotonicMs()
     if (state.ejectedUntilMs > nowMs) return
     const lengthMs = Math.min(EJECT_MAX_MS, EJECT_BASE_MS * 2 ** state.ejections)
     state.ejections++
     state.ejectedUntilMs = nowMs + lengthMs
-    state.failureRate = 0
-    state.calls = 0
+    state.resetOutcomes()
     this._options.metrics.count('targets_ejected_total', reason)
   }
 
   /** A fault that all targets share must not empty the pool, so only a part may be left out. */
-  private _filterEjected (open: ITargetState[], total: number, nowMs: number): ITargetState[] {
-    const usable = open.filter(state => state.ejectedUntilMs <= nowMs)
-    const ejected = open.length - usable.length
-    if (ejected === 0) return open
+  private _filterEjected (open: TargetState[], total: number, nowMs: number): TargetState[] {
+    const { isReachable } = this._options
+    const reachable = isReachable === undefined ? open : open.filter(state => isReachable(state.record.linkAddress))
+    const candidates = reachable.length > 0 ? reachable : open
+    const usable = candidates.filter(state => state.ejectedUntilMs <= nowMs)
+    const ejected = candidates.length - usable.length
+    if (ejected === 0) return candidates
     if (usable.length > 0 && ejected <= total * MAX_EJECTED_SHARE) return usable
-    return open
+    return candidates
   }
 
-  private _pickNear (states: readonly ITargetState[], nowMs: number): ITargetState | undefined {
-    const { availabilityZone, region, linkAddress } = this._options
-    const ownPick = this._pickOfTwo(states.filter(state => state.record.linkAddress === linkAddress), nowMs)
-    if (ownPick !== undefined && this._computeLoad(ownPick, nowMs) < OWN_VM_LOAD) return ownPick
-    const sameZone = states.filter(state => state.record.availabilityZone === availabilityZone)
-    const zonePick = this._pickOfTwo(sameZone, nowMs)
-    if (zonePick !== undefined && this._computeLoad(zonePick, nowMs) < SPILL_LOAD) return zonePick
-    const sameRegion = states.filter(state => state.record.region === region)
-    const regionPick = this._pickOfTwo(sameRegion, nowMs)
-    if (regionPick !== undefined && this._computeLoad(regionPick, nowMs) < SPILL_LOAD) return regionPick
-    return this._pickOfTwo(states, nowMs) ?? regionPick ?? zonePick
-  }
-
-  private _pickOfTwo (states: readonly ITargetState[], nowMs: number): ITargetState | undefined {
-    let best: ITargetState | undefined
-    for (let choice = 0; choice < CHOICES; choice++) {
-      const state = states[Math.floor(this._options.random.draw() * states.length)]
-      if (state === undefined) return undefined
-      if (best === undefined || this._computeScore(state, nowMs) < this._computeScore(best, nowMs)) best = state
+  private _pickBest (states: readonly TargetState[], terms: IPickTerms | undefined, nowMs: number): TargetState | undefined {
+    let best: TargetState | undefined
+    let bestValue = -Infinity
+    for (const state of states) {
+      const value = this._computeValue(state, terms, nowMs) + this._options.random.draw() * NOISE
+      if (value <= bestValue) continue
+      best = state
+      bestValue = value
     }
     return best
   }
 
-  /** Load from 0 to about 1 and more: own calls, or what the target's process last said if that is more. */
-  private _computeLoad (state: ITargetState, nowMs: number): number {
-    const slots = Math.max(1, state.record.slots)
-    const isFresh = state.hint !== undefined && nowMs - state.hintMs < HINT_LIFE_MS
-    const hinted = isFresh ? (state.hint?.inFlight ?? 0) + (state.hint?.queued ?? 0) : 0
-    return Math.max(state.inFlight, hinted) / slots
+  /** Expected value of sending the call there: the chance of an answer in time less what the way costs. */
+  private _computeValue (state: TargetState, terms: IPickTerms | undefined, nowMs: number): number {
+    const history = terms === undefined ? undefined : this._routes.get(terms.route)
+    const usualMs = history?.usualMs ?? 0
+    const waitMs = state.computeWaitMs(nowMs)
+    const serviceMs = state.computeServiceMs(usualMs, nowMs)
+    const objectiveMs = terms !== undefined && terms.objectiveLeftMs > 0
+      ? terms.objectiveLeftMs
+      : ASSUMED_OBJECTIVE_FACTOR * (usualMs > 0 ? usualMs : UNKNOWN_SERVICE_MS)
+    const leftMs = Math.max(0, objectiveMs - waitMs - HOP_MS)
+    const chance = 1 - Math.exp(-((leftMs / serviceMs) ** TIME_SHAPE))
+    const delay = Math.min(1, (waitMs + serviceMs) / objectiveMs)
+    return chance * (1 - state.computeFailureRate(nowMs)) - LATENCY_COST * delay - this._computeWayCost(state, history)
+  }
+
+  private _computeWayCost ({ record }: TargetState, history: IRouteHistory | undefined): number {
+    const { availabilityZone, region, linkAddress } = this._options
+    if (record.linkAddress === linkAddress) return 0
+    if (record.availabilityZone === availabilityZone) return HOP_COST
+    const kilobytes = (history?.answerBytes ?? 0) / BYTES_PER_KB
+    const zoneCost = Math.min(MAX_ZONE_COST, ZONE_COST + ZONE_COST_PER_KB * kilobytes)
+    return HOP_COST + zoneCost + (record.region === region ? 0 : REGION_COST)
   }
 
-  private _computeScore (state: ITargetState, nowMs: number): number {
-    const warmth = Math.min(1, Math.max(SLOW_START_FLOOR, (nowMs - state.addedMs) / SLOW_START_MS))
-    return (this._computeLoad(state, nowMs) + 1 / Math.max(1, state.record.slots)) * (1 + state.latencyMs) / warmth
+  private _getHistory (route: string): IRouteHistory {
+    let history = this._routes.get(route)
+    if (history === undefined) {
+      history = { usualMs: 0, answerBytes: 0 }
+      this._routes.set(route, history)
+    }
+    return history
   }
 
   private _update (records: readonly EndpointRecord[]): void {
@@ -185,34 +251,14 @@
       } else if (known !== undefined && known.record.incarnation === record.incarnation) {
         known.record = record
       } else {
-        this._states.set(record.targetId, this._createState(record))
+        this._states.set(record.targetId, new TargetState(record, this._options.clock.readMonotonicMs()))
       }
     }
-    this._groups.clear()
+    this._services.clear()
     for (const state of this._states.values()) {
-      const key = formatGroup(state.record.service, state.record.version)
-      const group = this._groups.get(key)
-      if (group === undefined) this._groups.set(key, [state])
+      const group = this._services.get(state.record.service)
+      if (group === undefined) this._services.set(state.record.service, [state])
       else group.push(state)
     }
   }
-
-  private _createState (record: EndpointRecord): ITargetState {
-    return {
-      record,
-      inFlight: 0,
-      addedMs: this._options.clock.readMonotonicMs(),
-      latencyMs: 0,
-      failureRate: 0,
-      calls: 0,
-      ejectedUntilMs: 0,
-      ejections: 0,
-      hint: undefined,
-      hintMs: 0
-    }
-  }
-}
-
-function formatGroup (service: string, version: string): string {
-  return `${service}\n${version}`
 }
--- /dev/null
+++ b/packages/node/src/routing/TargetState.ts
@@ -0,0 +1,129 @@
+/**
+ * What this process has learnt of one target, and what it expects of it.
+ */
+import type { EndpointRecord } from '@lagoonswitch/schema'
+import type { ITargetLoad } from '../calls/CallTypes.js'
+
+const SPEED_WEIGHT = 0.1
+const SLOT_TIME_WEIGHT = 0.1
+const LATENCY_WEIGHT = 0.2
+/** Weight of one outcome in the failure rate. */
+export const FAILURE_WEIGHT = 0.15
+/** Time in which a failure rate that no call renews is halved, so that a mended target is tried again. */
+const FAILURE_HALF_LIFE_MS = 3_000
+const LOWEST_SLOWNESS = 0.2
+const HIGHEST_SLOWNESS = 20
+/** Assumed time of a call while nothing is known, in milliseconds. */
+export const UNKNOWN_SERVICE_MS = 50
+/** How many times as long a target works while it is cold. */
+const COLD_FACTOR = 2
+/** Time for which a target that doesn't say how long it stays cold is taken as cold, in milliseconds. */
+export const DEFAULT_WARMUP_MS = 10_000
+/** How much longer a call takes on a target whose slots are all in use, as a part of its time. */
+const CROWDING = 0.3
+/** Time for which a load report is believed. */
+const HINT_LIFE_MS = 1_000
+
+/** One target as this process sees it. */
+export class TargetState {
+  inFlight = 0
+  private _failureRate = 0
+  private _failureMs = 0
+  calls = 0
+  ejectedUntilMs = 0
+  ejections = 0
+  latencyMs = 0
+  private _slowness = 1
+  private _slotMs = 0
+  private _hint: ITargetLoad | undefined
+  private _hintMs = 0
+  private readonly _warmAtMs: number
+
+  /**
+   * @param record - newest announcement
+   * @param addedMs - monotonic time at which the target became known
+   */
+  constructor (public record: EndpointRecord, readonly addedMs: number) {
+    this._warmAtMs = addedMs + (record.warmupMs ?? DEFAULT_WARMUP_MS)
+  }
+
+  /** Age of the last load report in milliseconds; undefined when there was none. */
+  getHintAgeMs (nowMs: number): number | undefined {
+    return this._hint === undefined ? undefined : nowMs - this._hintMs
+  }
+
+  get failureRate (): number {
+    return this._failureRate
+  }
+
+  /** Notes whether a call failed because of the target. */
+  recordOutcome (isFailure: boolean, nowMs: number): void {
+    const rate = this.computeFailureRate(nowMs)
+    this._failureRate = rate + ((isFailure ? 1 : 0) - rate) * FAILURE_WEIGHT
+    this._failureMs = nowMs
+  }
+
+  /** Forgets the failures. */
+  resetOutcomes (): void {
+    this._failureRate = 0
+    this.calls = 0
+  }
+
+  /** @returns share of calls that fail, as far as recent calls tell */
+  computeFailureRate (nowMs: number): number {
+    return this._failureRate * 0.5 ** ((nowMs - this._failureMs) / FAILURE_HALF_LIFE_MS)
+  }
+
+  /** Notes the load that the target's own process reported. */
+  recordLoad (load: ITargetLoad, nowMs: number): void {
+    this._hint = load
+    this._hintMs = nowMs
+  }
+
+  /** Notes the time to the first byte of an answer. */
+  recordLatency (latencyMs: number): void {
+    this.latencyMs += (latencyMs - this.latencyMs) * (this.latencyMs === 0 ? 1 : LATENCY_WEIGHT)
+  }
+
+  /**
+   * Notes how long a call held its slot.
+   * @param serviceMs - milliseconds
+   * @param usualMs - usual time of calls on that route on a target of average speed
+   */
+  recordService (serviceMs: number, usualMs: number, nowMs: number): void {
+    this._slotMs += (serviceMs - this._slotMs) * (this._slotMs === 0 ? 1 : SLOT_TIME_WEIGHT)
+    if (nowMs < this._warmAtMs || usualMs <= 0) return
+    const slowness = Math.min(HIGHEST_SLOWNESS, Math.max(LOWEST_SLOWNESS, serviceMs / usualMs))
+    this._slowness += (slowness - this._slowness) * SPEED_WEIGHT
+  }
+
+  get slowness (): number {
+    return this._slowness
+  }
+
+  /** Calls that hold or await a slot: own ones, or what the target's process last said if that is more. */
+  computeBusy (nowMs: number): number {
+    const isFresh = this._hint !== undefined && nowMs - this._hintMs < HINT_LIFE_MS
+    const hinted = isFresh ? (this._hint?.inFlight ?? 0) + (this._hint?.queued ?? 0) : 0
+    return Math.max(this.inFlight, hinted)
+  }
+
+  /** @returns expected wait for a slot in milliseconds */
+  computeWaitMs (nowMs: number): number {
+    const slots = Math.max(1, this.record.slots)
+    const ahead = this.computeBusy(nowMs) + 1 - slots
+    return ahead <= 0 ? 0 : ahead / slots * (this._slotMs > 0 ? this._slotMs : UNKNOWN_SERVICE_MS)
+  }
+
+  /**
+   * @param usualMs - usual time of calls on that route, 0 when unknown
+   * @returns expected time in a slot in milliseconds
+   */
+  computeServiceMs (usualMs: number, nowMs: number): number {
+    const load = Math.min(1, this.computeBusy(nowMs) / Math.max(1, this.record.slots))
+    const cold = nowMs < this._warmAtMs ? COLD_FACTOR : 1
+    const known = usualMs > 0 ? usualMs * this._slowness : this.latencyMs
+    const base = known > 0 ? known : UNKNOWN_SERVICE_MS
+    return base * cold * (1 + CROWDING * load)
+  }
+}
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -1,11 +1,9 @@
 /**
  * A target on this VM, as it announced itself, with its slots and its connections.
  */
-import { Pool } from 'undici'
 import type { IClock, IDisposable } from '@lagoonswitch/common'
 import { SlotGate } from './SlotGate.js'
-
-const CONNECT_TIMEOUT_MS = 1_000
+import { TargetConnections } from './TargetConnections.js'
 
 /** What a target says of itself. */
 export interface ITargetAnnouncement {
@@ -18,14 +16,24 @@
   readonly connections: number
   /** Differs between two runs of a target under one id. */
   readonly instance: string
+  /** Wall time of its start in milliseconds; undefined when it states none. */
+  readonly bornMs?: number
+  /** Count of its announcements since its start; undefined when it states none. */
+  readonly sequence?: number
+  /** Time until it is as fast as it will be; undefined when it states none. */
+  readonly warmupMs?: number
 }
 
 /** Owns the connections to one target. */
 export class LocalTarget implements IDisposable {
   readonly gate: SlotGate
-  private _pool: Pool
-  private _connections: number
+  readonly connections: TargetConnections
+  /** True once the target takes no new calls. */
   isDraining = false
+  /** True while the target takes no connections, until it announces itself again. */
+  isLost = false
+  /** Calls that wait for an answer of the target now. */
+  running = 0
 
   /**
    * @param announcement - from the target
@@ -33,41 +41,20 @@
    */
   constructor (readonly announcement: ITargetAnnouncement, clock: IClock) {
     this.gate = new SlotGate(clock, announcement.slots)
-    this._connections = announcement.connections
-    this._pool = this._createPool()
-  }
-
-  get pool (): Pool {
-    return this._pool
+    this.connections = new TargetConnections(`http://${announcement.address}`)
   }
 
   /**
-   * Holds the limits of the entry where they are lower than what the target announced.
+   * Holds the limits of the entry where they are lower than what the target announced. A slot needs a connection.
    * @param slots - of the entry
    * @param connections - of the entry
    */
   applyLimits (slots: number, connections: number): void {
-    this.gate.slots = Math.min(this.announcement.slots, slots)
-    const lowest = Math.min(this.announcement.connections, connections)
-    if (lowest === this._connections) return
-    this._connections = lowest
-    const old = this._pool
-    this._pool = this._createPool()
-    void old.close().catch(() => undefined)
+    this.gate.slots = Math.min(this.announcement.slots, this.announcement.connections, slots, connections)
   }
 
   dispose (): void {
     this.gate.refuseAll('no-target')
-    void this._pool.close().catch(() => undefined)
-  }
-
-  private _createPool (): Pool {
-    return new Pool(`http://${this.announcement.address}`, {
-      connections: this._connections,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
-      headersTimeout: 0,
-      bodyTimeout: 0
-    })
+    this.connections.close()
   }
 }
--- a/packages/node/src/targets/SlotGate.ts
+++ b/packages/node/src/targets/SlotGate.ts
@@ -20,6 +20,8 @@
 export interface ISlotRequest {
   readonly callClass: CallClass
   readonly remainingMs: number
+  /** Time left until the answer is worth less; 0 when none was stated. */
+  readonly objectiveMs?: number
   readonly queueLimit: number
   readonly onGranted: () => void
   readonly onRefused: (reason: FailureReason, retryAfterMs: number) => void
@@ -48,7 +50,7 @@
   constructor (private readonly _clock: IClock, public slots: number) {}
 
   get load (): ITargetLoad {
-    return { inFlight: this._inFlight, slots: this.slots, queued: this._queue.length, served: this._served }
+    return { inFlight: this._inFlight, slots: this.slots, queued: this._queue.length, served: this._served, serviceMs: 0 }
   }
 
   /**
@@ -76,7 +78,7 @@
       return waiter
     }
     this._insert(waiter)
-    waiter.timer = this._clock.schedule(request.remainingMs, () => {
+    waiter.timer = this._clock.schedule(computeLimitMs(request), () => {
       this._removeQueued(waiter)
       this._refuse(waiter, 'deadline-queue')
     })
@@ -94,7 +96,7 @@
   private _findRefusal (request: ISlotRequest, rank: number): FailureReason | undefined {
     const ahead = this._findPosition(rank)
     const waitMs = (ahead + 1) / Math.max(1, this.slots) * this._serviceMs
-    if (waitMs + this._serviceMs > request.remainingMs) return 'deadline-queue'
+    if (waitMs + this._serviceMs > computeLimitMs(request)) return 'deadline-queue'
     if (this._queue.length < request.queueLimit) return undefined
     const last = this._queue.at(-1)
     if (last === undefined || last.request.callClass <= request.callClass) return 'queue-full'
@@ -130,7 +132,8 @@
   private _refuse (waiter: IWaiter, reason: FailureReason): void {
     waiter.timer?.dispose()
     waiter.state = 'ended'
-    waiter.request.onRefused(reason, Math.max(RETRY_AFTER_MS, this._serviceMs))
+    const waitMs = (this._queue.length + 1) / Math.max(1, this.slots) * this._serviceMs
+    waiter.request.onRefused(reason, Math.max(RETRY_AFTER_MS, waitMs))
   }
 
   private _release (waiter: IWaiter): void {
@@ -150,3 +153,8 @@
     }
   }
 }
+
+/** A slot that comes later than this is of little use, and others can use it better. */
+function computeLimitMs ({ remainingMs, objectiveMs = 0 }: ISlotRequest): number {
+  return objectiveMs > 0 ? Math.min(remainingMs, objectiveMs) : remainingMs
+}
