--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -7,17 +7,30 @@
 import {
   FLOW_WINDOW_BYTES, type FailureReason, type ICallEvents, type ICallHandle, type ICallRequest
 } from '../calls/CallTypes.js'
-import { DEADLINE_HEADER, copyAnswerHeaders } from '../calls/Headers.js'
+import { copyAnswerHeaders } from '../calls/Headers.js'
+import type { CallDialect } from '../calls/CallDialect.js'
 import type { LocalTarget } from './LocalTarget.js'
 import type { ISlotTicket } from './SlotGate.js'
+import type { TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
+/** Time after the deadline in which the target may still say itself that the time is over. */
+const DEADLINE_GRACE_MS = 40
+const MISDIRECTED = 421
+const BAD_REQUEST = 400
+const REDIRECT = 300
 
 /** Carries one call; plain callbacks, since every call passes here. */
 export class TargetCall implements ICallHandle, Dispatcher.DispatchHandler {
   private readonly _ticket: ISlotTicket
   private readonly _deadline: IDisposable
+  private _connection: TargetConnection | undefined
   private _controller: Dispatcher.DispatchController | undefined
+  private _grantedMs = 0
+  private _isFramed = false
+  /** The target says that it has not run the request; the call ends with the answer. */
+  private _isRefusing = false
+  private _isMisdirected = false
   private _body: Readable | undefined
   private _queuedBody: Buffer[] = []
   private _queuedBytes = 0
@@ -32,14 +45,16 @@
     private readonly _request: ICallRequest,
     private readonly _events: ICallEvents,
     private readonly _clock: IClock,
-    private readonly _onFinished: () => void
+    private readonly _dialect: CallDialect,
+    private readonly _onFinished: (failure: FailureReason | undefined) => void
   ) {
     this._isBodyEnded = _request.isBodyComplete
     this._dueMs = _clock.readMonotonicMs() + _request.remainingMs
-    this._deadline = _clock.schedule(_request.remainingMs, () => this._fail('deadline'))
+    this._deadline = _clock.schedule(_request.remainingMs + DEADLINE_GRACE_MS, () => this._fail('deadline'))
     this._ticket = _target.gate.acquire({
       callClass: _request.callClass,
       remainingMs: _request.remainingMs,
+      objectiveMs: _request.objectiveMs,
       queueLimit: _request.queue,
       onGranted: () => this._send(),
       onRefused: (reason, retryAfterMs) => this._refuse(reason, retryAfterMs)
@@ -62,7 +77,7 @@
 
   cancel (): void {
     if (this._hasEnded) return
-    this._finish(true)
+    this._finish('cancelled', true)
     this._controller?.abort(new Error('cancelled'))
   }
 
@@ -84,11 +99,24 @@
     _controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>
   ): void {
     if (this._hasEnded || status < 200) return
-    this._events.onHead(status, copyAnswerHeaders(headers), this._target.gate.load)
+    const signs = this._dialect.readAnswer(status, headers)
+    const isOther = this._request.callId !== '' && signs.callId !== this._request.callId
+    if (signs.isNotRun && status !== BAD_REQUEST) {
+      this._isRefusing = true
+      this._isMisdirected = status === MISDIRECTED
+      return
+    }
+    if (isOther && (signs.callId !== undefined || status < REDIRECT)) {
+      this._fail('crossed')
+      return
+    }
+    this._isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+    const serviceMs = this._clock.readMonotonicMs() - this._grantedMs
+    this._events.onHead(status, copyAnswerHeaders(headers), { ...this._target.gate.load, serviceMs: Math.ceil(serviceMs) })
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this._hasEnded) return
+    if (this._hasEnded || this._isRefusing) return
     this._unacknowledged += chunk.length
     this._events.onData(chunk)
     if (this._unacknowledged >= FLOW_WINDOW_BYTES) controller.pause()
@@ -96,25 +124,37 @@
 
   onResponseEnd (): void {
     if (this._hasEnded) return
-    this._finish()
+    if (this._isRefusing) {
+      const reason = this._isMisdirected ? 'target-replaced' : 'target-busy'
+      this._finish(reason)
+      this._events.onFailure({ reason, isNotRun: true, retryAfterMs: 0 }, this._target.gate.load)
+      return
+    }
+    if (this._connection?.isAnswerWhole(this._isFramed) !== true) {
+      this._fail('broken')
+      return
+    }
+    this._finish(undefined)
     this._events.onEnd()
   }
 
-  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
+  onResponseError (): void {
     if (this._hasEnded) return
-    const isConnect = 'code' in error && (error.code === 'UND_ERR_CONNECT_TIMEOUT' || error.code === 'ECONNREFUSED')
-    this._fail(isConnect ? 'connect' : 'broken')
+    this._fail(this._hasStarted ? 'broken' : 'connect')
   }
 
   private _send (): void {
     if (this._hasEnded) return
-    const { method, path, headers, body } = this._request
+    const { method, path, headers, body, targetId } = this._request
+    this._grantedMs = this._clock.readMonotonicMs()
     const leftMs = Math.max(1, Math.floor(this._dueMs - this._clock.readMonotonicMs()))
     const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBody.length === 0
-    this._target.pool.dispatch({
+    this._connection = this._target.connections.acquire()
+    this._target.running++
+    this._connection.dispatch({
       method: method as Dispatcher.HttpMethod,
       path,
-      headers: [...headers, DEADLINE_HEADER, String(leftMs)],
+      headers: [...headers, ...this._dialect.formatTargetHeaders({ remainingMs: leftMs, targetId })],
       body: isEmpty ? null : this._createBody(body)
     }, this)
   }
@@ -137,25 +177,36 @@
 
   private _refuse (reason: FailureReason, retryAfterMs: number): void {
     if (this._hasEnded) return
-    this._finish()
+    this._finish(reason)
     this._events.onFailure({ reason, isNotRun: true, retryAfterMs }, this._target.gate.load)
   }
 
   private _fail (reason: FailureReason): void {
     if (this._hasEnded) return
-    this._finish(true)
+    this._finish(reason, true)
     this._controller?.abort(new Error(reason))
     this._events.onFailure({ reason, isNotRun: !this._hasStarted, retryAfterMs: 0 }, this._target.gate.load)
   }
 
-  private _finish (isAborted = false): void {
+  private _finish (failure: FailureReason | undefined, isAborted = false): void {
     this._hasEnded = true
     this._deadline?.dispose()
     this._body?.destroy()
+    const release = (): void => this._release()
     // A target learns a moment later that a call was given up; until then the call holds its slot.
-    if (isAborted && this._hasStarted) this._clock.schedule(ABORT_GRACE_MS, () => this._ticket.release())
+    if (isAborted && this._hasStarted) this._clock.schedule(ABORT_GRACE_MS, release)
+    // Bytes that follow the answer must not meet the next call, so the connection rests for the rest of this turn.
+    else if (this._connection !== undefined) setImmediate(release)
+    else release()
+    this._onFinished(failure)
+  }
+
+  private _release (): void {
+    if (this._connection !== undefined) {
+      this._target.running--
+      this._target.connections.release(this._connection)
+    }
     // The ticket is missing only while acquire itself refuses the call.
-    else this._ticket?.release()
-    this._onFinished()
+    this._ticket?.release()
   }
 }
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -4,7 +4,9 @@
 import { DisposableStore, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
 import type { EndpointView } from '@lagoonswitch/feed'
 import { EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
-import type { ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
+import type { CallDialect } from '../calls/CallDialect.js'
+import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
+import { DEFAULT_WARMUP_MS } from '../routing/TargetState.js'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import { TargetCall } from './TargetCall.js'
 
@@ -16,6 +18,12 @@
   acknowledge: () => {}
 }
 
+/** Withdrawals that are remembered, so that a late announcement brings no target back. */
+const MAX_WITHDRAWN = 256
+
+/** What became of an announcement. */
+export type AnnouncementOutcome = 'taken' | 'stale'
+
 /** Where this process is. */
 export interface ITargetSideOptions {
   readonly node: string
@@ -28,17 +36,26 @@
   readonly log: ILog
   readonly metrics: Metrics
   readonly endpoints: EndpointView
+  readonly dialect: CallDialect
 }
 
 interface IHeldTarget {
   readonly target: LocalTarget
   leaseTimer: IDisposable
+  sequence: number
+}
+
+/** A target that has left, with the wall time from which a new start under its id counts. */
+interface IWithdrawal {
+  readonly bornMs: number | undefined
+  readonly atMs: number
 }
 
 /** Alone opens connections to the targets of this VM and keeps their slots. */
 export class TargetSide implements ICallOpener, IDisposable {
   private readonly _store = new DisposableStore()
   private readonly _targets = new Map<string, IHeldTarget>()
+  private readonly _withdrawn = new Map<string, IWithdrawal>()
   private _isDraining = false
   private _running = 0
 
@@ -49,44 +66,70 @@
   /**
    * Takes an announcement or a heartbeat. A target that has withdrawn comes back as another instance only.
    * @param announcement - from a target on this VM
+   * @returns `stale` for one that was overtaken by a later one; it changes nothing
    */
-  announce (announcement: ITargetAnnouncement): void {
+  announce (announcement: ITargetAnnouncement): AnnouncementOutcome {
     const held = this._targets.get(announcement.id)
+    if (this._isStale(announcement, held)) {
+      this._options.metrics.count('announcements_ignored_total', 'stale')
+      return 'stale'
+    }
     if (held !== undefined && isSameAnnouncement(held.target.announcement, announcement)) {
-      held.leaseTimer.dispose()
-      held.leaseTimer = this._startLease(announcement.id)
-      return
+      this._renew(held, announcement)
+      return 'taken'
     }
+    this._dropOthersAt(announcement)
     held?.leaseTimer.dispose()
     held?.target.dispose()
     this._targets.set(announcement.id, {
       target: new LocalTarget(announcement, this._options.clock),
-      leaseTimer: this._startLease(announcement.id)
+      leaseTimer: this._startLease(announcement.id),
+      sequence: announcement.sequence ?? 0
     })
     this._options.log.info('target_announced', {
-      target: announcement.id, service: announcement.service, version: announcement.version
+      target: announcement.id,
+      service: announcement.service,
+      version: announcement.version,
+      born: announcement.bornMs,
+      sequence: announcement.sequence,
+      warmup_ms: announcement.warmupMs
     })
     if (!this._isDraining) this._publish(announcement, EndpointState.ENDPOINT_STATE_READY)
+    return 'taken'
   }
 
   /**
    * Takes no new calls for a target that is leaving; running ones go on.
    * @param id - id of the target
+   * @param bornMs - wall time of its start, where it states one
+   * @param sequence - count of its announcements, where it states one
    * @returns false when no such target is known
    */
-  withdraw (id: string): boolean {
+  withdraw (id: string, bornMs?: number, sequence?: number): boolean {
     const held = this._targets.get(id)
+    const heldBornMs = held?.target.announcement.bornMs
+    if (bornMs !== undefined && heldBornMs !== undefined && bornMs < heldBornMs) return true
+    this._withdrawn.delete(id)
+    this._withdrawn.set(id, { bornMs: bornMs ?? heldBornMs, atMs: this._options.clock.readWallTime().getTime() })
+    const oldest = this._withdrawn.keys().next().value
+    if (this._withdrawn.size > MAX_WITHDRAWN && oldest !== undefined) this._withdrawn.delete(oldest)
     if (held === undefined) return false
+    held.sequence = Math.max(held.sequence, sequence ?? 0)
+    if (held.target.isDraining) {
+      held.leaseTimer.dispose()
+      held.leaseTimer = this._startLease(id)
+      return true
+    }
     held.target.isDraining = true
     held.target.gate.refuseAll('draining')
-    this._publish(held.target.announcement, EndpointState.ENDPOINT_STATE_DRAINING)
-    this._options.log.info('target_draining', { target: id })
+    this._publish(held.target.announcement, EndpointState.ENDPOINT_STATE_DRAINING, true)
+    this._options.log.info('target_draining', { target: id, in_flight: held.target.gate.load.inFlight })
     return true
   }
 
   open (request: ICallRequest, events: ICallEvents): ICallHandle {
     const target = this._targets.get(request.targetId)?.target
-    const isServing = target !== undefined && !target.isDraining && !this._isDraining &&
+    const isServing = target !== undefined && !target.isDraining && !target.isLost && !this._isDraining &&
       target.announcement.service === request.service && target.announcement.version === request.version
     if (!isServing) {
       const reason = target === undefined ? 'no-target' : 'draining'
@@ -95,13 +138,19 @@
     }
     target.applyLimits(request.slots, request.connections)
     this._running++
-    return new TargetCall(target, request, events, this._options.clock, () => { this._running-- })
+    return new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
+      this._running--
+      if (failure === 'connect' || failure === 'target-replaced') this._lose(target, failure)
+    })
   }
 
-  /** Withdraws all targets and refuses new calls. */
+  /** Tells the other processes to send no new calls to the targets of this VM, which this process is leaving. */
   drain (): void {
     this._isDraining = true
-    for (const id of this._targets.keys()) this.withdraw(id)
+    for (const { target } of this._targets.values()) {
+      target.gate.refuseAll('draining')
+      if (!target.isDraining) this._publish(target.announcement, EndpointState.ENDPOINT_STATE_DRAINING)
+    }
   }
 
   /** @returns calls that run or wait now */
@@ -127,6 +176,54 @@
     this._store.dispose()
   }
 
+  private _isStale ({ id, bornMs, sequence }: ITargetAnnouncement, held: IHeldTarget | undefined): boolean {
+    const withdrawal = this._withdrawn.get(id)
+    if (withdrawal !== undefined && bornMs !== undefined && bornMs <= (withdrawal.bornMs ?? withdrawal.atMs)) return true
+    const heldBornMs = held?.target.announcement.bornMs ?? 0
+    if (held !== undefined && bornMs !== undefined) {
+      if (bornMs < heldBornMs) return true
+      if (bornMs === heldBornMs && (sequence ?? Infinity) <= held.sequence) return true
+    }
+    // What this process knew before it was restarted comes back with the feed.
+    const record = this._options.endpoints.getRecord(id)
+    if (record === undefined || bornMs === undefined || record.targetBorn === 0) return false
+    if (bornMs !== record.targetBorn) return bornMs < record.targetBorn
+    return record.withdrawn || (sequence ?? Infinity) < record.targetSequence
+  }
+
+  private _renew (held: IHeldTarget, announcement: ITargetAnnouncement): void {
+    held.leaseTimer.dispose()
+    held.leaseTimer = this._startLease(announcement.id)
+    held.sequence = announcement.sequence ?? held.sequence
+    if (!held.target.isLost) return
+    held.target.isLost = false
+    this._options.log.info('target_restored', { target: announcement.id, sequence: announcement.sequence })
+    if (!this._isDraining && !held.target.isDraining) this._publish(announcement, EndpointState.ENDPOINT_STATE_READY)
+  }
+
+  /** One address serves one target, so an older one there has ended. */
+  private _dropOthersAt ({ id, address }: ITargetAnnouncement): void {
+    for (const [otherId, { target, leaseTimer }] of this._targets) {
+      if (otherId === id || target.announcement.address !== address) continue
+      leaseTimer.dispose()
+      this._targets.delete(otherId)
+      target.dispose()
+      this._options.metrics.count('targets_lost_total', 'replaced')
+      this._options.log.info('target_replaced', { target: otherId, by: id, address })
+      this._publish(target.announcement, EndpointState.ENDPOINT_STATE_GONE)
+    }
+  }
+
+  /** A target that takes no connections gets no calls until it announces itself again. */
+  private _lose (target: LocalTarget, reason: FailureReason): void {
+    if (target.isLost || this._targets.get(target.announcement.id)?.target !== target) return
+    target.isLost = true
+    target.gate.refuseAll('connect')
+    this._options.metrics.count('targets_lost_total', reason)
+    this._options.log.warn('target_lost', { target: target.announcement.id, reason })
+    this._publish(target.announcement, EndpointState.ENDPOINT_STATE_GONE)
+  }
+
   private _startLease (id: string): IDisposable {
     return this._options.clock.schedule(this._options.leaseMs, () => {
       const held = this._targets.get(id)
@@ -135,13 +232,16 @@
       held.target.dispose()
       this._options.metrics.count('targets_lost_total', 'lease')
       this._options.log.warn('target_lease_over', { target: id })
-      this._publish(held.target.announcement, EndpointState.ENDPOINT_STATE_GONE)
+      this._publish(held.target.announcement, EndpointState.ENDPOINT_STATE_GONE, held.target.isDraining)
     })
   }
 
-  private _publish (announcement: ITargetAnnouncement, state: EndpointState): void {
-    const { endpoints, incarnation, node, region, availabilityZone, linkAddress } = this._options
-    const sequence = (endpoints.getRecord(announcement.id)?.sequence ?? 0) + 1
+  private _publish (announcement: ITargetAnnouncement, state: EndpointState, isWithdrawn = false): void {
+    const { endpoints, node, region, availabilityZone, linkAddress } = this._options
+    const known = endpoints.getRecord(announcement.id)
+    const sequence = (known?.sequence ?? 0) + 1
+    // A wall clock that was set back must not make this process's own records look old.
+    const incarnation = Math.max(this._options.incarnation, known?.incarnation ?? 0)
     endpoints.merge([{
       targetId: announcement.id,
       incarnation,
@@ -153,7 +253,11 @@
       region,
       availabilityZone,
       slots: announcement.slots,
-      node
+      node,
+      warmupMs: announcement.warmupMs ?? DEFAULT_WARMUP_MS,
+      targetBorn: announcement.bornMs ?? 0,
+      targetSequence: this._targets.get(announcement.id)?.sequence ?? announcement.sequence ?? 0,
+      withdrawn: isWithdrawn
     }])
   }
 
@@ -161,8 +265,8 @@
   private _refuteRemovals (records: readonly EndpointRecord[]): void {
     for (const record of records) {
       const held = this._targets.get(record.targetId)
-      const isFalse = held !== undefined && !held.target.isDraining &&
-        record.state === EndpointState.ENDPOINT_STATE_GONE && record.incarnation === this._options.incarnation
+      const isFalse = held !== undefined && !held.target.isDraining && !held.target.isLost && !this._isDraining &&
+        record.state === EndpointState.ENDPOINT_STATE_GONE
       if (isFalse) this._publish(held.target.announcement, EndpointState.ENDPOINT_STATE_READY)
     }
   }
--- a/packages/schema/src/catalogue/CatalogueChecks.ts
+++ b/packages/schema/src/catalogue/CatalogueChecks.ts
@@ -2,7 +2,7 @@
  * Checks of one entry and of the references between entries.
  */
 import { DeclarationError, Err, Ok, parseDurationMs, type Result } from '@lagoonswitch/common'
-import { ENTRY_SCHEMA, type IEntry } from './EntrySchema.js'
+import { ALL_METHODS, ENTRY_SCHEMA, type IEntry, type IRoute } from './EntrySchema.js'
 
 const SHORTEST_MOVE_MS = 1_000
 
@@ -38,7 +38,7 @@
       errors.push(new DeclarationError(`${entry.entry}.routes.${route.name}`, 'the name appears twice', 'rename one'))
     }
     names.add(route.name)
-    for (const method of route.methods) {
+    for (const method of route.methods ?? ALL_METHODS) {
       const pattern = `${method} ${route.path}`
       if (patterns.has(pattern)) {
         errors.push(new DeclarationError(`${entry.entry}.routes.${route.name}`,
@@ -46,6 +46,9 @@
       }
       patterns.add(pattern)
     }
+    if (route.parts !== undefined && !route.parts.some(part => part.weight > 0)) {
+      errors.push(new DeclarationError(`${entry.entry}.routes.${route.name}.parts`, 'the weights add up to 0', 'raise one'))
+    }
     const deadlineMs = parseDurationMs(route.deadline ?? limits.deadline) ?? 0
     if (deadlineMs > (parseDurationMs(limits.deadline) ?? 0)) {
       errors.push(new DeclarationError(`${entry.entry}.routes.${route.name}.deadline`,
@@ -58,6 +61,16 @@
   return errors
 }
 
+/**
+ * Lists the services that share the calls of a route.
+ * @param entry - entry of the route
+ * @param route - the route
+ * @returns services with their weights; one of weight 1 for a route that isn't split
+ */
+export function listParts (entry: IEntry, route: IRoute): ReadonlyArray<{ service: string, weight: number }> {
+  return route.parts ?? [{ service: route.service ?? entry.entry, weight: 1 }]
+}
+
 /**
  * Checks the references of a whole catalogue.
  * @param entries - all entries by name
@@ -69,12 +82,12 @@
   for (const entry of entries.values()) {
     for (const route of entry.routes) {
       const path = `${entry.entry}.routes.${route.name}`
-      const service = route.service ?? entry.entry
-      if (!entries.has(service)) {
+      for (const { service } of listParts(entry, route)) {
+        if (entries.has(service)) continue
         errors.push(new DeclarationError(`${path}.service`, `no entry is named ${service}`,
           `add the entry ${service} or correct the reference`))
       }
-      for (const method of route.methods) {
+      for (const method of route.methods ?? ALL_METHODS) {
         const pattern = `${entry.host ?? '*'} ${method} ${route.path}`
         const other = owners.get(pattern)
         if (other !== undefined && other !== entry.entry) {
--- a/packages/schema/src/catalogue/EntrySchema.ts
+++ b/packages/schema/src/catalogue/EntrySchema.ts
@@ -4,8 +4,8 @@
 import { z } from 'zod'
 import { parseDurationMs } from '@lagoonswitch/common'
 
-const NAME = z.string().regex(/^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$/,
-  'use lower-case letters, digits and hyphens, at most 63')
+const NAME = z.string().regex(/^[A-Za-z0-9]([A-Za-z0-9._-]{0,126}[A-Za-z0-9])?$/,
+  'use letters, digits, hyphens, dots and underscores, at most 128')
 const VERSION_NAME = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/, 'use letters, digits, dots and hyphens')
 const DURATION = z.string().refine(text => (parseDurationMs(text) ?? 0) > 0, 'use a duration such as 250ms or 2s')
 const TIME = z.iso.datetime({ offset: true, error: 'use an ISO 8601 time with its offset, such as 2026-12-04T18:00:00Z' })
@@ -14,18 +14,27 @@
 /** Priority classes, most important first. */
 export const CLASSES = ['first', 'high', 'normal', 'low'] as const
 
+const PART = z.strictObject({ service: NAME, weight: z.number().min(0) })
+
 const ROUTE = z.strictObject({
   name: NAME,
   path: z.string().startsWith('/', 'start the path with /'),
-  methods: z.array(METHODS).min(1),
+  /** Every method when left out. */
+  methods: z.array(METHODS).min(1).optional(),
   /**
    * safe: a read; idempotent: may run again; keyed: needs an idempotency key and runs at most once;
    * single-try: runs at most once without a key and is never retried after it may have run.
    */
   idempotency: z.enum(['safe', 'idempotent', 'keyed', 'single-try']),
   service: NAME.optional(),
+  /** Services that share the calls by weight, in place of one service. */
+  parts: z.array(PART).min(1).optional(),
   class: z.enum(CLASSES).optional(),
-  deadline: DURATION.optional()
+  deadline: DURATION.optional(),
+  /** Time after which an answer is worth less to the caller. */
+  objective: DURATION.optional(),
+  /** Most targets that may run one call. */
+  attempts: z.number().int().min(1).max(100).optional()
 })
 
 const LIMITS = z.strictObject({
@@ -53,8 +62,9 @@
   class: z.enum(CLASSES),
   host: z.string().optional(),
   limits: LIMITS,
-  routes: z.array(ROUTE).min(1),
-  version: VERSION_NAME,
+  routes: z.array(ROUTE),
+  /** Version in use; when left out, every version that is announced but one that a move has brought or taken back. */
+  version: VERSION_NAME.optional(),
   move: MOVE.optional()
 })
 
@@ -62,5 +72,7 @@
 export type IEntry = z.infer<typeof ENTRY_SCHEMA>
 /** One route of an entry. */
 export type IRoute = IEntry['routes'][number]
+/** Methods of a route that names none. */
+export const ALL_METHODS = METHODS.options
 /** Priority of a call. */
 export type CallClassName = typeof CLASSES[number]
--- a/packages/schema/src/settings/SettingTypes.ts
+++ b/packages/schema/src/settings/SettingTypes.ts
@@ -4,7 +4,7 @@
 
 /** Rule of one key. */
 export interface IKeySchema {
-  readonly type: 'string' | 'integer' | 'duration' | 'address' | 'list' | 'enum' | 'members'
+  readonly type: 'string' | 'integer' | 'duration' | 'address' | 'list' | 'enum' | 'members' | 'addresses' | 'flag' | 'ratio'
   readonly description: string
   readonly required?: boolean
   readonly default?: string
--- a/packages/schema/src/settings/SettingsReader.ts
+++ b/packages/schema/src/settings/SettingsReader.ts
@@ -7,7 +7,9 @@
 import { SETTINGS_SCHEMA, type ISettings } from '../generated/SettingsSchema.js'
 import type { IKeySchema, ISectionSchema } from './SettingTypes.js'
 
-type SettingValue = string | number | string[] | { host: string, port: number } | Array<{ name: string, address: string }>
+type SettingValue =
+  string | number | boolean | string[] | { host: string, port: number } | Array<{ host: string, port: number }> |
+  Array<{ name: string, address: string }>
 
 const HIGHEST_PORT = 65_535
 const LOOPBACK_HOSTS = new Set(['localhost', '::1'])
@@ -50,6 +52,9 @@
     }
     result[section] = values
   }
+  if (['members', 'seeds'].every(key => (readRaw(raw, 'control', key) ?? '') === '')) {
+    errors.push(new SettingsError(file, 0, '[control] members', 'not set', 'set members, or seeds'))
+  }
   if (errors.length > 0) return Err(errors)
   const settings = result as unknown as ISettings
   const conflicts = checkSettings(settings, file, lines)
@@ -74,9 +79,13 @@
   if (isControl && settings.process.dataFolder === '') {
     report('[process] data_folder', 'the control role needs a folder', 'set data_folder to a folder on a disk')
   }
-  if (isControl && settings.control.tokenFile === '' && !isLoopback(settings.listen.operators.host)) {
+  const { members, seeds, tokenFile, openOperators } = settings.control
+  if (isControl && tokenFile === '' && !openOperators && !isLoopback(settings.listen.operators.host)) {
     report('[control] token_file', 'operators would be let in without a token from other machines',
-      'set token_file, or listen on 127.0.0.1')
+      'set token_file, listen on 127.0.0.1, or set open_operators in a closed network')
+  }
+  if (members.length > 0 && seeds.length > 0) {
+    report('[control] members', 'the control VMs are named twice', 'set either members or seeds')
   }
   const { caFile, certFile, keyFile } = settings.tls
   const given = [caFile, certFile, keyFile].filter(value => value !== '').length
@@ -132,6 +141,9 @@
     case 'duration': return parseDuration(text)
     case 'address': return parseAddress(text)
     case 'members': return parseMembers(text)
+    case 'addresses': return parseAddresses(text)
+    case 'flag': return parseFlag(text)
+    case 'ratio': return parseRatio(text)
     case 'enum': return parseChoice(text, rule)
     case 'list': return parseList(text, rule)
   }
@@ -158,7 +170,29 @@
   return Err({ problem: `'${text}' is no address`, remedy: 'use HOST:PORT, such as 127.0.0.1:7082' })
 }
 
+function parseAddresses (text: string): Result<Array<{ host: string, port: number }>, IProblem> {
+  const addresses: Array<{ host: string, port: number }> = []
+  for (const part of text.split(',').map(item => item.trim()).filter(item => item !== '')) {
+    const address = parseAddress(part)
+    if (address.err) return address
+    addresses.push(address.val)
+  }
+  return Ok(addresses)
+}
+
+function parseRatio (text: string): Result<number, IProblem> {
+  const value = Number(text)
+  if (text !== '' && value >= 0 && value <= 1) return Ok(value)
+  return Err({ problem: `'${text}' is no ratio`, remedy: 'use a number from 0 to 1' })
+}
+
+function parseFlag (text: string): Result<boolean, IProblem> {
+  if (text === 'true' || text === 'false') return Ok(text === 'true')
+  return Err({ problem: `'${text}' is no flag`, remedy: 'use true or false' })
+}
+
 function parseMembers (text: string): Result<Array<{ name: string, address: string }>, IProblem> {
+  if (text === '') return Ok([])
   const members: Array<{ name: string, address: string }> = []
   for (const part of text.split(',')) {
     const match = /^\s*([^=\s]+)=(\S+:\d+)\s*$/.exec(part)
--- a/packages/transport/src/LeaderClient.ts
+++ b/packages/transport/src/LeaderClient.ts
@@ -6,7 +6,7 @@
 } from '@lagoonswitch/common'
 import { ControlClient, type ProposeReply, type ProposeRequest } from '@lagoonswitch/schema'
 import type { PeerChannels } from './PeerChannels.js'
-import { sendUnary } from './Unary.js'
+import { isTimeout, sendUnary } from './Unary.js'
 
 const ATTEMPT_TIMEOUT_MS = 2_000
 const RETRY_PAUSE_MS = 50
@@ -19,12 +19,12 @@
   /**
    * @param _channels - open channels
    * @param _clock - source of time
-   * @param _addresses - peer addresses of the control VMs
+   * @param _listAddresses - peer addresses of the control VMs
    */
   constructor (
     private readonly _channels: PeerChannels,
     private readonly _clock: IClock,
-    private readonly _addresses: readonly string[]
+    private readonly _listAddresses: () => readonly string[]
   ) {}
 
   /**
@@ -57,14 +57,16 @@
       else if (reply.leaderAddress !== '') this._leaders.set(group, reply.leaderAddress)
       else this._leaders.delete(group)
       return reply
-    } catch {
+    } catch (error) {
       this._leaders.delete(group)
+      if (isTimeout(error)) this._channels.closeClient(ControlClient, address)
       return undefined
     }
   }
 
   private _pickNext (): string {
-    this._next = (this._next + 1) % this._addresses.length
-    return this._addresses[this._next] ?? ''
+    const addresses = this._listAddresses()
+    this._next = (this._next + 1) % Math.max(1, addresses.length)
+    return addresses[this._next] ?? ''
   }
 }
--- a/packages/transport/src/PeerChannels.ts
+++ b/packages/transport/src/PeerChannels.ts
@@ -55,14 +55,14 @@
   }
 
   /**
-   * Closes all channels to an address.
+   * Closes the channel of one client, so that the next call opens another connection.
+   * @param constructor - generated client class
    * @param address - HOST:PORT
    */
-  closeAddress (address: string): void {
-    for (const byAddress of this._clients.values()) {
-      byAddress.get(address)?.close()
-      byAddress.delete(address)
-    }
+  closeClient<C extends Client>(constructor: ClientConstructor<C>, address: string): void {
+    const byAddress = this._clients.get(constructor)
+    byAddress?.get(address)?.close()
+    byAddress?.delete(address)
   }
 
   dispose (): void {
--- a/packages/transport/src/Unary.ts
+++ b/packages/transport/src/Unary.ts
@@ -4,7 +4,8 @@
 import { Metadata, status, type ServerUnaryCall, type ServiceError, type sendUnaryData } from '@grpc/grpc-js'
 import { formatError } from '@lagoonswitch/common'
 
-type UnaryMethod<Q, R> = (
+/** A method of a generated client that sends one request. */
+export type UnaryMethod<Q, R> = (
   request: Q, metadata: Metadata, options: { deadline: number }, callback: (error: ServiceError | null, reply: R) => void
 ) => unknown
 
@@ -38,3 +39,11 @@
       error => callback({ code: status.UNAVAILABLE, details: formatError(error) }))
   }
 }
+
+/**
+ * @param error - from {@link sendUnary}
+ * @returns true when no answer came in time
+ */
+export function isTimeout (error: unknown): boolean {
+  return error instanceof Error && 'code' in error && error.code === status.DEADLINE_EXCEEDED
+}
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -41,10 +41,13 @@
 function formatType (rule) {
   switch (rule.type) {
     case 'integer':
+    case 'ratio':
     case 'duration': return 'number'
     case 'list': return `Array<${rule.values.map(value => `'${value}'`).join(' | ')}>`
     case 'enum': return rule.values.map(value => `'${value}'`).join(' | ')
     case 'address': return '{ host: string, port: number }'
+    case 'addresses': return 'Array<{ host: string, port: number }>'
+    case 'flag': return 'boolean'
     case 'members': return 'Array<{ name: string, address: string }>'
     default: return 'string'
   }
--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -2,7 +2,7 @@
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { EndpointState, FeedService, type FeedDown, type FeedUp } from '@lagoonswitch/schema'
 import { NullLog, Metrics, SeededRandom } from '@lagoonswitch/common'
-import { CatalogueStore, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
+import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
 import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
 import { DESK, World, findPorts, waitFor } from './support/World.js'
 
@@ -20,7 +20,7 @@
     availabilityZone: 'z1',
     feedAddress: '',
     incarnation: 1,
-    controlAddresses: addresses,
+    directory: new ControlDirectory(addresses),
     isMesh: false,
     clock: world.clock,
     random: new SeededRandom(1),
@@ -93,6 +93,7 @@
     subscriberLevel: 1,
     isCurrent: () => true,
     confirm: async () => ({ confirmed: false, version: undefined, message: 'no quorum' }),
+    directory: new ControlDirectory([]),
     onEvidence: () => {}
   })
   const listener = new PeerListener(new PlainCredentials())
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -30,7 +30,10 @@
   isBodyComplete: true,
   slots: 1,
   connections: 1,
-  queue: 1
+  queue: 1,
+  callId: 'c1',
+  objectiveMs: 0,
+  isRepeatable: false
 }
 
 let opened = 0
@@ -38,7 +41,7 @@
   open (_request, events) {
     opened++
     setImmediate(() => {
-      events.onHead(200, [], { inFlight: 0, slots: 1, queued: 0, served: 1 })
+      events.onHead(200, [], { inFlight: 0, slots: 1, queued: 0, served: 1, serviceMs: 1 })
       events.onEnd()
     })
     return { sendBody: () => true, endBody () {}, cancel () {}, acknowledge () {} }
--- a/tests/support/World.ts
+++ b/tests/support/World.ts
@@ -70,6 +70,7 @@
     this.control = new ControlRole({
       settings: this._createSettings('c1', 'control', 0, 0, extra),
       peerAddress: `127.0.0.1:${this._controlPort}`,
+      seedAddresses: [`127.0.0.1:${this._controlPort}`],
       clock: this.clock,
       random: new SeededRandom(1),
       log: new NullLog(),
