Answers that break the protocol, and codecs, have tests; refusal times are whole on links

Whitespace of bundles is kept, so that stacks can be read. Ruled out: garbled input; the stack named sendFailure.

--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -219,7 +219,7 @@
       value: {
         reason: failure.reason,
         notRun: failure.isNotRun,
-        retryAfterMs: failure.retryAfterMs,
+        retryAfterMs: Math.ceil(failure.retryAfterMs),
         inFlight: load?.inFlight ?? 0,
         slots: load?.slots ?? 0,
         queued: load?.queued ?? 0
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -39,8 +39,6 @@
   target: 'node20',
   format: 'esm',
   outExtension: { '.js': '.mjs' },
-  minifySyntax: true,
-  minifyWhitespace: true,
   legalComments: 'none',
   tsconfig: join(ROOT, 'tsconfig.base.json'),
   external: OPTIONAL,
--- /dev/null
+++ b/tests/Answers.test.ts
@@ -0,0 +1,137 @@
+/**
+ * Answers of targets that break the protocol, and refusals that say that nothing was run.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { PlatformDialect } from '@lagoonswitch/platform'
+import { DESK, World, type IReply } from './support/World.js'
+
+let world: World
+let calls = 0
+
+beforeEach(async () => {
+  world = await World.start(['n1', 'n2'], '', new PlatformDialect())
+  await world.putEntry(DESK)
+})
+
+afterEach(async () => { await world.stop() })
+
+async function call (path: string, method = 'GET'): Promise<IReply | 'cut'> {
+  try {
+    return await world.call('n1', method, path, { 'x-attempt-id': `a${calls++}`, 'x-request-deadline': '2000' })
+  } catch {
+    return 'cut'
+  }
+}
+
+function answer (text: string) {
+  return (request: IncomingMessage, response: ServerResponse): void => {
+    response.writeHead(200, { 'x-attempt-id': String(request.headers['x-attempt-id']) }).end(text)
+  }
+}
+
+function formatAnswer (id: unknown, headers: string, body: string): string {
+  return `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${String(id)}\r\n${headers}\r\n\r\n${body}`
+}
+
+/** Sends bytes as they are and then ends the connection. */
+function sendRaw (headers: string, body: string, isReset: boolean) {
+  return (request: IncomingMessage): void => {
+    request.socket.write(formatAnswer(request.headers['x-attempt-id'], headers, body))
+    setTimeout(() => isReset ? request.socket.resetAndDestroy() : request.socket.end(), 30)
+  }
+}
+
+function isIncomplete (reply: IReply | 'cut'): boolean {
+  return reply === 'cut' || reply.status >= 500
+}
+
+test('answer without a length is whole at the end of its connection', async () => {
+  await world.addTarget('n2', 't1', 'v1', sendRaw('Connection: close', 'all of it', false))
+  expect(await call('/once', 'POST')).toMatchObject({ status: 200, body: 'all of it' })
+})
+
+test('answer without a length that is reset is not whole', async () => {
+  await world.addTarget('n2', 't1', 'v1', sendRaw('Connection: close', 'a part', true))
+  expect(isIncomplete(await call('/once', 'POST'))).toBe(true)
+})
+
+test('answer in chunks that ends before its last chunk is not whole', async () => {
+  await world.addTarget('n2', 't1', 'v1', sendRaw('Connection: close\r\nTransfer-Encoding: chunked', '6\r\na part\r\n', false))
+  expect(isIncomplete(await call('/once', 'POST'))).toBe(true)
+})
+
+test('answer shorter than its length is not whole', async () => {
+  await world.addTarget('n2', 't1', 'v1', sendRaw('Content-Length: 50', 'a part', false))
+  expect(isIncomplete(await call('/once', 'POST'))).toBe(true)
+})
+
+test('bytes that are no answer give none', async () => {
+  await world.addTarget('n2', 't1', 'v1', request => { request.socket.write('nothing of HTTP\r\n\r\n') })
+  expect(await call('/once', 'POST')).toMatchObject({ status: 502 })
+})
+
+test('late second answer is not given to the next call', async () => {
+  let last = ''
+  const target = await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    const id = String(request.headers['x-attempt-id'])
+    if (last !== '') request.socket.write(formatAnswer(last, 'Content-Length: 3', 'old'))
+    else response.writeHead(200, { 'x-attempt-id': id }).end('first')
+    last = id
+  })
+  expect(await call('/once', 'POST')).toMatchObject({ body: 'first' })
+  expect(await call('/once', 'POST')).toMatchObject({ status: 502 })
+  expect(target.requests.length).toBe(2)
+})
+
+test('second answer right behind the first does not reach anybody', async () => {
+  await world.addTarget('n2', 't1', 'v1', request => {
+    const whole = formatAnswer(request.headers['x-attempt-id'], 'Content-Length: 2', 'ok')
+    request.socket.write(whole + whole)
+  })
+  for (let index = 0; index < 5; index++) expect(await call('/once', 'POST')).toMatchObject({ status: 200, body: 'ok' })
+})
+
+test('request that a full target refused is sent elsewhere', async () => {
+  await world.addTarget('n2', 't1', 'v1', (_request, response) => { response.writeHead(503, { 'x-not-executed': '1' }).end() })
+  await world.addTarget('n2', 't2', 'v1', answer('ok'))
+  for (let index = 0; index < 5; index++) expect(await call('/once', 'POST')).toMatchObject({ status: 200, body: 'ok' })
+})
+
+test('refusal of the only target is passed on as not run', async () => {
+  await world.addTarget('n2', 't1', 'v1', (_request, response) => { response.writeHead(503, { 'x-not-executed': '1' }).end() })
+  const reply = await call('/once', 'POST')
+  expect(reply).toMatchObject({ status: 503 })
+  expect(reply !== 'cut' && JSON.parse(reply.body).run).toBe('not-run')
+})
+
+test('target at a reused address is left until it announces itself', async () => {
+  await world.addTarget('n2', 't1', 'v1', (_request, response) => { response.writeHead(421).end() })
+  await world.addTarget('n2', 't2', 'v1', answer('ok'))
+  for (let index = 0; index < 5; index++) expect(await call('/once', 'POST')).toMatchObject({ status: 200, body: 'ok' })
+})
+
+test('call that may have run is never said not to have run', async () => {
+  await world.addTarget('n2', 't1', 'v1', request => { request.socket.resetAndDestroy() })
+  const reply = await call('/once', 'POST')
+  expect(reply).toMatchObject({ status: 502 })
+  expect(reply !== 'cut' && JSON.parse(reply.body).run).toBe('unknown')
+})
+
+test('target learns the time left, itself, and where the call began', async () => {
+  const target = await world.addTarget('n2', 't1', 'v1', answer('ok'))
+  await call('/read')
+  const { headers } = target.requests[0] as IncomingMessage
+  expect(headers).toMatchObject({ 'x-target-instance': 't1', 'x-caller-service': '' })
+  expect(Number(headers['x-request-deadline'])).toBeGreaterThan(1_000)
+  expect(Number(headers['x-request-deadline'])).toBeLessThanOrEqual(2_000)
+})
+
+test('crowd of calls is refused one by one, with whole numbers on the link', async () => {
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    setTimeout(() => answer('ok')(request, response), 170.7)
+  }, 1)
+  const replies = await Promise.all(Array.from({ length: 60 }, async () => await call('/read')))
+  expect(replies.every(reply => reply !== 'cut' && [200, 503, 504].includes(reply.status))).toBe(true)
+  expect(await call('/read')).toMatchObject({ status: 200 })
+})
--- a/tests/support/World.ts
+++ b/tests/support/World.ts
@@ -8,7 +8,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Metrics, NullLog, SeededRandom, SystemClock } from '@lagoonswitch/common'
 import { ControlRole, MemoryStorage } from '@lagoonswitch/control'
-import { NodeRole } from '@lagoonswitch/node'
+import { NodeRole, type CallDialect } from '@lagoonswitch/node'
 import { ChangeOutcome, formatEntry, parseEntry, parseSettings, type ISettings } from '@lagoonswitch/schema'
 import { PeerChannels, PeerListener, PlainCredentials } from '@lagoonswitch/transport'
 
@@ -56,9 +56,11 @@
   private readonly _targets: ITarget[] = []
   private readonly _heartbeats: NodeJS.Timeout[] = []
   private _changes = 0
+  private _dialect: CallDialect | undefined
 
-  static async start (nodes: readonly string[], extra = ''): Promise<World> {
+  static async start (nodes: readonly string[], extra = '', dialect?: CallDialect): Promise<World> {
     const world = new World()
+    world._dialect = dialect
     world._controlPort = (await findPorts(1))[0] ?? 0
     await world.startControl(extra)
     for (const name of nodes) await world.startNode(name, extra)
@@ -101,7 +103,8 @@
       log: new NullLog(),
       metrics,
       channels: this.channels,
-      credentials: new PlainCredentials()
+      credentials: new PlainCredentials(),
+      dialect: this._dialect
     })
     role.addServices(listener, false)
     await listener.listen('127.0.0.1', peers ?? 0)
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,10 +8,13 @@
 
 export default defineConfig({
   resolve: {
-    alias: Object.fromEntries(packages.map(name => [`@lagoonswitch/${name}`, resolvePackage(name)]))
+    alias: {
+      ...Object.fromEntries(packages.map(name => [`@lagoonswitch/${name}`, resolvePackage(name)])),
+      '@lagoonswitch/platform': fileURLToPath(new URL('./platform/src/index.ts', import.meta.url))
+    }
   },
   test: {
-    include: ['packages/*/src/**/*.test.ts', 'tests/**/*.test.ts'],
+    include: ['packages/*/src/**/*.test.ts', 'platform/src/**/*.test.ts', 'tests/**/*.test.ts'],
     testTimeout: 30_000,
     hookTimeout: 30_000
   }
