Members keep themselves and torn or full disks cost no process, with tests

Cause: the platform loses disks, tears the last write and fills disks; a damaged log refused to start for good, and a failed write ended the process, which is a loop of exits where it is restarted. Change: where members replace themselves, a damaged state is put aside and the replica joins under a new identity; after a failed write the replica reads back what its disk holds and takes part again; a last write of which only the start is there is cut. Ruled out: cutting any damage at the end of the log (a flipped bit of an acknowledged entry would be lost).

--- a/packages/control/src/raft/FileStorage.test.ts
+++ b/packages/control/src/raft/FileStorage.test.ts
@@ -81,6 +81,31 @@
   expect(await countEntries()).toBe(2)
 })
 
+test('last write of which only the start is there is cut', async () => {
+  await writeEntries(3)
+  const path = join(folder, 'g', 'log')
+  const whole = await readFile(path)
+  const start = whole.length - 20
+  for (let kept = start; kept < whole.length - 8; kept++) {
+    const torn = Buffer.alloc(whole.length + 16)
+    whole.copy(torn, 0, 0, kept)
+    await writeFile(path, torn)
+    expect(await countEntries()).toBe(2)
+  }
+})
+
+test('reset puts a damaged log aside and draws a new identity', async () => {
+  await writeEntries(3)
+  const path = join(folder, 'g', 'log')
+  const damaged = await readFile(path)
+  damaged[20] = (damaged[20] ?? 0) ^ 1
+  await writeFile(path, damaged)
+  const storage = openStorage()
+  await expect(storage.load()).rejects.toThrow(/damaged/)
+  await storage.reset()
+  expect((await storage.load()).entries).toEqual([])
+})
+
 test('flipped bits are refused, never skipped', async () => {
   await writeEntries(4)
   const path = join(folder, 'g', 'log')
--- a/packages/control/src/raft/FileStorage.ts
+++ b/packages/control/src/raft/FileStorage.ts
@@ -14,6 +14,7 @@
 const HARD_STATE_FILE = 'hard-state'
 const LOG_FILE = 'log'
 const SNAPSHOT_FILE = 'snapshot'
+const ASIDE_SUFFIX = '.damaged'
 
 /** Keeps the state of one replica in one folder. */
 export class FileStorage extends RaftStorage {
@@ -74,6 +75,16 @@
     await this._replaceLog(baseIndex, baseTerm, entries)
   }
 
+  async reset (): Promise<void> {
+    await this.close()
+    const aside = `${this._folder}${ASIDE_SUFFIX}`
+    await rm(aside, { recursive: true, force: true })
+    await rename(this._folder, aside)
+    await syncFolder(join(this._folder, '..'))
+    this._baseIndex = 0
+    this._ends = []
+  }
+
   async close (): Promise<void> {
     await this._handle?.close()
     this._handle = undefined
--- /dev/null
+++ b/packages/control/src/raft/Membership.test.ts
@@ -0,0 +1,134 @@
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { FakeCluster, type FakeVm } from '../testing/FakeCluster.js'
+
+const FOUNDERS = ['a', 'b', 'c']
+let cluster: FakeCluster
+
+function countVoters (): number {
+  return cluster.listVoters().length
+}
+
+async function propose (command: string): Promise<void> {
+  const leader = await cluster.waitLeader()
+  expect(await cluster.propose(leader, command)).toBe(true)
+}
+
+function findOthers (name: string): string[] {
+  return ['a', 'b', 'c', 'd', 'e'].filter(other => other !== name)
+}
+
+async function waitCommands (vm: FakeVm, ...commands: string[]): Promise<void> {
+  await cluster.waitFor(`${commands.join()} on ${vm.name}`, () => commands.every(command => vm.machine.commands.includes(command)))
+}
+
+beforeEach(async () => {
+  cluster = new FakeCluster(['a', 'b', 'c', 'd', 'e'], 1, 1_000, FOUNDERS)
+  await cluster.startAll()
+  await cluster.waitFor('five voters', () => countVoters() === 5)
+})
+
+afterEach(() => { cluster.dispose() })
+
+test('group grows from its founders to all that are there', async () => {
+  await propose('x')
+  for (const name of ['d', 'e']) await waitCommands(cluster.getVm(name), 'x')
+})
+
+test('VM with an empty disk comes back as another replica', async () => {
+  await propose('x')
+  for (const name of ['a', 'd']) {
+    cluster.kill(name)
+    cluster.getVm(name).loseDisk()
+    await cluster.start(name)
+    await cluster.waitFor('the new replica', () => cluster.listVoters().includes(`${name}/${name}-disk-2`) && countVoters() === 5)
+    await waitCommands(cluster.getVm(name), 'x')
+  }
+})
+
+test('two VMs with empty disks come back while the group goes on', async () => {
+  await propose('x')
+  for (const name of ['b', 'c']) {
+    cluster.kill(name)
+    cluster.getVm(name).loseDisk()
+  }
+  for (const name of ['b', 'c']) await cluster.start(name)
+  await cluster.waitFor('both new replicas', () =>
+    ['b/b-disk-2', 'c/c-disk-2'].every(voter => cluster.listVoters().includes(voter)) && countVoters() === 5)
+  await propose('y')
+  await waitCommands(cluster.getVm('b'), 'x', 'y')
+})
+
+test('lost VM is replaced by one at another address, also the founder', async () => {
+  cluster.kill('a')
+  await cluster.start('f')
+  await cluster.waitFor('the successor', () => cluster.listVoters().includes('f/f-disk-1') && countVoters() === 5)
+  expect(cluster.listVoters().some(voter => voter.startsWith('a/'))).toBe(false)
+  await propose('x')
+})
+
+test('second VM is lost right after the first was replaced', async () => {
+  await propose('x')
+  cluster.kill('a')
+  await cluster.start('f')
+  await cluster.clock.advance(4_000)
+  cluster.kill('b')
+  await propose('y')
+  await waitCommands(cluster.getVm('f'), 'x', 'y')
+})
+
+test('silent voter stays while there is none too many', async () => {
+  cluster.kill('e')
+  await cluster.clock.advance(20_000)
+  expect(countVoters()).toBe(5)
+})
+
+test('removed VM that wakes up disturbs nobody and joins again', async () => {
+  const leader = await cluster.waitLeader()
+  const asleep = findOthers(leader.name)[0] ?? ''
+  cluster.isolate(asleep)
+  await cluster.start('f')
+  await cluster.waitFor('the successor', () => cluster.listVoters().includes('f/f-disk-1') && countVoters() === 5)
+  const term = leader.group?.getStatus().term
+  cluster.heal()
+  await cluster.waitFor('six voters', () => countVoters() === 6)
+  expect(cluster.findLeader()?.group?.getStatus().term).toBe(term)
+})
+
+test('empty disks alone found no second group', async () => {
+  await propose('x')
+  for (const name of ['a', 'b', 'c', 'd', 'e']) cluster.kill(name)
+  for (const name of FOUNDERS) {
+    cluster.getVm(name).loseDisk()
+    await cluster.start(name)
+  }
+  await cluster.clock.advance(10_000)
+  expect(cluster.findLeader()).toBeUndefined()
+})
+
+test('two disks are lost right after an acknowledgement and all others were down', async () => {
+  const leader = await cluster.waitLeader()
+  const [first, second, third, fourth] = findOthers(leader.name)
+  for (const name of [third, fourth]) cluster.kill(name ?? '')
+  expect(await cluster.propose(leader, 'x')).toBe(true)
+  for (const name of [leader.name, first, second]) cluster.kill(name ?? '')
+  for (const name of [leader.name, first]) cluster.getVm(name ?? '').loseDisk()
+  for (const name of [leader.name, ...findOthers(leader.name)]) await cluster.start(name)
+  await cluster.waitFor('the command on all', () =>
+    [leader.name, ...findOthers(leader.name)].every(name => cluster.getVm(name).machine.commands.includes('x')))
+  expect(second).toBeDefined()
+})
+
+test('replica whose disk is full for a while takes part again', async () => {
+  const leader = await cluster.waitLeader()
+  for (const name of [leader.name, findOthers(leader.name)[0] ?? '']) {
+    const { storage, group } = cluster.getVm(name)
+    storage.onWrite = async () => { throw new Error('no space left') }
+    await propose(`during ${name}`).catch(() => undefined)
+    await cluster.clock.advance(3_000)
+    await propose(`without ${name}`)
+    storage.onWrite = async () => {}
+    await cluster.waitFor('its return', () => group?.getStatus().commitIndex === cluster.findLeader()?.group?.getStatus().commitIndex)
+    await waitCommands(cluster.getVm(name), `without ${name}`)
+  }
+  expect(new Set(cluster.getVm(leader.name).machine.commands).size).toBe(cluster.getVm(leader.name).machine.commands.length)
+})
--- a/packages/control/src/raft/MemoryStorage.ts
+++ b/packages/control/src/raft/MemoryStorage.ts
@@ -16,7 +16,7 @@
   onWrite: (kind: 'hard-state' | 'append' | 'truncate' | 'snapshot') => Promise<void> = async () => {}
 
   /** @param _replicaId - identity of the replica */
-  constructor (private readonly _replicaId: string) {
+  constructor (private _replicaId: string) {
     super()
   }
 
@@ -56,5 +56,14 @@
     this._entries = [...entries]
   }
 
+  async reset (): Promise<void> {
+    this._hardState = { term: 0, votedFor: '' }
+    this._snapshot = undefined
+    this._baseIndex = 0
+    this._baseTerm = 0
+    this._entries = []
+    this._replicaId += '-again'
+  }
+
   async close (): Promise<void> {}
 }
--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -21,6 +21,8 @@
 const PROPOSE_TIMEOUT_MS = 5_000
 const MAX_PENDING_PROPOSALS = 20_000
 const TICKS_PER_ELECTION = 10
+/** Interval of attempts to write a disk that failed. */
+const RECOVERY_MS = 500
 
 interface IPending {
   readonly term: number
@@ -87,7 +89,7 @@
 
   /** Loads the durable state and starts to take part; rejects when the state is damaged. */
   async start (): Promise<void> {
-    await this._replica.load()
+    await this._load()
     this._resetElection()
     this._membership.start()
     void this._runElections()
@@ -212,6 +214,18 @@
     void this._replica.lock.run(async () => { await this._options.storage.close() }).catch(() => undefined)
   }
 
+  /** Where members replace themselves, a replica with a damaged disk starts anew under another identity. */
+  private async _load (): Promise<void> {
+    try {
+      await this._replica.load()
+    } catch (error) {
+      if (this._options.automatic === undefined || !(error instanceof StorageError)) throw error
+      this._options.log.error('replica_damaged', { group: this.group, error: error.message, consequence: 'joins as a new replica' })
+      await this._options.storage.reset()
+      await this._replica.load()
+    }
+  }
+
   private async _storeEntries (request: AppendRequest): Promise<AppendReply> {
     const replica = this._replica
     const { log } = replica
@@ -268,7 +282,8 @@
     const { clock, electionTimeoutMs } = this._options
     while (!this._stopping.signal.aborted) {
       await clock.sleep(electionTimeoutMs / TICKS_PER_ELECTION, this._stopping.signal)
-      if (this._stopping.signal.aborted || this._replica.hasFailed) return
+      if (this._stopping.signal.aborted) return
+      if (this._replica.hasFailed) continue
       if (this._leader !== undefined) {
         if (!this._leader.hasQuorumContact()) this._stepDown(this._replica.term)
         continue
@@ -367,12 +382,30 @@
 
   private _handleFailure (error: Error): void {
     this._enterFollower()
+    if (this._options.automatic !== undefined) {
+      void this._runRecovery(error)
+      return
+    }
     this._setRole('failed')
     this._options.log.error('replica_failed', {
       group: this.group, error: formatError(error), remedy: 'mend the disk and restart, or replace this control VM'
     })
   }
 
+  /** A disk that is full or refuses writes for a while costs this replica its part, not the process its life. */
+  private async _runRecovery (cause: Error): Promise<void> {
+    const { clock, log } = this._options
+    log.error('replica_suspended', { group: this.group, error: formatError(cause), remedy: 'free or mend the disk' })
+    while (!this._stopping.signal.aborted) {
+      await clock.sleep(RECOVERY_MS, this._stopping.signal)
+      const isBack = await this._replica.lock.run(async () => await this._replica.recover())
+      if (!isBack) continue
+      log.info('replica_resumed', { group: this.group, last_index: this._replica.log.lastIndex })
+      this._resetElection()
+      return
+    }
+  }
+
   private async _waitApplied (entry: LogEntry): Promise<Result<Uint8Array, RaftError>> {
     const applied = new Promise<Result<Uint8Array, RaftError>>(resolve => {
       this._pending.set(entry.index, { term: entry.term, resolve })
--- a/packages/control/src/raft/RaftStorage.ts
+++ b/packages/control/src/raft/RaftStorage.ts
@@ -27,6 +27,8 @@
   abstract saveSnapshot (
     snapshot: ISnapshot, baseIndex: number, baseTerm: number, entries: readonly LogEntry[]
   ): Promise<void>
+  /** Puts a damaged state aside, so that the next load draws a new identity. */
+  abstract reset (): Promise<void>
   /** Releases files. */
   abstract close (): Promise<void>
 }
--- a/packages/control/src/raft/RecordFile.ts
+++ b/packages/control/src/raft/RecordFile.ts
@@ -6,6 +6,8 @@
 
 const HEADER_BYTES = 12
 const LENGTH_BYTES = 4
+/** Zeros at the end of the file that tell a write that was cut short from a flipped bit. */
+const SHORTEST_HOLE_BYTES = 8
 const MAX_RECORD_BYTES = 256 * 1024 * 1024
 
 /** Records found in a file. */
@@ -31,8 +33,8 @@
 
 /**
  * Reads all records. Bytes after the last whole record are accepted only when an append that
- * was cut short can have left them: an incomplete record, or nothing but zeros. Anything else
- * may have been acknowledged, so it is an error.
+ * was cut short can have left them: an incomplete record, or one whose end is nothing but zeros up to
+ * the end of the file. Anything else may have been acknowledged, so it is an error.
  * @param data - content of the file
  * @param file - name used in messages
  * @returns the records before the torn tail
@@ -52,7 +54,7 @@
     if (left < HEADER_BYTES + length) break
     const payload = data.subarray(offset + HEADER_BYTES, offset + HEADER_BYTES + length)
     if (crc32(payload) !== data.readUInt32LE(offset + LENGTH_BYTES * 2)) {
-      if (length > 0 && isZero(data, offset + HEADER_BYTES)) break
+      if (length > 0 && endsInZeros(data, offset + HEADER_BYTES)) break
       return Err(createDamageError(file, offset))
     }
     offset += HEADER_BYTES + length
@@ -62,6 +64,11 @@
   return Ok({ records, ends })
 }
 
+/** A write that was cut short in a file that had been made longer before leaves zeros at its end. */
+function endsInZeros (data: Buffer, from: number): boolean {
+  return isZero(data, Math.max(from, data.length - SHORTEST_HOLE_BYTES))
+}
+
 function isZero (data: Buffer, from: number): boolean {
   for (let index = from; index < data.length; index++) {
     if (data[index] !== 0) return false
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -107,6 +107,29 @@
     this.updateMembers()
   }
 
+  /**
+   * Takes up again after a failed write, with what the disk really holds; must run in the lock. What was applied was
+   * committed and stays.
+   * @returns false while the disk can't be written
+   */
+  async recover (): Promise<boolean> {
+    const { storage } = this.options
+    try {
+      await storage.close()
+      const durable = await storage.load()
+      await storage.saveHardState(durable.hardState)
+      this.log = new RaftLog(durable.baseIndex, durable.baseTerm, durable.entries)
+      this.syncedIndex = this.log.lastIndex
+      this.term = durable.hardState.term
+      this.votedFor = durable.hardState.votedFor
+    } catch {
+      return false
+    }
+    this._hasFailed = false
+    this.updateMembers()
+    return true
+  }
+
   /** Drops entries that were never synced here. */
   dropUnsynced (): void {
     this.log.truncateFrom(this.syncedIndex + 1)
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -8,12 +8,14 @@
 } from '@lagoonswitch/schema'
 import { MemoryStorage } from '../raft/MemoryStorage.js'
 import { RaftGroup } from '../raft/RaftGroup.js'
+import type { IAutomaticMembership } from '../raft/RaftTypes.js'
 import { RaftTransport } from '../raft/RaftTransport.js'
 import { StateMachine } from '../raft/StateMachine.js'
 
 const HEARTBEAT_MS = 100
 const ELECTION_TIMEOUT_MS = 1_000
 const SETTLE_STEP_MS = 50
+const FULL_VOTERS = 5
 
 /** Keeps the commands in order. */
 export class ListMachine extends StateMachine {
@@ -98,9 +100,19 @@
   /** Cut directions as FROM>TO. */
   readonly cuts = new Set<string>()
   lossRate = 0
+  private _isFounded = false
   private readonly _vms = new Map<string, FakeVm>()
 
-  constructor (readonly names: readonly string[], seed = 1, private readonly _snapshotEntries = 1_000) {
+  /**
+   * @param names - VMs
+   * @param seed - of the random choices
+   * @param _snapshotEntries - entries between snapshots
+   * @param _founders - VMs that found the group; with them, all others join by themselves
+   */
+  constructor (
+    readonly names: readonly string[], seed = 1, private readonly _snapshotEntries = 1_000,
+    private readonly _founders: readonly string[] = []
+  ) {
     this.random = new SeededRandom(seed)
     for (const name of names) this._vms.set(name, new FakeVm(name))
   }
@@ -120,7 +132,8 @@
     vm.group = new RaftGroup({
       group: 'test',
       name,
-      initialMembers: this.names.map(member => ({ name: member, address: member })),
+      initialMembers: this._founders.length > 0 ? [] : this.names.map(member => ({ name: member, address: member })),
+      automatic: this._createAutomatic(name),
       heartbeatMs: HEARTBEAT_MS,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       snapshotEntries: this._snapshotEntries,
@@ -134,9 +147,22 @@
     await vm.group.start()
   }
 
+  private _createAutomatic (name: string): IAutomaticMembership | undefined {
+    if (this._founders.length === 0) return undefined
+    return {
+      address: name,
+      availabilityZone: 'z1',
+      founders: this._founders,
+      isFirstStart: !this._isFounded,
+      fullVoters: FULL_VOTERS,
+      listAddresses: () => this._founders
+    }
+  }
+
   async startAll (): Promise<void> {
     for (const name of this._vms.keys()) await this.start(name)
     await this.waitLeader()
+    this._isFounded = true
   }
 
   kill (name: string): void {
@@ -192,6 +218,21 @@
     return await work
   }
 
+  /** Lists the voters as the leader holds them. */
+  listVoters (): string[] {
+    const members = this.findLeader()?.group?.getStatus().members ?? []
+    return members.filter(member => member.voter).map(member => `${member.name}/${member.replicaId}`).sort()
+  }
+
+  /** Moves the clock until a condition holds. */
+  async waitFor (label: string, check: () => boolean, limitMs = 20_000): Promise<void> {
+    for (let passedMs = 0; passedMs < limitMs; passedMs += SETTLE_STEP_MS) {
+      if (check()) return
+      await this.clock.advance(SETTLE_STEP_MS)
+    }
+    throw new Error(`${label} did not happen within ${limitMs} ms; voters ${this.listVoters().join(' ')}`)
+  }
+
   dispose (): void {
     for (const name of this._vms.keys()) this.kill(name)
   }
