--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -4,7 +4,7 @@
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { IDisposable } from '@lagoonswitch/common'
-import type { RecordedAnswer } from '@lagoonswitch/schema'
+import { CallClass, type RecordedAnswer } from '@lagoonswitch/schema'
 import type { ClaimResult } from '../claims/ClaimsClient.js'
 import { KeyHolder } from '../claims/KeyHolder.js'
 import type { RetryBudget } from '../routing/RetryBudget.js'
@@ -30,8 +30,9 @@
 ])
 /** Refusals by a queue after which another target may be asked. */
 const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue'])
-/** Targets that one call may ask for a place in their queues. */
+/** Targets that one call may ask for a place in their queues; those of the first class, which others wait for, ask more. */
 const MAX_QUEUES = 2
+const MAX_QUEUES_FIRST = 4
 const NO_BYTES = Buffer.alloc(0)
 const CLAIM_REFUSALS: Readonly<Record<UngrantedKind, IRefusal>> = {
   'in-progress': { reason: 'key-in-progress', run: 'run-earlier', retryAfterMs: RETRY_AFTER_MS },
@@ -394,7 +395,8 @@
   private _canRetryFailure ({ reason, isNotRun }: ICallFailure): boolean {
     const isRetryable = isNotRun || (this._head.route.isRepeatable && this._head.depth === 0)
     if (!isRetryable || FINAL_REASONS.has(reason) || !this._canSendAgain()) return false
-    if (QUEUE_REASONS.has(reason) && this._queues >= MAX_QUEUES) return false
+    const maxQueues = this._head.callClass === CallClass.CALL_CLASS_FIRST ? MAX_QUEUES_FIRST : MAX_QUEUES
+    if (QUEUE_REASONS.has(reason) && this._queues >= maxQueues) return false
     // These attempts cost the targets nothing, and a leaving target must not use up the budget.
     if (isNotRun && FREE_REASONS.has(reason)) return true
     return this._spendBudget(reason)
--- a/packages/node/src/targets/SlotGate.test.ts
+++ b/packages/node/src/targets/SlotGate.test.ts
@@ -68,6 +68,26 @@
   expect(events).toEqual(['a granted', 'b deadline-queue'])
 })
 
+test('call that others wait for goes before older ones that nobody waits for', async () => {
+  const running = ask('a')
+  ask('old')
+  await clock.advance(700)
+  ask('awaited', CallClass.CALL_CLASS_FIRST)
+  running.release()
+  expect(events).toEqual(['a granted', 'awaited granted'])
+})
+
+test('own usual time counts, not that of other calls', async () => {
+  const slow = ask('a')
+  await clock.advance(10_000)
+  slow.release()
+  ask('b')
+  const request = { callClass: CallClass.CALL_CLASS_NORMAL, remainingMs: 10_000, queueLimit: 3, onGranted: () => {} }
+  gate.acquire({ ...request, objectiveMs: 1_100, expectedMs: 50, onRefused: () => events.push('short refused') })
+  gate.acquire({ ...request, objectiveMs: 1_100, expectedMs: 500, onRefused: () => events.push('long refused') })
+  expect(events.slice(-1)).toEqual(['long refused'])
+})
+
 test('random orders never exceed the slots and lose no call', () => {
   const step = fc.record({ isAsk: fc.boolean(), callClass: fc.integer({ min: 1, max: 4 }), pick: fc.nat(20) })
   fc.assert(fc.property(fc.array(step, { maxLength: 80 }), fc.integer({ min: 1, max: 4 }), (steps, slots) => {
--- a/packages/node/src/targets/SlotGate.ts
+++ b/packages/node/src/targets/SlotGate.ts
@@ -5,8 +5,16 @@
 import { CallClass } from '@lagoonswitch/schema'
 import type { FailureReason, ITargetLoad } from '../calls/CallTypes.js'
 
-/** Time that a call of a lower class waits before it goes ahead of a new one of the next class. */
-const AGING_MS = 250
+/**
+ * Handicap of a class in the queue: a call waits that much longer before it goes ahead of a new one without a handicap.
+ * Calls of the first class are mostly made for others, which hold slots of their own meanwhile, so they go far ahead.
+ */
+const HANDICAP_MS: Readonly<Partial<Record<CallClass, number>>> = {
+  [CallClass.CALL_CLASS_FIRST]: -500,
+  [CallClass.CALL_CLASS_HIGH]: 500,
+  [CallClass.CALL_CLASS_NORMAL]: 750,
+  [CallClass.CALL_CLASS_LOW]: 1_000
+}
 const SERVICE_WEIGHT = 0.1
 const RETRY_AFTER_MS = 100
 
@@ -64,7 +72,7 @@
     const nowMs = this._clock.readMonotonicMs()
     const waiter: IWaiter = {
       request,
-      rank: nowMs + request.callClass * AGING_MS,
+      rank: nowMs + (HANDICAP_MS[request.callClass] ?? 0),
       timer: undefined,
       state: 'queued',
       grantedMs: 0,
--- a/packages/transport/src/PeerChannels.ts
+++ b/packages/transport/src/PeerChannels.ts
@@ -7,7 +7,7 @@
 
 const KEEPALIVE_MS = 10_000
 const KEEPALIVE_TIMEOUT_MS = 2_000
-const MAX_RECONNECT_MS = 1_000
+const MAX_RECONNECT_MS = 300
 const FIRST_RECONNECT_MS = 100
 
 /** Largest message between processes, in bytes. */
