--- /dev/null
+++ b/packages/control/src/catalogue/Publisher.test.ts
@@ -0,0 +1,140 @@
+import { beforeEach, expect, test } from 'vitest'
+import { Err, ManualClock, NoQuorumError, NullLog, Ok } from '@lagoonswitch/common'
+import { CatalogueStore } from '@lagoonswitch/feed'
+import { CatalogueCommand } from '@lagoonswitch/schema'
+import type { RaftGroup } from '../raft/RaftGroup.js'
+import { CatalogueMachine } from './CatalogueMachine.js'
+import { Publisher, listPublished, type IPublicationDraft, type OrderOutcome } from './Publisher.js'
+
+const LIMITS = { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+let store: CatalogueStore
+let machine: CatalogueMachine
+let role: string
+let hasQuorum: boolean
+let proposed: number
+let publisher: Publisher
+
+function createPublisher (): Publisher {
+  const group = {
+    get role () { return role },
+    get isReadyLeader () { return role === 'leader' },
+    getStatus: () => ({ leaderAddress: '10.0.0.2:1' }),
+    readBarrier: async () => hasQuorum ? Ok(undefined) : Err(new NoQuorumError(false)),
+    propose: async (command: Uint8Array) => {
+      proposed = command.length
+      return hasQuorum ? Ok(machine.apply(command)) : Err(new NoQuorumError(true))
+    }
+  }
+  return new Publisher({ clock: new ManualClock(), log: new NullLog(), store, machine, group: group as unknown as RaftGroup })
+}
+
+function createDraft (number: number, baseNumber: number, names: readonly string[], owner = 'o'): IPublicationDraft {
+  return {
+    number,
+    baseNumber,
+    digest: `${number}-${baseNumber}-${names.length}-${owner}`,
+    callerLimits: LIMITS,
+    annotation: '',
+    entries: names.map(name => ({
+      name,
+      annotation: `as sent: ${name}`,
+      declaration: {
+        entry: name,
+        owner,
+        class: 'normal',
+        limits: { slots: 1, connections: 1 },
+        routes: [{ name: 'r', path: `/${name}/`, idempotency: 'safe' }]
+      }
+    }))
+  }
+}
+
+async function publish (draft: IPublicationDraft): Promise<OrderOutcome['kind'] | 'repeated' | 'no-quorum'> {
+  const outcome = await publisher.publish(draft)
+  if (outcome.err) return 'no-quorum'
+  return outcome.val.kind === 'accepted' && outcome.val.isRepeated ? 'repeated' : outcome.val.kind
+}
+
+function listNames (): string[] {
+  return listPublished(store).map(record => record.name)
+}
+
+beforeEach(() => {
+  store = new CatalogueStore()
+  machine = new CatalogueMachine(store)
+  machine.apply(CatalogueCommand.encode({ nowMs: 1, command: { $case: 'bootstrap', value: { epoch: 1 } } }).finish())
+  role = 'leader'
+  hasQuorum = true
+  publisher = createPublisher()
+})
+
+test('publication replaces all entries and keeps their order', async () => {
+  expect(await publish(createDraft(2, 0, ['a', 'b', 'c']))).toBe('accepted')
+  expect(await publish(createDraft(5, 2, ['c', 'x', 'a']))).toBe('accepted')
+  expect(listNames()).toEqual(['c', 'x', 'a'])
+  expect(store.view.publication).toMatchObject({ number: 5, baseNumber: 2 })
+  expect(listPublished(store)[0]?.annotation).toBe('as sent: c')
+})
+
+test('only what differs is proposed', async () => {
+  const names = Array.from({ length: 300 }, (_, index) => `entry-${index}`)
+  await publish(createDraft(1, 0, names))
+  const whole = proposed
+  expect(await publish(createDraft(2, 1, [...names, 'one-more']))).toBe('accepted')
+  expect(proposed).toBeLessThan(1_000)
+  expect(proposed).toBeLessThan(whole)
+  expect(listNames().length).toBe(301)
+})
+
+test('same publication again is acknowledged again, also when others followed and after a snapshot', async () => {
+  const first = createDraft(1, 0, ['a'])
+  await publish(first)
+  expect(await publish(first)).toBe('repeated')
+  await publish(createDraft(2, 1, ['a', 'b']))
+  expect(await publish(first)).toBe('repeated')
+  const copy = new CatalogueMachine(new CatalogueStore())
+  copy.restoreSnapshot(machine.takeSnapshot())
+  expect(copy.findAccepted(`publication:${first.digest}`)).toBeDefined()
+  expect(copy.store.view.publication?.number).toBe(2)
+})
+
+test('of two publications on one base one wins', async () => {
+  await publish(createDraft(1, 0, ['a']))
+  const outcomes = await Promise.all([
+    publish(createDraft(2, 1, ['a', 'b'])), publish(createDraft(2, 1, ['a', 'c'], 'p')), publish(createDraft(3, 1, ['a', 'd']))
+  ])
+  expect(outcomes.sort()).toEqual(['accepted', 'conflict', 'conflict'])
+})
+
+test('refused publication may fit later', async () => {
+  await publish(createDraft(1, 0, ['a']))
+  const third = createDraft(3, 2, ['a', 'c'])
+  expect(await publish(third)).toBe('conflict')
+  expect(await publish(createDraft(2, 1, ['a', 'b']))).toBe('accepted')
+  expect(await publish(third)).toBe('accepted')
+})
+
+test('number must follow on the one in place', async () => {
+  await publish(createDraft(4, 0, ['a']))
+  expect(await publish(createDraft(4, 4, ['a', 'b']))).toBe('invalid')
+  expect(await publish(createDraft(3, 4, ['a', 'b']))).toBe('invalid')
+})
+
+test('invalid entries refuse the whole publication', async () => {
+  const draft = createDraft(1, 0, ['a', 'b'])
+  const clash = { ...draft, entries: [...draft.entries, { ...draft.entries[0], name: 'c' }] } as IPublicationDraft
+  const dangling = createDraft(1, 0, ['a'])
+  Object.assign(dangling.entries[0]?.declaration as object, { routes: [{ name: 'r', path: '/', idempotency: 'safe', service: 'none' }] })
+  for (const bad of [clash, dangling, createDraft(1, 0, ['a', 'a'])]) expect(await publish(bad)).toBe('invalid')
+  expect(listNames()).toEqual([])
+  expect(store.view.publication).toBeUndefined()
+})
+
+test('other VM tells who leads, and no quorum is no refusal', async () => {
+  role = 'follower'
+  expect(await publisher.publish(createDraft(1, 0, ['a']))).toMatchObject({ val: { kind: 'elsewhere', leaderAddress: '10.0.0.2:1' } })
+  role = 'leader'
+  hasQuorum = false
+  expect(await publish(createDraft(1, 0, ['a']))).toBe('no-quorum')
+  expect(await publish(createDraft(9, 7, ['a']))).toBe('no-quorum')
+})
--- /dev/null
+++ b/packages/lagoonswitch/src/LogSink.test.ts
@@ -0,0 +1,65 @@
+import { beforeEach, expect, test } from 'vitest'
+import { ManualClock } from '@lagoonswitch/common'
+import { LogSink } from './LogSink.js'
+
+let clock: ManualClock
+let lines: string[]
+let finish: (() => void) | undefined
+let isRead: boolean
+let sink: LogSink
+
+function write (event: string, fields: object = {}): void {
+  sink.write(JSON.stringify({ level: 'info', ...fields, event }))
+}
+
+beforeEach(() => {
+  clock = new ManualClock()
+  lines = []
+  isRead = true
+  sink = new LogSink((text, onWritten) => {
+    lines.push(...text.split('\n').filter(line => line !== ''))
+    if (isRead) onWritten(null)
+    else finish = () => onWritten(null)
+  }, clock)
+})
+
+test('event is one line of pairs, quoted where needed', () => {
+  write('call_ended', { call: 'a1', reason: '', detail: 'two words\nand a line', took_ms: 1.23456 })
+  expect(lines).toEqual(['level=info call=a1 detail="two words\\nand a line" took_ms=1.235 event=call_ended'])
+})
+
+test('rate of one event is bounded, others go on, and the loss is told', async () => {
+  for (let index = 0; index < 1_000; index++) write('call_ended', { index })
+  expect(lines.length).toBeLessThanOrEqual(100)
+  write('leader_elected')
+  expect(lines.at(-1)).toContain('leader_elected')
+  await clock.advance(1_000)
+  write('call_ended')
+  expect(lines.filter(line => line.includes('log_dropped')).join()).toMatch(/lines=9\d\d/)
+})
+
+test('output that is not read grows no memory and stops nobody', async () => {
+  isRead = false
+  for (let second = 0; second < 200; second++) {
+    for (let index = 0; index < 100; index++) write(`event_${index}`, { text: 'x'.repeat(100) })
+    await clock.advance(1_000)
+  }
+  expect(lines.length).toBe(1)
+  isRead = true
+  finish?.()
+  expect(lines.join('\n').length).toBeLessThan(400_000)
+})
+
+test('flush waits for what was taken', async () => {
+  isRead = false
+  write('one')
+  write('two')
+  let isFlushed = false
+  const flushed = sink.flush().then(() => { isFlushed = true })
+  await clock.advance(1)
+  expect(isFlushed).toBe(false)
+  isRead = true
+  finish?.()
+  await flushed
+  expect(lines.map(line => line.split('event=')[1])).toEqual(['one', 'two'])
+})
--- /dev/null
+++ b/packages/node/src/targets/TargetSide.test.ts
@@ -0,0 +1,138 @@
+import { beforeEach, expect, test } from 'vitest'
+import { ManualClock, Metrics, NullLog } from '@lagoonswitch/common'
+import { EndpointView } from '@lagoonswitch/feed'
+import { EndpointState } from '@lagoonswitch/schema'
+import { LagoonDialect } from '../calls/CallDialect.js'
+import type { ITargetAnnouncement } from './LocalTarget.js'
+import { TargetSide } from './TargetSide.js'
+
+const LEASE_MS = 3_000
+const { ENDPOINT_STATE_READY: READY, ENDPOINT_STATE_DRAINING: DRAINING, ENDPOINT_STATE_GONE: GONE } = EndpointState
+let clock: ManualClock
+let endpoints: EndpointView
+let side: TargetSide
+
+function createSide (incarnation: number): TargetSide {
+  return new TargetSide({
+    node: 'n1',
+    region: 'r1',
+    availabilityZone: 'z1',
+    linkAddress: 'link',
+    incarnation,
+    leaseMs: LEASE_MS,
+    clock,
+    log: new NullLog(),
+    metrics: new Metrics(),
+    endpoints,
+    dialect: new LagoonDialect()
+  })
+}
+
+function announce (fields: Partial<ITargetAnnouncement> = {}): string {
+  const bornMs = fields.bornMs ?? 1_000
+  return side.announce({
+    id: 't1',
+    service: 'desk',
+    version: 'v1',
+    address: '127.0.0.1:1',
+    slots: 4,
+    connections: 9,
+    instance: String(bornMs),
+    sequence: 1,
+    warmupMs: 0,
+    ...fields,
+    bornMs
+  })
+}
+
+function getState (id = 't1'): EndpointState | undefined {
+  return endpoints.getRecord(id)?.state
+}
+
+beforeEach(() => {
+  clock = new ManualClock()
+  endpoints = new EndpointView()
+  side = createSide(10)
+})
+
+test('announcement that was overtaken changes nothing', () => {
+  announce({ sequence: 5 })
+  expect(announce({ sequence: 4, slots: 9 })).toBe('stale')
+  expect(announce({ sequence: 9, bornMs: 999 })).toBe('stale')
+  expect(endpoints.getRecord('t1')?.slots).toBe(4)
+})
+
+test('late announcement brings no withdrawn target back', () => {
+  announce({ sequence: 5 })
+  side.withdraw('t1', 1_000, 6)
+  expect(announce({ sequence: 7 })).toBe('stale')
+  expect(getState()).toBe(DRAINING)
+})
+
+test('new start under the same id takes calls again', () => {
+  announce()
+  side.withdraw('t1', 1_000)
+  expect(announce({ bornMs: 2_000 })).toBe('taken')
+  expect(getState()).toBe(READY)
+})
+
+test('withdrawal without a heartbeat before it holds against late ones', () => {
+  expect(side.withdraw('t1', 1_000, 4)).toBe(false)
+  expect(announce({ sequence: 3 })).toBe('stale')
+  expect(getState()).toBeUndefined()
+})
+
+test('withdrawal of an earlier start leaves the present one', () => {
+  announce({ bornMs: 2_000 })
+  side.withdraw('t1', 1_000)
+  expect(getState()).toBe(READY)
+})
+
+test('restarted node keeps to the withdrawal that it had acknowledged', () => {
+  announce({ sequence: 3 })
+  side.withdraw('t1', 1_000, 4)
+  side.dispose()
+  side = createSide(11)
+  expect(announce({ sequence: 2 })).toBe('stale')
+  expect(announce({ sequence: 9 })).toBe('stale')
+  expect(getState()).toBe(DRAINING)
+})
+
+test('restarted node whose wall clock was set back is believed', () => {
+  announce({ sequence: 3 })
+  side.dispose()
+  side = createSide(2)
+  expect(announce({ sequence: 4 })).toBe('taken')
+  expect(getState()).toBe(READY)
+  side.withdraw('t1', 1_000, 5)
+  expect(getState()).toBe(DRAINING)
+})
+
+test('target at the address of another one replaces it', () => {
+  announce()
+  announce({ id: 't2', service: 'press' })
+  expect([getState(), getState('t2')]).toEqual([GONE, READY])
+})
+
+test('stop of the node is not the withdrawal of its targets', () => {
+  announce({ sequence: 3 })
+  side.drain()
+  expect(getState()).toBe(DRAINING)
+  side.dispose()
+  side = createSide(11)
+  expect(announce({ sequence: 4 })).toBe('taken')
+  expect(getState()).toBe(READY)
+})
+
+test('target without heartbeats is gone after its lease', async () => {
+  announce()
+  await clock.advance(LEASE_MS + 1)
+  expect(getState()).toBe(GONE)
+})
+
+test('removal by a process that lost sight is refuted', () => {
+  announce()
+  const record = endpoints.getRecord('t1')
+  if (record !== undefined) endpoints.markGone([record])
+  expect(getState()).toBe(READY)
+})
--- /dev/null
+++ b/tests/PlatformSurface.test.ts
@@ -0,0 +1,117 @@
+/**
+ * One control VM and one node as processes serve them on the platform, over real sockets.
+ */
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { NullLog } from '@lagoonswitch/common'
+import { LagoonProcess } from '@lagoonswitch/lagoonswitch'
+import { PlatformDialect, PlatformSurface } from '@lagoonswitch/platform'
+import { parseSettings } from '@lagoonswitch/schema'
+import { findPorts, waitFor } from './support/World.js'
+
+const HEARTBEAT = {
+  address: '127.0.0.1:9',
+  info: { service: 'desk', version: 'v1', zone: 'z1', 'max-concurrency': 4 },
+  status: { state: 'ready', sequence: 1, 'warmup-left-s': 0 },
+  born: 1
+}
+let folder: string
+let control: LagoonProcess
+let node: LagoonProcess
+let orders: string
+let beats: string
+let ready: string
+let outbound: string
+
+function createConfiguration (version: number, base: number, timeout = 1): object {
+  return {
+    version,
+    'base-version': base,
+    services: [{ name: 'desk', 'max-connections': 9 }],
+    limits: { 'max-header-bytes': 2_000, 'max-body-bytes': 10_000, 'header-timeout-s': 3, 'idle-timeout-s': 5 },
+    'virtual-hosts': [{ host: 'h', paths: [{ name: 'r', 'path-prefix': '/a/', 'route-type': 'safe', 'timeout-s': timeout, service: 'desk' }] }]
+  }
+}
+
+async function send (url: string, method: string, body?: object | string): Promise<{ status: number, text: string }> {
+  const answer = await fetch(url, { method, body: typeof body === 'object' ? JSON.stringify(body) : body })
+  return { status: answer.status, text: await answer.text() }
+}
+
+async function publish (body: object | string): Promise<number> {
+  return (await send(`${orders}/-/config`, 'PUT', body)).status
+}
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'surface-'))
+  const ports = await findPorts(6)
+  const [operators, controlPeers, calls, local, readyPort, links] = ports
+  const common = `region = r1\navailability_zone = z1\n[control]\nseeds = 127.0.0.1:${operators}\nclaim_shards = 0\nheartbeat = 50ms\nelection_timeout = 300ms\n`
+  const listen = `[listen]\npeers = 127.0.0.1:${controlPeers}\n`
+  control = start(`[process]\nname = c1\nroles = control\ndata_folder = ${folder}\n${common}first_start = true\n${listen}operators = 127.0.0.1:${operators}\n`)
+  // On the platform all processes use one peer port on VMs of their own; here the node listens at another address.
+  node = start(`[process]\nname = n1\nroles = node\nstop_timeout = 1s\n${common}${listen.replace('127.0.0.1', '127.0.0.2')}` +
+    `calls = 127.0.0.1:${calls}\nlocal = 127.0.0.1:${local}\nready = 127.0.0.1:${readyPort}\nlinks = 127.0.0.1:${links}\n`)
+  orders = `http://127.0.0.1:${operators}`
+  beats = `http://127.0.0.1:${local}`
+  ready = `http://127.0.0.1:${readyPort}/-/ready`
+  outbound = `http://127.0.0.1:${calls}`
+  await control.start()
+  await node.start()
+})
+
+afterEach(async () => {
+  await node.stop()
+  await control.stop()
+  await rm(folder, { recursive: true })
+})
+
+function start (text: string): LagoonProcess {
+  const settings = parseSettings(text, 'test.ini')
+  if (settings.err) throw new Error(settings.val.map(error => error.message).join('\n'))
+  return new LagoonProcess(settings.val, new NullLog(), { dialect: new PlatformDialect(), surface: new PlatformSurface() })
+}
+
+test('configuration, heartbeat, call, withdrawal and move from end to end', async () => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  expect(await publish(createConfiguration(3, 0))).toBe(200)
+  expect(await publish(createConfiguration(5, 3, 2))).toBe(200)
+  expect(await publish(createConfiguration(5, 3, 4))).toBe(412)
+  expect(await publish(createConfiguration(3, 0))).toBe(200)
+  expect(JSON.parse((await send(`${orders}/-/config`, 'GET')).text)).toEqual(createConfiguration(5, 3, 2))
+  await waitFor('readiness', async () => (await send(ready, 'GET')).status === 200)
+  expect((await send(`${beats}/-/instances/t1`, 'PUT', HEARTBEAT)).status).toBe(200)
+  const call = await fetch(`${outbound}/a/x`, { headers: { host: 'h', 'x-attempt-id': 'a1' } })
+  expect([404, 503]).toContain(call.status)
+  expect((await send(`${beats}/-/instances/t1`, 'DELETE')).status).toBe(200)
+  expect(node.node?.endpoints.getRecord('t1')?.withdrawn).toBe(true)
+  expect((await send(`${orders}/-/rollouts/desk`, 'GET')).status).toBe(404)
+  expect((await send(`${orders}/-/rollouts`, 'POST', { service: 'desk', 'target-version': 'v2', 'duration-s': 9 })).status).toBe(200)
+  expect((await send(`${orders}/-/rollouts`, 'POST', { service: 'desk', 'target-version': 'v2', 'duration-s': 9 })).status).toBe(200)
+  expect((await send(`${orders}/-/rollouts`, 'POST', { service: 'desk', 'target-version': 'v3', 'duration-s': 9 })).status).toBe(412)
+  expect(JSON.parse((await send(`${orders}/-/rollouts/desk`, 'GET')).text)).toEqual({ state: 'running', 'target-version': 'v2' })
+}, 30_000)
+
+test('bad input at each listener gets a refusal that says why', async () => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  await waitFor('readiness', async () => (await send(ready, 'GET')).status === 200)
+  const whole = JSON.stringify(createConfiguration(4, 3))
+  for (const body of ['', '{', whole.slice(0, -9), '[1]', JSON.stringify({ ...createConfiguration(4, 3), services: [] })]) {
+    const reply = await send(`${orders}/-/config`, 'PUT', body)
+    expect(reply.status).toBe(400)
+    expect(JSON.parse(reply.text).error).not.toBe('')
+  }
+  for (const body of ['', 'x', '{}', { service: 'desk', 'target-version': 'v2', 'duration-s': -1 }]) {
+    expect((await send(`${orders}/-/rollouts`, 'POST', body)).status).toBe(400)
+  }
+  for (const body of ['', 'x', {}, { ...HEARTBEAT, status: { state: 'odd', sequence: 1 } }]) {
+    expect((await send(`${beats}/-/instances/t1`, 'PUT', body)).status).toBe(400)
+  }
+  const wish = await fetch(`${outbound}/a/x`, { headers: { 'x-request-deadline': 'soon' } })
+  expect([400, 404]).toContain(wish.status)
+  const long = await fetch(`${outbound}/a/x`, { headers: { 'x-long': 'y'.repeat(3_000) } })
+  expect([404, 431]).toContain(long.status)
+  expect((await send(`${orders}/none`, 'GET')).status).toBe(404)
+}, 30_000)
