--- /dev/null
+++ b/bench/platform-world.mjs
@@ -0,0 +1,126 @@
+/**
+ * Control VMs and nodes in one process as they run on the platform, each on an address of its own, with stand-in targets.
+ */
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { NullLog } from '@lagoonswitch/common'
+import { LagoonProcess } from '@lagoonswitch/lagoonswitch'
+import { PlatformDialect, PlatformSurface } from '@lagoonswitch/platform'
+import { parseSettings } from '@lagoonswitch/schema'
+import { findPorts, waitUntil } from './harness.mjs'
+import { StandInClient, StandInOperator, StandInTarget } from './stand-in-platform.mjs'
+
+/** Host of the routes that {@link createConfiguration} makes. */
+export const HOST = 'h.example'
+
+/** A configuration with one safe and one unsafe route for each service. */
+export function createConfiguration (version, base, services, objectiveS = 0.3, timeoutS = 2) {
+  return {
+    version,
+    'base-version': base,
+    services: services.map(name => ({ name, 'health-path': '/health', 'max-connections': 130 })),
+    limits: { 'max-header-bytes': 16_384, 'max-body-bytes': 1_048_576, 'header-timeout-s': 3, 'idle-timeout-s': 15 },
+    'virtual-hosts': [{
+      host: HOST,
+      paths: services.flatMap(service => ['safe', 'unsafe'].map(kind => ({
+        name: `r-${service}-${kind}`,
+        'path-prefix': `/${service}/${kind}/`,
+        'route-type': kind,
+        'timeout-s': timeoutS,
+        'target-latency-s': objectiveS,
+        priority: kind === 'safe' ? 2 : 1,
+        service,
+        'max-attempts': 2
+      })))
+    }]
+  }
+}
+
+/** Starts and stops everything in this process. */
+export class PlatformWorld {
+  constructor () {
+    this.folder = mkdtempSync(join(tmpdir(), 'platform-'))
+    this.processes = new Map()
+    this.targets = []
+  }
+
+  /** Starts control VMs c1, c2, ... and nodes n1, n2, ... and waits until they serve the configuration. */
+  async start (controls, nodes, configuration) {
+    this.ports = await findPorts(6)
+    this.controls = Array.from({ length: controls }, (_, index) => `127.0.1.${index + 1}`)
+    await Promise.all(this.controls.map(async (host, index) => await this.startControl(`c${index + 1}`, true)))
+    this.operator = new StandInOperator(this.controls.map(host => `http://${host}:${this.ports[1]}`))
+    for (let index = 1; index <= nodes; index++) await this.startNode(`n${index}`)
+    const first = await this.operator.order('PUT', '/-/config', configuration)
+    if (first.status !== 200) throw new Error(`the first configuration was refused: ${first.text}`)
+    await waitUntil('readiness of all nodes', () => [...this.processes.values()].every(({ node }) => node === undefined || node.isReady))
+  }
+
+  async startControl (name, isFirst = false) {
+    const host = `127.0.1.${name.slice(1)}`
+    await this._start(name, host, `roles = control\ndata_folder = ${join(this.folder, name)}`, `first_start = ${isFirst}`)
+  }
+
+  async startNode (name) {
+    await this._start(name, `127.0.2.${name.slice(1)}`, 'roles = node\nstop_timeout = 3s', '')
+  }
+
+  /** Ends a process without a word to the others. */
+  async stopProcess (name) {
+    const process = this.processes.get(name)
+    this.processes.delete(name)
+    await process?.stop()
+  }
+
+  async addTarget (node, options) {
+    const [port] = await findPorts(1)
+    const host = `127.0.2.${node.slice(1)}`
+    const target = new StandInTarget({ host, port, beats: `http://${host}:${this.ports[3]}`, ...options })
+    this.targets.push(target)
+    await target.start()
+    await waitUntil(`${options.id} at all nodes`, () => [...this.processes.values()].every(({ node: role }) =>
+      role === undefined || role.endpoints.getRecord(options.id) !== undefined))
+    return target
+  }
+
+  createClient (node, name, draw) {
+    return new StandInClient({ host: `127.0.2.${node.slice(1)}`, port: this.ports[2], name, draw })
+  }
+
+  async stop () {
+    await Promise.all(this.targets.map(async target => await target.stop()))
+    await Promise.all([...this.processes.keys()].map(async name => await this.stopProcess(name)))
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+
+  async _start (name, host, roles, control) {
+    const [peers, operators, calls, local, ready, links] = this.ports
+    const settings = parseSettings(`[process]
+name = ${name}
+region = r1
+availability_zone = z1
+service = client
+${roles}
+[listen]
+peers = ${host}:${peers}
+operators = ${host}:${operators}
+calls = ${host}:${calls}
+local = ${host}:${local}
+ready = ${host}:${ready}
+links = ${host}:${links}
+[control]
+seeds = ${this.controls.slice(0, 3).map(seed => `${seed}:1`).join()}
+open_operators = true
+claim_shards = 0
+heartbeat = 50ms
+election_timeout = 300ms
+${control}
+`, `${name}.ini`)
+    if (settings.err) throw new Error(settings.val.map(error => error.message).join('\n'))
+    const process = new LagoonProcess(settings.val, new NullLog(), { dialect: new PlatformDialect(), surface: new PlatformSurface() })
+    this.processes.set(name, process)
+    const started = await process.start()
+    if (started.err) throw started.val
+  }
+}
--- /dev/null
+++ b/bench/stand-in-platform.mjs
@@ -0,0 +1,226 @@
+/**
+ * A stand-in of the users' platform: targets with slots and faults, clients that keep its promises, and an operator.
+ * Tests and the load tool use it.
+ */
+import { createServer, request } from 'node:http'
+import { performance } from 'node:perf_hooks'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+const BEAT_MS = 300
+const ORDER_PAUSE_MS = 50
+const CLIENT_PAUSE_MS = 20
+const REDIRECTS = 2
+
+/**
+ * What a target may do to an answer. Each gets the request, the response and the body that was due.
+ */
+export const FAULTS = {
+  /** Ends before its length is reached. */
+  short: (_request, response, body) => {
+    response.writeHead(200, { 'content-length': body.length + 9 }).write(body)
+    setTimeout(() => response.socket?.destroy(), 5)
+  },
+  /** Has no length and ends with its connection. */
+  unframed: (incoming, response, body) => {
+    const id = incoming.headers['x-attempt-id']
+    response.socket.end(`HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Server-Seal: s-${id}\r\nConnection: close\r\n\r\n${body}`)
+  },
+  /** Comes twice. */
+  extra: (incoming, response, body) => {
+    const id = incoming.headers['x-attempt-id']
+    const whole = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nX-Server-Seal: s-${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+    response.socket.write(whole + whole)
+  },
+  /** Is no HTTP. */
+  rubbish: (_request, response) => { response.socket.write('rubbish\r\n\r\n') },
+  /** Is lost with its connection after the run. */
+  lost: (_request, response) => { response.socket.destroy() },
+  /** Is a failure. */
+  error: (incoming, response) => { response.writeHead(500, { 'x-attempt-id': incoming.headers['x-attempt-id'] }).end('failed') }
+}
+
+/** A target with slots and a short queue, which announces itself to the node of its VM. */
+export class StandInTarget {
+  /**
+   * @param options - id, service, version, host, port, beats (URL of the node's listener), slots, queue, workMs,
+   * draw (random numbers), and fault with its share, if any
+   */
+  constructor (options) {
+    this.options = { version: 'v1', slots: 9, queue: 36, workMs: 50, share: 0, draw: Math.random, bornMs: Date.now(), ...options }
+    this.runs = new Map()
+    this.refusals = 0
+    this.mostAtOnce = 0
+    this._running = 0
+    this._waiting = []
+    this._sequence = 0
+    this._state = 'ready'
+    this._server = createServer((incoming, response) => this._handle(incoming, response))
+  }
+
+  async start () {
+    await new Promise(resolve => this._server.listen(this.options.port, this.options.host, resolve))
+    this._beats = setInterval(() => { this.beat().catch(() => undefined) }, BEAT_MS)
+    await this.beat().catch(() => undefined)
+  }
+
+  /** Announces the target; a sequence may be given to play a late announcement. */
+  async beat (sequence = ++this._sequence, state = this._state) {
+    const { id, service, version, host, port, slots, bornMs, beats } = this.options
+    return (await fetch(`${beats}/-/instances/${id}`, {
+      method: 'PUT',
+      body: JSON.stringify({
+        address: `${host}:${port}`,
+        info: { service, version, zone: 'z', 'max-concurrency': slots },
+        status: { state, sequence, 'warmup-left-s': 0 },
+        born: bornMs
+      })
+    })).status
+  }
+
+  /** Says that it leaves; the announcement is repeated until it is acknowledged. */
+  async leave () {
+    this._state = 'draining'
+    while (await this.beat().catch(() => 0) !== 200) await sleep(ORDER_PAUSE_MS)
+  }
+
+  async stop () {
+    clearInterval(this._beats)
+    this._server.closeAllConnections()
+    await new Promise(resolve => this._server.close(resolve))
+  }
+
+  _handle (incoming, response) {
+    const { id, slots, queue } = this.options
+    if (incoming.headers['x-target-instance'] !== id) {
+      response.writeHead(421, { 'x-instance-id': id }).end()
+      return
+    }
+    const job = { incoming, response }
+    incoming.resume()
+    if (this._running < slots) this._run(job)
+    else if (this._waiting.length < queue) this._waiting.push(job)
+    else {
+      this.refusals++
+      response.writeHead(503, { 'x-not-executed': '1' }).end()
+    }
+  }
+
+  async _run ({ incoming, response }) {
+    const { workMs, fault, share, draw } = this.options
+    const id = incoming.headers['x-attempt-id']
+    this._running++
+    this.mostAtOnce = Math.max(this.mostAtOnce, this._running)
+    this.runs.set(id, (this.runs.get(id) ?? 0) + 1)
+    await sleep(workMs * (0.5 + draw()))
+    this._running--
+    const next = this._waiting.shift()
+    if (next !== undefined) this._run(next)
+    const body = `${incoming.method} ${incoming.url} of ${id}`
+    if (fault !== undefined && draw() < share) FAULTS[fault](incoming, response, body)
+    else response.writeHead(200, { 'x-attempt-id': id, 'x-server-seal': `s-${id}`, 'content-length': body.length }).end(body)
+  }
+}
+
+/** An operator who sends an order again, to another control VM, until it has a clear answer. */
+export class StandInOperator {
+  /** @param urls - of the control VMs */
+  constructor (urls) {
+    this.urls = urls
+    this._next = 0
+  }
+
+  /** @returns status and text of the clear answer */
+  async order (method, path, body, limitMs = 20_000) {
+    const endMs = performance.now() + limitMs
+    while (performance.now() < endMs) {
+      const answer = await this._send(method, path, body)
+      if (answer !== undefined && answer.status < 500) return answer
+      await sleep(ORDER_PAUSE_MS)
+    }
+    throw new Error(`no clear answer to ${method} ${path} within ${limitMs} ms`)
+  }
+
+  async _send (method, path, body) {
+    let url = this.urls[this._next++ % this.urls.length] + path
+    try {
+      for (let redirects = 0; redirects <= REDIRECTS; redirects++) {
+        const answer = await fetch(url, {
+          method, redirect: 'manual', signal: AbortSignal.timeout(1_000), body: body === undefined ? undefined : JSON.stringify(body)
+        })
+        const text = await answer.text()
+        if (answer.status !== 307) return { status: answer.status, text }
+        url = answer.headers.get('location')
+      }
+    } catch {
+      return undefined
+    }
+    return undefined
+  }
+}
+
+/** A client that repeats as the platform's clients do, and checks what it gets. */
+export class StandInClient {
+  /** @param options - port and host of the node, draw (random numbers) */
+  constructor (options) {
+    this.options = options
+    this.broken = []
+    this._ids = 0
+  }
+
+  /**
+   * Makes a call with its repeats.
+   * @returns outcome (`served`, `refused` or `failed`), tries, and time taken in milliseconds
+   */
+  async call ({ host, path, method = 'GET', isSafe = true, limitMs = 4_000, retries = 2 }) {
+    const startedMs = performance.now()
+    const getLeftMs = () => limitMs - (performance.now() - startedMs)
+    let outcome = 'failed'
+    let tries = 0
+    while (tries <= retries && getLeftMs() > 0) {
+      const id = `${this.options.name}-${this._ids++}`
+      const answer = await this._try(id, { host, path, method, leftMs: getLeftMs() })
+      tries++
+      if (answer.status === 200) {
+        outcome = 'served'
+        if (answer.body !== `${method} ${path} of ${id}` || answer.seal !== `s-${id}`) this.broken.push({ rule: 'MIXED', id, answer })
+        break
+      }
+      const isPromise = [408, 421, 429, 503].includes(answer.status)
+      outcome = isPromise ? 'refused' : 'failed'
+      if (!isSafe && !isPromise) break
+      const waitMs = answer.retryAfterMs ?? CLIENT_PAUSE_MS
+      await sleep(Math.min(waitMs, getLeftMs() / 3))
+    }
+    return { outcome, tries, tookMs: performance.now() - startedMs }
+  }
+
+  async _try (id, { host, path, method, leftMs }) {
+    return await new Promise(resolve => {
+      const outgoing = request({
+        host: this.options.host,
+        port: this.options.port,
+        method,
+        path,
+        agent: false,
+        timeout: leftMs,
+        headers: { host, 'x-attempt-id': id, 'x-request-deadline': String(Math.floor(leftMs)) }
+      }, answer => {
+        const chunks = []
+        answer.on('data', chunk => chunks.push(chunk))
+        answer.on('error', () => resolve({ status: 0 }))
+        answer.on('end', () => {
+          const retryAfter = answer.headers['retry-after']
+          resolve({
+            status: answer.statusCode,
+            body: Buffer.concat(chunks).toString(),
+            seal: answer.headers['x-server-seal'],
+            retryAfterMs: retryAfter === undefined ? undefined : Number(retryAfter) * 1_000
+          })
+        })
+      })
+      outgoing.on('timeout', () => outgoing.destroy())
+      outgoing.on('error', () => resolve({ status: 0 }))
+      outgoing.end()
+    })
+  }
+}
--- a/packages/control/src/raft/RecordFile.ts
+++ b/packages/control/src/raft/RecordFile.ts
@@ -54,7 +54,7 @@
     if (left < HEADER_BYTES + length) break
     const payload = data.subarray(offset + HEADER_BYTES, offset + HEADER_BYTES + length)
     if (crc32(payload) !== data.readUInt32LE(offset + LENGTH_BYTES * 2)) {
-      if (length > 0 && endsInZeros(data, offset + HEADER_BYTES)) break
+      if (length > 0 && hasZeroEnd(data, offset + HEADER_BYTES)) break
       return Err(createDamageError(file, offset))
     }
     offset += HEADER_BYTES + length
@@ -65,7 +65,7 @@
 }
 
 /** A write that was cut short in a file that had been made longer before leaves zeros at its end. */
-function endsInZeros (data: Buffer, from: number): boolean {
+function hasZeroEnd (data: Buffer, from: number): boolean {
   return isZero(data, Math.max(from, data.length - SHORTEST_HOLE_BYTES))
 }
 
--- a/packages/lagoonctl/src/Commands.ts
+++ b/packages/lagoonctl/src/Commands.ts
@@ -8,7 +8,7 @@
 import { readDeclarations } from './DeclarationFiles.js'
 import { OperatorClient, formatProblem, type IAnswer } from './OperatorClient.js'
 
-/** Exit codes, documented in docs/OPERATING.md. */
+/** Exit codes, documented in docs/OPERATIONS.md. */
 export const EXIT = { ok: 0, failed: 1, usage: 2, invalid: 3, conflict: 4, unreachable: 5, takenBack: 6, timeout: 7 } as const
 
 const POLL_MS = 500
--- /dev/null
+++ b/packages/lagoonswitch/src/SettingsWatcher.test.ts
@@ -0,0 +1,52 @@
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { ManualClock, NullLog } from '@lagoonswitch/common'
+import type { ISettings } from '@lagoonswitch/schema'
+import { SettingsWatcher } from './SettingsWatcher.js'
+
+let folder: string
+let file: string
+let changes: ISettings[]
+let watcher: SettingsWatcher
+
+function format (service: string, seed = '10.0.0.1:1'): string {
+  return `[process]\nname = n\nregion = r\navailability_zone = z\nservice = ${service}\n[control]\nseeds = ${seed}\n`
+}
+
+beforeEach(async () => {
+  folder = await mkdtemp(join(tmpdir(), 'watcher-'))
+  file = join(folder, 'n.ini')
+  changes = []
+  await writeFile(file, format('desk'))
+  watcher = new SettingsWatcher(file, new ManualClock(), new NullLog(), settings => changes.push(settings))
+  await watcher.refresh()
+})
+
+afterEach(async () => {
+  watcher.stop()
+  await rm(folder, { recursive: true })
+})
+
+test('file that is as it was changes nothing', async () => {
+  await watcher.refresh()
+  expect(changes).toEqual([])
+})
+
+test('changed file is taken without a signal', async () => {
+  await writeFile(file, format('press', '10.0.0.9:1'))
+  await watcher.refresh()
+  expect(changes.map(({ process, control }) => [process.service, control.seeds[0]?.host])).toEqual([['press', '10.0.0.9']])
+})
+
+test('file that can not be used keeps the settings, until it can', async () => {
+  await writeFile(file, '[process]\nname = n\n')
+  await watcher.refresh()
+  await rm(file)
+  await watcher.refresh()
+  expect(changes).toEqual([])
+  await writeFile(file, format('press'))
+  await watcher.refresh()
+  expect(changes.length).toBe(1)
+})
--- a/packages/lagoonswitch/src/SettingsWatcher.ts
+++ b/packages/lagoonswitch/src/SettingsWatcher.ts
@@ -30,7 +30,7 @@
   }
 
   /** Reads the file now; settings that can't be used change nothing. */
-  async look (): Promise<void> {
+  async refresh (): Promise<void> {
     try {
       const text = await readFile(this._file, 'utf8')
       if (text === this._text) return
@@ -55,7 +55,7 @@
 
   private async _run (): Promise<void> {
     while (!this._stopping.signal.aborted) {
-      await this.look()
+      await this.refresh()
       await this._clock.sleep(LOOK_MS, this._stopping.signal)
     }
   }
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -285,7 +285,7 @@
     }
     this._tried.add(target.record.targetId)
     this._sends++
-    if (this._isTraced) this._logSend(target)
+    if (this._isTraced) this._reportSend(target)
     const attempt = new Attempt(this._context, this._head.route, target, this)
     this._attempt = attempt
     attempt.handle = this._context.findOpener(target.record.linkAddress)
@@ -307,7 +307,7 @@
     return pool.pickTarget(service, split.to, this._tried, terms) ?? pool.pickTarget(service, old, this._tried, terms)
   }
 
-  private _logSend (target: ITargetState): void {
+  private _reportSend (target: ITargetState): void {
     const { record } = target
     this._context.log.info('call_sent', {
       call: this._callId,
@@ -465,11 +465,11 @@
     const tookMs = this._context.clock.readMonotonicMs() - this._startedMs
     this._context.metrics.count('calls_total', reason === '' ? outcome : reason)
     this._context.metrics.getRecorder('call_duration').record(tookMs)
-    if (outcome !== 'answered' || this._status >= FIRST_SERVER_ERROR || this._isTraced) this._logEnd(outcome, reason, run, tookMs)
+    if (outcome !== 'answered' || this._status >= FIRST_SERVER_ERROR || this._isTraced) this._reportEnd(outcome, reason, run, tookMs)
     this._onDone()
   }
 
-  private _logEnd (outcome: string, reason: string, run: string, tookMs: number): void {
+  private _reportEnd (outcome: string, reason: string, run: string, tookMs: number): void {
     const fields = {
       call: this._callId,
       outcome,
--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -108,7 +108,7 @@
     const end = path.indexOf('?')
     const plain = end < 0 ? path : path.slice(0, end)
     const segment = getFirstSegment(plain)
-    const name = normalizeHost(host)
+    const name = parseHost(host)
     return this._findIn(`${name} ${segment}`, method, plain) ?? this._findIn(`${name} /`, method, plain) ??
       this._findIn(`* ${segment}`, method, plain) ?? this._findIn('* /', method, plain)
   }
@@ -125,7 +125,7 @@
   private _addRoute (entry: IEntry, route: IRoute): void {
     const parts = this._compileParts(entry, route)
     if (parts.length === 0) return
-    const key = `${normalizeHost(entry.host ?? '*')} ${getFirstSegment(route.path)}`
+    const key = `${parseHost(entry.host ?? '*')} ${getFirstSegment(route.path)}`
     const bucket = this._buckets.get(key) ?? []
     this._buckets.set(key, bucket)
     bucket.push({
@@ -158,7 +158,7 @@
   return route.methods === undefined || route.methods.includes(method as 'GET')
 }
 
-function normalizeHost (host: string): string {
+function parseHost (host: string): string {
   return host.toLowerCase().replace(/:\d+$/, '')
 }
 
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -75,7 +75,7 @@
       return 'stale'
     }
     if (held !== undefined && isSameAnnouncement(held.target.announcement, announcement)) {
-      this._renew(held, announcement)
+      this._refresh(held, announcement)
       return 'taken'
     }
     this._dropOthersAt(announcement)
@@ -191,7 +191,7 @@
     return record.withdrawn || (sequence ?? Infinity) < record.targetSequence
   }
 
-  private _renew (held: IHeldTarget, announcement: ITargetAnnouncement): void {
+  private _refresh (held: IHeldTarget, announcement: ITargetAnnouncement): void {
     held.leaseTimer.dispose()
     held.leaseTimer = this._startLease(announcement.id)
     held.sequence = announcement.sequence ?? held.sequence
--- /dev/null
+++ b/tests/Platform.test.ts
@@ -0,0 +1,99 @@
+/**
+ * What must hold on the platform, played against its stand-in with seeded faults.
+ */
+// @ts-expect-error the stand-in is shared with the benchmarks in plain JavaScript
+import { HOST, PlatformWorld, createConfiguration } from '../bench/platform-world.mjs'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { SeededRandom } from '@lagoonswitch/common'
+
+const DRAIN_MS = 2_000
+const FAULTS = ['short', 'unframed', 'extra', 'rubbish', 'lost']
+let world: PlatformWorld
+
+beforeEach(async () => {
+  world = new PlatformWorld()
+  await world.start(3, 2, createConfiguration(1, 0, ['desk']))
+}, 30_000)
+
+afterEach(async () => { await world.stop() }, 30_000)
+
+async function callMany (count: number, isSafe: boolean, pauseMs = 5): Promise<Array<{ outcome: string, tries: number }>> {
+  const client = world.createClient('n1', `n1-${isSafe}`)
+  const path = `/desk/${isSafe ? 'safe' : 'unsafe'}/x`
+  const results = []
+  for (let index = 0; index < count; index++) {
+    results.push(client.call({ host: HOST, path, method: isSafe ? 'GET' : 'POST', isSafe }))
+    await sleep(pauseMs)
+  }
+  const all = await Promise.all(results)
+  expect(client.broken).toEqual([])
+  return all
+}
+
+test('targets that break the protocol give no wrong answer and no second run', async () => {
+  const random = new SeededRandom(5)
+  for (const [index, fault] of FAULTS.entries()) {
+    const node = index % 2 === 0 ? 'n1' : 'n2'
+    await world.addTarget(node, { id: `t${index}`, service: 'desk', slots: 4, workMs: 15, fault, share: 0.2, draw: () => random.draw() })
+  }
+  const [safe, unsafe] = await Promise.all([callMany(150, true), callMany(150, false)])
+  expect(safe.filter(({ outcome }) => outcome === 'served').length).toBeGreaterThan(140)
+  expect(unsafe.filter(({ outcome }) => outcome === 'served').length).toBeGreaterThan(90)
+  for (const target of world.targets) {
+    expect([...target.runs.values()].every(runs => runs === 1)).toBe(true)
+    expect(target.mostAtOnce).toBeLessThanOrEqual(4)
+    expect(target.refusals).toBe(0)
+  }
+}, 60_000)
+
+test('unsafe call that was answered 503 has not run', async () => {
+  const target = await world.addTarget('n2', { id: 't1', service: 'desk', slots: 2, workMs: 40 })
+  const all = await callMany(200, false, 1)
+  const refused = all.filter(({ outcome }) => outcome === 'refused').length
+  const served = all.filter(({ outcome }) => outcome === 'served').length
+  expect(refused).toBeGreaterThan(0)
+  expect(served + refused).toBe(200)
+  expect(target.runs.size).toBe(served)
+}, 60_000)
+
+test('leaving target gets nothing after its announcement was acknowledged', async () => {
+  const leaving = await world.addTarget('n2', { id: 't1', service: 'desk', workMs: 10 })
+  await world.addTarget('n1', { id: 't2', service: 'desk', workMs: 10 })
+  const calls = callMany(200, true, 4)
+  await sleep(200)
+  await leaving.leave()
+  expect(await leaving.beat(1, 'ready')).toBe(200)
+  // Requests that were on their way may still arrive for this time.
+  await sleep(DRAIN_MS)
+  const runs = leaving.runs.size
+  const later = await callMany(50, true, 4)
+  expect(leaving.runs.size).toBe(runs)
+  expect([...await calls, ...later].filter(({ outcome }) => outcome !== 'served')).toEqual([])
+}, 60_000)
+
+test('order is acknowledged and in force though its control VM is lost', async () => {
+  await world.addTarget('n2', { id: 't1', service: 'desk', workMs: 5 })
+  const first = createConfiguration(4, 1, ['desk', 'press'])
+  const sent = world.operator.order('PUT', '/-/config', first)
+  await world.stopProcess('c2')
+  expect((await sent).status).toBe(200)
+  expect((await world.operator.order('PUT', '/-/config', first)).status).toBe(200)
+  expect((await world.operator.order('PUT', '/-/config', createConfiguration(5, 1, ['desk']))).status).toBe(412)
+  expect(JSON.parse((await world.operator.order('GET', '/-/config')).text)).toEqual(first)
+  await world.startControl('c2')
+  const next = createConfiguration(6, 4, ['desk'])
+  expect((await world.operator.order('PUT', '/-/config', next)).status).toBe(200)
+  const client = world.createClient('n1', 'probe')
+  await sleep(300)
+  expect(await client.call({ host: HOST, path: '/press/safe/x', retries: 0 })).toMatchObject({ outcome: 'failed' })
+  expect(await client.call({ host: HOST, path: '/desk/safe/x' })).toMatchObject({ outcome: 'served' })
+}, 60_000)
+
+test('node that is stopped serves until its callers have left', async () => {
+  await world.addTarget('n2', { id: 't1', service: 'desk', workMs: 10 })
+  const stopping = world.stopProcess('n1')
+  const all = await callMany(60, false, 10)
+  expect(all.every(({ outcome }) => outcome === 'served')).toBe(true)
+  await stopping
+}, 60_000)
