--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -108,6 +108,47 @@
   listener.close()
 })
 
+test('source is not left for a nearer one that is down', async () => {
+  world = await World.start([])
+  await changeOwner('first')
+  const [port, deadPort] = await findPorts(2)
+  const directory = new ControlDirectory([])
+  directory.setMembers([
+    { address: `127.0.0.1:${port}`, availabilityZone: 'z2' }, { address: `127.0.0.1:${deadPort}`, availabilityZone: 'z1' }
+  ])
+  const source = new CatalogueStore()
+  source.restoreContent(world.control.store.getContent())
+  const hub = new FeedHub({
+    name: 'far',
+    clock: world.clock,
+    random: new SeededRandom(1),
+    log: new NullLog(),
+    metrics: new Metrics(),
+    store: source,
+    endpoints: new EndpointView(),
+    maxStreams: 10,
+    subscriberLevel: 1,
+    isCurrent: () => true,
+    confirm: async () => ({ confirmed: true, version: { ...source.version }, message: '' }),
+    directory,
+    onEvidence: () => {}
+  })
+  const listener = new PeerListener(new PlainCredentials())
+  listener.addService(FeedService, hub.createHandlers())
+  await listener.listen('127.0.0.1', port ?? 0)
+  const client = startFakeClient([`127.0.0.1:${port}`], new CatalogueStore())
+  await waitFor('the far source', () => client.isReady)
+  const sources = new Set<string>()
+  for (let step = 0; step < 50; step++) {
+    sources.add(client.source)
+    await world.clock.sleep(50)
+  }
+  expect([...sources]).toEqual(['far'])
+  client.dispose()
+  hub.dispose()
+  listener.close()
+})
+
 test('silent source is left', async () => {
   world = await World.start([])
   await changeOwner('first')
