Ordered moves stay longer at small shares; replays of moves of seconds

Cause: the plan was made for minutes. Change: the steps of a move with a larger first share keep their times; ordered moves begin with 8%, have all calls after 80% of their time, and are done after 90%. bench/short-moves.mjs replays windows of 250 ms with outcomes that are seen when calls end; bench/moves.mjs names the new fields of messages. Ruled out: a smaller first share (4%: too few calls end before the share grows).

--- a/bench/moves.mjs
+++ b/bench/moves.mjs
@@ -7,7 +7,7 @@
 import { ManualClock, Metrics, NullLog, SeededRandom, computeBucket } from '@lagoonswitch/common'
 import { CatalogueMachine, MoveController, planSteps } from '@lagoonswitch/control'
 import { CatalogueStore, EndpointView } from '@lagoonswitch/feed'
-import { CatalogueCommand, EndpointState, MoveStatus, formatEntry, parseEntry } from '@lagoonswitch/schema'
+import { CatalogueCommand, ChangeCommand, EndpointRecord, EndpointState, MoveStatus, formatEntry, parseEntry } from '@lagoonswitch/schema'
 
 const REPLAYS = Number(process.argv[2] ?? 30)
 const MOVE_S = 600
@@ -80,9 +80,11 @@
   }).unwrap()
   apply({
     $case: 'change',
-    value: { requestId: 'r', operator: 'o', edits: [{ name: 'desk', expectedVersion: 0, declaration: formatEntry(entry) }] }
+    value: ChangeCommand.fromPartial({
+      requestId: 'r', operator: 'o', edits: [{ name: 'desk', expectedVersion: 0, declaration: formatEntry(entry) }]
+    })
   })
-  endpoints.merge([{
+  endpoints.merge([EndpointRecord.fromPartial({
     targetId: 't',
     incarnation: 1,
     sequence: 1,
@@ -94,7 +96,7 @@
     availabilityZone: '',
     slots: 9,
     node: 'n'
-  }])
+  })])
   const controller = new MoveController({
     clock,
     log: new NullLog(),
--- /dev/null
+++ b/bench/short-moves.mjs
@@ -0,0 +1,140 @@
+/**
+ * Replays of ordered moves of seconds through the decisions of the control VMs, a window of 250 ms at a time: calls are
+ * drawn from a seed, their outcomes are seen when they end, and a changed share holds after the time that evidence,
+ * commit and feed take. Usage: node bench/short-moves.mjs [REPLAYS] [CALLS_PER_S] [SECONDS]
+ */
+import { ManualClock, Metrics, NullLog, SeededRandom, computeBucket } from '@lagoonswitch/common'
+import { CatalogueMachine, MoveController } from '@lagoonswitch/control'
+import { CatalogueStore, EndpointView } from '@lagoonswitch/feed'
+import { CatalogueCommand, ChangeCommand, EndpointRecord, EndpointState, MoveStatus, formatEntry, parseEntry } from '@lagoonswitch/schema'
+
+const REPLAYS = Number(process.argv[2] ?? 50)
+const CALLS_PER_S = Number(process.argv[3] ?? 150)
+const SECONDS = Number(process.argv[4] ?? 15)
+const WINDOW_MS = 250
+/** Windows until a decision holds at the nodes, and until their evidence is at the leader. */
+const LAG_WINDOWS = 2
+const TARGETS = 4
+/** Calls that may meet a bad version: a share of all calls until the time limit, and some beside. */
+const EXPOSED_SHARE = 0.1
+const EXPOSED_SLACK = 50
+const ROUTES = [{ name: 'browse', weight: 0.77, ms: 220, failure: 0.001 }, { name: 'reserve', weight: 0.23, ms: 290, failure: 0.004 }]
+const SPREAD = 0.8
+
+const KINDS = {
+  good: () => ({}),
+  'good, old one slow in part': ({ isNew, target, seconds }) => !isNew && target === 0 && seconds > 4 && seconds < 10 ? { slow: 5 } : {},
+  'good, old one loses answers': ({ isNew, seconds, draw }) => !isNew && seconds > 4 && seconds < 8 && draw < 0.05 ? { isFailed: true } : {},
+  'good, both lose answers': ({ seconds, draw }) => seconds > 4 && seconds < 8 && draw < 0.1 ? { isFailed: true } : {},
+  errors: ({ isNew, draw }) => isNew && draw < 0.5 ? { isFailed: true, isBad: true } : {},
+  slow: ({ isNew, draw }) => isNew && draw < 0.5 ? { slow: 8, isBad: true } : {},
+  'under load': ({ isNew, draw, share }) => isNew && share >= 0.3 && draw < 0.5 ? { isFailed: true, isBad: true } : {},
+  'one route': ({ isNew, draw, route }) => isNew && route === 'reserve' && draw < 0.5 ? { isFailed: true, isBad: true } : {},
+  late: ({ isNew, draw, seconds }) => isNew && seconds > 3 && draw < 0.5 ? { isFailed: true, isBad: true } : {},
+  'errors in a third': ({ isNew, draw }) => isNew && draw < 0.32 ? { isFailed: true, isBad: true } : {}
+}
+
+function drawGauss (random) {
+  return Math.sqrt(-2 * Math.log(1 - random.draw())) * Math.cos(2 * Math.PI * random.draw())
+}
+
+function drawCall (random, kind, nowMs, share) {
+  const isNew = random.draw() < share
+  const route = random.draw() < ROUTES[0].weight ? ROUTES[0] : ROUTES[1]
+  const target = Math.floor(random.draw() * TARGETS)
+  const effect = KINDS[kind]({ isNew, route: route.name, target, seconds: nowMs / 1_000, draw: random.draw(), share })
+  const tookMs = route.ms * Math.exp(SPREAD * drawGauss(random) - SPREAD ** 2 / 2) * (effect.slow ?? 1)
+  const isFailed = effect.isFailed === true || random.draw() < route.failure
+  return { isNew, route: route.name, target, endMs: nowMs + tookMs, tookMs, isFailed, isBad: effect.isBad === true }
+}
+
+function toRecords (calls) {
+  const records = new Map()
+  for (const { isNew, route, target, isFailed, tookMs } of calls) {
+    const targetId = `${isNew ? 'new' : 'old'}-${target}`
+    const key = `${route} ${targetId}`
+    const record = records.get(key) ?? {
+      service: 'desk', version: isNew ? 'v2' : 'v1', route, targetId, calls: 0, failures: 0, latency: { buckets: [], counts: [] }
+    }
+    records.set(key, record)
+    record.calls++
+    if (isFailed) record.failures++
+    record.latency.buckets.push(computeBucket(tookMs))
+    record.latency.counts.push(1)
+  }
+  // A bucket may come more than once; the controller takes the last count of each, so they are added up here.
+  for (const { latency } of records.values()) {
+    const counts = new Map()
+    for (const bucket of latency.buckets) counts.set(bucket, (counts.get(bucket) ?? 0) + 1)
+    latency.buckets = [...counts.keys()]
+    latency.counts = [...counts.values()]
+  }
+  return [...records.values()]
+}
+
+async function replay (kind, seed) {
+  const random = new SeededRandom(seed)
+  const clock = new ManualClock()
+  const store = new CatalogueStore()
+  const machine = new CatalogueMachine(store)
+  const endpoints = new EndpointView()
+  const apply = command => machine.apply(CatalogueCommand.encode({ nowMs: clock.readWallTime().getTime(), command }).finish())
+  apply({ $case: 'bootstrap', value: { epoch: 1 } })
+  const entry = parseEntry({ entry: 'desk', owner: 'o', class: 'first', limits: { slots: 9, connections: 130 }, routes: [] }).unwrap()
+  const edits = [{ name: 'desk', expectedVersion: 0, declaration: formatEntry(entry) }]
+  apply({ $case: 'change', value: ChangeCommand.fromPartial({ requestId: 'r', operator: 'o', edits }) })
+  endpoints.merge([EndpointRecord.fromPartial({
+    targetId: 't', incarnation: 1, sequence: 1, state: EndpointState.ENDPOINT_STATE_READY, service: 'desk', version: 'v2', slots: 9
+  })])
+  apply({ $case: 'order', value: { service: 'desk', from: 'v1', to: 'v2', withinMs: SECONDS * 1_000 } })
+  const controller = new MoveController({
+    clock,
+    log: new NullLog(),
+    metrics: new Metrics(),
+    store,
+    endpoints,
+    isLeader: () => true,
+    propose: async command => { machine.apply(command); return true }
+  })
+  const shares = []
+  let open = []
+  const result = { exposed: 0, total: 0, bad: 0, afterFiftieth: undefined, doneAt: undefined, backAt: undefined }
+  for (let window = 0; window * WINDOW_MS < SECONDS * 1_000; window++) {
+    const nowMs = window * WINDOW_MS
+    const share = shares[window - LAG_WINDOWS] ?? 0
+    for (let call = 0; call < CALLS_PER_S * WINDOW_MS / 1_000; call++) {
+      const drawn = drawCall(random, kind, nowMs + random.draw() * WINDOW_MS, share)
+      open.push(drawn)
+      result.total++
+      if (drawn.isNew) result.exposed++
+    }
+    clock.stepWall(WINDOW_MS)
+    const endMs = nowMs + WINDOW_MS
+    const ended = open.filter(call => call.endMs <= endMs)
+    open = open.filter(call => call.endMs > endMs)
+    result.bad += ended.filter(call => call.isBad).length
+    if (result.bad >= 50) result.afterFiftieth ??= nowMs
+    controller.addEvidence(toRecords(ended))
+    await controller.decide()
+    const move = store.getMove('desk')
+    shares[window] = move.status === MoveStatus.MOVE_STATUS_TAKEN_BACK ? 0 : move.sharePpm / 1e6
+    if (move.status === MoveStatus.MOVE_STATUS_TAKEN_BACK) result.backAt ??= endMs
+    if (move.status === MoveStatus.MOVE_STATUS_DONE) result.doneAt ??= endMs
+  }
+  return result
+}
+
+console.log('kind | done | taken back | latest end s | exposed, median | exposed, most | beyond the bound | back later than 5 s after the 50th bad answer')
+for (const kind of Object.keys(KINDS)) {
+  const results = []
+  for (let seed = 1; seed <= REPLAYS; seed++) results.push(await replay(kind, seed))
+  const exposed = results.map(result => result.exposed).sort((a, b) => a - b)
+  const isBad = !kind.startsWith('good')
+  const beyond = isBad ? results.filter(({ exposed: count, total }) => count > EXPOSED_SHARE * total + EXPOSED_SLACK).length : 0
+  const late = isBad ? results.filter(({ afterFiftieth, backAt }) => afterFiftieth !== undefined && !(backAt < afterFiftieth + 4_500)).length : 0
+  const ends = results.map(({ doneAt, backAt }) => doneAt ?? backAt ?? Infinity)
+  console.log([
+    kind, results.filter(({ doneAt }) => doneAt !== undefined).length, results.filter(({ backAt }) => backAt !== undefined).length,
+    Math.max(...ends) / 1_000, exposed[Math.floor(exposed.length / 2)], exposed.at(-1), beyond, late
+  ].join(' | '))
+}
--- a/packages/control/src/catalogue/CatalogueMachine.ts
+++ b/packages/control/src/catalogue/CatalogueMachine.ts
@@ -17,10 +17,10 @@
 const MAX_EDITS_BYTES = 64 * 1_048_576
 const PPM = 1_000_000
 /** Parts of the time of an ordered move: until all calls go to the new version, and to watch it after that. */
-const ORDERED_RAMP_SHARE = 0.72
-const ORDERED_WATCH_SHARE = 0.12
+const ORDERED_RAMP_SHARE = 0.8
+const ORDERED_WATCH_SHARE = 0.1
 /** Largest share of the first step of an ordered move. */
-const ORDERED_FIRST_SHARE = 0.04
+const ORDERED_FIRST_SHARE = 0.08
 
 interface IPrepared {
   readonly records: EntryRecord[]
--- a/packages/control/src/moves/MoveSchedule.ts
+++ b/packages/control/src/moves/MoveSchedule.ts
@@ -29,7 +29,7 @@
   const lengthMs = Math.max(0, byMs - startedMs - RETRY_MARGIN_MS)
   const firstPpm = Math.round(firstShare * FULL_SHARE_PPM)
   const shares = [firstPpm, ...STEP_SHARES_PPM.filter(share => share > firstPpm)]
-  const starts = STEP_STARTS.slice(0, shares.length)
+  const starts = [0, ...STEP_STARTS.slice(STEP_STARTS.length - shares.length + 1)]
   const steps = shares.map((sharePpm, index) => ({
     sharePpm,
     startMs: startedMs + lengthMs * (starts[index] ?? 1)
