--- a/bench/platform-world.mjs
+++ b/bench/platform-world.mjs
@@ -47,7 +47,7 @@
 
   /** Starts control VMs c1, c2, ... and nodes n1, n2, ... and waits until they serve the configuration. */
   async start (controls, nodes, configuration) {
-    this.ports = await findPorts(6)
+    this.ports = await findPorts(7)
     this.controls = Array.from({ length: controls }, (_, index) => `127.0.1.${index + 1}`)
     await Promise.all(this.controls.map(async (host, index) => await this.startControl(`c${index + 1}`, true)))
     this.operator = new StandInOperator(this.controls.map(host => `http://${host}:${this.ports[1]}`))
@@ -95,7 +95,7 @@
   }
 
   async _start (name, host, roles, control) {
-    const [peers, operators, calls, local, ready, links] = this.ports
+    const [peers, operators, calls, local, ready, links, metrics] = this.ports
     const settings = parseSettings(`[process]
 name = ${name}
 region = r1
@@ -109,6 +109,7 @@
 local = ${host}:${local}
 ready = ${host}:${ready}
 links = ${host}:${links}
+metrics = ${host}:${metrics}
 [control]
 seeds = ${this.controls.slice(0, 3).map(seed => `${seed}:1`).join()}
 open_operators = true
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -3,7 +3,7 @@
  * the product's own HTTP interface in files that are loaded only when it is served.
  */
 import { build } from 'esbuild'
-import { readdirSync } from 'node:fs'
+import { readdirSync, rmSync } from 'node:fs'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
@@ -27,6 +27,7 @@
   }
 }
 
+rmSync(join(ROOT, 'target'), { recursive: true, force: true })
 await build({
   entryPoints: {
     lagoonswitch: join(ROOT, 'platform/src/main.ts'),
--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -24,6 +24,7 @@
 let beats: string
 let ready: string
 let outbound: string
+let metricsUrl: string
 
 function createConfiguration (version: number, base: number, timeout = 1): object {
   return {
@@ -46,16 +47,17 @@
 
 beforeEach(async () => {
   folder = await mkdtemp(join(tmpdir(), 'surface-'))
-  const ports = await findPorts(6)
-  const [operators, controlPeers, calls, local, readyPort, links] = ports
+  const ports = await findPorts(7)
+  const [operators, controlPeers, calls, local, readyPort, links, metrics] = ports
   const common = `region = r1\navailability_zone = z1\n[control]\nseeds = 127.0.0.1:${operators}\nclaim_shards = 0\nheartbeat = 50ms\nelection_timeout = 300ms\n`
-  const listen = `[listen]\npeers = 127.0.0.1:${controlPeers}\n`
+  const listen = `[listen]\npeers = 127.0.0.1:${controlPeers}\nmetrics = 127.0.0.1:${metrics}\n`
   control = start(`[process]\nname = c1\nroles = control\ndata_folder = ${folder}\n${common}first_start = true\n${listen}operators = 127.0.0.1:${operators}\n`)
   // On the platform all processes use one peer port on VMs of their own; here the node listens at another address.
-  node = start(`[process]\nname = n1\nroles = node\nstop_timeout = 1s\n${common}${listen.replace('127.0.0.1', '127.0.0.2')}` +
+  node = start(`[process]\nname = n1\nroles = node\nstop_timeout = 1s\n${common}${listen.replaceAll('127.0.0.1', '127.0.0.2')}` +
     `calls = 127.0.0.1:${calls}\nlocal = 127.0.0.1:${local}\nready = 127.0.0.1:${readyPort}\nlinks = 127.0.0.1:${links}\n`)
   orders = `http://127.0.0.1:${operators}`
   beats = `http://127.0.0.1:${local}`
+  metricsUrl = `http://127.0.0.2:${metrics}`
   ready = `http://127.0.0.1:${readyPort}/-/ready`
   outbound = `http://127.0.0.1:${calls}`
   await control.start()
@@ -86,6 +88,7 @@
   const call = await fetch(`${outbound}/a/x`, { headers: { host: 'h', 'x-attempt-id': 'a1' } })
   expect([404, 503]).toContain(call.status)
   expect((await send(`${beats}/-/instances/t1`, 'DELETE')).status).toBe(200)
+  expect((await send(`${metricsUrl}/metrics`, 'GET')).text).toContain('lagoonswitch_catalogue_version')
   expect(node.node?.endpoints.getRecord('t1')?.withdrawn).toBe(true)
   expect((await send(`${orders}/-/rollouts/desk`, 'GET')).status).toBe(404)
   expect((await send(`${orders}/-/rollouts`, 'POST', { service: 'desk', 'target-version': 'v2', 'duration-s': 9 })).status).toBe(200)
