Control VMs that are down cost a node no time one after the other; mesh links stay with theirs

Links between control VMs learnt all members and went on to others, and to their own VM, when theirs was down. Change: after a failure all control VMs are asked at once, near ones with a head start; the own source confirms first, the others at once; silence of 1.5 s ends a source; links of the mesh learn no members.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -8,7 +8,7 @@
 } from '@lagoonswitch/common'
 import {
   FeedClient as FeedService, EndpointState,
-  type ConfirmReply, type ConfirmRequest, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp
+  type ConfirmReply, type ConfirmRequest, type ControlMember, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp
 } from '@lagoonswitch/schema'
 import { isTimeout, sendUnary, type PeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
@@ -17,11 +17,11 @@
 import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL, type IFleetStatus } from './FeedHub.js'
 
 /** Silence of a source after which it is left, several of its beats. */
-const STALL_MS = 2_000
+const STALL_MS = 1_500
 /** Longest wait for the welcome of a source. */
 const WELCOME_MS = 1_000
 /** Time without a current source after which a node looks for another one. */
-const ORPHAN_MS = 2_000
+const ORPHAN_MS = 1_500
 /** Interval of looking for both. */
 const WATCH_MS = 250
 /** Interval of evidence, a part of the time in which a move must be decided. */
@@ -29,6 +29,8 @@
 /** Time after which a source that isn't near is left for one that is; longer while calls depend on it. */
 const NEARER_AT_START_MS = 100
 const NEARER_MS = 2_000
+/** Head start of near control VMs when several are asked at once; more than a round trip between zones. */
+const NEAR_HEAD_START_MS = 60
 /** Longest time between two beats of a node whose version has not changed. */
 const BEAT_MS = 5_000
 const RELAYS_PER_ROUND = 3
@@ -84,6 +86,8 @@
   private _lastLevel = 0
   private _lastSentBeatMs = -Infinity
   private _source = ''
+  /** Address of the source followed now, empty for none. */
+  private _address = ''
   private _lastBeatMs = -Infinity
   private _isConfirmed = false
   private _floor: ICatalogueVersion = NO_VERSION
@@ -139,11 +143,18 @@
    * @returns the reply; not confirmed when no source answers
    */
   async confirm (): Promise<ConfirmReply> {
-    for (const address of this._listSources()) {
-      const reply = await this._confirmAt(address)
-      if (reply?.confirmed === true) return reply
-    }
-    return { confirmed: false, version: undefined, message: 'no source answered' }
+    const own = this._address === '' ? undefined : await this._confirmAt(this._address)
+    if (own?.confirmed === true) return own
+    // The others are asked at once, so that those that are down cost no time one after the other.
+    const others = this._listSources().filter(address => address !== this._address)
+    return await Promise.any(others.map(async address => await this._confirmCurrent(address)))
+      .catch(() => ({ confirmed: false, version: undefined, message: 'no source answered' }))
+  }
+
+  private async _confirmCurrent (address: string): Promise<ConfirmReply> {
+    const reply = await this._confirmAt(address)
+    if (reply?.confirmed !== true) throw new FeedError(`${address} is not current`, 'ask another source')
+    return reply
   }
 
   private async _confirmAt (address: string): Promise<ConfirmReply | undefined> {
@@ -174,7 +185,7 @@
    * was fed by a relay tries other relays first, so that the few streams of the control VMs stay for relays.
    */
   private async _runRound (): Promise<IEnded> {
-    const control = this._pickControl()
+    const control = await this._findControl()
     const wasLeaf = this._lastLevel === LEAF_LEVEL
     const queue = wasLeaf ? [...this._pickRelays(this._relays), control] : [control]
     let ended: IEnded = { wasWelcome: false, relays: [], retryAfterMs: 0 }
@@ -198,12 +209,27 @@
     return this._options.directory.hasAddress(address) ? RELAY_LEVEL : LEAF_LEVEL
   }
 
-  /** One in this availability zone first; after a failure any other one. */
-  private _pickControl (): string {
-    const { directory, availabilityZone } = this._options
-    const addresses = directory.listAddresses().filter(address => address !== this._failedAddress)
-    const near = addresses.filter(address => directory.getZone(address) === availabilityZone)
-    return this._shuffle(near.length > 0 ? near : addresses)[0] ?? this._failedAddress
+  /**
+   * Finds a control VM to follow. After a failure all are asked at once, so that those that are down or cut off cost no
+   * time one after the other; near ones get a head start.
+   */
+  private async _findControl (): Promise<string> {
+    const { directory, isMesh } = this._options
+    const addresses = this._shuffle(directory.listAddresses().filter(address => address !== this._failedAddress))
+    const near = addresses.filter(address => this._isNear(address))
+    const drawn = near[0] ?? addresses[0] ?? this._failedAddress
+    if (this._failedAddress === '' || isMesh || addresses.length < 2) return drawn
+    return await Promise.any(addresses.map(async address => await this._confirmControl(address))).catch(() => drawn)
+  }
+
+  private async _confirmControl (address: string): Promise<string> {
+    if (!this._isNear(address)) await this._options.clock.sleep(NEAR_HEAD_START_MS, this._stopping.signal)
+    await this._confirmCurrent(address)
+    return address
+  }
+
+  private _isNear (address: string): boolean {
+    return this._options.directory.getZone(address) === this._options.availabilityZone
   }
 
   private _rememberRelays (relays: readonly string[]): void {
@@ -239,7 +265,7 @@
           case 'welcome':
             heardMs = clock.readMonotonicMs()
             wasWelcome = true
-            this._enter(stream, level, frame.value.source, frame.value.relays)
+            this._enter(stream, address, level, frame.value.source, frame.value.relays)
             break
           case 'redirect':
             redirect = frame.value
@@ -252,8 +278,7 @@
             if (frame.value.full) this._startConfirmation(frame.value.records)
             break
           case 'members':
-            this._options.directory.setMembers(frame.value.members)
-            this._scheduleNearer(stream, address)
+            this._learnMembers(stream, address, frame.value.members)
             break
           case 'beat':
             this._checkBeat(frame.value.version ?? NO_VERSION)
@@ -274,21 +299,27 @@
     return { wasWelcome, ...redirect }
   }
 
+  /** A link of the mesh stays with the one control VM that it is for. */
+  private _learnMembers (stream: Stream, address: string, members: readonly ControlMember[]): void {
+    if (this._options.isMesh) return
+    this._options.directory.setMembers(members)
+    this._scheduleNearer(stream, address)
+  }
+
   /** Control traffic between availability zones is avoided where a control VM is near. */
   private _scheduleNearer (stream: Stream, address: string): void {
-    const { directory, availabilityZone, clock, isMesh } = this._options
+    const { directory, availabilityZone, clock } = this._options
     const zone = directory.getZone(address)
     const hasNearer = directory.listAddresses()
       .some(other => other !== this._failedAddress && directory.getZone(other) === availabilityZone)
-    if (isMesh || zone === availabilityZone || !hasNearer) return
+    if (zone === availabilityZone || !hasNearer) return
     const delayMs = this._isConfirmed ? NEARER_MS : NEARER_AT_START_MS
     this._store.add(clock.schedule(delayMs, () => { void this._moveNearer(stream) }))
   }
 
   /** The present source is left only once a nearer one has answered. */
   private async _moveNearer (stream: Stream): Promise<void> {
-    const { directory, availabilityZone } = this._options
-    const near = directory.listAddresses().filter(address => directory.getZone(address) === availabilityZone)
+    const near = this._options.directory.listAddresses().filter(address => this._isNear(address))
     const reply = await this._confirmAt(this._shuffle(near)[0] ?? '')
     if (reply?.confirmed !== true || this._stream !== stream) return
     this._isMovingNearer = true
@@ -316,8 +347,9 @@
     return toDisposable(() => ended.abort())
   }
 
-  private _enter (stream: Stream, level: number, source: string, relays: readonly string[]): void {
+  private _enter (stream: Stream, address: string, level: number, source: string, relays: readonly string[]): void {
     this._stream = stream
+    this._address = address
     this._level = level
     this._lastLevel = level
     this._source = source
@@ -331,6 +363,7 @@
 
   private _leave (): void {
     this._stream = undefined
+    this._address = ''
     this._level = 0
     this._source = ''
   }
--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -1,3 +1,4 @@
+import { createServer, type AddressInfo, type Server } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { EndpointState, FeedService, type FeedDown, type FeedUp } from '@lagoonswitch/schema'
@@ -13,7 +14,7 @@
   return world.putEntry({ ...DESK, owner })
 }
 
-function startFakeClient (addresses: readonly string[], store: CatalogueStore): FeedClient {
+function startFakeClient (addresses: readonly string[], store: CatalogueStore, seed = 1): FeedClient {
   const client = new FeedClient({
     node: 'fake',
     region: 'r1',
@@ -23,7 +24,7 @@
     directory: new ControlDirectory(addresses),
     isMesh: false,
     clock: world.clock,
-    random: new SeededRandom(1),
+    random: new SeededRandom(seed),
     log: new NullLog(),
     metrics: new Metrics(),
     channels: world.channels,
@@ -149,6 +150,27 @@
   listener.close()
 })
 
+test('sources that are down cost no time one after the other', async () => {
+  world = await World.start([])
+  await changeOwner('first')
+  const silent: Server[] = []
+  const addresses = [world.control.listStatus()[0]?.leaderAddress ?? '']
+  for (let index = 0; index < 4; index++) {
+    const server = createServer(() => {})
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    silent.push(server)
+    addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  }
+  for (let seed = 1; seed <= 4; seed++) {
+    const client = startFakeClient(addresses, new CatalogueStore(), seed)
+    const startedMs = world.clock.readMonotonicMs()
+    await waitFor('the live source', () => client.isReady)
+    expect(world.clock.readMonotonicMs() - startedMs).toBeLessThan(2_500)
+    client.dispose()
+  }
+  for (const server of silent) server.close()
+})
+
 test('silent source is left', async () => {
   world = await World.start([])
   await changeOwner('first')
