--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -8,12 +8,13 @@
 } from '@lagoonswitch/common'
 import {
   FeedClient as FeedService, EndpointState,
-  type ConfirmReply, type ConfirmRequest, type ControlMember, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp
+  type ConfirmReply, type ControlMember, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp
 } from '@lagoonswitch/schema'
-import { isTimeout, sendUnary, type PeerChannels } from '@lagoonswitch/transport'
+import type { PeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
 import type { ControlDirectory } from './ControlDirectory.js'
 import type { EndpointView } from './EndpointView.js'
+import { SourceFinder } from './SourceFinder.js'
 import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL, type IFleetStatus } from './FeedHub.js'
 
 /** Silence of a source after which it is left, several of its beats. */
@@ -29,12 +30,9 @@
 /** Time after which a source that isn't near is left for one that is; longer while calls depend on it. */
 const NEARER_AT_START_MS = 100
 const NEARER_MS = 2_000
-/** Head start of near control VMs when several are asked at once; more than a round trip between zones. */
-const NEAR_HEAD_START_MS = 60
 /** Longest time between two beats of a node whose version has not changed. */
 const BEAT_MS = 5_000
 const RELAYS_PER_ROUND = 3
-const CONFIRM_TIMEOUT_MS = 1_500
 const BACKOFF_BASE_MS = 100
 const BACKOFF_MAX_MS = 500
 const UNCONFIRMED_MS = 30_000
@@ -80,6 +78,7 @@
   private readonly _stopping = new AbortController()
   private readonly _onReady = new Emitter<void>()
   private readonly _backoff: Backoff
+  private readonly _finder: SourceFinder
   private _relays: string[] = []
   private _stream: Stream | undefined
   private _level = 0
@@ -100,6 +99,7 @@
   readonly onReady = this._onReady.event
 
   constructor (private readonly _options: IFeedClientOptions) {
+    this._finder = new SourceFinder(_options)
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._store.add(toDisposable(() => {
       this._stopping.abort()
@@ -143,29 +143,11 @@
    * @returns the reply; not confirmed when no source answers
    */
   async confirm (): Promise<ConfirmReply> {
-    const own = this._address === '' ? undefined : await this._confirmAt(this._address)
+    const own = this._address === '' ? undefined : await this._finder.confirmAt(this._address)
     if (own?.confirmed === true) return own
     // The others are asked at once, so that those that are down cost no time one after the other.
     const others = this._listSources().filter(address => address !== this._address)
-    return await Promise.any(others.map(async address => await this._confirmCurrent(address)))
-      .catch(() => ({ confirmed: false, version: undefined, message: 'no source answered' }))
-  }
-
-  private async _confirmCurrent (address: string): Promise<ConfirmReply> {
-    const reply = await this._confirmAt(address)
-    if (reply?.confirmed !== true) throw new FeedError(`${address} is not current`, 'ask another source')
-    return reply
-  }
-
-  private async _confirmAt (address: string): Promise<ConfirmReply | undefined> {
-    try {
-      const client = this._options.channels.getClient(FeedService, address)
-      return await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, CONFIRM_TIMEOUT_MS)
-    } catch (error) {
-      this._options.metrics.count('feed_confirm_failures_total', isTimeout(error) ? 'timeout' : 'unreachable')
-      this._options.log.warn('confirmation_failed', { address, error: formatError(error) })
-      return undefined
-    }
+    return await this._finder.confirmAny(others)
   }
 
   dispose (): void {
@@ -185,7 +167,7 @@
    * was fed by a relay tries other relays first, so that the few streams of the control VMs stay for relays.
    */
   private async _runRound (): Promise<IEnded> {
-    const control = await this._findControl()
+    const control = await this._finder.findControl(this._failedAddress)
     const wasLeaf = this._lastLevel === LEAF_LEVEL
     const queue = wasLeaf ? [...this._pickRelays(this._relays), control] : [control]
     let ended: IEnded = { wasWelcome: false, relays: [], retryAfterMs: 0 }
@@ -201,7 +183,7 @@
 
   private _pickRelays (relays: readonly string[]): string[] {
     const others = relays.filter(address => address !== this._options.feedAddress)
-    return this._shuffle(others.slice(0, RELAYS_PER_ROUND * 2)).slice(0, RELAYS_PER_ROUND)
+    return this._finder.shuffle(others.slice(0, RELAYS_PER_ROUND * 2)).slice(0, RELAYS_PER_ROUND)
   }
 
   private _pickLevel (address: string): number {
@@ -209,29 +191,6 @@
     return this._options.directory.hasAddress(address) ? RELAY_LEVEL : LEAF_LEVEL
   }
 
-  /**
-   * Finds a control VM to follow. After a failure all are asked at once, so that those that are down or cut off cost no
-   * time one after the other; near ones get a head start.
-   */
-  private async _findControl (): Promise<string> {
-    const { directory, isMesh } = this._options
-    const addresses = this._shuffle(directory.listAddresses().filter(address => address !== this._failedAddress))
-    const near = addresses.filter(address => this._isNear(address))
-    const drawn = near[0] ?? addresses[0] ?? this._failedAddress
-    if (this._failedAddress === '' || isMesh || addresses.length < 2) return drawn
-    return await Promise.any(addresses.map(async address => await this._confirmControl(address))).catch(() => drawn)
-  }
-
-  private async _confirmControl (address: string): Promise<string> {
-    if (!this._isNear(address)) await this._options.clock.sleep(NEAR_HEAD_START_MS, this._stopping.signal)
-    await this._confirmCurrent(address)
-    return address
-  }
-
-  private _isNear (address: string): boolean {
-    return this._options.directory.getZone(address) === this._options.availabilityZone
-  }
-
   private _rememberRelays (relays: readonly string[]): void {
     this._relays = [...new Set([...relays, ...this._relays])].slice(0, MAX_KNOWN_RELAYS)
   }
@@ -319,8 +278,8 @@
 
   /** The present source is left only once a nearer one has answered. */
   private async _moveNearer (stream: Stream): Promise<void> {
-    const near = this._options.directory.listAddresses().filter(address => this._isNear(address))
-    const reply = await this._confirmAt(this._shuffle(near)[0] ?? '')
+    const near = this._finder.pickNear()
+    const reply = near === undefined ? undefined : await this._finder.confirmAt(near)
     if (reply?.confirmed !== true || this._stream !== stream) return
     this._isMovingNearer = true
     stream.cancel()
@@ -464,17 +423,7 @@
   }
 
   private _listSources (): string[] {
-    const controls = this._shuffle(this._options.directory.listAddresses())
+    const controls = this._finder.shuffle(this._options.directory.listAddresses())
     return this._level === LEAF_LEVEL ? [...this._relays.slice(0, 2), ...controls] : controls
   }
-
-  private _shuffle (items: string[]): string[] {
-    for (let index = items.length - 1; index > 0; index--) {
-      const other = Math.floor(this._options.random.draw() * (index + 1))
-      const item = items[index] ?? ''
-      items[index] = items[other] ?? ''
-      items[other] = item
-    }
-    return items
-  }
 }
