--- a/packages/feed/src/ControlDirectory.ts
+++ b/packages/feed/src/ControlDirectory.ts
@@ -41,7 +41,7 @@
 
   /** Takes the members of the group as its leader or a follower holds them. */
   setMembers (members: readonly ControlMember[]): void {
-    if (members.length === 0) return
+    if (members.length === 0 || areSame(members, this._members)) return
     this._members = members
     this._onChanged.fire()
   }
@@ -52,3 +52,8 @@
     this._onChanged.fire()
   }
 }
+
+function areSame (a: readonly ControlMember[], b: readonly ControlMember[]): boolean {
+  return a.length === b.length && a.every((member, index) =>
+    member.address === b[index]?.address && member.availabilityZone === b[index].availabilityZone)
+}
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -280,7 +280,11 @@
   private async _moveNearer (stream: Stream): Promise<void> {
     const near = this._finder.pickNear()
     const reply = near === undefined ? undefined : await this._finder.confirmAt(near)
-    if (reply?.confirmed !== true || this._stream !== stream) return
+    if (this._stream !== stream) return
+    if (reply?.confirmed !== true) {
+      this._store.add(this._options.clock.schedule(NEARER_MS, () => { void this._moveNearer(stream) }))
+      return
+    }
     this._isMovingNearer = true
     stream.cancel()
   }
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -23,11 +23,11 @@
 const TIME_SHAPE = 1.3
 /** Value of a call's answer in time is 1; a hop to another VM and a change of zone are paid out of it. */
 const HOP_COST = 0.02
-const ZONE_COST = 0.05
-const ZONE_COST_PER_KB = 0.13
+const ZONE_COST = 0.12
+const ZONE_COST_PER_KB = 0.18
 const REGION_COST = 0.3
 /** Largest part of the value that bytes between zones may cost. */
-const MAX_ZONE_COST = 0.75
+const MAX_ZONE_COST = 0.9
 const LATENCY_COST = 0.05
 /** Spreads the choice over targets that are nearly alike. */
 const NOISE = 0.015
