A founder waits until the others have read their disks

Cause: processes answer peers before they have read their disks; a founder that asked then took an empty identity for theirs, and the group could never elect a leader. Change: a replica has no identity to tell before its disk is read, and says so.

--- a/packages/control/src/raft/GroupMembership.ts
+++ b/packages/control/src/raft/GroupMembership.ts
@@ -53,9 +53,10 @@
     void this._runKeep()
   }
 
-  /** Answers who this replica is. */
+  /** Answers who this replica is; throws while its disk is still read, since it has no identity before. */
   handleIdentify (): IdentifyReply {
     const { replicaId, members } = this._replica
+    if (replicaId === '') throw new StorageError('this replica still reads its disk', 'ask again')
     const { name, automatic } = this._options
     return { replicaId, name, initialized: members.length > 0, availabilityZone: automatic?.availabilityZone ?? '' }
   }
--- a/packages/control/src/raft/Membership.test.ts
+++ b/packages/control/src/raft/Membership.test.ts
@@ -29,6 +29,25 @@
 
 afterEach(() => { cluster.dispose() })
 
+test('founder waits until the others have read their disks', async () => {
+  const slow = new FakeCluster(['a', 'b', 'c'], 1, 1_000, FOUNDERS)
+  for (const name of ['b', 'c']) {
+    const { storage } = slow.getVm(name)
+    const load = storage.load.bind(storage)
+    storage.load = async () => {
+      await slow.clock.sleep(2_000)
+      return await load()
+    }
+  }
+  const started = Promise.all(FOUNDERS.map(async name => await slow.start(name)))
+  await slow.clock.advance(1_000)
+  expect(slow.getVm('a').group?.getStatus().members).toEqual([])
+  await slow.waitFor('the group', () => slow.listVoters().length === 3)
+  expect(slow.listVoters()).toEqual(['a/a-disk-1', 'b/b-disk-1', 'c/c-disk-1'])
+  await started
+  slow.dispose()
+})
+
 test('group grows from its founders to all that are there', async () => {
   await propose('x')
   for (const name of ['d', 'e']) await waitCommands(cluster.getVm(name), 'x')
