State that could be derived and dead members are gone

Cause: reading the whole change again. Whether a call may have run follows from its count of runs; a target's count of running calls and the log's count of dropped lines were read by nobody; the test for a near control VM stood twice.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -267,11 +267,9 @@
 
   /** Control traffic between availability zones is avoided where a control VM is near. */
   private _scheduleNearer (stream: Stream, address: string): void {
-    const { directory, availabilityZone, clock } = this._options
-    const zone = directory.getZone(address)
-    const hasNearer = directory.listAddresses()
-      .some(other => other !== this._failedAddress && directory.getZone(other) === availabilityZone)
-    if (zone === availabilityZone || !hasNearer) return
+    const { directory, clock } = this._options
+    const hasNearer = directory.listAddresses().some(other => other !== this._failedAddress && this._finder.isNear(other))
+    if (this._finder.isNear(address) || !hasNearer) return
     const delayMs = this._isConfirmed ? NEARER_MS : NEARER_AT_START_MS
     this._store.add(clock.schedule(delayMs, () => { void this._moveNearer(stream) }))
   }
--- a/packages/lagoonswitch/src/LogSink.ts
+++ b/packages/lagoonswitch/src/LogSink.ts
@@ -43,11 +43,6 @@
    */
   constructor (private readonly _writer: TextWriter, private readonly _clock: IClock) {}
 
-  /** Lines that were dropped since the last report. */
-  get dropped (): number {
-    return this._dropped
-  }
-
   /**
    * Takes one event.
    * @param json - line of pino
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -70,7 +70,6 @@
   private _status = 0
   /** Owner whose running calls count this one. */
   private _owner: string | undefined
-  private _mayHaveRun = false
   /** Answer bytes that wait in the caller's connection. */
   private _unacknowledged = 0
   private _isTraced = false
@@ -107,7 +106,7 @@
     if (this._isDone) return
     if (this._canRetryAnswer(status)) {
       this._attempt?.cancel()
-      this._noteRun()
+      this._runs++
       this._noteRetry('answer')
       this._send()
       return
@@ -146,7 +145,7 @@
       this._response.destroy()
       return
     }
-    if (!failure.isNotRun) this._noteRun()
+    if (!failure.isNotRun) this._runs++
     if (QUEUE_REASONS.has(failure.reason)) this._queues++
     if (this._canRetryFailure(failure)) {
       this._lastFailure = failure
@@ -157,11 +156,6 @@
     this._refuse(failure.reason, 'not-run', failure.retryAfterMs)
   }
 
-  private _noteRun (): void {
-    this._mayHaveRun = true
-    this._runs++
-  }
-
   private _noteRetry (reason: string): void {
     const { metrics, log } = this._context
     metrics.count('retries_total', reason)
@@ -431,7 +425,7 @@
   private _refuse (reason: RefusalReason, run: RunState, retryAfterMs: number, detail?: string): false {
     if (this._isDone) return false
     // One attempt that may have run is enough to make the whole call doubtful.
-    if (run === 'not-run' && this._mayHaveRun) run = 'unknown'
+    if (run === 'not-run' && this._runs > 0) run = 'unknown'
     if (run === 'not-run') this._key.settleReleased()
     else this._key.settleUnknown()
     this._attempt?.cancel()
--- a/packages/node/src/routing/TargetState.ts
+++ b/packages/node/src/routing/TargetState.ts
@@ -43,7 +43,7 @@
    * @param record - newest announcement
    * @param addedMs - monotonic time at which the target became known
    */
-  constructor (public record: EndpointRecord, readonly addedMs: number) {
+  constructor (public record: EndpointRecord, addedMs: number) {
     this._warmAtMs = addedMs + (record.warmupMs ?? DEFAULT_WARMUP_MS)
   }
 
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -32,8 +32,6 @@
   isDraining = false
   /** True while the target takes no connections, until it announces itself again. */
   isLost = false
-  /** Calls that wait for an answer of the target now. */
-  running = 0
 
   /**
    * @param announcement - from the target
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -151,7 +151,6 @@
     const leftMs = Math.max(1, Math.floor(this._dueMs - this._clock.readMonotonicMs()))
     const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBody.length === 0
     this._connection = this._target.connections.acquire()
-    this._target.running++
     this._connection.dispatch({
       method: method as Dispatcher.HttpMethod,
       path,
@@ -203,10 +202,7 @@
   }
 
   private _release (): void {
-    if (this._connection !== undefined) {
-      this._target.running--
-      this._target.connections.release(this._connection)
-    }
+    if (this._connection !== undefined) this._target.connections.release(this._connection)
     // The ticket is missing only while acquire itself refuses the call.
     this._ticket?.release()
   }
