--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -41,6 +41,9 @@
   format: 'esm',
   outExtension: { '.js': '.mjs' },
   legalComments: 'none',
+  // Names stay, so that stacks can be read; a smaller text is parsed sooner and takes less memory.
+  minifyWhitespace: true,
+  minifySyntax: true,
   tsconfig: join(ROOT, 'tsconfig.base.json'),
   external: OPTIONAL,
   alias: Object.fromEntries(NAMES.map(name => [`@lagoonswitch/${name}`, join(ROOT, 'packages', name, 'src/index.ts')])),
