An ordered move is final within its time, whatever comparisons interrupted it

Ruled out: a late order (accepted at 2 s), late targets (announced 5 s before the first jump). From half the watch time after its planned end on, a move that no fault was proved of is done. The test fails on the old code (still watching at 96% of the time). Moves of catalogue entries keep their whole watch time.

--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -194,3 +194,35 @@
   await run(1)
   expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
 })
+
+test('ordered move ends in its time though a comparison interrupts the watch', async () => {
+  startMove()
+  await run(LENGTH_S + WATCH_S)
+  const nowMs = clock.readWallTime().getTime()
+  endpoints.merge([{ ...endpoints.getRecord('t') as EndpointRecord, version: 'v3', sequence: 2 }])
+  machine.apply(CatalogueCommand.encode({
+    nowMs, command: { $case: 'order', value: { service: 'desk', from: 'v2', to: 'v3', withinMs: LENGTH_S * 1_000 } }
+  }).finish())
+  await runOrdered(LENGTH_S * 0.82)
+  expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_WATCHING, sharePpm: FULL_SHARE_PPM })
+  await runOrdered(1, 0.2)
+  expect(getMove().sharePpm).toBe(200_000)
+  await runOrdered(LENGTH_S * 0.96 - LENGTH_S * 0.83)
+  expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_DONE, to: 'v3' })
+})
+
+/** As {@link run}, for a move from v2 to v3. */
+async function runOrdered (seconds: number, failures = 0): Promise<void> {
+  for (let second = 0; second < Math.round(seconds); second++) {
+    await clock.advance(1_000)
+    const newCalls = Math.round(100 * getMove().sharePpm / FULL_SHARE_PPM)
+    for (const [version, calls] of [['v3', newCalls], ['v2', 100 - newCalls]] as const) {
+      if (calls === 0) continue
+      const failed = version === 'v3' ? Math.round(calls * failures) : 0
+      controller.addEvidence([
+        { service: 'desk', version, route: 'r', targetId: version, calls, failures: failed, latency: { buckets: [20], counts: [calls] } }
+      ])
+    }
+    await controller.decide()
+  }
+}
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -34,6 +34,11 @@
 const RISES_TO_TAKE_BACK = 2
 /** Rate at which a rise of the old version is seen where there is none; seeing one only spares the new version. */
 const COMMON_RISE_RATE = 0.2
+/**
+ * Part of the watch time after which an ordered move that no fault was proved of is final: the time of an order ends
+ * after twice the watch time, and its operator must learn of the end before that.
+ */
+const LAST_WATCH_PART = 1.5
 const DEFAULT_WATCH_MS = 600_000
 
 /** What the controller needs of its process. */
@@ -173,6 +178,9 @@
       // A leader that takes over during a comparison goes on with it.
       open.probe ??= { resumePpm: FULL_SHARE_PPM, startedMs: nowMs, callsBefore: open.comparison.getNewCalls() }
     }
+    if (move.ordered && move.status === MoveStatus.MOVE_STATUS_WATCHING && nowMs >= move.byMs + LAST_WATCH_PART * move.watchMs) {
+      return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault was proved in the time of the order')
+    }
     if (open.probe !== undefined) return this._decideProbe(move, open, open.probe, nowMs)
     if (move.sharePpm > PROBE_SHARE_PPM && open.comparison.findRise(NEEDLESS_PROBE_RATE)) {
       if (open.returningRises >= RISES_TO_TAKE_BACK - 1) {
