lagoonctl explain: from the id of a call and the logs to its cause

Reads logs of any number of processes, keeps the lines of the call and of the beliefs that it rested on (targets, catalogue, source and lifetimes of the processes it passed, 10 s back), in order, and says outcome and cause in one sentence. Lines that are no events are counted and passed over. The log of a process can be written elsewhere than to the standard output, for tests.

--- a/bench/platform-world.mjs
+++ b/bench/platform-world.mjs
@@ -39,7 +39,9 @@
 
 /** Starts and stops everything in this process. */
 export class PlatformWorld {
-  constructor () {
+  /** @param createLog - makes the log of a process from its name; nothing is logged without it */
+  constructor (createLog = () => new NullLog()) {
+    this.createLog = createLog
     this.folder = mkdtempSync(join(tmpdir(), 'platform-'))
     this.processes = new Map()
     this.targets = []
@@ -62,8 +64,8 @@
     await this._start(name, host, `roles = control\ndata_folder = ${join(this.folder, name)}`, `first_start = ${isFirst}`)
   }
 
-  async startNode (name) {
-    await this._start(name, `127.0.2.${name.slice(1)}`, 'roles = node\nstop_timeout = 3s', '')
+  async startNode (name, stopTimeout = '3s') {
+    await this._start(name, `127.0.2.${name.slice(1)}`, `roles = node\nstop_timeout = ${stopTimeout}`, '')
   }
 
   /** Ends a process without a word to the others. */
@@ -119,7 +121,8 @@
 ${control}
 `, `${name}.ini`)
     if (settings.err) throw new Error(settings.val.map(error => error.message).join('\n'))
-    const process = new LagoonProcess(settings.val, new NullLog(), { dialect: new PlatformDialect(), surface: new PlatformSurface() })
+    const parts = { dialect: new PlatformDialect(), surface: new PlatformSurface() }
+    const process = new LagoonProcess(settings.val, this.createLog(name), parts)
     this.processes.set(name, process)
     const started = await process.start()
     if (started.err) throw started.val
--- a/packages/lagoonctl/src/Commands.ts
+++ b/packages/lagoonctl/src/Commands.ts
@@ -6,6 +6,9 @@
 import { stringify } from 'yaml'
 import { formatEntry, type IEntry } from '@lagoonswitch/schema'
 import { readDeclarations } from './DeclarationFiles.js'
+import { findExplanation } from './explain/CallExplanation.js'
+import { readLogs } from './explain/LogFiles.js'
+import type { ILogLine } from './explain/LogLine.js'
 import { OperatorClient, formatProblem, type IAnswer } from './OperatorClient.js'
 
 /** Exit codes, documented in docs/OPERATIONS.md. */
@@ -65,6 +68,19 @@
     return EXIT.ok
   }
 
+  /** Explains from logs why a call ended as it did. */
+  async explainCall (callId: string, files: readonly string[]): Promise<number> {
+    const { lines, bad } = await readLogs(files)
+    const explanation = findExplanation(callId, lines)
+    if (bad > 0) console.error(`${bad} lines are no events and were passed over`)
+    if (explanation === undefined) {
+      return this._fail(`no line names call ${callId}; give the logs of all processes, and mind that good calls are sampled`, EXIT.failed)
+    }
+    const text = explanation.lines.map(line => `${new Date(line.timeMs).toISOString()} ${line.process} ${formatFields(line)}`)
+    this._print(explanation, [...text, explanation.verdict].join('\n'))
+    return EXIT.ok
+  }
+
   /** Applies declarations. */
   async apply (path: string, isPruning: boolean, requestId: string): Promise<number> {
     const difference = await this._compare(path, isPruning)
@@ -280,3 +296,8 @@
   return `${move.service}: ${move.from} to ${move.to} by ${move.by}, ${move.status}${move.late ? ' (late)' : ''}, ` +
     `share ${share}: ${move.reason}${evidence}${next}`
 }
+
+function formatFields ({ event, fields }: ILogLine): string {
+  const others = Object.entries(fields).filter(([key]) => key !== 'event' && key !== 'time' && key !== 'level')
+  return [event, ...others.map(([key, value]) => `${key}=${value}`)].join(' ')
+}
--- /dev/null
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -0,0 +1,89 @@
+/**
+ * Puts together what the logs of all processes say of one call, and concludes why it ended as it did.
+ */
+import type { ILogLine } from './LogLine.js'
+
+/** Time before the end of a call in which a changed belief of a process may have mattered to it, in milliseconds; a lease. */
+const BELIEF_MS = 10_000
+/** Events that change what a process believes of the catalogue or of its own part. */
+const PROCESS_EVENTS = new Set([
+  'process_started', 'process_stopping', 'process_stopped', 'feed_joined', 'feed_lost', 'catalogue_confirmed', 'settings_reloaded',
+  'version_cut', 'log_dropped'
+])
+const FIRST_SERVER_ERROR = 500
+/** What each reason of a refusal means, by the name under which it is counted. */
+const CAUSES: Readonly<Record<string, string>> = {
+  'deadline-queue': 'overload: no slot became free while the answer could still be in time',
+  'queue-full': 'overload: the queue before the target was full',
+  shed: 'overload: a more important call took the place in the queue',
+  'no-spare': 'overload: no target of the own availability zone took it, and others had no free slot',
+  'target-busy': 'overload: the target itself took no more calls',
+  'owner-limit': 'the owner of the entry had too many calls running',
+  'not-ready': 'the process had no confirmed catalogue; see its process_started and catalogue_confirmed',
+  'process-draining': 'the process was being stopped',
+  draining: 'the target was leaving',
+  'no-target': 'no target of the version in use was announced',
+  'no-route': 'no route matched in the catalogue of that version',
+  unreachable: 'the process beside the target could not be reached',
+  connect: 'the target took no connections',
+  'link-lost': 'the link to the process beside the target broke; the answer is lost',
+  'link-silent': 'the process beside the target fell silent; the answer is lost',
+  broken: 'the target broke off or spoilt its answer; the answer is lost',
+  crossed: 'the target sent another answer than the one to this call; the answer is lost',
+  'target-replaced': 'another target had taken over the address',
+  deadline: 'no answer came before the time limit',
+  closed: 'the caller left'
+}
+
+/** What became of a call. */
+export interface ICallExplanation {
+  /** Lines of the call and of the beliefs that it rested on, in order of time. */
+  readonly lines: readonly ILogLine[]
+  /** Outcome and cause in one sentence. */
+  readonly verdict: string
+}
+
+/**
+ * Explains a call.
+ * @param callId - identity that the caller gave to its attempt
+ * @param all - lines of all processes, in any order
+ * @returns the lines and the verdict; undefined when no line names the call
+ */
+export function findExplanation (callId: string, all: readonly ILogLine[]): ICallExplanation | undefined {
+  const own = all.filter(line => line.fields.call === callId)
+  if (own.length === 0) return undefined
+  const ended = own.findLast(line => line.event === 'call_ended')
+  const beliefs = listBeliefs(own, all)
+  const lines = [...own, ...beliefs].sort((a, b) => a.timeMs - b.timeMs)
+  return { lines, verdict: formatVerdict(ended, own, beliefs) }
+}
+
+function listBeliefs (own: readonly ILogLine[], all: readonly ILogLine[]): ILogLine[] {
+  const processes = new Set(own.map(line => line.process))
+  const targets = new Set(own.flatMap(line => line.fields.target ?? []))
+  const versions = new Set(own.flatMap(line => line.fields.catalogue ?? []))
+  const endMs = Math.max(...own.map(line => line.timeMs))
+  return all.filter(line => {
+    if (line.fields.call !== undefined || line.timeMs > endMs || line.timeMs < endMs - BELIEF_MS) return false
+    if (processes.has(line.process) && PROCESS_EVENTS.has(line.event)) return true
+    if (line.event === 'catalogue_confirmed') return versions.has(line.fields.version ?? '')
+    return line.event.startsWith('target_') && targets.has(line.fields.target ?? '')
+  })
+}
+
+function formatVerdict (ended: ILogLine | undefined, own: readonly ILogLine[], beliefs: readonly ILogLine[]): string {
+  if (ended === undefined) return 'no process logged its end: it still runs, its process died, or the line was dropped'
+  const { outcome = '', reason = '', run = '', status = '0', took_ms: tookMs = '?', catalogue = '?' } = ended.fields
+  const at = `at ${ended.process} after ${tookMs} ms, catalogue ${catalogue}`
+  if (outcome === 'answered') return `answered by the target with ${status} ${at}${formatAnswerCause(Number(status))}`
+  const cause = CAUSES[reason] ?? 'see docs/OPERATIONS.md for the reason'
+  const change = beliefs.findLast(line => line.event !== 'log_dropped')
+  const context = change === undefined ? '' : `; last change before: ${change.event} at ${change.process}`
+  const repeats = own.filter(line => line.event === 'call_repeated').map(line => line.fields.reason)
+  const tried = repeats.length === 0 ? '' : `; repeated after ${repeats.join(', ')}`
+  return `${outcome} ${at}: ${reason}: ${cause}${run === '' ? '' : ` (${run})`}${tried}${context}`
+}
+
+function formatAnswerCause (status: number): string {
+  return status >= FIRST_SERVER_ERROR ? ': the target failed, or a call that it made; look for calls whose id begins alike' : ''
+}
--- /dev/null
+++ b/packages/lagoonctl/src/explain/LogFiles.ts
@@ -0,0 +1,32 @@
+/**
+ * Reads the logs of any number of processes.
+ */
+import { createReadStream } from 'node:fs'
+import { basename } from 'node:path'
+import { createInterface } from 'node:readline'
+import { parseLogLine, type ILogLine } from './LogLine.js'
+
+/** Lines of all logs, and how many were no events. */
+export interface ILogs {
+  readonly lines: ILogLine[]
+  readonly bad: number
+}
+
+/**
+ * Reads logs line by line.
+ * @param files - paths; standard input when there are none
+ * @returns the events; rejects when a file can't be read
+ */
+export async function readLogs (files: readonly string[]): Promise<ILogs> {
+  const lines: ILogLine[] = []
+  let bad = 0
+  for (const file of files.length === 0 ? ['-'] : files) {
+    const input = file === '-' ? process.stdin : createReadStream(file)
+    for await (const text of createInterface({ input })) {
+      const line = text.trim() === '' ? undefined : parseLogLine(text, basename(file))
+      if (line !== undefined) lines.push(line)
+      else if (text.trim() !== '') bad++
+    }
+  }
+  return { lines, bad }
+}
--- a/packages/lagoonctl/src/main.ts
+++ b/packages/lagoonctl/src/main.ts
@@ -82,4 +82,8 @@
     await commands.replaceMember(name, address)))
 program.command('members remove <name>', 'Remove a control VM')
   .action(async (name: string, options: IOptions) => await run(options, async commands => await commands.removeMember(name)))
+program.command('explain <call>', 'Explain a call from logs: files after the id, or standard input')
+  .example('explain 9c41d07be2a35f68 node-1.log node-2.log')
+  .action(async (call: string, options: IOptions & { _: string[] }) => await run(options, async commands =>
+    await commands.explainCall(call, options._)))
 program.parse(process.argv)
--- a/packages/lagoonswitch/src/PinoLog.ts
+++ b/packages/lagoonswitch/src/PinoLog.ts
@@ -3,17 +3,21 @@
  */
 import { pino, stdTimeFunctions, type Logger } from 'pino'
 import { SystemClock, type ILog, type ILogFields } from '@lagoonswitch/common'
-import { LogSink, createFileWriter } from './LogSink.js'
+import { LogSink, createFileWriter, type TextWriter } from './LogSink.js'
 
 const STDOUT = 1
 
-/** Writes to the standard output. */
+/** Writes one line an event. */
 export class PinoLog implements ILog {
-  private readonly _sink = new LogSink(createFileWriter(STDOUT), new SystemClock())
+  private readonly _sink: LogSink
   private readonly _logger: Logger
 
-  /** @param level - lowest level that is written */
-  constructor (level: string) {
+  /**
+   * @param level - lowest level that is written
+   * @param writer - writes to the output, the standard one by default
+   */
+  constructor (level: string, writer: TextWriter = createFileWriter(STDOUT)) {
+    this._sink = new LogSink(writer, new SystemClock())
     this._logger = pino({
       level,
       base: null,
--- a/packages/lagoonswitch/src/index.ts
+++ b/packages/lagoonswitch/src/index.ts
@@ -4,3 +4,4 @@
 export * from './LagoonProcess.js'
 export * from './ProcessSurface.js'
 export * from './Runner.js'
+export * from './PinoLog.js'
