Calls that can be in time go first, calls stay in their zone under load, and a stopping node serves callers that keep coming

Ruled out: unequal targets (busiest to mean 1.05), restarts, lost answers in those seconds. Now: SlotQueue (order), holds that end when an answer would probably be late, short holds in a queue that does not empty, time waited in earlier attempts (CallerTimes), free slots only for calls of zones with targets of their own, two turns between request and send.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -14,6 +14,7 @@
 import { PeerLink } from './links/PeerLink.js'
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
+import { CallerTimes } from './routing/CallerTimes.js'
 import { OwnerLimits } from './routing/OwnerLimits.js'
 import { RetryBudget } from './routing/RetryBudget.js'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
@@ -23,6 +24,8 @@
 const MAX_FORWARDED_EVIDENCE = 5_000
 /** Time after which whoever sends calls here has seen that this process isn't ready any more. */
 const NOTICE_MS = 2_500
+/** Time without a new call after which callers are taken to have left; some keep coming while few other processes are ready. */
+const QUIET_MS = 1_000
 /** Parts of the stop timeout after which new calls are refused, and after which running ones are cut. */
 const REFUSE_AT = 0.7
 const CUT_AT = 0.92
@@ -144,6 +147,7 @@
         new LeaderClient(channels, clock, () => this.directory.listAddresses()), settings.control.claimShards),
       evidence: this._evidence,
       owners: new OwnerLimits(),
+      callerTimes: new CallerTimes(clock),
       findOpener: address => this._findOpener(address),
       getBudget: part => this._getBudget(part),
       getRoutes: () => this._getRoutes(),
@@ -214,7 +218,8 @@
     this.targets.drain()
     this._peerServer.drain()
     this.relay.drain()
-    const isServing = (): boolean => getPassedMs() < NOTICE_MS || this._calls.getRunningCount() > 0
+    const isServing = (): boolean => getPassedMs() < NOTICE_MS || this._calls.getRunningCount() > 0 ||
+      this._calls.getQuietMs() < QUIET_MS
     while (getPassedMs() < timeoutMs * REFUSE_AT && isServing()) await clock.sleep(POLL_MS)
     this._isDraining = true
     await this._calls.stop(Math.max(0, timeoutMs * CUT_AT - getPassedMs()))
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -26,13 +26,15 @@
 const FINAL_REASONS = new Set<FailureReason>(['deadline', 'cancelled'])
 /** Failures before the request reached the target, which cost it nothing. */
 const FREE_REASONS = new Set<FailureReason>([
-  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue'
+  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare'
 ])
 /** Refusals by a queue after which another target may be asked. */
 const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue'])
 /** Targets that one call may ask for a place in their queues; those of the first class, which others wait for, ask more. */
 const MAX_QUEUES = 2
 const MAX_QUEUES_FIRST = 4
+/** Time left of an objective that is over; 0 would say that there is none. */
+const OVER_MS = 1
 const NO_BYTES = Buffer.alloc(0)
 const CLAIM_REFUSALS: Readonly<Record<UngrantedKind, IRefusal>> = {
   'in-progress': { reason: 'key-in-progress', run: 'run-earlier', retryAfterMs: RETRY_AFTER_MS },
@@ -85,6 +87,7 @@
     this._startedMs = _context.clock.readMonotonicMs()
     this._key = new KeyHolder(_context.claims, _context.settings.node.answerBytes)
     _response.on('close', () => this._handleCallerClose())
+    _request.on('aborted', () => this._handleCallerClose())
     _request.on('error', () => undefined)
     _response.on('error', () => undefined)
   }
@@ -242,8 +245,14 @@
   private _proceed (): void {
     if (this._isDone) return
     this._getBudget().recordCall()
-    if (this._head.route.isKeyed) void this._claimKey()
-    else this._send()
+    if (this._head.route.isKeyed) {
+      void this._claimKey()
+      return
+    }
+    // After a busy moment the end of the caller's connection is read one turn behind its request.
+    setImmediate(() => setImmediate(() => {
+      if (!this._isDone) this._send()
+    }))
   }
 
   private async _claimKey (): Promise<void> {
@@ -291,7 +300,9 @@
     const { pool } = this._context
     const { service, split } = this._getPart()
     const isNew = this._isForNewVersion()
-    const terms = { route: this._head.route.key, objectiveLeftMs: this._getObjectiveLeftMs() }
+    const objectiveLeftMs = this._getObjectiveLeftMs()
+    const isLate = objectiveLeftMs > 0 && pool.isTooShort(this._head.route.key, objectiveLeftMs)
+    const terms = { route: this._head.route.key, objectiveLeftMs, isLate, callClass: this._head.callClass }
     const old = { version: split.from, excluded: split.excluded }
     // A version without a ready target falls back to the other one, but never to one that is cut or taken back.
     if (!isNew) {
@@ -320,7 +331,8 @@
   private _getObjectiveLeftMs (): number {
     const { objectiveMs } = this._head.route
     if (objectiveMs === 0) return 0
-    return Math.max(1, objectiveMs - (this._context.clock.readMonotonicMs() - this._startedMs))
+    const passedMs = this._head.waitedMs + this._context.clock.readMonotonicMs() - this._startedMs
+    return Math.max(OVER_MS, objectiveMs - passedMs)
   }
 
   /** With no target left to try, the caller learns why the last one failed. */
@@ -345,6 +357,7 @@
       objectiveMs: this._getObjectiveLeftMs(),
       expectedMs: this._context.pool.computeExpectedMs(target, this._head.route.key),
       isRepeatable: this._head.route.isRepeatable,
+      isSpareOnly: this._context.pool.isSpare(target, this._head.callClass),
       owner,
       body: this._body,
       isBodyComplete: this._isBodyHeld,
@@ -361,7 +374,6 @@
       if (this._attempt?.handle?.sendBody(chunk) === false) this._request.pause()
     })
     this._request.on('end', () => this._attempt?.handle?.endBody())
-    this._request.on('aborted', () => this._handleCallerClose())
     this._request.resume()
   }
 
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -5,6 +5,7 @@
 import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
+import type { CallerTimes } from '../routing/CallerTimes.js'
 import type { OwnerLimits } from '../routing/OwnerLimits.js'
 import type { RetryBudget } from '../routing/RetryBudget.js'
 import type { IRoutePart, RouteTable } from '../routing/RouteTable.js'
@@ -23,6 +24,7 @@
   readonly claims: ClaimsClient
   readonly evidence: EvidenceCollector
   readonly owners: OwnerLimits
+  readonly callerTimes: CallerTimes
   /** Opens calls on the target of this VM or over a link. */
   readonly findOpener: (linkAddress: string) => ICallOpener
   readonly getBudget: (part: IRoutePart) => RetryBudget
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { Err, Ok, type Result } from '@lagoonswitch/common'
-import type { CallClass, CallerLimits } from '@lagoonswitch/schema'
+import { CallClass, type CallerLimits } from '@lagoonswitch/schema'
 import type { ICompiledRoute } from '../routing/RouteTable.js'
 import type { ICallContext } from './CallContext.js'
 import { MAX_CALL_DEPTH } from './CallTypes.js'
@@ -20,6 +20,8 @@
   readonly route: ICompiledRoute
   /** Time for the answer in milliseconds. */
   readonly allowedMs: number
+  /** Time that the caller has waited in earlier attempts, as far as can be told; 0 for a first attempt. */
+  readonly waitedMs: number
   readonly callClass: CallClass
   /** Identity of this attempt of the caller; empty when it gave none. */
   readonly callId: string
@@ -54,10 +56,12 @@
   if (route.isKeyed && !isUsableKey(terms.key)) return refuse('key-missing')
   const copied = copyRequestHeaders(request.rawHeaders, context.dialect.ownHeaders)
   copied.push(...context.dialect.formatForwardHeaders(terms, context.settings.process.service))
+  const callClass = Math.max(route.callClass, terms.callClass ?? route.callClass)
   return Ok({
     route,
     allowedMs: Math.min(route.deadlineMs, terms.wishedMs ?? Infinity),
-    callClass: Math.max(route.callClass, terms.callClass ?? route.callClass),
+    waitedMs: computeWaitedMs(context, route, callClass, terms.wishedMs),
+    callClass,
     callId: terms.callId,
     depth: terms.depth,
     headers: copied,
@@ -74,6 +78,14 @@
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
 }
 
+/** Calls of the first class are made for others and state what those have left, which tells nothing of attempts. */
+function computeWaitedMs (
+  context: ICallContext, route: ICompiledRoute, callClass: CallClass, wishedMs: number | undefined
+): number {
+  if (wishedMs === undefined || callClass === CallClass.CALL_CLASS_FIRST) return 0
+  return context.callerTimes.recordLeft(route.key, wishedMs)
+}
+
 function refuse (reason: RefusalReason, retryAfterMs = 0, detail?: string): Result<ICallHead, IRefusal> {
   return Err({ reason, run: 'not-run', retryAfterMs, detail })
 }
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -17,6 +17,7 @@
 export class CallServer {
   private readonly _server: Server
   private _running = 0
+  private _lastCallMs = -Infinity
   private _onIdle: (() => void) | undefined
 
   /** @param _context - what all calls share */
@@ -64,6 +65,11 @@
     return this._running
   }
 
+  /** @returns time since the last call arrived, in milliseconds */
+  getQuietMs (): number {
+    return this._context.clock.readMonotonicMs() - this._lastCallMs
+  }
+
   /**
    * Lets running calls end, then closes. New calls on open connections are refused as not run.
    * @param timeoutMs - after this the rest is cut
@@ -81,6 +87,7 @@
 
   private _handle (request: IncomingMessage, response: ServerResponse): void {
     this._running++
+    this._lastCallMs = this._context.clock.readMonotonicMs()
     new Call(this._context, request, response, () => {
       this._running--
       if (this._running === 0) this._onIdle?.()
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -28,6 +28,8 @@
   readonly expectedMs: number
   /** True when the call may run again, so that it needn't wait for a process that is silent. */
   readonly isRepeatable: boolean
+  /** True when the call may take a free slot but must not wait for one, since it came a dear way. */
+  readonly isSpareOnly: boolean
   readonly owner: string
   /** First bytes of the body. */
   readonly body: Buffer
@@ -61,7 +63,7 @@
 export type FailureReason =
   'queue-full' | 'shed' | 'deadline' | 'deadline-queue' | 'no-target' | 'draining' | 'unreachable' | 'link-lost' |
   'connect' | 'broken' | 'cancelled' | 'oversized' | 'bad-frame' | 'target-busy' | 'target-replaced' | 'crossed' |
-  'link-silent'
+  'link-silent' | 'no-spare'
 
 /** Receives what happens to one call; nothing follows after the end or a failure. */
 export interface ICallEvents {
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -264,6 +264,7 @@
         queue: request.queue,
         callId: request.callId,
         expectedMs: request.expectedMs,
+        spareOnly: request.isSpareOnly,
         objectiveMs: Math.max(request.objectiveMs > 0 ? 1 : 0, Math.floor(request.objectiveMs - (request.remainingMs - remainingMs)))
       }
     })
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -102,7 +102,8 @@
       callId: open.callId,
       objectiveMs: open.objectiveMs,
       expectedMs: open.expectedMs,
-      isRepeatable: false
+      isRepeatable: false,
+      isSpareOnly: open.spareOnly
     }, call))
     if (open.body.length > 0) call.countBody(open.body.length)
   }
--- a/packages/node/src/routing/TargetPool.test.ts
+++ b/packages/node/src/routing/TargetPool.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, expect, test } from 'vitest'
 import { ManualClock, Metrics, SeededRandom } from '@lagoonswitch/common'
 import { EndpointView } from '@lagoonswitch/feed'
-import { EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
+import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
 import { TargetPool, type ITargetState } from './TargetPool.js'
 
 const NONE = new Set<string>()
@@ -121,3 +121,29 @@
   add('c', { state: EndpointState.ENDPOINT_STATE_GONE })
   expect(countPicks()).toEqual({ a: 200 })
 })
+
+test('calls wait in their own zone, and elsewhere only where it has no target', () => {
+  add('near')
+  add('far', { availabilityZone: 'z2' })
+  const [near, far] = ['near', 'far'].map(id => {
+    const state = pool.pickTarget('s', 'v1', new Set([id === 'near' ? 'far' : 'near']))
+    if (state === undefined) throw new Error('no target')
+    return state
+  }) as [ITargetState, ITargetState]
+  const normal = CallClass.CALL_CLASS_NORMAL
+  expect([pool.isSpare(near, normal), pool.isSpare(far, normal)]).toEqual([false, true])
+  expect(pool.isSpare(far, CallClass.CALL_CLASS_FIRST)).toBe(false)
+  endpoints.merge([{ ...near.record, state: EndpointState.ENDPOINT_STATE_GONE, sequence: 2 }])
+  expect(pool.isSpare(far, normal)).toBe(false)
+})
+
+test('target of another zone that reported no free slot is not asked', () => {
+  add('near')
+  add('far', { availabilityZone: 'z2' })
+  const far = pool.pickTarget('s', 'v1', new Set(['near']))
+  if (far === undefined) throw new Error('no target')
+  pool.recordLoad(far, { inFlight: 4, slots: 4, queued: 0, served: 9, serviceMs: 0 })
+  const near = pick()
+  for (let index = 0; index < 12; index++) pool.recordStart(near)
+  expect(countPicks()).toEqual({ near: 200 })
+})
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -3,8 +3,9 @@
  */
 import type { IClock, IRandom, Metrics } from '@lagoonswitch/common'
 import type { EndpointView } from '@lagoonswitch/feed'
-import { EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
+import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
 import type { ITargetLoad } from '../calls/CallTypes.js'
+import { computeSpareSlots } from '../targets/SlotGate.js'
 import { FAILURE_WEIGHT, TargetState, UNKNOWN_SERVICE_MS } from './TargetState.js'
 
 export type { TargetState as ITargetState } from './TargetState.js'
@@ -17,18 +18,29 @@
 const MAX_EJECTED_SHARE = 0.5
 const ROUTE_WEIGHT = 0.05
 const BYTES_WEIGHT = 0.1
+/** Part of the usual time in which few calls are done. */
+const SHORTEST_PART = 0.5
 /** Objective of a call that states none, in usual times of its route. */
 const ASSUMED_OBJECTIVE_FACTOR = 4
 /** Shape of the Weibull distribution that stands for the times of calls around their mean. */
 const TIME_SHAPE = 1.3
 /** Value of a call's answer in time is 1; a hop to another VM and a change of zone are paid out of it. */
 const HOP_COST = 0.02
-const ZONE_COST = 0.12
-const ZONE_COST_PER_KB = 0.18
+const ZONE_COST = 0.08
+const ZONE_COST_PER_KB = 0.15
 const REGION_COST = 0.3
 /** Largest part of the value that bytes between zones may cost. */
 const MAX_ZONE_COST = 0.9
 const LATENCY_COST = 0.05
+/** Cost of a way that pays only with a free slot, when the last report shows none. */
+const NO_SPARE_COST = 1
+/** Value of an answer by class; the way costs the same for all, so it weighs less for what is worth more. */
+const CLASS_VALUES: Readonly<Partial<Record<CallClass, number>>> = {
+  [CallClass.CALL_CLASS_FIRST]: 3,
+  [CallClass.CALL_CLASS_HIGH]: 1.5
+}
+/** Value of an answer that comes after the objective, of one in time. */
+const LATE_VALUE = 0.35
 /** Spreads the choice over targets that are nearly alike. */
 const NOISE = 0.015
 const HOP_MS = 1
@@ -40,6 +52,9 @@
   readonly route: string
   /** Time left until the answer is worth less, 0 for unknown. */
   readonly objectiveLeftMs: number
+  /** True when the answer will come after the objective from any target. */
+  readonly isLate?: boolean
+  readonly callClass?: CallClass
 }
 
 /** Which versions of a service may be picked. */
@@ -156,6 +171,15 @@
     return usualMs === 0 ? 0 : Math.ceil(state.computeServiceMs(usualMs, this._options.clock.readMonotonicMs()))
   }
 
+  /**
+   * @param route - key of the route
+   * @param leftMs - time left until an answer is worth less
+   * @returns true when a call on that route seldom takes so little time
+   */
+  isTooShort (route: string, leftMs: number): boolean {
+    return leftMs < SHORTEST_PART * (this._routes.get(route)?.usualMs ?? 0)
+  }
+
   /**
    * Notes the size of an answer.
    * @param route - key of the route
@@ -166,6 +190,22 @@
     history.answerBytes += (bytes - history.answerBytes) * (history.answerBytes === 0 ? 1 : BYTES_WEIGHT)
   }
 
+  /**
+   * Tells whether calls from here may only use what a target has to spare: those of other availability zones, whose
+   * answers come a dear way, as long as there are targets nearer.
+   * @param state - a target
+   * @param callClass - of the call; those of the first class, which others wait for, are worth any way
+   * @returns true when calls must not wait there
+   */
+  isSpare ({ record }: TargetState, callClass: CallClass): boolean {
+    const isNear = record.availabilityZone === this._options.availabilityZone
+    if (isNear || callClass === CallClass.CALL_CLASS_FIRST) return false
+    const nowMs = this._options.clock.readMonotonicMs()
+    return this._listStates(record.service, record.version).some(other =>
+      other.record.availabilityZone === this._options.availabilityZone && other.ejectedUntilMs <= nowMs &&
+      this._options.isReachable?.(other.record.linkAddress) !== false)
+  }
+
   /**
    * Leaves out a target that can't be reached at all.
    * @param state - the target
@@ -226,13 +266,17 @@
     const usualMs = history?.usualMs ?? 0
     const waitMs = state.computeWaitMs(nowMs)
     const serviceMs = state.computeServiceMs(usualMs, nowMs)
-    const objectiveMs = terms !== undefined && terms.objectiveLeftMs > 0
+    const objectiveMs = terms !== undefined && terms.objectiveLeftMs > 0 && terms.isLate !== true
       ? terms.objectiveLeftMs
       : ASSUMED_OBJECTIVE_FACTOR * (usualMs > 0 ? usualMs : UNKNOWN_SERVICE_MS)
     const leftMs = Math.max(0, objectiveMs - waitMs - HOP_MS)
     const chance = 1 - Math.exp(-((leftMs / serviceMs) ** TIME_SHAPE))
     const delay = Math.min(1, (waitMs + serviceMs) / objectiveMs)
-    return chance * (1 - state.computeFailureRate(nowMs)) - LATENCY_COST * delay - this._computeWayCost(state, history)
+    const callClass = terms?.callClass ?? CallClass.CALL_CLASS_NORMAL
+    const value = (CLASS_VALUES[callClass] ?? 1) * (terms?.isLate === true ? LATE_VALUE : 1)
+    const isFull = state.computeBusy(nowMs) >= computeSpareSlots(state.record.slots, callClass)
+    const wayCost = this._computeWayCost(state, history) / value + (isFull && this.isSpare(state, callClass) ? NO_SPARE_COST : 0)
+    return chance * (1 - state.computeFailureRate(nowMs)) - LATENCY_COST * delay - wayCost
   }
 
   private _computeWayCost ({ record }: TargetState, history: IRouteHistory | undefined): number {
--- a/packages/node/src/targets/SlotGate.test.ts
+++ b/packages/node/src/targets/SlotGate.test.ts
@@ -88,6 +88,121 @@
   expect(events.slice(-1)).toEqual(['long refused'])
 })
 
+/** A gate whose calls usually take 100 ms, with a call that runs. */
+async function startUsual (): Promise<ISlotTicket> {
+  for (let index = 0; index < 60; index++) {
+    const ticket = ask('usual')
+    await clock.advance(100)
+    ticket.release()
+  }
+  const running = ask('running')
+  events = []
+  return running
+}
+
+function askTimely (name: string, objectiveMs: number, callClass = CallClass.CALL_CLASS_NORMAL): ISlotTicket {
+  return gate.acquire({
+    callClass,
+    remainingMs: 2_000,
+    objectiveMs,
+    expectedMs: 100,
+    queueLimit: 20,
+    onGranted: () => events.push(`${name} granted`),
+    onRefused: reason => events.push(`${name} ${reason}`)
+  })
+}
+
+test('oldest goes first in a short rush', async () => {
+  const running = await startUsual()
+  askTimely('old', 600)
+  await clock.advance(100)
+  askTimely('new', 600)
+  running.release()
+  expect(events).toEqual(['old granted'])
+})
+
+test('newest goes first once the oldest has waited long', async () => {
+  const running = await startUsual()
+  askTimely('old', 600)
+  await clock.advance(300)
+  askTimely('new', 600)
+  running.release()
+  expect(events).toEqual(['new granted'])
+})
+
+test('call that can no longer be in time is refused while it waits', async () => {
+  await startUsual()
+  askTimely('a', 500)
+  await clock.advance(400)
+  expect(events).toEqual([])
+  await clock.advance(50)
+  expect(events).toEqual(['a deadline-queue'])
+})
+
+test('call whose answer will be late goes behind those in time, and waits a short time only', async () => {
+  const running = await startUsual()
+  askTimely('late', 1)
+  askTimely('timely', 600)
+  running.release()
+  expect(events).toEqual(['timely granted'])
+  await clock.advance(150)
+  expect(events).toEqual(['timely granted', 'late deadline-queue'])
+})
+
+test('queue that does not empty holds calls for a part of their objective only', async () => {
+  await startUsual()
+  for (let index = 0; index < 8; index++) {
+    askTimely(`a${index}`, 600)
+    await clock.advance(100)
+  }
+  events = []
+  askTimely('b', 600)
+  await clock.advance(179)
+  expect(events).not.toContain('b deadline-queue')
+  await clock.advance(2)
+  expect(events).toContain('b deadline-queue')
+})
+
+test('call from afar takes a free slot and waits for none', () => {
+  gate = new SlotGate(clock, 1)
+  const request = { callClass: CallClass.CALL_CLASS_HIGH, remainingMs: 1_000, queueLimit: 5, isSpareOnly: true }
+  gate.acquire({ ...request, onGranted: () => events.push('a granted'), onRefused: reason => events.push(`a ${reason}`) })
+  gate.acquire({ ...request, onGranted: () => events.push('b granted'), onRefused: reason => events.push(`b ${reason}`) })
+  expect(events).toEqual(['a granted', 'b no-spare'])
+})
+
+test('call from afar leaves some slots to near ones, unless it is of a high class', () => {
+  gate = new SlotGate(clock, 4)
+  const request = { remainingMs: 1_000, queueLimit: 5, isSpareOnly: true }
+  for (const [name, callClass] of [
+    ['a', CallClass.CALL_CLASS_NORMAL], ['b', CallClass.CALL_CLASS_NORMAL], ['c', CallClass.CALL_CLASS_NORMAL],
+    ['d', CallClass.CALL_CLASS_NORMAL], ['e', CallClass.CALL_CLASS_HIGH]
+  ] as const) {
+    gate.acquire({
+      ...request, callClass, onGranted: () => events.push(`${name} granted`), onRefused: reason => events.push(`${name} ${reason}`)
+    })
+  }
+  expect(events).toEqual(['a granted', 'b granted', 'c granted', 'd no-spare', 'e granted'])
+})
+
+test('no class pays alone for a rush', async () => {
+  let running: ISlotTicket | undefined = await startUsual()
+  const tickets = new Map<string, ISlotTicket>()
+  const granted = { high: 0, normal: 0 }
+  for (let index = 0; index < 400; index++) {
+    // Two calls arrive for each slot that becomes free.
+    tickets.set(`high-${index}`, askTimely(`high-${index}`, 600, CallClass.CALL_CLASS_HIGH))
+    tickets.set(`normal-${index}`, askTimely(`normal-${index}`, 600))
+    await clock.advance(100)
+    running?.release()
+    const last = events.filter(event => event.endsWith('granted')).at(-1)?.split(' ')[0] ?? ''
+    running = tickets.get(last)
+    granted[last.startsWith('high') ? 'high' : 'normal']++
+  }
+  expect(granted.high).toBeGreaterThanOrEqual(granted.normal)
+  expect(granted.normal).toBeGreaterThanOrEqual(granted.high / 2)
+})
+
 test('random orders never exceed the slots and lose no call', () => {
   const step = fc.record({ isAsk: fc.boolean(), callClass: fc.integer({ min: 1, max: 4 }), pick: fc.nat(20) })
   fc.assert(fc.property(fc.array(step, { maxLength: 80 }), fc.integer({ min: 1, max: 4 }), (steps, slots) => {
--- a/packages/node/src/targets/SlotGate.ts
+++ b/packages/node/src/targets/SlotGate.ts
@@ -1,22 +1,31 @@
 /**
  * The slots of one target and the short queue before them.
  */
-import type { IClock, IDisposable } from '@lagoonswitch/common'
+import type { IClock } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
 import type { FailureReason, ITargetLoad } from '../calls/CallTypes.js'
+import { SlotQueue, type IQueued } from './SlotQueue.js'
 
+const SERVICE_WEIGHT = 0.1
+const RETRY_AFTER_MS = 100
+/** Part of its usual time that a call must have left for a good chance to be in time; times are skewed, most are shorter. */
+const NEEDED_PART = 0.7
+/** Usual times for which a call waits whose answer will be late anyway. */
+const LATE_HOLD_FACTOR = 1
+/** Part of the time for which a call may wait after which the wait shows pressure, not chance. */
+const PRESSURE_PART = 0.25
+/** Part of its objective for which a call waits in a queue that does not empty: a refusal so early costs the caller little. */
+const OVERLOAD_HOLD_PART = 0.3
 /**
- * Handicap of a class in the queue: a call waits that much longer before it goes ahead of a new one without a handicap.
- * Calls of the first class are mostly made for others, which hold slots of their own meanwhile, so they go far ahead.
+ * Part of the slots that calls of a class leave to callers of the own availability zone when they come from another one: a slot
+ * that these need a moment later costs them a dear way in turn. Higher classes are worth the way.
  */
-const HANDICAP_MS: Readonly<Partial<Record<CallClass, number>>> = {
-  [CallClass.CALL_CLASS_FIRST]: -500,
-  [CallClass.CALL_CLASS_HIGH]: 500,
-  [CallClass.CALL_CLASS_NORMAL]: 750,
-  [CallClass.CALL_CLASS_LOW]: 1_000
+const RESERVED_PARTS: Readonly<Partial<Record<CallClass, number>>> = {
+  [CallClass.CALL_CLASS_NORMAL]: 0.25,
+  [CallClass.CALL_CLASS_LOW]: 0.25
 }
-const SERVICE_WEIGHT = 0.1
-const RETRY_AFTER_MS = 100
+/** Part of the time left after which a caller that was refused late is asked to come back: callers wait a third at most. */
+const COME_BACK_PART = 0.33
 
 /** A call that waits for a slot or holds one. */
 export interface ISlotTicket {
@@ -32,26 +41,30 @@
   readonly objectiveMs?: number
   /** Usual time in a slot; 0 or left out when unknown. */
   readonly expectedMs?: number
+  /** True for a call that may take a free slot but must not wait for one. */
+  readonly isSpareOnly?: boolean
   readonly queueLimit: number
   readonly onGranted: () => void
   readonly onRefused: (reason: FailureReason, retryAfterMs: number) => void
 }
 
-interface IWaiter extends ISlotTicket {
+interface IWaiter extends ISlotTicket, IQueued {
   readonly request: ISlotRequest
-  /** Order in the queue: time of arrival plus a handicap for the class. */
-  readonly rank: number
-  timer: IDisposable | undefined
+  readonly arrivedMs: number
+  /** Longest time in the queue. */
+  readonly holdMs: number
   state: 'queued' | 'running' | 'ended'
   grantedMs: number
 }
 
-/** Grants exactly as many slots as the target has, the most important calls first. */
+/** Grants exactly as many slots as the target has; see {@link SlotQueue} for the order. */
 export class SlotGate {
-  private readonly _queue: IWaiter[] = []
+  private readonly _queue = new SlotQueue<IWaiter>()
   private _inFlight = 0
   private _serviceMs = 0
   private _served = 0
+  /** Since when the queue has never been empty. */
+  private _queuedSinceMs = 0
 
   /**
    * @param _clock - source of time
@@ -69,29 +82,25 @@
    * @returns to give the slot back or to leave the queue
    */
   acquire (request: ISlotRequest): ISlotTicket {
-    const nowMs = this._clock.readMonotonicMs()
+    const isTimely = computeLimitMs(request) >= NEEDED_PART * this._getExpectedMs(request)
     const waiter: IWaiter = {
       request,
-      rank: nowMs + (HANDICAP_MS[request.callClass] ?? 0),
+      callClass: request.callClass,
+      arrivedMs: this._clock.readMonotonicMs(),
+      isTimely,
+      holdMs: this._computeHoldMs(request, isTimely),
       timer: undefined,
       state: 'queued',
       grantedMs: 0,
       release: () => this._release(waiter)
     }
-    if (this._inFlight < this.slots && this._queue.length === 0) {
+    if (this._inFlight < this._countUsable(request) && this._queue.length === 0) {
       this._grant(waiter)
       return waiter
     }
-    const refusal = this._findRefusal(request, waiter.rank)
-    if (refusal !== undefined) {
-      this._refuse(waiter, refusal)
-      return waiter
-    }
-    this._insert(waiter)
-    waiter.timer = this._clock.schedule(computeLimitMs(request), () => {
-      this._removeQueued(waiter)
-      this._refuse(waiter, 'deadline-queue')
-    })
+    const refusal = this._findRefusal(waiter)
+    if (refusal === undefined) this._enqueue(waiter)
+    else this._refuse(waiter, refusal)
     return waiter
   }
 
@@ -100,35 +109,61 @@
    * @param reason - why
    */
   refuseAll (reason: FailureReason): void {
-    for (const waiter of this._queue.splice(0)) this._refuse(waiter, reason)
+    for (const waiter of this._queue.removeAll()) this._refuse(waiter, reason)
+  }
+
+  private _countUsable ({ isSpareOnly, callClass }: ISlotRequest): number {
+    return isSpareOnly === true ? computeSpareSlots(this.slots, callClass) : this.slots
+  }
+
+  private _enqueue (waiter: IWaiter): void {
+    if (this._queue.length === 0) this._queuedSinceMs = waiter.arrivedMs
+    this._queue.add(waiter)
+    waiter.timer = this._clock.schedule(waiter.holdMs, () => {
+      this._queue.remove(waiter)
+      this._refuse(waiter, 'deadline-queue')
+    })
   }
 
-  private _findRefusal (request: ISlotRequest, rank: number): FailureReason | undefined {
-    const ahead = this._findPosition(rank)
+  private _findRefusal ({ request, isTimely, holdMs }: IWaiter): FailureReason | undefined {
+    if (request.isSpareOnly === true) return 'no-spare'
+    if (holdMs <= 0) return 'deadline-queue'
+    const ahead = this._hasPressure() ? 0 : this._queue.countAhead(request.callClass)
     const waitMs = (ahead + 1) / Math.max(1, this.slots) * this._serviceMs
-    const expectedMs = request.expectedMs === undefined || request.expectedMs === 0 ? this._serviceMs : request.expectedMs
-    if (waitMs + expectedMs > computeLimitMs(request)) return 'deadline-queue'
+    const lastMs = isTimely ? computeLimitMs(request) : request.remainingMs
+    if (waitMs + NEEDED_PART * this._getExpectedMs(request) > lastMs) return 'deadline-queue'
     if (this._queue.length < request.queueLimit) return undefined
-    const last = this._queue.at(-1)
-    if (last === undefined || last.request.callClass <= request.callClass) return 'queue-full'
-    this._removeQueued(last)
-    this._refuse(last, 'shed')
+    const shed = this._queue.dropBelow(request.callClass)
+    if (shed === undefined) return 'queue-full'
+    this._refuse(shed, 'shed')
     return undefined
   }
 
-  private _findPosition (rank: number): number {
-    let position = this._queue.length
-    while (position > 0 && (this._queue[position - 1]?.rank ?? 0) > rank) position--
-    return position
+  /** Under pressure not all that wait can be served in time. */
+  private _hasPressure (): boolean {
+    const oldest = this._queue.findOldestTimely()
+    if (oldest === undefined) return false
+    return this._clock.readMonotonicMs() - oldest.arrivedMs > PRESSURE_PART * oldest.holdMs
+  }
+
+  /**
+   * A call waits as long as it has a good chance to be in time, and a late one as long as calls usually take. Where the queue
+   * has not emptied for so long, waiting seldom helps, and an early refusal lets the caller go elsewhere or come back.
+   */
+  private _computeHoldMs (request: ISlotRequest, isTimely: boolean): number {
+    const expectedMs = this._getExpectedMs(request)
+    const limitMs = isTimely ? computeLimitMs(request) : Math.min(request.remainingMs, (LATE_HOLD_FACTOR + NEEDED_PART) * expectedMs)
+    const holdMs = limitMs - NEEDED_PART * expectedMs
+    if (!this._isOverloaded(holdMs) || request.callClass === CallClass.CALL_CLASS_FIRST) return holdMs
+    return isTimely ? Math.min(holdMs, OVERLOAD_HOLD_PART * limitMs) : 0
   }
 
-  private _insert (waiter: IWaiter): void {
-    this._queue.splice(this._findPosition(waiter.rank), 0, waiter)
+  private _isOverloaded (holdMs: number): boolean {
+    return this._queue.length > 0 && this._clock.readMonotonicMs() - this._queuedSinceMs > holdMs
   }
 
-  private _removeQueued (waiter: IWaiter): void {
-    const index = this._queue.indexOf(waiter)
-    if (index >= 0) this._queue.splice(index, 1)
+  private _getExpectedMs ({ expectedMs = 0 }: ISlotRequest): number {
+    return expectedMs === 0 ? this._serviceMs : expectedMs
   }
 
   private _grant (waiter: IWaiter): void {
@@ -143,13 +178,20 @@
   private _refuse (waiter: IWaiter, reason: FailureReason): void {
     waiter.timer?.dispose()
     waiter.state = 'ended'
+    waiter.request.onRefused(reason, this._computeRetryAfterMs(waiter))
+  }
+
+  /** A caller whose answer would be late, or that meets an overload, comes back as late as it may, when the rush may be over. */
+  private _computeRetryAfterMs ({ request, arrivedMs, holdMs }: IWaiter): number {
     const waitMs = (this._queue.length + 1) / Math.max(1, this.slots) * this._serviceMs
-    waiter.request.onRefused(reason, Math.max(RETRY_AFTER_MS, waitMs))
+    const passedMs = this._clock.readMonotonicMs() - arrivedMs
+    const isLate = computeLimitMs(request) - passedMs < this._getExpectedMs(request)
+    return Math.max(RETRY_AFTER_MS, waitMs, isLate || this._isOverloaded(holdMs) ? COME_BACK_PART * (request.remainingMs - passedMs) : 0)
   }
 
   private _release (waiter: IWaiter): void {
     if (waiter.state === 'queued') {
-      this._removeQueued(waiter)
+      this._queue.remove(waiter)
       waiter.timer?.dispose()
     } else if (waiter.state === 'running') {
       this._inFlight--
@@ -158,13 +200,23 @@
     }
     waiter.state = 'ended'
     while (this._inFlight < this.slots) {
-      const next = this._queue.shift()
+      const next = this._queue.takeNext(this._hasPressure())
       if (next === undefined) return
       this._grant(next)
     }
   }
 }
 
+/**
+ * Computes up to how many running calls a target takes calls from other availability zones that have targets of their own.
+ * @param slots - of the target
+ * @param callClass - of the call
+ * @returns number of running calls, not whole
+ */
+export function computeSpareSlots (slots: number, callClass: CallClass): number {
+  return slots * (1 - (RESERVED_PARTS[callClass] ?? 0))
+}
+
 /**
  * An answer later than this is of little use, and others can use the slot better. Calls of the first class are mostly
  * made for others, which fail with them, so they are worth their slot until their deadline.
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -56,6 +56,7 @@
       remainingMs: _request.remainingMs,
       objectiveMs: _request.objectiveMs,
       expectedMs: _request.expectedMs,
+      isSpareOnly: _request.isSpareOnly,
       queueLimit: _request.queue,
       onGranted: () => this._send(),
       onRefused: (reason, retryAfterMs) => this._refuse(reason, retryAfterMs)
--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -61,6 +61,17 @@
   expect(reply.body.length).toBe(size)
 })
 
+test('caller whose end is read right behind its request costs the target nothing', async () => {
+  const target = await world.addTarget('n1', 't1', 'v1', answer('hello'))
+  expect((await world.call('n1', 'GET', '/read')).status).toBe(200)
+  const socket = connect(world.getNode('n1').port, '127.0.0.1')
+  await once(socket, 'connect')
+  socket.write('GET /read HTTP/1.1\r\nhost: x\r\n\r\n')
+  socket.destroy()
+  await sleep(200)
+  expect(target.requests).toHaveLength(1)
+})
+
 test('crossed answers reach their own callers', async () => {
   await world.addTarget('n2', 't1', 'v1', (request, response) => {
     const delayMs = Number(new URL(request.url ?? '', 'http://x').searchParams.get('delay'))
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -34,7 +34,8 @@
   callId: 'c1',
   objectiveMs: 0,
   expectedMs: 0,
-  isRepeatable: false
+  isRepeatable: false,
+  isSpareOnly: false
 }
 
 let opened = 0
--- a/tests/Platform.test.ts
+++ b/tests/Platform.test.ts
@@ -97,3 +97,18 @@
   expect(all.every(({ outcome }) => outcome === 'served')).toBe(true)
   await stopping
 }, 60_000)
+
+test('node that is stopped goes on serving callers that keep coming', async () => {
+  await world.addTarget('n2', { id: 't1', service: 'desk', workMs: 10 })
+  await world.startNode('n3', '6s')
+  const client = world.createClient('n3', 'late')
+  await client.call({ host: HOST, path: '/desk/safe/x' })
+  const stopping = world.stopProcess('n3')
+  const outcomes = []
+  // Seven tenths of the time to stop, within which nothing is refused.
+  for (const startMs = Date.now(); Date.now() - startMs < 4_000; await sleep(100)) {
+    outcomes.push((await client.call({ host: HOST, path: '/desk/safe/x', retries: 0 })).outcome)
+  }
+  expect(outcomes.filter(outcome => outcome !== 'served')).toEqual([])
+  await stopping
+}, 60_000)
