--- a/packages/node/src/calls/CallDialect.ts
+++ b/packages/node/src/calls/CallDialect.ts
@@ -19,6 +19,8 @@
   readonly callClass: CallClass | undefined
   /** Calls above this one in a chain. */
   readonly depth: number
+  /** True when a target makes the call for one that it runs, and holds a slot for that meanwhile. */
+  readonly isAwaited: boolean
   /** Idempotency key; empty when none was given. */
   readonly key: string
 }
@@ -102,7 +104,13 @@
     if (classHeader !== undefined && callClass === undefined) return Err(`${CLASS_HEADER} is unknown`)
     const key = headers[KEY_HEADER]
     return Ok({
-      callId: '', wishedMs, callClass, depth: readNumber(headers[DEPTH_HEADER]) ?? 0, key: typeof key === 'string' ? key : ''
+      callId: '',
+      wishedMs,
+      callClass,
+      depth: readNumber(headers[DEPTH_HEADER]) ?? 0,
+      // The header of the depth can be set by any caller, who may only lower the class.
+      isAwaited: false,
+      key: typeof key === 'string' ? key : ''
     })
   }
 
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -56,7 +56,8 @@
   if (route.isKeyed && !isUsableKey(terms.key)) return refuse('key-missing')
   const copied = copyRequestHeaders(request.rawHeaders, context.dialect.ownHeaders)
   copied.push(...context.dialect.formatForwardHeaders(terms, context.settings.process.service))
-  const callClass = Math.max(route.callClass, terms.callClass ?? route.callClass)
+  const statedClass = Math.max(route.callClass, terms.callClass ?? route.callClass)
+  const callClass = terms.isAwaited ? CallClass.CALL_CLASS_FIRST : statedClass
   return Ok({
     route,
     allowedMs: Math.min(route.deadlineMs, terms.wishedMs ?? Infinity),
