A call asks another zone only where a free slot may be, and once

A call that its own zone refused asked target after target elsewhere, known to be full or not, up to six times. Targets of other zones that reported no free slot within a second are not asked, and after one that had none no other one is.

--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -302,7 +302,8 @@
     const isNew = this._isForNewVersion()
     const objectiveLeftMs = this._getObjectiveLeftMs()
     const isLate = objectiveLeftMs > 0 && pool.isTooShort(this._head.route.key, objectiveLeftMs)
-    const terms = { route: this._head.route.key, objectiveLeftMs, isLate, callClass: this._head.callClass }
+    const isNearOnly = this._lastFailure?.reason === 'no-spare'
+    const terms = { route: this._head.route.key, objectiveLeftMs, isLate, isNearOnly, callClass: this._head.callClass }
     const old = { version: split.from, excluded: split.excluded }
     // A version without a ready target falls back to the other one, but never to one that is cut or taken back.
     if (!isNew) {
--- a/packages/node/src/routing/TargetPool.test.ts
+++ b/packages/node/src/routing/TargetPool.test.ts
@@ -146,4 +146,13 @@
   const near = pick()
   for (let index = 0; index < 12; index++) pool.recordStart(near)
   expect(countPicks()).toEqual({ near: 200 })
+  expect(pool.pickTarget('s', 'v1', new Set(['near']))).toBeUndefined()
+})
+
+test('call that met a target without a free slot asks no other one of another zone', () => {
+  add('near')
+  add('far', { availabilityZone: 'z2' })
+  const terms = { route: 'r', objectiveLeftMs: 100 }
+  expect(pool.pickTarget('s', 'v1', new Set(['near']), terms)?.record.targetId).toBe('far')
+  expect(pool.pickTarget('s', 'v1', new Set(['near']), { ...terms, isNearOnly: true })).toBeUndefined()
 })
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -32,8 +32,6 @@
 /** Largest part of the value that bytes between zones may cost. */
 const MAX_ZONE_COST = 0.9
 const LATENCY_COST = 0.05
-/** Cost of a way that pays only with a free slot, when the last report shows none. */
-const NO_SPARE_COST = 1
 /** Value of an answer by class; the way costs the same for all, so it weighs less for what is worth more. */
 const CLASS_VALUES: Readonly<Partial<Record<CallClass, number>>> = {
   [CallClass.CALL_CLASS_FIRST]: 3,
@@ -54,6 +52,8 @@
   readonly objectiveLeftMs: number
   /** True when the answer will come after the objective from any target. */
   readonly isLate?: boolean
+  /** True when targets that calls must not wait at are not to be asked, since one had no free slot. */
+  readonly isNearOnly?: boolean
   readonly callClass?: CallClass
 }
 
@@ -252,6 +252,7 @@
     let best: TargetState | undefined
     let bestValue = -Infinity
     for (const state of states) {
+      if (!this._isWorthAsking(state, terms, nowMs)) continue
       const value = this._computeValue(state, terms, nowMs) + this._options.random.draw() * NOISE
       if (value <= bestValue) continue
       best = state
@@ -272,13 +273,18 @@
     const leftMs = Math.max(0, objectiveMs - waitMs - HOP_MS)
     const chance = 1 - Math.exp(-((leftMs / serviceMs) ** TIME_SHAPE))
     const delay = Math.min(1, (waitMs + serviceMs) / objectiveMs)
-    const callClass = terms?.callClass ?? CallClass.CALL_CLASS_NORMAL
-    const value = (CLASS_VALUES[callClass] ?? 1) * (terms?.isLate === true ? LATE_VALUE : 1)
-    const isFull = state.computeBusy(nowMs) >= computeSpareSlots(state.record.slots, callClass)
-    const wayCost = this._computeWayCost(state, history) / value + (isFull && this.isSpare(state, callClass) ? NO_SPARE_COST : 0)
+    const value = (CLASS_VALUES[getClass(terms)] ?? 1) * (terms?.isLate === true ? LATE_VALUE : 1)
+    const wayCost = this._computeWayCost(state, history) / value
     return chance * (1 - state.computeFailureRate(nowMs)) - LATENCY_COST * delay - wayCost
   }
 
+  /** A question over a dear way costs bytes even when the answer is no, so it needs a chance of a free slot. */
+  private _isWorthAsking (state: TargetState, terms: IPickTerms | undefined, nowMs: number): boolean {
+    const callClass = getClass(terms)
+    if (!this.isSpare(state, callClass)) return true
+    return terms?.isNearOnly !== true && state.computeBusy(nowMs) < computeSpareSlots(state.record.slots, callClass)
+  }
+
   private _computeWayCost ({ record }: TargetState, history: IRouteHistory | undefined): number {
     const { availabilityZone, region, linkAddress } = this._options
     if (record.linkAddress === linkAddress) return 0
@@ -316,3 +322,7 @@
     }
   }
 }
+
+function getClass (terms: IPickTerms | undefined): CallClass {
+  return terms?.callClass ?? CallClass.CALL_CLASS_NORMAL
+}
