Test: limits change while a kept connection lives on

One connection, a smaller limit of bodies by configuration, then a body under it (200) and one over it (413) on the same socket.

--- a/tests/Platform.test.ts
+++ b/tests/Platform.test.ts
@@ -3,6 +3,8 @@
  */
 // @ts-expect-error the stand-in is shared with the benchmarks in plain JavaScript
 import { HOST, PlatformWorld, createConfiguration } from '../bench/platform-world.mjs'
+import { Agent, request } from 'node:http'
+import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { SeededRandom } from '@lagoonswitch/common'
@@ -112,3 +114,33 @@
   expect(outcomes.filter(outcome => outcome !== 'served')).toEqual([])
   await stopping
 }, 60_000)
+
+test('limits change while a kept connection lives on', async () => {
+  await world.addTarget('n2', { id: 't1', service: 'desk', workMs: 10 })
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+  const sockets = new Set<Socket>()
+  const send = async (id: string, bytes: number): Promise<number> => await new Promise((resolve, reject) => {
+    const outgoing = request({
+      agent,
+      host: '127.0.2.1',
+      port: world.ports[2],
+      method: 'POST',
+      path: '/desk/unsafe/x',
+      headers: { host: HOST, 'x-attempt-id': id, 'content-length': bytes }
+    }, answer => {
+      answer.resume()
+      answer.on('end', () => resolve(answer.statusCode ?? 0))
+    })
+    outgoing.on('socket', socket => sockets.add(socket))
+    outgoing.on('error', reject)
+    outgoing.end('a'.repeat(bytes))
+  })
+  expect(await send('k-1', 2_000)).toBe(200)
+  const next = createConfiguration(2, 1, ['desk'])
+  next.limits['max-body-bytes'] = 1_000
+  expect((await world.operator.order('PUT', '/-/config', next)).status).toBe(200)
+  await sleep(300)
+  expect([await send('k-2', 500), await send('k-3', 2_000)]).toEqual([200, 413])
+  expect(sockets.size).toBe(1)
+  agent.destroy()
+}, 60_000)
