A way that costs more than the answer is worth is not taken

The choice took the best of what was left even where its expected value was negative: a call that its zone had refused crossed with little of its objective left, for an answer worth less than its bytes between zones. Targets of other zones are now asked only with a positive value, while the own zone has targets. Test: a large answer that would hardly be in time (fails on the old code: it picks the far target).

--- a/packages/node/src/routing/TargetPool.test.ts
+++ b/packages/node/src/routing/TargetPool.test.ts
@@ -156,3 +156,17 @@
   expect(pool.pickTarget('s', 'v1', new Set(['near']), terms)?.record.targetId).toBe('far')
   expect(pool.pickTarget('s', 'v1', new Set(['near']), { ...terms, isNearOnly: true })).toBeUndefined()
 })
+
+test('large answer that would hardly be in time is not fetched from another zone', () => {
+  add('near')
+  add('far', { availabilityZone: 'z2' })
+  const near = pick()
+  for (let index = 0; index < 60; index++) {
+    pool.recordService(near, 'r', 200)
+    pool.recordAnswerBytes('r', 5_000)
+  }
+  const pickFar = (objectiveLeftMs: number): ITargetState | undefined =>
+    pool.pickTarget('s', 'v1', new Set(['near']), { route: 'r', objectiveLeftMs })
+  expect(pickFar(2_000)?.record.targetId).toBe('far')
+  expect(pickFar(250)).toBeUndefined()
+})
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -252,8 +252,9 @@
     let best: TargetState | undefined
     let bestValue = -Infinity
     for (const state of states) {
-      if (!this._isWorthAsking(state, terms, nowMs)) continue
-      const value = this._computeValue(state, terms, nowMs) + this._options.random.draw() * NOISE
+      const expected = this._computeValue(state, terms, nowMs)
+      if (!this._isWorthAsking(state, terms, expected, nowMs)) continue
+      const value = expected + this._options.random.draw() * NOISE
       if (value <= bestValue) continue
       best = state
       bestValue = value
@@ -278,11 +279,11 @@
     return chance * (1 - state.computeFailureRate(nowMs)) - LATENCY_COST * delay - wayCost
   }
 
-  /** A question over a dear way costs bytes even when the answer is no, so it needs a chance of a free slot. */
-  private _isWorthAsking (state: TargetState, terms: IPickTerms | undefined, nowMs: number): boolean {
+  /** A dear way is taken when the answer is worth more than it, and there is a chance of a free slot: a question costs bytes too. */
+  private _isWorthAsking (state: TargetState, terms: IPickTerms | undefined, expectedValue: number, nowMs: number): boolean {
     const callClass = getClass(terms)
     if (!this.isSpare(state, callClass)) return true
-    return terms?.isNearOnly !== true && state.computeBusy(nowMs) < computeSpareSlots(state.record.slots, callClass)
+    return expectedValue > 0 && terms?.isNearOnly !== true && state.computeBusy(nowMs) < computeSpareSlots(state.record.slots, callClass)
   }
 
   private _computeWayCost ({ record }: TargetState, history: IRouteHistory | undefined): number {
