--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -8,7 +8,6 @@
 import type { ClaimResult } from '../claims/ClaimsClient.js'
 import { KeyHolder } from '../claims/KeyHolder.js'
 import type { RetryBudget } from '../routing/RetryBudget.js'
-import { FULL_SHARE_PPM, type IRoutePart } from '../routing/RouteTable.js'
 import type { ITargetState } from '../routing/TargetPool.js'
 import { Attempt } from './Attempt.js'
 import type { ICallContext } from './CallContext.js'
@@ -16,6 +15,7 @@
 import type { FailureReason, ICallEvents, ICallFailure, ICallRequest } from './CallTypes.js'
 import { REPEATED_HEADER } from './Headers.js'
 import { isSampled } from './CallSampling.js'
+import { TargetPicker } from './TargetPicker.js'
 import { sendRefusal, type IRefusal, type RefusalReason, type RunState } from './Refusal.js'
 
 /** Attempts of one call that may fail before a target has the request. */
@@ -49,9 +49,9 @@
 /** Carries one call; plain callbacks on the way of the bytes, since every call passes here. */
 export class Call implements ICallEvents {
   private readonly _startedMs: number
-  private readonly _tried = new Set<string>()
   /** Set by the first step; nothing else runs without it. */
   private _head!: ICallHead
+  private _picker!: TargetPicker
   private _callId = ''
   private _routeKey = ''
   private _dueMs = 0
@@ -64,7 +64,6 @@
   private _sends = 0
   private _runs = 0
   private _queues = 0
-  private _part: IRoutePart | undefined
   private _lastFailure: ICallFailure | undefined
   private readonly _key: KeyHolder
   private _deadline: IDisposable | undefined
@@ -174,20 +173,7 @@
   }
 
   private _getBudget (): RetryBudget {
-    return this._context.getBudget(this._getPart())
-  }
-
-  /** The part of a split route is drawn once, so that repeats don't move calls between services. */
-  private _getPart (): IRoutePart {
-    if (this._part !== undefined) return this._part
-    const { parts, totalWeight } = this._head.route
-    let draw = parts.length === 1 ? 0 : this._context.random.draw() * totalWeight
-    const last = parts[parts.length - 1] as IRoutePart
-    this._part = parts.find(part => {
-      draw -= part.weight
-      return draw < 0
-    }) ?? last
-    return this._part
+    return this._context.getBudget(this._picker.part)
   }
 
   onBodyDrain (): void {
@@ -202,6 +188,7 @@
       return this._refuse(reason, run, retryAfterMs, detail)
     }
     this._head = head.val
+    this._picker = new TargetPicker(this._context, head.val)
     this._routeKey = head.val.route.key
     this._isTraced = isSampled(this._callId)
     this._dueMs = this._startedMs + head.val.allowedMs
@@ -286,7 +273,7 @@
       this._refuseWithoutTarget()
       return
     }
-    this._tried.add(target.record.targetId)
+    this._picker.markTried(target)
     this._sends++
     if (this._isTraced) this._reportSend(target)
     const attempt = new Attempt(this._context, this._head.route, target, this)
@@ -297,20 +284,7 @@
   }
 
   private _pickTarget (): ITargetState | undefined {
-    const { pool } = this._context
-    const { service, split } = this._getPart()
-    const isNew = this._isForNewVersion()
-    const objectiveLeftMs = this._getObjectiveLeftMs()
-    const isLate = objectiveLeftMs > 0 && pool.isTooShort(this._head.route.key, objectiveLeftMs)
-    const isNearOnly = this._lastFailure?.reason === 'no-spare'
-    const terms = { route: this._head.route.key, objectiveLeftMs, isLate, isNearOnly, callClass: this._head.callClass }
-    const old = { version: split.from, excluded: split.excluded }
-    // A version without a ready target falls back to the other one, but never to one that is cut or taken back.
-    if (!isNew) {
-      return pool.pickTarget(service, old, this._tried, terms) ??
-        (this._isNewVersionUsable() ? pool.pickTarget(service, split.to, this._tried, terms) : undefined)
-    }
-    return pool.pickTarget(service, split.to, this._tried, terms) ?? pool.pickTarget(service, old, this._tried, terms)
+    return this._picker.pickTarget(this._getObjectiveLeftMs(), this._lastFailure?.reason)
   }
 
   private _reportSend (target: ITargetState): void {
@@ -344,7 +318,7 @@
 
   private _createRequest (target: ITargetState): ICallRequest {
     const { targetId, version } = target.record
-    const { service, serviceEntry: { limits, owner } } = this._getPart()
+    const { service, serviceEntry: { limits, owner } } = this._picker.part
     return {
       service,
       version,
@@ -378,15 +352,6 @@
     this._request.resume()
   }
 
-  private _isForNewVersion (): boolean {
-    return this._isNewVersionUsable() && this._context.random.draw() * FULL_SHARE_PPM < this._getPart().split.sharePpm
-  }
-
-  private _isNewVersionUsable (): boolean {
-    const { split, service } = this._getPart()
-    return split.to !== '' && split.sharePpm > 0 && !this._context.evidence.isCut(service)
-  }
-
   private _canSendAgain (): boolean {
     return this._isBodyHeld && this._sends < MAX_SENDS && this._runs < this._head.route.maxAttempts &&
       this._getRemainingMs() > 0 && !this._isCallerGone
@@ -413,7 +378,7 @@
     if (this._getBudget().spend()) return true
     this._context.metrics.count('retries_denied_total', reason)
     this._context.log.info('repeat_denied', {
-      call: this._callId, service: this._getPart().service, reason, repeats_in_window: this._getBudget().countRepeats()
+      call: this._callId, service: this._picker.part.service, reason, repeats_in_window: this._getBudget().countRepeats()
     })
     return false
   }
