--- a/bench/queue-orders.mjs
+++ b/bench/queue-orders.mjs
@@ -110,7 +110,7 @@
   })
 }
 
-async function play (createGate, load) {
+async function runOrder (createGate, load) {
   const clock = new ManualClock()
   const gate = createGate(clock)
   const calls = drawCalls(load)
@@ -153,6 +153,6 @@
 console.log('|---|---|---|---|---|---|---|')
 for (const load of LOADS) {
   for (const [name, createGate] of Object.entries(ORDERS)) {
-    console.log(`| ${load} | ${name} | ${sumUp(await play(createGate, load)).join(' | ')} |`)
+    console.log(`| ${load} | ${name} | ${sumUp(await runOrder(createGate, load)).join(' | ')} |`)
   }
 }
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -26,17 +26,12 @@
 const TIME_SHAPE = 1.3
 /** Value of a call's answer in time is 1; a hop to another VM and a change of zone are paid out of it. */
 const HOP_COST = 0.02
-const ZONE_COST = 0.08
-const ZONE_COST_PER_KB = 0.15
+const ZONE_COST = 0.12
+const ZONE_COST_PER_KB = 0.12
 const REGION_COST = 0.3
 /** Largest part of the value that bytes between zones may cost. */
 const MAX_ZONE_COST = 0.9
 const LATENCY_COST = 0.05
-/** Value of an answer by class; the way costs the same for all, so it weighs less for what is worth more. */
-const CLASS_VALUES: Readonly<Partial<Record<CallClass, number>>> = {
-  [CallClass.CALL_CLASS_FIRST]: 3,
-  [CallClass.CALL_CLASS_HIGH]: 1.5
-}
 /** Value of an answer that comes after the objective, of one in time. */
 const LATE_VALUE = 0.35
 /** Spreads the choice over targets that are nearly alike. */
@@ -274,8 +269,7 @@
     const leftMs = Math.max(0, objectiveMs - waitMs - HOP_MS)
     const chance = 1 - Math.exp(-((leftMs / serviceMs) ** TIME_SHAPE))
     const delay = Math.min(1, (waitMs + serviceMs) / objectiveMs)
-    const value = (CLASS_VALUES[getClass(terms)] ?? 1) * (terms?.isLate === true ? LATE_VALUE : 1)
-    const wayCost = this._computeWayCost(state, history) / value
+    const wayCost = this._computeWayCost(state, history) / (terms?.isLate === true ? LATE_VALUE : 1)
     return chance * (1 - state.computeFailureRate(nowMs)) - LATENCY_COST * delay - wayCost
   }
 
--- a/packages/node/src/targets/SlotGate.ts
+++ b/packages/node/src/targets/SlotGate.ts
@@ -99,7 +99,7 @@
       return waiter
     }
     const refusal = this._findRefusal(waiter)
-    if (refusal === undefined) this._enqueue(waiter)
+    if (refusal === undefined) this._addWaiter(waiter)
     else this._refuse(waiter, refusal)
     return waiter
   }
@@ -116,7 +116,7 @@
     return isSpareOnly === true ? computeSpareSlots(this.slots, callClass) : this.slots
   }
 
-  private _enqueue (waiter: IWaiter): void {
+  private _addWaiter (waiter: IWaiter): void {
     if (this._queue.length === 0) this._queuedSinceMs = waiter.arrivedMs
     this._queue.add(waiter)
     waiter.timer = this._clock.schedule(waiter.holdMs, () => {
