A log line over the rate of its event is not made

In an overload thousands of lines a second were written as JSON, parsed and then dropped by the rate.

--- a/packages/lagoonswitch/src/LogSink.test.ts
+++ b/packages/lagoonswitch/src/LogSink.test.ts
@@ -38,6 +38,15 @@
   expect(lines.filter(line => line.includes('log_dropped')).join()).toMatch(/lines=9\d\d/)
 })
 
+test('line over the rate needn\'t be made and counts as dropped', async () => {
+  for (let index = 0; index < 200; index++) if (sink.canTake('call_ended')) write('call_ended', { index })
+  expect(lines).toHaveLength(100)
+  expect(sink.canTake('leader_elected')).toBe(true)
+  await clock.advance(1_000)
+  write('call_ended')
+  expect(lines.filter(line => line.includes('log_dropped')).join()).toContain('lines=100')
+})
+
 test('output that is not read grows no memory and stops nobody', async () => {
   isRead = false
   for (let second = 0; second < 200; second++) {
--- a/packages/lagoonswitch/src/LogSink.ts
+++ b/packages/lagoonswitch/src/LogSink.ts
@@ -43,6 +43,17 @@
    */
   constructor (private readonly _writer: TextWriter, private readonly _clock: IClock) {}
 
+  /**
+   * Tells whether a line of an event would be written now; a dropped line needn't be made.
+   * @param event - name of the event
+   * @returns false when its lines are over their rate; the line counts as dropped then
+   */
+  canTake (event: string): boolean {
+    if (this._fill(event, this._clock.readMonotonicMs()).tokens >= 1) return true
+    this._dropped++
+    return false
+  }
+
   /**
    * Takes one event.
    * @param json - line of pino
@@ -65,13 +76,18 @@
   }
 
   private _spend (event: string, nowMs: number): boolean {
+    const rate = this._fill(event, nowMs)
+    if (rate.tokens < 1) return false
+    rate.tokens--
+    return true
+  }
+
+  private _fill (event: string, nowMs: number): IEventRate {
     const rate = this._rates.get(event) ?? { tokens: LINES_PER_SECOND, filledMs: nowMs }
     this._rates.set(event, rate)
     rate.tokens = Math.min(LINES_PER_SECOND, rate.tokens + (nowMs - rate.filledMs) / REPORT_MS * LINES_PER_SECOND)
     rate.filledMs = nowMs
-    if (rate.tokens < 1) return false
-    rate.tokens--
-    return true
+    return rate
   }
 
   private _reportDropped (nowMs: number): void {
