--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -3,6 +3,10 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { Metrics, NullLog } from '@lagoonswitch/common'
+import { PeerLink, type ICallRequest } from '@lagoonswitch/node'
+import { CallClass } from '@lagoonswitch/schema'
+import { PlainCredentials } from '@lagoonswitch/transport'
 import { DESK, World, waitFor } from './support/World.js'
 
 let world: World
@@ -72,6 +76,41 @@
   expect(target.requests).toHaveLength(1)
 })
 
+test('call that arrives together with the news that its caller left costs the target nothing', async () => {
+  const target = await world.addTarget('n2', 't1', 'v1', answer('hello'))
+  const address = world.getNode('n1').role.endpoints.getRecord('t1')?.linkAddress ?? ''
+  const context = { credentials: new PlainCredentials(), clock: world.clock, log: new NullLog(), metrics: new Metrics() }
+  const link = new PeerLink(address, context)
+  const request: ICallRequest = {
+    service: 'desk',
+    version: 'v1',
+    targetId: 't1',
+    method: 'GET',
+    path: '/read',
+    headers: ['host', 'x'],
+    remainingMs: 2_000,
+    callClass: CallClass.CALL_CLASS_NORMAL,
+    callId: '',
+    objectiveMs: 0,
+    expectedMs: 0,
+    isRepeatable: true,
+    isSpareOnly: false,
+    owner: 'o',
+    body: Buffer.alloc(0),
+    isBodyComplete: true,
+    slots: 4,
+    connections: 4,
+    queue: 4
+  }
+  const ignored = { onHead: () => {}, onData: () => {}, onFailure: () => {}, onBodyDrain: () => {} }
+  await new Promise<void>(resolve => link.open(request, { ...ignored, onEnd: resolve }))
+  // Both frames leave in one write.
+  link.open(request, { ...ignored, onEnd: () => {} }).cancel()
+  await sleep(200)
+  link.dispose()
+  expect(target.requests).toHaveLength(1)
+})
+
 test('crossed answers reach their own callers', async () => {
   await world.addTarget('n2', 't1', 'v1', (request, response) => {
     const delayMs = Number(new URL(request.url ?? '', 'http://x').searchParams.get('delay'))
