A stop tells its steps, repeated signals and the calls that it cuts

Now stop_requested names each signal, stop_step the calls that run when the process serves, refuses and closes, and a call that is cut ends with outcome=cut reason=process-draining.

--- a/packages/lagoonctl/src/explain/CallExplanation.ts
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -7,8 +7,8 @@
 const BELIEF_MS = 10_000
 /** Events that change what a process believes of the catalogue or of its own part. */
 const PROCESS_EVENTS = new Set([
-  'process_started', 'process_stopping', 'process_stopped', 'feed_joined', 'feed_lost', 'catalogue_confirmed', 'settings_reloaded',
-  'version_cut', 'log_dropped'
+  'process_started', 'stop_requested', 'process_stopping', 'stop_step', 'process_stopped', 'feed_joined', 'feed_lost',
+  'catalogue_confirmed', 'settings_reloaded', 'version_cut', 'log_dropped'
 ])
 const FIRST_SERVER_ERROR = 500
 /** What each reason of a refusal means, by the name under which it is counted. */
--- a/packages/lagoonswitch/src/Runner.ts
+++ b/packages/lagoonswitch/src/Runner.ts
@@ -32,8 +32,12 @@
     await log.close()
     process.exit(code)
   }
-  process.on('SIGTERM', () => { void stop(EXIT_OK) })
-  process.on('SIGINT', () => { void stop(EXIT_OK) })
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.on(signal, () => {
+      log.info('stop_requested', { signal })
+      void stop(EXIT_OK)
+    })
+  }
   process.on('SIGHUP', () => { void watcher.refresh() })
   process.on('unhandledRejection', error => {
     log.error('unhandled_rejection', { error: formatError(error), stack: error instanceof Error ? error.stack : undefined })
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -220,10 +220,13 @@
     this.relay.drain()
     const isServing = (): boolean => getPassedMs() < NOTICE_MS || this._calls.getRunningCount() > 0 ||
       this._calls.getQuietMs() < QUIET_MS
+    this._reportStop('serving', 0)
     while (getPassedMs() < timeoutMs * REFUSE_AT && isServing()) await clock.sleep(POLL_MS)
     this._isDraining = true
+    this._reportStop('refusing', getPassedMs())
     await this._calls.stop(Math.max(0, timeoutMs * CUT_AT - getPassedMs()))
     while (this.targets.getRunningCount() > 0 && getPassedMs() < timeoutMs * CUT_AT) await clock.sleep(POLL_MS)
+    this._reportStop('closing', getPassedMs())
     this._peerServer.closeLinks()
   }
 
@@ -233,6 +236,16 @@
     this._linkListener.close()
   }
 
+  private _reportStop (step: 'serving' | 'refusing' | 'closing', passedMs: number): void {
+    this._options.log.info('stop_step', {
+      step,
+      passed_ms: Math.round(passedMs),
+      calls: this._calls.getRunningCount(),
+      target_calls: this.targets.getRunningCount(),
+      quiet_ms: Math.round(this._calls.getQuietMs())
+    })
+  }
+
   private _getRoutes (): RouteTable | undefined {
     if (!this.feed.isReady) return undefined
     this._routes ??= new RouteTable(this.store.view)
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -104,6 +104,15 @@
     this._holdBody(limit)
   }
 
+  /** Ends the call without an answer, since its process ends. */
+  cut (): void {
+    if (this._isDone) return
+    this._key.settleUnknown()
+    this._attempt?.cancel()
+    this._finish('cut', 'process-draining')
+    this._response.destroy()
+  }
+
   onHead (status: number, headers: readonly string[]): void {
     if (this._isDone) return
     if (this._canRetryAnswer(status)) {
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -16,7 +16,7 @@
 /** Accepts calls until it is stopped. */
 export class CallServer {
   private readonly _server: Server
-  private _running = 0
+  private readonly _calls = new Set<Call>()
   private _lastCallMs = -Infinity
   private _onIdle: (() => void) | undefined
 
@@ -62,7 +62,7 @@
 
   /** @returns calls that run now */
   getRunningCount (): number {
-    return this._running
+    return this._calls.size
   }
 
   /** @returns time since the last call arrived, in milliseconds */
@@ -78,20 +78,22 @@
     const closed = new Promise<void>(resolve => this._server.close(() => resolve()))
     this._server.closeIdleConnections()
     const idle = new Promise<void>(resolve => { this._onIdle = resolve })
-    if (this._running > 0) await Promise.race([idle, this._context.clock.sleep(timeoutMs)])
+    if (this._calls.size > 0) await Promise.race([idle, this._context.clock.sleep(timeoutMs)])
     this._server.closeIdleConnections()
     await Promise.race([closed, this._context.clock.sleep(CLOSE_GRACE_MS)])
+    for (const call of [...this._calls]) call.cut()
     this._server.closeAllConnections()
     await closed
   }
 
   private _handle (request: IncomingMessage, response: ServerResponse): void {
-    this._running++
     this._lastCallMs = this._context.clock.readMonotonicMs()
-    new Call(this._context, request, response, () => {
-      this._running--
-      if (this._running === 0) this._onIdle?.()
-    }).start()
+    const call: Call = new Call(this._context, request, response, () => {
+      this._calls.delete(call)
+      if (this._calls.size === 0) this._onIdle?.()
+    })
+    this._calls.add(call)
+    call.start()
   }
 }
 
