--- /dev/null
+++ b/tests/PlannedStop.test.ts
@@ -0,0 +1,85 @@
+/**
+ * What callers get from a node that is told to stop: an answer, or a refusal of what has not run.
+ */
+import type { IncomingMessage } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { DESK, World, type IReply, type ITarget } from './support/World.js'
+
+const STOP_MS = 3_000
+const SERVICE_MS = 600
+const PATH = '/once'
+let world: World
+let target: ITarget
+/** Calls that the target began, by the path they came with. */
+let begun: string[]
+
+beforeEach(async () => {
+  world = await World.start(['n1', 'n2'])
+  await world.putEntry({ ...DESK, class: 'normal', limits: { ...DESK.limits, slots: 1, queue: 16, deadline: '10s' } })
+  begun = []
+  target = await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    begun.push(request.url ?? '')
+    setTimeout(() => response.end('done'), readWorkMs(request))
+  }, 1)
+  // The node learns how long calls of the route usually take.
+  for (let index = 0; index < 3; index++) await world.call('n1', 'POST', PATH)
+  begun.length = 0
+})
+
+afterEach(async () => { await world.stop() })
+
+function readWorkMs (request: IncomingMessage): number {
+  return Number(request.headers['x-work-ms'] ?? SERVICE_MS)
+}
+
+/** @returns the reply, or `cut` when the connection ended without one */
+async function callThrough (node: string, name: string, headers: Record<string, string> = {}): Promise<IReply | 'cut'> {
+  return await world.call(node, 'POST', `${PATH}?${name}`, headers).catch(() => 'cut')
+}
+
+function expectRefusedUnrun (reply: IReply | 'cut', name: string): void {
+  expect(reply).not.toBe('cut')
+  if (reply === 'cut') return
+  expect([reply.status, JSON.parse(reply.body).run]).toEqual([503, 'not-run'])
+  expect(reply.headers['retry-after']).toBeDefined()
+  expect(begun).not.toContain(`${PATH}?${name}`)
+}
+
+test('call that would get its slot too late in a planned stop is refused as not run', async () => {
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(1_600)
+  // They hold the slot until 2.8 s of the stop.
+  const others = [callThrough('n2', 'a'), callThrough('n2', 'b')]
+  await sleep(300)
+  expectRefusedUnrun(await callThrough('n1', 'late'), 'late')
+  await Promise.all([stopping, ...others])
+}, 20_000)
+
+test('call that waits for a slot as a planned stop begins is withdrawn while it has not run', async () => {
+  const others = Array.from({ length: 4 }, async (_, index) => await callThrough('n2', `n${index}`))
+  await sleep(50)
+  const waiting = callThrough('n1', 'waiting')
+  await sleep(50)
+  await world.getNode('n1').role.stop(STOP_MS / 2)
+  expectRefusedUnrun(await waiting, 'waiting')
+  await Promise.all(others)
+}, 20_000)
+
+test('call that runs through most of a planned stop gets its answer', async () => {
+  const running = callThrough('n1', 'long', { 'x-work-ms': String(0.85 * STOP_MS) })
+  await sleep(50)
+  await world.getNode('n1').role.stop(STOP_MS)
+  expect(await running).toMatchObject({ status: 200, body: 'done' })
+}, 20_000)
+
+test('planned stop ends within its timeout though a call does not end', async () => {
+  const hanging = callThrough('n1', 'hanging', { 'x-work-ms': '9000' })
+  await sleep(50)
+  const startMs = performance.now()
+  await world.getNode('n1').role.stop(STOP_MS)
+  expect(performance.now() - startMs).toBeLessThan(STOP_MS)
+  const reply = await hanging
+  expect(reply === 'cut' || reply.status === 502).toBe(true)
+  expect(target.requests.length).toBeGreaterThan(3)
+}, 20_000)
