A planned stop lets no call begin that would outlast its process

Class of fault: work is admitted against the time limit of the call only, not against the end of the process that carries it.

Now a planned stop has one schedule. Ruled out: the second signal (the handler waits for the running stop, and the cut was 6.000 s after the first), the link (both runs ended within 6 ms of the connections).

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -10,6 +10,7 @@
 import { LagoonDialect, type CallDialect } from './calls/CallDialect.js'
 import { CallServer } from './calls/CallServer.js'
 import type { ICallOpener } from './calls/CallTypes.js'
+import { PlannedStop } from './calls/PlannedStop.js'
 import { ClaimsClient } from './claims/ClaimsClient.js'
 import { PeerLink } from './links/PeerLink.js'
 import { PeerServer } from './links/PeerServer.js'
@@ -26,9 +27,6 @@
 const NOTICE_MS = 2_500
 /** Time without a new call after which callers are taken to have left; some keep coming while few other processes are ready. */
 const QUIET_MS = 1_000
-/** Parts of the stop timeout after which new calls are refused, and after which running ones are cut. */
-const REFUSE_AT = 0.7
-const CUT_AT = 0.92
 const POLL_MS = 50
 /** Heartbeats of a target may come seconds late. */
 const HEARTBEATS_PER_LEASE = 6
@@ -59,8 +57,7 @@
   private readonly _linkAddress: string
   private _routes: RouteTable | undefined
   private _forwarded: EvidenceRecord[] = []
-  private _isDraining = false
-  private _isLeaving = false
+  private _stop: PlannedStop | undefined
 
   readonly directory: ControlDirectory
   readonly store = new CatalogueStore()
@@ -151,7 +148,7 @@
       findOpener: address => this._findOpener(address),
       getBudget: part => this._getBudget(part),
       getRoutes: () => this._getRoutes(),
-      isDraining: () => this._isDraining,
+      getStop: () => this._stop,
       dialect,
       getCallerLimits: () => this.store.view.publication?.callerLimits,
       getCatalogueVersion: () => this.store.version.version
@@ -166,7 +163,7 @@
 
   /** True once calls can be routed. */
   get isReady (): boolean {
-    return this.feed.isReady && !this._isDraining && !this._isLeaving
+    return this.feed.isReady && this._stop === undefined
   }
 
   /** True once announcements of targets can be checked against what was known before. */
@@ -207,25 +204,28 @@
 
   /**
    * Stops gracefully: tells that it isn't ready and withdraws its targets, serves until its callers have seen that,
-   * refuses further calls as not run, and lets the running ones end.
-   * @param timeoutMs - the rest is cut within this time
+   * refuses as not run what can't end in time, and lets the rest end.
+   * @param timeoutMs - all has ended within this time
    */
   async stop (timeoutMs: number): Promise<void> {
     const { clock } = this._options
-    const startedMs = clock.readMonotonicMs()
-    const getPassedMs = (): number => clock.readMonotonicMs() - startedMs
-    this._isLeaving = true
+    const stop = new PlannedStop(clock.readMonotonicMs(), timeoutMs)
+    const getPassedMs = (): number => clock.readMonotonicMs() - stop.startedMs
+    const sleepUntil = async (endMs: number): Promise<void> =>
+      await clock.sleep(Math.max(0, Math.min(POLL_MS, endMs - clock.readMonotonicMs())))
+    this._stop = stop
     this.targets.drain()
     this._peerServer.drain()
     this.relay.drain()
+    this._calls.applyStop()
     const isServing = (): boolean => getPassedMs() < NOTICE_MS || this._calls.getRunningCount() > 0 ||
       this._calls.getQuietMs() < QUIET_MS
     this._reportStop('serving', 0)
-    while (getPassedMs() < timeoutMs * REFUSE_AT && isServing()) await clock.sleep(POLL_MS)
-    this._isDraining = true
+    while (clock.readMonotonicMs() < stop.refuseAtMs && isServing()) await sleepUntil(stop.refuseAtMs)
+    stop.refuseCalls()
     this._reportStop('refusing', getPassedMs())
-    await this._calls.stop(Math.max(0, timeoutMs * CUT_AT - getPassedMs()))
-    while (this.targets.getRunningCount() > 0 && getPassedMs() < timeoutMs * CUT_AT) await clock.sleep(POLL_MS)
+    await this._calls.stop(stop.cutAtMs)
+    while (this.targets.getRunningCount() > 0 && clock.readMonotonicMs() < stop.cutAtMs) await sleepUntil(stop.cutAtMs)
     this._reportStop('closing', getPassedMs())
     this._peerServer.closeLinks()
   }
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -67,6 +67,8 @@
   private _lastFailure: ICallFailure | undefined
   private readonly _key: KeyHolder
   private _deadline: IDisposable | undefined
+  /** Latest moment to begin at the target in a planned stop. */
+  private _withdrawal: IDisposable | undefined
   private _hasHead = false
   private _status = 0
   /** Owner whose running calls count this one. */
@@ -74,6 +76,7 @@
   /** Answer bytes that wait in the caller's connection. */
   private _unacknowledged = 0
   private _isTraced = false
+  private _isWithdrawn = false
   private _isDone = false
   private _isCallerGone = false
 
@@ -104,9 +107,24 @@
     this._holdBody(limit)
   }
 
-  /** Ends the call without an answer, since its process ends. */
+  /** Limits the time in which the call may begin at a target, so that it doesn't outlast its process. */
+  applyStop (): void {
+    const stop = this._context.getStop()
+    if (stop === undefined || this._isDone) return
+    const { clock, pool } = this._context
+    const expectedMs = this._attempt === undefined ? 0 : pool.computeExpectedMs(this._attempt.target, this._routeKey)
+    const leftMs = stop.computeLatestBeginMs(expectedMs) - clock.readMonotonicMs()
+    this._withdrawal?.dispose()
+    this._withdrawal = clock.schedule(Math.max(0, leftMs), () => this._withdraw())
+  }
+
+  /** Ends the call, since its process ends. */
   cut (): void {
     if (this._isDone) return
+    if (!this._hasHead) {
+      this._refuse('process-draining', this._attempt === undefined ? 'not-run' : 'unknown', RETRY_AFTER_MS)
+      return
+    }
     this._key.settleUnknown()
     this._attempt?.cancel()
     this._finish('cut', 'process-draining')
@@ -157,6 +175,10 @@
       return
     }
     if (!failure.isNotRun) this._runs++
+    if (this._isWithdrawn && failure.isNotRun) {
+      this._refuseForStop()
+      return
+    }
     if (QUEUE_REASONS.has(failure.reason)) this._queues++
     if (this._canRetryFailure(failure)) {
       this._lastFailure = failure
@@ -282,6 +304,10 @@
       this._refuseWithoutTarget()
       return
     }
+    if (this._isTooLateToBegin(target)) {
+      this._refuseForStop()
+      return
+    }
     this._picker.markTried(target)
     this._sends++
     if (this._isTraced) this._reportSend(target)
@@ -289,9 +315,27 @@
     this._attempt = attempt
     attempt.handle = this._context.findOpener(target.record.linkAddress)
       .open(this._createRequest(target), attempt)
+    if (this._context.getStop() !== undefined) this.applyStop()
     if (!this._isBodyHeld && !this._isStreaming && !this._isDone) this._streamBody()
   }
 
+  private _isTooLateToBegin (target: ITargetState): boolean {
+    const stop = this._context.getStop()
+    if (stop === undefined) return false
+    const expectedMs = this._context.pool.computeExpectedMs(target, this._routeKey)
+    return this._context.clock.readMonotonicMs() >= stop.computeLatestBeginMs(expectedMs)
+  }
+
+  private _withdraw (): void {
+    this._isWithdrawn = true
+    if (this._attempt === undefined) this._refuseForStop()
+    else this._attempt.handle?.withdraw()
+  }
+
+  private _refuseForStop (): void {
+    this._refuse('process-draining', 'not-run', this._context.getStop()?.computeRetryAfterMs(this._context.clock.readMonotonicMs()) ?? 0)
+  }
+
   private _pickTarget (): ITargetState | undefined {
     return this._picker.pickTarget(this._getObjectiveLeftMs(), this._lastFailure?.reason)
   }
@@ -363,7 +407,7 @@
 
   private _canSendAgain (): boolean {
     return this._isBodyHeld && this._sends < MAX_SENDS && this._runs < this._head.route.maxAttempts &&
-      this._getRemainingMs() > 0 && !this._isCallerGone
+      this._getRemainingMs() > 0 && !this._isCallerGone && !this._isWithdrawn
   }
 
   private _canRetryAnswer (status: number): boolean {
@@ -419,7 +463,7 @@
     this._finish('refused', reason, run)
     this._context.metrics.count('refusals_total', reason)
     if (!this._isCallerGone) {
-      const isClosing = this._context.isDraining() || !this._request.complete
+      const isClosing = this._context.getStop()?.isRefusing === true || !this._request.complete
       sendRefusal(this._response, { reason, run, retryAfterMs, detail }, isClosing, this._context.dialect)
     }
     return false
@@ -442,6 +486,7 @@
   private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
     this._deadline?.dispose()
+    this._withdrawal?.dispose()
     if (this._owner !== undefined) this._context.owners.leave(this._owner)
     const tookMs = this._context.clock.readMonotonicMs() - this._startedMs
     this._context.metrics.count('calls_total', reason === '' ? outcome : reason)
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -12,6 +12,7 @@
 import type { TargetPool } from '../routing/TargetPool.js'
 import type { CallDialect } from './CallDialect.js'
 import type { ICallOpener } from './CallTypes.js'
+import type { PlannedStop } from './PlannedStop.js'
 
 /** Services that a call uses. */
 export interface ICallContext {
@@ -29,7 +30,8 @@
   readonly findOpener: (linkAddress: string) => ICallOpener
   readonly getBudget: (part: IRoutePart) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
-  readonly isDraining: () => boolean
+  /** Times of the planned stop that is under way; undefined while there is none. */
+  readonly getStop: () => PlannedStop | undefined
   /** Version of the catalogue in force, for logs. */
   readonly getCatalogueVersion: () => number
   readonly dialect: CallDialect
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -41,7 +41,10 @@
  */
 export function readCallHead (context: ICallContext, request: IncomingMessage): Result<ICallHead, IRefusal> {
   const { headers, method, url } = request
-  if (context.isDraining()) return refuse('process-draining', RETRY_AFTER_MS)
+  const stop = context.getStop()
+  if (stop?.isRefusing === true) {
+    return refuse('process-draining', stop.computeRetryAfterMs(context.clock.readMonotonicMs()))
+  }
   const routes = context.getRoutes()
   if (routes === undefined) return refuse('not-ready', RETRY_AFTER_MS)
   const route = routes.findRoute(headers.host ?? '', method ?? '', url ?? '/')
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -70,18 +70,28 @@
     return this._context.clock.readMonotonicMs() - this._lastCallMs
   }
 
+  /** Tells the running calls that a planned stop has begun. */
+  applyStop (): void {
+    for (const call of [...this._calls]) call.applyStop()
+  }
+
   /**
    * Lets running calls end, then closes. New calls on open connections are refused as not run.
-   * @param timeoutMs - after this the rest is cut
+   * @param cutAtMs - time of the monotonic clock at which the rest is cut
    */
-  async stop (timeoutMs: number): Promise<void> {
+  async stop (cutAtMs: number): Promise<void> {
+    const { clock } = this._context
+    const getLeftMs = (): number => Math.max(0, cutAtMs - clock.readMonotonicMs())
     const closed = new Promise<void>(resolve => this._server.close(() => resolve()))
     this._server.closeIdleConnections()
     const idle = new Promise<void>(resolve => { this._onIdle = resolve })
-    if (this._calls.size > 0) await Promise.race([idle, this._context.clock.sleep(timeoutMs)])
+    if (this._calls.size > 0) await Promise.race([idle, clock.sleep(getLeftMs())])
     this._server.closeIdleConnections()
-    await Promise.race([closed, this._context.clock.sleep(CLOSE_GRACE_MS)])
-    for (const call of [...this._calls]) call.cut()
+    await Promise.race([closed, clock.sleep(Math.min(CLOSE_GRACE_MS, getLeftMs()))])
+    if (this._calls.size > 0) {
+      for (const call of [...this._calls]) call.cut()
+      await Promise.race([closed, clock.sleep(ANSWER_GRACE_MS)])
+    }
     this._server.closeAllConnections()
     await closed
   }
@@ -97,4 +107,7 @@
   }
 }
 
+/** Time for the last answers to leave, in milliseconds. */
 const CLOSE_GRACE_MS = 500
+/** The same for the answers to calls that are cut, out of what a planned stop keeps at its end. */
+const ANSWER_GRACE_MS = 50
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -86,6 +86,8 @@
   endBody (): void
   /** Gives up the call; no event follows. */
   cancel (): void
+  /** Gives up the call unless the target has it already; it fails as not run then, or goes on. */
+  withdraw (): void
   /**
    * Tells that answer bytes have been passed on.
    * @param bytes - how many
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -304,6 +304,12 @@
     this._finish()
   }
 
+  withdraw (): void {
+    if (this._hasEnded) return
+    if (this._isSent) this._link.sendFrame(this._callId, { $case: 'withdraw', value: {} })
+    else this._fail('cancelled', true)
+  }
+
   acknowledge (bytes: number): void {
     const due = this._updates.add(bytes)
     if (due > 0 && !this._hasEnded) this._link.sendFrame(this._callId, { $case: 'window', value: { bytes: due } })
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -140,6 +140,9 @@
       case 'window':
         this._handle?.acknowledge(frame.value.bytes)
         return
+      case 'withdraw':
+        this._handle?.withdraw()
+        return
       case 'cancel':
         this.cancel()
     }
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -83,6 +83,10 @@
     this._controller?.abort(new Error('cancelled'))
   }
 
+  withdraw (): void {
+    if (!this._hasStarted) this._fail('cancelled')
+  }
+
   acknowledge (bytes: number): void {
     this._unacknowledged -= bytes
     if (this._unacknowledged < FLOW_WINDOW_BYTES && this._controller?.paused === true) this._controller.resume()
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -15,6 +15,7 @@
   sendBody: () => true,
   endBody: () => {},
   cancel: () => {},
+  withdraw: () => {},
   acknowledge: () => {}
 }
 
