A stopping process answers the orders and announcements that it has read

Now all of a process ends within the one timeout, and requests that were read get their answers in it; connections that fall idle meanwhile are closed at once.

Before: the new test of an order that takes 300 ms failed (other side closed). After: it passes; a stop whose order never ends still ends within its 3 s (a guard, it passed before too). Ruled out as a wait: kept connections held the listener for 2.9 s until idle ones were closed while it waits.

--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -12,6 +12,8 @@
 import type { ProcessSurface } from './ProcessSurface.js'
 
 const LISTENER_STOP_MS = 2_000
+/** Kept for the listeners of other processes and the log, in milliseconds. */
+const RESERVE_MS = 100
 
 /** What a platform brings in place of the product's own. */
 export interface IProcessParts {
@@ -100,14 +102,17 @@
   }
 
   private async _stop (): Promise<void> {
-    this._log.info('process_stopping', { name: this._settings.process.name })
-    await this.node?.stop(this._settings.process.stopTimeoutMs)
-    await this._surface?.stop()
+    const { name, stopTimeoutMs } = this._settings.process
+    const endMs = this._clock.readMonotonicMs() + stopTimeoutMs - RESERVE_MS
+    const getLeftMs = (): number => Math.max(0, endMs - this._clock.readMonotonicMs())
+    this._log.info('process_stopping', { name })
+    await this.node?.stop(stopTimeoutMs)
+    await this._surface?.stop(getLeftMs())
     this.node?.dispose()
     this.control?.dispose()
-    await this._peers.stop(LISTENER_STOP_MS)
+    await this._peers.stop(Math.min(LISTENER_STOP_MS, getLeftMs()))
     this._channels.dispose()
-    this._log.info('process_stopped', { name: this._settings.process.name })
+    this._log.info('process_stopped', { name })
   }
 
   /** Without certificates, whoever reaches the listeners of other processes can act as one. */
--- a/packages/lagoonswitch/src/ProcessSurface.ts
+++ b/packages/lagoonswitch/src/ProcessSurface.ts
@@ -1,11 +1,14 @@
 /**
  * The listeners for whoever isn't a process of the system or a caller: targets, operators, probes.
  */
+import type { Server } from 'node:http'
 import type { Metrics } from '@lagoonswitch/common'
 import type { ControlRole } from '@lagoonswitch/control'
 import type { NodeRole } from '@lagoonswitch/node'
 import type { ISettings } from '@lagoonswitch/schema'
 
+const IDLE_CHECK_MS = 50
+
 /** What a surface serves. */
 export interface ISurfaceContext {
   readonly settings: ISettings
@@ -22,6 +25,27 @@
    */
   abstract start (context: ISurfaceContext): Promise<void>
 
-  /** Closes the listeners. */
-  abstract stop (): Promise<void>
+  /**
+   * Closes the listeners; requests that have been read get their answers.
+   * @param timeoutMs - after this the rest is cut
+   */
+  abstract stop (timeoutMs: number): Promise<void>
+}
+
+/**
+ * Closes a listener once its requests have their answers.
+ * @param server - the listener
+ * @param close - begins to close it
+ * @param timeoutMs - after this the rest is cut
+ */
+export async function closeWithin (server: Server, close: () => Promise<unknown>, timeoutMs: number): Promise<void> {
+  const cutting = setTimeout(() => server.closeAllConnections(), timeoutMs)
+  // A connection whose last request ends while its listener closes stays open otherwise.
+  const idling = setInterval(() => server.closeIdleConnections(), IDLE_CHECK_MS)
+  try {
+    await close()
+  } finally {
+    clearTimeout(cutting)
+    clearInterval(idling)
+  }
 }
--- a/packages/lagoonswitch/src/http/ProductSurface.ts
+++ b/packages/lagoonswitch/src/http/ProductSurface.ts
@@ -1,8 +1,9 @@
 /**
  * The product's own interface over HTTP, with Nest on Fastify.
  */
+import type { Server } from 'node:http'
 import type { INestApplication, Provider, Type } from '@nestjs/common'
-import { ProcessSurface, type ISurfaceContext } from '../ProcessSurface.js'
+import { ProcessSurface, closeWithin, type ISurfaceContext } from '../ProcessSurface.js'
 import { HomesController } from './HomesController.js'
 import { startHttpApp } from './HttpApp.js'
 import { HealthController, MetricsController, TargetsController } from './LocalController.js'
@@ -34,8 +35,9 @@
     }
   }
 
-  async stop (): Promise<void> {
-    for (const app of this._apps) await app.close()
+  async stop (timeoutMs: number): Promise<void> {
+    await Promise.all(this._apps.map(async app =>
+      await closeWithin(app.getHttpServer() as Server, async () => await app.close(), timeoutMs)))
   }
 
   private async _startApp (
--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -17,6 +17,7 @@
   status: { state: 'ready', sequence: 1, 'warmup-left-s': 0 },
   born: 1
 }
+const STOP_TIMEOUT_MS = 3_000
 let folder: string
 let control: LagoonProcess
 let node: LagoonProcess
@@ -51,7 +52,7 @@
   const [operators, controlPeers, calls, local, readyPort, links, metrics] = ports
   const common = `region = r1\navailability_zone = z1\n[control]\nseeds = 127.0.0.1:${operators}\nclaim_shards = 0\nheartbeat = 50ms\nelection_timeout = 300ms\n`
   const listen = `[listen]\npeers = 127.0.0.1:${controlPeers}\nmetrics = 127.0.0.1:${metrics}\n`
-  control = start(`[process]\nname = c1\nroles = control\ndata_folder = ${folder}\n${common}first_start = true\n${listen}operators = 127.0.0.1:${operators}\n`)
+  control = start(`[process]\nname = c1\nroles = control\nstop_timeout = ${STOP_TIMEOUT_MS}ms\ndata_folder = ${folder}\n${common}first_start = true\n${listen}operators = 127.0.0.1:${operators}\n`)
   // On the platform all processes use one peer port on VMs of their own; here the node listens at another address.
   node = start(`[process]\nname = n1\nroles = node\nstop_timeout = 1s\n${common}${listen.replaceAll('127.0.0.1', '127.0.0.2')}` +
     `calls = 127.0.0.1:${calls}\nlocal = 127.0.0.1:${local}\nready = 127.0.0.1:${readyPort}\nlinks = 127.0.0.1:${links}\n`)
@@ -118,3 +119,32 @@
   expect([404, 431]).toContain(long.status)
   expect((await send(`${orders}/none`, 'GET')).status).toBe(404)
 }, 30_000)
+
+test('control VM that is stopped answers the order that it has read', async () => {
+  const role = control.control
+  if (role === undefined) throw new Error('no control role')
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  const commit = role.publish.bind(role)
+  let stopped: Promise<void> | undefined
+  role.publish = async draft => {
+    stopped = control.stop()
+    await new Promise(resolve => setTimeout(resolve, 300))
+    return await commit(draft)
+  }
+  expect(await publish(createConfiguration(5, 3))).toBe(200)
+  await stopped
+})
+
+test('stop ends within its timeout though an order does not end', async () => {
+  const role = control.control
+  if (role === undefined) throw new Error('no control role')
+  const startMs = performance.now()
+  let stopped: Promise<void> | undefined
+  role.publish = async () => {
+    stopped = control.stop()
+    return await new Promise(() => {})
+  }
+  await expect(publish(createConfiguration(3, 0))).rejects.toThrow()
+  await stopped
+  expect(performance.now() - startMs).toBeLessThan(STOP_TIMEOUT_MS)
+})
