A stopping process takes connections until its last call has ended

Callers that connected while the last calls of a stop ran were refused by the network, and spent their repeats on it at once. They now get 503 with the time after which a new process may be there.

--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -76,16 +76,16 @@
   }
 
   /**
-   * Lets running calls end, then closes. New calls on open connections are refused as not run.
+   * Lets running calls end, then closes. Until then new connections are taken, so that their callers learn when to come back.
    * @param cutAtMs - time of the monotonic clock at which the rest is cut
    */
   async stop (cutAtMs: number): Promise<void> {
     const { clock } = this._context
     const getLeftMs = (): number => Math.max(0, cutAtMs - clock.readMonotonicMs())
-    const closed = new Promise<void>(resolve => this._server.close(() => resolve()))
     this._server.closeIdleConnections()
     const idle = new Promise<void>(resolve => { this._onIdle = resolve })
     if (this._calls.size > 0) await Promise.race([idle, clock.sleep(getLeftMs())])
+    const closed = new Promise<void>(resolve => this._server.close(() => resolve()))
     this._server.closeIdleConnections()
     await Promise.race([closed, clock.sleep(Math.min(CLOSE_GRACE_MS, getLeftMs()))])
     if (this._calls.size > 0) {
--- a/tests/PlannedStop.test.ts
+++ b/tests/PlannedStop.test.ts
@@ -83,3 +83,14 @@
   expect(reply === 'cut' || reply.status === 502).toBe(true)
   expect(target.requests.length).toBeGreaterThan(3)
 }, 20_000)
+
+test('caller that connects while the last calls of a planned stop run is told when to come back', async () => {
+  const running = callThrough('n1', 'long', { 'x-work-ms': String(0.85 * STOP_MS) })
+  await sleep(50)
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  // New calls are refused from 0.7 of the timeout on.
+  await sleep(0.75 * STOP_MS)
+  expectRefusedUnrun(await callThrough('n1', 'new'), 'new')
+  expect(await running).toMatchObject({ status: 200 })
+  await stopping
+}, 20_000)
