--- a/packages/common/src/Metrics.ts
+++ b/packages/common/src/Metrics.ts
@@ -8,6 +8,10 @@
 const SIGNIFICANT_DIGITS = 2
 const PERCENTILES = [50, 90, 99, 99.9]
 const US_PER_MS = 1_000
+const MS_PER_SECOND = 1_000
+/** Series of one family of recorders, 12 kB each; what comes later is recorded under {@link OTHER}. */
+const MAX_SERIES = 256
+const OTHER = 'other'
 
 /** Records latencies of one kind of event. */
 export class LatencyRecorder {
@@ -37,11 +41,64 @@
   }
 }
 
+/** Records latencies by the value of a label, published as percentiles and counts. */
+export class LatencyFamily {
+  private readonly _recorders = new Map<string, LatencyRecorder>()
+
+  /**
+   * @param name - full metric name without unit
+   * @param label - name of the label
+   * @param registry - publishes the family
+   */
+  constructor (name: string, label: string, registry: Registry) {
+    const percentiles: Gauge<string> = new Gauge({
+      name: `${name}_seconds`,
+      help: `${name} by ${label} and percentile`,
+      labelNames: [label, 'percentile'],
+      registers: [registry],
+      collect: () => {
+        for (const [value, recorder] of this._recorders) {
+          for (const percentile of PERCENTILES) {
+            const labels = { [label]: value, percentile: String(percentile) }
+            percentiles.set(labels, recorder.getPercentileMs(percentile) / MS_PER_SECOND)
+          }
+        }
+      }
+    })
+    const counts: Gauge<string> = new Gauge({
+      name: `${name}_count`,
+      help: `events of ${name} by ${label}`,
+      labelNames: [label],
+      registers: [registry],
+      collect: () => {
+        for (const [value, recorder] of this._recorders) counts.set({ [label]: value }, recorder.getCount())
+      }
+    })
+  }
+
+  /**
+   * @param value - of the label
+   * @param durationMs - milliseconds
+   */
+  record (value: string, durationMs: number): void {
+    this._getRecorder(value).record(durationMs)
+  }
+
+  private _getRecorder (value: string): LatencyRecorder {
+    const known = this._recorders.get(value)
+    if (known !== undefined) return known
+    if (this._recorders.size >= MAX_SERIES && value !== OTHER) return this._getRecorder(OTHER)
+    const recorder = new LatencyRecorder()
+    this._recorders.set(value, recorder)
+    return recorder
+  }
+}
+
 /** Registry of all metrics of one process. */
 export class Metrics {
   private readonly _registry = new Registry()
   private readonly _counters = new Map<string, Counter<string>>()
-  private readonly _recorders = new Map<string, LatencyRecorder>()
+  private readonly _families = new Map<string, LatencyFamily>()
 
   /**
    * Counts one event.
@@ -78,27 +135,17 @@
   }
 
   /**
-   * Finds or makes a latency recorder, published as percentiles in milliseconds.
+   * Finds or makes the latencies of one kind of event.
    * @param name - metric name without prefix and unit
-   * @returns the recorder
+   * @param label - what its series are told apart by
+   * @returns the family
    */
-  getRecorder (name: string): LatencyRecorder {
-    const known = this._recorders.get(name)
+  getLatencies (name: string, label: string): LatencyFamily {
+    const known = this._families.get(name)
     if (known !== undefined) return known
-    const recorder = new LatencyRecorder()
-    this._recorders.set(name, recorder)
-    const gauge: Gauge<string> = new Gauge({
-      name: `lagoonswitch_${name}_ms`,
-      help: `${name} by percentile`,
-      labelNames: ['percentile'],
-      registers: [this._registry],
-      collect: () => {
-        for (const percentile of PERCENTILES) {
-          gauge.set({ percentile: String(percentile) }, recorder.getPercentileMs(percentile))
-        }
-      }
-    })
-    return recorder
+    const family = new LatencyFamily(`lagoonswitch_${name}`, label, this._registry)
+    this._families.set(name, family)
+    return family
   }
 
   /**
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -84,6 +84,8 @@
     this._isNoted = true
     const latencyMs = this._context.clock.readMonotonicMs() - this._startedMs
     this._context.pool.recordEnd(this.target, outcome, latencyMs)
+    this._context.metrics.getLatencies('attempt_duration', 'target').record(this.target.record.targetId, latencyMs)
+    this._context.metrics.count('attempts_total', outcome)
     if (outcome === 'neutral' || !isOfVersion) return
     const { service, version, targetId } = this.target.record
     this._context.evidence.record(service, version, this._route.key, targetId, outcome === 'failed',
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -36,6 +36,8 @@
 /** Time left of an objective that is over; 0 would say that there is none. */
 const OVER_MS = 1
 const NO_BYTES = Buffer.alloc(0)
+/** Name in the metrics for calls that no route matched. */
+const NO_ROUTE = 'none'
 const CLAIM_REFUSALS: Readonly<Record<UngrantedKind, IRefusal>> = {
   'in-progress': { reason: 'key-in-progress', run: 'run-earlier', retryAfterMs: RETRY_AFTER_MS },
   unknown: { reason: 'key-unknown', run: 'unknown', retryAfterMs: 0 },
@@ -490,7 +492,7 @@
     if (this._owner !== undefined) this._context.owners.leave(this._owner)
     const tookMs = this._context.clock.readMonotonicMs() - this._startedMs
     this._context.metrics.count('calls_total', reason === '' ? outcome : reason)
-    this._context.metrics.getRecorder('call_duration').record(tookMs)
+    this._context.metrics.getLatencies('call_duration', 'route').record(this._routeKey === '' ? NO_ROUTE : this._routeKey, tookMs)
     if (outcome !== 'answered' || this._status >= FIRST_SERVER_ERROR || this._isTraced) this._reportEnd(outcome, reason, run, tookMs)
     this._onDone()
   }
