--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -7,7 +7,7 @@
   DisposableStore, Emitter, Err, NoQuorumError, Ok, formatError, type IClock, type IDisposable, type ILog,
   type IRandom, type Metrics, type Result
 } from '@lagoonswitch/common'
-import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub, RELAY_LEVEL } from '@lagoonswitch/feed'
+import { CatalogueStore, ControlDirectory, EndpointView, FeedHub, RELAY_LEVEL } from '@lagoonswitch/feed'
 import {
   CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, ControlClient, ControlService, EndpointState, FeedClient as FeedStub,
   FeedService, MoveStatus, RaftService,
@@ -17,6 +17,7 @@
 import { LeaderClient, createUnaryHandler, sendUnary, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
 import { CatalogueMachine, isMoveOpen } from './catalogue/CatalogueMachine.js'
 import { ClaimsMachine } from './claims/ClaimsMachine.js'
+import { EndpointMesh } from './EndpointMesh.js'
 import { Publisher, type IPublicationDraft, type OrderOutcome } from './catalogue/Publisher.js'
 import { MoveController } from './moves/MoveController.js'
 import { FileStorage } from './raft/FileStorage.js'
@@ -74,8 +75,8 @@
   private readonly _stopping = new AbortController()
   private readonly _onFailed = new Emitter<string>()
 
-  private readonly _meshLinks = new Map<string, FeedClient>()
   private readonly _publisher: Publisher
+  private readonly _mesh: EndpointMesh
 
   readonly directory: ControlDirectory
   readonly store = new CatalogueStore()
@@ -98,6 +99,7 @@
       this._addGroup(formatClaimGroup(shard), machine)
       metrics.addGauge(`claims_kept_shard_${shard}`, () => machine.getSize())
     }
+    this._mesh = this._disposables.add(new EndpointMesh(this.directory, this.endpoints, _options))
     this._hub = this._disposables.add(new FeedHub({
       name: settings.process.name,
       clock,
@@ -146,7 +148,7 @@
   async start (): Promise<void> {
     for (const group of this._groups.values()) await group.start()
     this._moves.start()
-    this._startMesh()
+    this._mesh.start()
     void this._runEpoch()
   }
 
@@ -261,7 +263,6 @@
   dispose (): void {
     this._stopping.abort()
     this._disposables.dispose()
-    for (const link of this._meshLinks.values()) link.dispose()
     for (const group of this._groups.values()) group.dispose()
   }
 
@@ -388,48 +389,6 @@
     return versions.size === 1 ? [...versions][0] ?? '' : ''
   }
 
-  /** Endpoints travel between all control VMs, so that each source knows all targets. */
-  private _startMesh (): void {
-    this._updateMesh()
-    this._disposables.add(this.directory.onChanged(() => this._updateMesh()))
-  }
-
-  private _updateMesh (): void {
-    const wanted = new Set(this.directory.listAddresses().filter(address => address !== this._options.peerAddress))
-    for (const [address, link] of this._meshLinks) {
-      if (wanted.has(address)) continue
-      link.dispose()
-      this._meshLinks.delete(address)
-    }
-    for (const address of wanted) {
-      if (!this._meshLinks.has(address)) this._meshLinks.set(address, this._createMeshLink(address))
-    }
-  }
-
-  private _createMeshLink (address: string): FeedClient {
-    const { settings, clock, random, log, metrics, channels } = this._options
-    const link = new FeedClient({
-      node: `control:${settings.process.name}`,
-      region: settings.process.region,
-      availabilityZone: settings.process.availabilityZone,
-      feedAddress: '',
-      incarnation: clock.readWallTime().getTime(),
-      directory: new ControlDirectory([address]),
-      isMesh: true,
-      clock,
-      random,
-      log,
-      metrics,
-      channels,
-      store: new CatalogueStore(),
-      endpoints: this.endpoints,
-      computeFleetStatus: () => ({ nodes: 0, lowest: { epoch: 0, version: 0 } }),
-      takeEvidence: () => []
-    })
-    link.start()
-    return link
-  }
-
   /** The first leader of a new group gives the catalogue its epoch. */
   private async _runEpoch (): Promise<void> {
     const { clock } = this._options
