Failing test: the usual time that admits a call late in a stop ends with the head of the answer

The target runs the call and the connection ends midway in the answer. TargetCall measures the time until the head, so an answer whose rest takes 1.5 s looks like a call of some milliseconds.

--- /dev/null
+++ b/tests/PlannedStopAdmission.test.ts
@@ -0,0 +1,59 @@
+/**
+ * Which calls a node that is told to stop still lets begin.
+ */
+import { request as openRequest, type IncomingMessage } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { DESK, World, type IReply } from './support/World.js'
+
+const STOP_MS = 3_000
+/** Between the time until which any call may begin, 1.5 s, and the end of admission, 2.1 s. */
+const LATE_MS = 1_650
+let world: World
+let begun: string[]
+
+beforeEach(async () => {
+  world = await World.start(['n1', 'n2'])
+  await world.putEntry({ ...DESK, class: 'normal', limits: { ...DESK.limits, deadline: '10s' } })
+  begun = []
+})
+
+afterEach(async () => { await world.stop() })
+
+function readMs (request: IncomingMessage, name: string): number {
+  return Number(request.headers[name] ?? 0)
+}
+
+/** The target sends the head after `x-work-ms`, and the rest of the answer `x-tail-ms` later. */
+async function addTarget (id: string): Promise<void> {
+  await world.addTarget('n2', id, 'v1', (request, response) => {
+    begun.push(request.url ?? '')
+    setTimeout(() => {
+      response.writeHead(200, { 'content-length': 8 })
+      response.write('half')
+      setTimeout(() => response.end('done'), readMs(request, 'x-tail-ms'))
+    }, readMs(request, 'x-work-ms'))
+  })
+}
+
+/** The node learns how long calls of the route usually take. */
+async function teach (headers: Record<string, string>): Promise<void> {
+  for (let index = 0; index < 3; index++) await world.call('n1', 'POST', '/once', headers)
+  begun.length = 0
+}
+
+async function callThrough (headers: Record<string, string>): Promise<IReply | 'cut'> {
+  return await world.call('n1', 'POST', '/once?late', headers).catch(() => 'cut')
+}
+
+test('call whose answer ends long after its head is not begun so late that a planned stop cuts it', async () => {
+  await addTarget('t1')
+  await teach({ 'x-tail-ms': '1500' })
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(LATE_MS)
+  const reply = await callThrough({ 'x-tail-ms': '1500' })
+  expect(reply).not.toBe('cut')
+  expect(reply).toMatchObject({ status: 503 })
+  expect(begun).toEqual([])
+  await stopping
+}, 20_000)
