Failing test: the usual time that admits a call late in a stop leaves failures out

Attempt notes the time of good answers only. A call that answers in 20 ms or fails after 1.4 s is begun with 1.15 s left; the run is broken off and answered 502.

--- a/tests/PlannedStopAdmission.test.ts
+++ b/tests/PlannedStopAdmission.test.ts
@@ -57,3 +57,19 @@
   expect(begun).toEqual([])
   await stopping
 }, 20_000)
+
+test('call whose failures take far longer than its answers is not begun so late that a planned stop cuts it', async () => {
+  let count = 0
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    begun.push(request.url ?? '')
+    const isFailing = count++ % 2 === 1
+    setTimeout(() => response.writeHead(isFailing ? 504 : 200).end('own'), isFailing ? 1_400 : 20)
+  })
+  for (let index = 0; index < 9; index++) await world.call('n1', 'POST', '/once')
+  begun.length = 0
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(LATE_MS)
+  expect(await callThrough({})).toMatchObject({ status: 503 })
+  expect(begun).toEqual([])
+  await stopping
+}, 30_000)
