--- a/tests/PlannedStopAdmission.test.ts
+++ b/tests/PlannedStopAdmission.test.ts
@@ -73,3 +73,12 @@
   expect(begun).toEqual([])
   await stopping
 }, 30_000)
+
+test('call whose own deadline ends before a planned stop cuts it is served', async () => {
+  await addTarget('t1')
+  await teach({ 'x-work-ms': '400' })
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(LATE_MS)
+  expect(await callThrough({ 'x-work-ms': '400', 'lagoon-deadline-ms': '700' })).toMatchObject({ status: 200, body: 'halfdone' })
+  await stopping
+}, 20_000)
