Failing test: a stop withdraws short calls whose body is still coming at half of its timeout

Call.applyStop takes a call without an attempt as one of unknown length; a new call of the same route is served until 0.7 of the timeout.

--- a/tests/PlannedStopAdmission.test.ts
+++ b/tests/PlannedStopAdmission.test.ts
@@ -82,3 +82,24 @@
   expect(await callThrough({ 'x-work-ms': '400', 'lagoon-deadline-ms': '700' })).toMatchObject({ status: 200, body: 'halfdone' })
   await stopping
 }, 20_000)
+
+test('short call whose body ends in the second half of a planned stop is served', async () => {
+  await addTarget('t1')
+  await teach({ 'x-work-ms': '20' })
+  const { port } = world.getNode('n1')
+  const outgoing = openRequest({ host: '127.0.0.1', port, method: 'POST', path: '/once?late', agent: false, headers: { 'x-work-ms': '20' } })
+  const status = new Promise<number>((resolve, reject) => {
+    outgoing.on('response', answer => {
+      answer.resume()
+      resolve(answer.statusCode ?? 0)
+    })
+    outgoing.on('error', reject)
+  })
+  outgoing.write('first')
+  await sleep(50)
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(LATE_MS)
+  outgoing.end('last')
+  expect(await status).toBe(200)
+  await stopping
+}, 20_000)
