Failing test: a stop replaces the answer of a target where no other target may begin the call

Call._canRetryAnswer asks whether another target can be picked, but not whether it is too late to begin there; then the answer is given up and 502 sent in its place.

--- a/tests/PlannedStopAdmission.test.ts
+++ b/tests/PlannedStopAdmission.test.ts
@@ -103,3 +103,19 @@
   expect(await status).toBe(200)
   await stopping
 }, 20_000)
+
+test('failure that a target answers in a planned stop reaches its caller when no other may begin the call', async () => {
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    const isFailing = request.url === '/read?late'
+    setTimeout(() => response.writeHead(isFailing ? 500 : 200).end('own'), 10)
+  })
+  await world.addTarget('n2', 't2', 'v1', (_request, response) => { setTimeout(() => response.end('own'), 1_500) })
+  await Promise.all(Array.from({ length: 8 }, async () => await world.call('n1', 'GET', '/read')))
+  await Promise.all(Array.from({ length: 8 }, async () => await world.call('n1', 'GET', '/read')))
+  for (let index = 0; index < 60; index++) await world.call('n1', 'GET', '/read')
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(LATE_MS)
+  const reply = await world.call('n1', 'GET', '/read?late')
+  expect(reply).toMatchObject({ status: 500, body: 'own' })
+  await stopping
+}, 30_000)
