Failing test: a stop cuts answers that callers are still reading

A call counts as ended once its last byte is handed to the connection. CallServer.stop gives such bytes 500 ms whatever is left of the stop, so an answer to a slow reader is cut after 3 s of 6.

--- /dev/null
+++ b/tests/PlannedStopEnds.test.ts
@@ -0,0 +1,67 @@
+/**
+ * Which answers a node that is told to stop still delivers.
+ */
+import { connect, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { DESK, World } from './support/World.js'
+
+const STOP_MS = 6_000
+/** Answers tried, from less than a connection holds between two processes. */
+const FIRST_BYTES = 1_000_000
+const GROW_BYTES = 500_000
+const SHRINK_BYTES = 50_000
+let world: World
+
+beforeEach(async () => {
+  world = await World.start(['n1', 'n2'])
+  await world.putEntry({ ...DESK, class: 'normal', limits: { ...DESK.limits, deadline: '10s' } })
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    response.end(Buffer.alloc(Number(request.headers['x-bytes']), 'a'))
+  })
+})
+
+afterEach(async () => { await world.stop() })
+
+/** Asks for an answer and doesn't read it. */
+function askPaused (bytes: number): Socket {
+  const socket = connect(world.getNode('n1').port, '127.0.0.1')
+  socket.on('error', () => undefined)
+  socket.pause()
+  socket.write(`GET /read HTTP/1.1\r\nhost: a\r\nx-bytes: ${bytes}\r\n\r\n`)
+  return socket
+}
+
+async function countRunning (): Promise<number> {
+  const text = await world.getNode('n1').metrics.format()
+  return Number(/^lagoonswitch_calls_running (\d+)/m.exec(text)?.[1])
+}
+
+/** Finds an answer that has left the target while its last bytes wait in the node for the caller. */
+async function holdAnswer (): Promise<{ socket: Socket, bytes: number }> {
+  let bytes = FIRST_BYTES
+  for (let isGrowing = true; bytes > 0; bytes += isGrowing ? GROW_BYTES : -SHRINK_BYTES) {
+    const socket = askPaused(bytes)
+    await sleep(200)
+    const running = await countRunning()
+    if (running === 0 && !isGrowing) return { socket, bytes }
+    if (running > 0) isGrowing = false
+    socket.destroy()
+    await sleep(30)
+  }
+  throw new Error('no answer is held')
+}
+
+test('answer that waits for a slow reader as a planned stop begins arrives whole', async () => {
+  const { socket, bytes } = await holdAnswer()
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(4_000)
+  let received = 0
+  const closed = new Promise(resolve => socket.on('close', resolve))
+  socket.on('data', (chunk: Buffer) => { received += chunk.length })
+  socket.resume()
+  await Promise.race([closed, stopping])
+  await sleep(100)
+  socket.destroy()
+  expect(received).toBeGreaterThan(bytes)
+}, 60_000)
