A planned stop admits calls by their deadline and by the longest recent runs

A review of the mended stop found calls that could still be cut, and calls that were refused without need; five tests showed it. - The usual time of a route ends with the head of an answer and leaves failures out, so long bodies and runs that hang until their limit looked short.

--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -21,6 +21,9 @@
   private _isWarm = false
   private _hasEnded = false
   private _answerBytes = 0
+  /** Time in the slot until the head, and when the head came. */
+  private _serviceMs = 0
+  private _headMs = 0
   handle: ICallHandle | undefined
 
   constructor (
@@ -37,6 +40,8 @@
     if (this._hasEnded) return
     this._context.pool.recordLoad(this.target, load)
     this._isWarm = load.served > WARM_CALLS
+    this._serviceMs = load.serviceMs
+    this._headMs = this._context.clock.readMonotonicMs()
     const isFailed = status >= FIRST_SERVER_ERROR
     if (!isFailed) this._context.pool.recordService(this.target, this._route.key, load.serviceMs)
     this._note(isFailed ? 'failed' : 'good', true)
@@ -52,7 +57,9 @@
   onEnd (): void {
     if (this._hasEnded) return
     this._hasEnded = true
-    this._context.pool.recordAnswerBytes(this._route.key, this._answerBytes)
+    const { clock, pool } = this._context
+    pool.recordRun(this.target, this._route.key, this._serviceMs + clock.readMonotonicMs() - this._headMs)
+    pool.recordAnswerBytes(this._route.key, this._answerBytes)
     this._events.onEnd()
   }
 
@@ -60,6 +67,10 @@
     if (this._hasEnded) return
     this._hasEnded = true
     if (load !== undefined) this._context.pool.recordLoad(this.target, load)
+    if (!failure.isNotRun) {
+      const { clock, pool } = this._context
+      pool.recordRun(this.target, this._route.key, clock.readMonotonicMs() - this._startedMs)
+    }
     if (failure.reason === 'unreachable' || failure.reason === 'connect') {
       this._context.pool.ejectUnreachable(this.target)
     }
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -62,6 +62,8 @@
   private _isBodyHeld = false
   private _isStreaming = false
   private _attempt: Attempt | undefined
+  /** Target that a repeat of a failing answer was decided for. */
+  private _next: ITargetState | undefined
   /** Attempts so far, and those among them that may have run. */
   private _sends = 0
   private _runs = 0
@@ -79,6 +81,8 @@
   private _unacknowledged = 0
   private _isTraced = false
   private _isWithdrawn = false
+  /** A target was passed over, since the call could not have ended there before a planned stop cuts it. */
+  private _isBeginTooLate = false
   private _isDone = false
   private _isCallerGone = false
 
@@ -112,12 +116,11 @@
   /** Limits the time in which the call may begin at a target, so that it doesn't outlast its process. */
   applyStop (): void {
     const stop = this._context.getStop()
-    if (stop === undefined || this._isDone) return
-    const { clock, pool } = this._context
-    const expectedMs = this._attempt === undefined ? 0 : pool.computeExpectedMs(this._attempt.target, this._routeKey)
-    const leftMs = stop.computeLatestBeginMs(expectedMs) - clock.readMonotonicMs()
+    if (stop === undefined || this._isDone || this._attempt === undefined) return
+    const { clock } = this._context
     this._withdrawal?.dispose()
-    this._withdrawal = clock.schedule(Math.max(0, leftMs), () => this._withdraw())
+    const latestMs = stop.computeLatestBeginMs(this._context.pool.computeLongestRunMs(this._attempt.target, this._routeKey), this._dueMs)
+    this._withdrawal = clock.schedule(Math.max(0, latestMs - clock.readMonotonicMs()), () => this._withdraw())
   }
 
   /** Ends the call, since its process ends. */
@@ -301,13 +304,11 @@
   }
 
   private _send (): void {
-    const target = this._pickTarget()
+    const target = this._next ?? this._pickTarget()
+    this._next = undefined
     if (target === undefined) {
-      this._refuseWithoutTarget()
-      return
-    }
-    if (this._isTooLateToBegin(target)) {
-      this._refuseForStop()
+      if (this._isBeginTooLate) this._refuseForStop()
+      else this._refuseWithoutTarget()
       return
     }
     this._picker.markTried(target)
@@ -324,22 +325,27 @@
   private _isTooLateToBegin (target: ITargetState): boolean {
     const stop = this._context.getStop()
     if (stop === undefined) return false
-    const expectedMs = this._context.pool.computeExpectedMs(target, this._routeKey)
-    return this._context.clock.readMonotonicMs() >= stop.computeLatestBeginMs(expectedMs)
+    const latestMs = stop.computeLatestBeginMs(this._context.pool.computeLongestRunMs(target, this._routeKey), this._dueMs)
+    return this._context.clock.readMonotonicMs() >= latestMs
   }
 
   private _withdraw (): void {
     this._isWithdrawn = true
-    if (this._attempt === undefined) this._refuseForStop()
-    else this._attempt.handle?.withdraw()
+    this._attempt?.handle?.withdraw()
   }
 
   private _refuseForStop (): void {
     this._refuse('process-draining', 'not-run', this._context.getStop()?.computeRetryAfterMs(this._context.clock.readMonotonicMs()) ?? 0)
   }
 
+  /** Targets where the call could not end before a planned stop cuts it are passed over. */
   private _pickTarget (): ITargetState | undefined {
-    return this._picker.pickTarget(this._getObjectiveLeftMs(), this._lastFailure?.reason)
+    for (;;) {
+      const target = this._picker.pickTarget(this._getObjectiveLeftMs(), this._lastFailure?.reason)
+      if (target === undefined || !this._isTooLateToBegin(target)) return target
+      this._isBeginTooLate = true
+      this._picker.markTried(target)
+    }
   }
 
   private _reportSend (target: ITargetState): void {
@@ -381,7 +387,7 @@
       method: this._request.method ?? 'GET',
       path: this._request.url ?? '/',
       headers: this._head.headers,
-      remainingMs: this._getRemainingMs(),
+      remainingMs: this._computeHandedMs(),
       callClass: this._head.callClass,
       callId: this._head.callId,
       objectiveMs: this._getObjectiveLeftMs(),
@@ -397,6 +403,13 @@
     }
   }
 
+  /** A call that is sent in a planned stop has the time until its process ends, so that the target itself ends it. */
+  private _computeHandedMs (): number {
+    const leftMs = this._getRemainingMs()
+    const stop = this._context.getStop()
+    return stop === undefined ? leftMs : Math.min(leftMs, stop.computeHandedMs(this._context.clock.readMonotonicMs()))
+  }
+
   /** The rest of a body that is too large to hold goes straight on and can't be sent twice. */
   private _streamBody (): void {
     this._isStreaming = true
@@ -413,9 +426,13 @@
   }
 
   private _canRetryAnswer (status: number): boolean {
-    return status >= FIRST_SERVER_ERROR && this._head.route.isRepeatable && this._head.depth === 0 &&
-      this._runs + 1 < this._head.route.maxAttempts && this._canSendAgain() &&
-      this._pickTarget() !== undefined && this._spendBudget('answer')
+    const isRepeatable = status >= FIRST_SERVER_ERROR && this._head.route.isRepeatable && this._head.depth === 0 &&
+      this._runs + 1 < this._head.route.maxAttempts && this._canSendAgain()
+    if (!isRepeatable) return false
+    const next = this._pickTarget()
+    if (next === undefined || !this._spendBudget('answer')) return false
+    this._next = next
+    return true
   }
 
   /** Only the first layer of a chain repeats what may have run; every layer may repeat what was not run. */
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -5,6 +5,10 @@
 
 /** Bytes of a body or an answer that may be on their way before the receiver asks for more. */
 export const FLOW_WINDOW_BYTES = 262_144
+/** Time after the deadline in which the target may still say itself that the time is over, in milliseconds. */
+export const DEADLINE_GRACE_MS = 40
+/** The process beside the target watches the deadline as well; its more exact answer should win, in milliseconds. */
+export const LATE_MARGIN_MS = 120
 /** Depth at which a chain of calls is cut. */
 export const MAX_CALL_DEPTH = 16
 
--- a/packages/node/src/calls/PlannedStop.test.ts
+++ b/packages/node/src/calls/PlannedStop.test.ts
@@ -2,15 +2,27 @@
 import { PlannedStop } from './PlannedStop.js'
 
 const STARTED_MS = 10_000
+const FAR_MS = 60_000
 const stop = new PlannedStop(STARTED_MS, 6_000)
 
 test('call of unknown length has half of the timeout to end', () => {
-  expect(stop.computeLatestBeginMs(0)).toBe(STARTED_MS + 3_000)
+  expect(stop.computeLatestBeginMs(0, FAR_MS)).toBe(STARTED_MS + 3_000)
 })
 
 test('short call may begin later than a long one', () => {
-  expect(stop.computeLatestBeginMs(100)).toBe(STARTED_MS + 5_300)
-  expect(stop.computeLatestBeginMs(2_000)).toBe(STARTED_MS + 3_000)
+  expect(stop.computeLatestBeginMs(100, FAR_MS)).toBe(STARTED_MS + 5_400)
+  expect(stop.computeLatestBeginMs(1, FAR_MS)).toBeLessThan(STARTED_MS + 5_550)
+  expect(stop.computeLatestBeginMs(2_000, FAR_MS)).toBe(STARTED_MS + 3_000)
+})
+
+test('call whose deadline comes before the cut may begin at any time', () => {
+  expect(stop.computeLatestBeginMs(2_000, STARTED_MS + 5_640)).toBe(STARTED_MS + 5_800)
+  expect(stop.computeLatestBeginMs(2_000, STARTED_MS + 5_641)).toBe(STARTED_MS + 3_000)
+})
+
+test('call is handed no more time than its process has', () => {
+  expect(stop.computeHandedMs(STARTED_MS + 3_000)).toBe(2_640)
+  expect(stop.computeHandedMs(STARTED_MS + 5_800)).toBe(0)
 })
 
 test('cut leaves time before the process may be killed', () => {
@@ -20,6 +32,6 @@
 })
 
 test('caller is told to come back once the process may have ended', () => {
-  expect(stop.computeRetryAfterMs(STARTED_MS + 3_000)).toBe(2_800)
-  expect(stop.computeRetryAfterMs(STARTED_MS + 5_500)).toBe(1_000)
+  expect(stop.computeRetryAfterMs(STARTED_MS + 3_000)).toBe(3_800)
+  expect(stop.computeRetryAfterMs(STARTED_MS + 5_900)).toBe(1_000)
 })
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -4,8 +4,8 @@
 import type { IClock, IDisposable, ILog, Metrics } from '@lagoonswitch/common'
 import type { PeerFrame } from '@lagoonswitch/schema'
 import { FrameSocket, openLinkSocket, type IFrameListener, type LinkCredentials } from '@lagoonswitch/transport'
-import type {
-  FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest, ITargetLoad
+import {
+  LATE_MARGIN_MS, type FailureReason, type ICallEvents, type ICallHandle, type ICallOpener, type ICallRequest, type ITargetLoad
 } from '../calls/CallTypes.js'
 import { FlowWindow, WindowUpdates } from './FlowControl.js'
 
@@ -17,8 +17,6 @@
 /** Silence after which calls that may run again are taken back. */
 const REPEAT_MS = 900
 const SILENCE_MS = 3_000
-/** The process beside the target watches the deadline as well; its more exact answer should win. */
-const LATE_MARGIN_MS = 120
 const MAX_CALL_ID = 0xffff_fffe
 const NO_BYTES = Buffer.alloc(0)
 
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -6,7 +6,7 @@
 import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
 import type { ITargetLoad } from '../calls/CallTypes.js'
 import { computeSpareSlots } from '../targets/SlotGate.js'
-import { FAILURE_WEIGHT, TargetState, UNKNOWN_SERVICE_MS } from './TargetState.js'
+import { COLD_FACTOR, FAILURE_WEIGHT, TargetState, UNKNOWN_SERVICE_MS, mergeLongest } from './TargetState.js'
 
 export type { TargetState as ITargetState } from './TargetState.js'
 
@@ -76,6 +76,7 @@
 interface IRouteHistory {
   usualMs: number
   answerBytes: number
+  longestMs: number
 }
 
 /** Chooses the target that will most likely answer in time, near ones first. */
@@ -166,6 +167,28 @@
     return usualMs === 0 ? 0 : Math.ceil(state.computeServiceMs(usualMs, this._options.clock.readMonotonicMs()))
   }
 
+  /**
+   * Notes how long a run took until its end, also one that failed.
+   * @param state - the target
+   * @param route - key of the route
+   * @param durationMs - milliseconds
+   */
+  recordRun (state: TargetState, route: string, durationMs: number): void {
+    const history = this._getHistory(route)
+    history.longestMs = mergeLongest(history.longestMs, durationMs)
+    state.recordRun(route, durationMs)
+  }
+
+  /**
+   * @param state - the target
+   * @param route - key of the route
+   * @returns about the longest time of recent runs in milliseconds, on other targets where this one is new; 0 when unknown
+   */
+  computeLongestRunMs (state: TargetState, route: string): number {
+    const knownMs = state.getLongestRunMs(route)
+    return knownMs > 0 ? knownMs : COLD_FACTOR * (this._routes.get(route)?.longestMs ?? 0)
+  }
+
   /**
    * @param route - key of the route
    * @param leftMs - time left until an answer is worth less
@@ -292,7 +315,7 @@
   private _getHistory (route: string): IRouteHistory {
     let history = this._routes.get(route)
     if (history === undefined) {
-      history = { usualMs: 0, answerBytes: 0 }
+      history = { usualMs: 0, answerBytes: 0, longestMs: 0 }
       this._routes.set(route, history)
     }
     return history
--- a/packages/node/src/routing/TargetState.ts
+++ b/packages/node/src/routing/TargetState.ts
@@ -7,6 +7,10 @@
 const SPEED_WEIGHT = 0.1
 const SLOT_TIME_WEIGHT = 0.1
 const LATENCY_WEIGHT = 0.2
+/** Weight of a shorter time in the longest one, which so holds for some hundred calls. */
+const LONGEST_WEIGHT = 0.01
+/** How many times as long a target works while it is cold. */
+export const COLD_FACTOR = 2
 /** Weight of one outcome in the failure rate. */
 export const FAILURE_WEIGHT = 0.15
 /** Time in which a failure rate that no call renews is halved, so that a mended target is tried again. */
@@ -15,8 +19,6 @@
 const HIGHEST_SLOWNESS = 20
 /** Assumed time of a call while nothing is known, in milliseconds. */
 export const UNKNOWN_SERVICE_MS = 50
-/** How many times as long a target works while it is cold. */
-const COLD_FACTOR = 2
 /** Time for which a target that doesn't say how long it stays cold is taken as cold, in milliseconds. */
 export const DEFAULT_WARMUP_MS = 10_000
 /** How much longer a call takes on a target whose slots are all in use, as a part of its time. */
@@ -38,6 +40,7 @@
   private _hint: ITargetLoad | undefined
   private _hintMs = 0
   private readonly _warmAtMs: number
+  private readonly _longestMs = new Map<string, number>()
 
   /**
    * @param record - newest announcement
@@ -97,6 +100,23 @@
     this._slowness += (slowness - this._slowness) * SPEED_WEIGHT
   }
 
+  /**
+   * Notes how long a run took until its end, also one that failed.
+   * @param route - key of the route
+   * @param durationMs - milliseconds
+   */
+  recordRun (route: string, durationMs: number): void {
+    this._longestMs.set(route, mergeLongest(this._longestMs.get(route) ?? 0, durationMs))
+  }
+
+  /**
+   * @param route - key of the route
+   * @returns about the longest time of recent runs in milliseconds, 0 when unknown
+   */
+  getLongestRunMs (route: string): number {
+    return this._longestMs.get(route) ?? 0
+  }
+
   get slowness (): number {
     return this._slowness
   }
@@ -127,3 +147,13 @@
     return base * cold * (1 + CROWDING * load)
   }
 }
+
+/**
+ * Keeps about the longest of recent times.
+ * @param knownMs - of those before, 0 for none
+ * @param durationMs - the newest
+ * @returns the longest, which shorter times wear down slowly
+ */
+export function mergeLongest (knownMs: number, durationMs: number): number {
+  return durationMs >= knownMs ? durationMs : knownMs + (durationMs - knownMs) * LONGEST_WEIGHT
+}
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -5,7 +5,7 @@
 import type { Dispatcher } from 'undici'
 import type { IClock, IDisposable } from '@lagoonswitch/common'
 import {
-  FLOW_WINDOW_BYTES, type FailureReason, type ICallEvents, type ICallHandle, type ICallRequest
+  DEADLINE_GRACE_MS, FLOW_WINDOW_BYTES, type FailureReason, type ICallEvents, type ICallHandle, type ICallRequest
 } from '../calls/CallTypes.js'
 import { copyAnswerHeaders } from '../calls/Headers.js'
 import type { CallDialect } from '../calls/CallDialect.js'
@@ -14,8 +14,6 @@
 import type { TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
-/** Time after the deadline in which the target may still say itself that the time is over. */
-const DEADLINE_GRACE_MS = 40
 const MISDIRECTED = 421
 const BAD_REQUEST = 400
 const REDIRECT = 300
