A caller has left once the end of its connection is read

Cause: a call learnt that its caller had left from the close of the connection. The listener closes its own side after it has read the end, so the close is told after the turn in which the end was read, and two turns after the request: just behind the point at which the call is sent. So calls of a process that was behind, whose callers had left long before, were sent on and cancelled within a millisecond; a target in another process had begun to work by then (the finding: the run ended 1 ms after it reached the target). Now the end itself is listened to, so the two turns before a call is sent suffice; calls that wait for a link are given up as well. Tests: three in CallerLeaves.test.ts, on real sockets, failed before in three of three runs (40 of 40 calls crossed the link) and pass now. Each call listens on its connection, so the warning of ten listeners is switched off there; the test with pipelined calls fails without that.

--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -85,6 +85,7 @@
   private _isBeginTooLate = false
   private _isDone = false
   private _isCallerGone = false
+  private readonly _onCallerEnd = (): void => this._handleCallerClose()
 
   constructor (
     private readonly _context: ICallContext,
@@ -94,8 +95,10 @@
   ) {
     this._startedMs = _context.clock.readMonotonicMs()
     this._key = new KeyHolder(_context.claims, _context.settings.node.answerBytes)
-    _response.on('close', () => this._handleCallerClose())
-    _request.on('aborted', () => this._handleCallerClose())
+    _response.on('close', this._onCallerEnd)
+    // The close follows a turn after the end is read; by then the call could have been sent on.
+    _request.socket.on('end', this._onCallerEnd)
+    _request.on('aborted', this._onCallerEnd)
     _request.on('error', () => undefined)
     _response.on('error', () => undefined)
   }
@@ -504,6 +507,7 @@
 
   private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
+    this._request.socket.off('end', this._onCallerEnd)
     this._deadline?.dispose()
     this._withdrawal?.dispose()
     if (this._owner !== undefined) this._context.owners.leave(this._owner)
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -32,6 +32,8 @@
       insecureHTTPParser: false
     }, (request, response) => this._handle(request, response))
     this._server.maxConnections = callerConnections
+    // Each call listens for the end of its connection, and a caller may pipeline many.
+    this._server.on('connection', socket => socket.setMaxListeners(0))
     this._server.on('checkContinue', (request, response) => {
       response.writeContinue()
       this._handle(request, response)
--- /dev/null
+++ b/tests/CallerLeaves.test.ts
@@ -0,0 +1,115 @@
+import { connect, type Socket } from 'node:net'
+import { once } from 'node:events'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Worker } from 'node:worker_threads'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
+import { PeerLink } from '@lagoonswitch/node'
+import { EndpointState, type PeerFrame } from '@lagoonswitch/schema'
+import { FrameSocket, LinkListener, PlainCredentials } from '@lagoonswitch/transport'
+import { DESK, World, waitFor } from './support/World.js'
+
+const NO_BYTES = Buffer.alloc(0)
+const ANSWER: PeerFrame['frame'] = {
+  $case: 'head',
+  value: { status: 200, headers: [], body: NO_BYTES, end: true, inFlight: 0, slots: 4, queued: 0, served: 1, serviceMs: 1 }
+}
+
+let world: World
+let listener: LinkListener
+/** Ids of targets for which calls crossed the link, in order. */
+let opened: string[]
+let onOpen: (send: (frame: PeerFrame['frame']) => void) => void
+
+/** Another process as one node sees it, with two targets; what crosses the link counts. */
+async function startPeer (sequence: number): Promise<void> {
+  listener = new LinkListener(new PlainCredentials(), (socket: Socket) => {
+    const frames: FrameSocket = new FrameSocket(socket, {
+      onFrame: ({ callId, frame }) => {
+        if (frame?.$case === 'ping') frames.send({ callId, frame: { $case: 'ping', value: { reply: true } } })
+        if (frame?.$case !== 'open') return
+        opened.push(frame.value.targetId)
+        onOpen(reply => frames.send({ callId, frame: reply }))
+      },
+      onClose: () => {}
+    })
+  })
+  const port = await listener.listen('127.0.0.1', 0)
+  world.getNode('n1').role.endpoints.merge(['t1', 't2'].map(targetId => ({
+    targetId,
+    incarnation: 1,
+    sequence,
+    state: EndpointState.ENDPOINT_STATE_READY,
+    service: 'desk',
+    version: 'v1',
+    linkAddress: `127.0.0.1:${port}`,
+    region: 'r1',
+    availabilityZone: 'z1',
+    slots: 4,
+    node: 'peer',
+    warmupMs: 0,
+    targetBorn: 0,
+    targetSequence: 0,
+    withdrawn: false
+  })))
+}
+
+async function waitForEnds (count: number): Promise<void> {
+  const { metrics } = world.getNode('n1')
+  await waitFor('the end of the calls', async () => await metrics.readCount('calls_total', 'closed') === count)
+}
+
+async function connectCaller (): Promise<Socket> {
+  const socket = connect(world.getNode('n1').port, '127.0.0.1')
+  await once(socket, 'connect')
+  socket.write('GET /read HTTP/1.1\r\nhost: x\r\n\r\n')
+  return socket
+}
+
+beforeEach(async () => {
+  world = await World.start(['n1'])
+  await world.putEntry(DESK)
+  opened = []
+  onOpen = send => send(ANSWER)
+  await startPeer(1)
+  expect((await world.call('n1', 'GET', '/read')).status).toBe(200)
+  opened = []
+})
+
+afterEach(async () => {
+  vi.restoreAllMocks()
+  listener.close()
+  await world.stop()
+})
+
+test('call whose caller has left by the time it is read does not cross the link', async () => {
+  const socket = await connectCaller()
+  socket.destroy()
+  await waitForEnds(1)
+  await sleep(100)
+  expect(opened).toEqual([])
+})
+
+test('callers that come and leave while the process is busy cost the targets nothing', async () => {
+  const left = new Int32Array(new SharedArrayBuffer(4))
+  const worker = new Worker(new URL('./support/leavingCallers.mjs', import.meta.url), {
+    workerData: { port: world.getNode('n1').port, count: 40, left }
+  })
+  expect(Atomics.wait(left, 0, 0, 10_000)).toBe('ok')
+  await Promise.all([once(worker, 'exit'), waitForEnds(40)])
+  await sleep(100)
+  expect(opened).toEqual([])
+})
+
+test('call whose caller left while the link was being opened does not cross it', async () => {
+  listener.close()
+  await startPeer(2)
+  const open = PeerLink.prototype.open
+  vi.spyOn(PeerLink.prototype, 'open').mockImplementation(function (this: PeerLink, ...args) {
+    socket.destroy()
+    return open.apply(this, args)
+  })
+  const socket = await connectCaller()
+  await waitForEnds(1)
+  await sleep(100)
+  expect(opened).toEqual([])
+})
--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -319,6 +319,19 @@
   expect(await sendRaw(port, `GET /read HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`)).toMatch(/^HTTP\/1\.1 431 /)
 })
 
+test('pipelined calls are answered in order and without a warning', async () => {
+  const warnings: Error[] = []
+  const onWarning = (warning: Error): void => { warnings.push(warning) }
+  process.on('warning', onWarning)
+  await world.addTarget('n2', 't1', 'v1', (request, response) => { setTimeout(() => response.end(`<${request.url}>`), 20) })
+  const numbers = Array.from({ length: 12 }, (_, index) => index)
+  const received = await sendRaw(
+    world.getNode('n1').port, numbers.map(number => `GET /read?${number} HTTP/1.1\r\nhost: a\r\n\r\n`).join(''))
+  process.off('warning', onWarning)
+  expect([...received.matchAll(/<\/read\?(\d+)>/g)].map(match => Number(match[1]))).toEqual(numbers)
+  expect(warnings).toEqual([])
+})
+
 test('caller that goes away frees the slot', async () => {
   const target = await world.addTarget('n2', 't1', 'v1', (request, response) => {
     if (request.url !== '/read?hang') response.end('ok')
--- /dev/null
+++ b/tests/support/leavingCallers.mjs
@@ -0,0 +1,23 @@
+/**
+ * Thread of callers that come and leave while the thread of the test is blocked, which is woken once all have left.
+ */
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { workerData } from 'node:worker_threads'
+
+const STAY_MS = 100
+const { port, count, left } = workerData
+
+async function callAndLeave () {
+  const socket = connect(port, '127.0.0.1')
+  await once(socket, 'connect')
+  socket.write('GET /read HTTP/1.1\r\nhost: x\r\n\r\n')
+  await sleep(STAY_MS)
+  socket.destroy()
+  await once(socket, 'close')
+}
+
+await Promise.all(Array.from({ length: count }, callAndLeave))
+Atomics.store(left, 0, 1)
+Atomics.notify(left, 0)
