A repeat is sent only once what had arrived before has been read

Cause: the same fault in another place, found by looking for it: a call that a target refused, or that failed, was sent to the next target in the step that read the refusal. After a busy moment the end of the caller's connection waits behind it in the same turn, so a call whose caller had left was sent once more. Repeats wait for two turns now, as first sends do, and the time left is looked at again after them. Tests: one on real sockets (refusal and end read in one turn), one that blocks the process between the decision and the send; both failed before in three of three runs, and pass now in three of three.

--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -145,7 +145,7 @@
       this._attempt?.cancel()
       this._runs++
       this._noteRetry('answer')
-      this._send()
+      this._scheduleSend()
       return
     }
     this._hasHead = true
@@ -191,7 +191,7 @@
     if (this._canRetryFailure(failure)) {
       this._lastFailure = failure
       this._noteRetry(failure.reason)
-      this._send()
+      this._scheduleSend()
       return
     }
     this._refuse(failure.reason, 'not-run', failure.retryAfterMs)
@@ -275,9 +275,15 @@
       void this._claimKey()
       return
     }
-    // After a busy moment the end of the caller's connection is read one turn behind its request.
+    this._scheduleSend()
+  }
+
+  /** After a busy moment the end of the caller's connection is read one turn behind its request, or behind a failure. */
+  private _scheduleSend (): void {
     setImmediate(() => setImmediate(() => {
-      if (!this._isDone) this._send()
+      if (this._isDone) return
+      if (this._getRemainingMs() > 0) this._send()
+      else this._refuse('deadline', 'not-run', 0)
     }))
   }
 
--- a/tests/CallerLeaves.test.ts
+++ b/tests/CallerLeaves.test.ts
@@ -13,6 +13,9 @@
   $case: 'head',
   value: { status: 200, headers: [], body: NO_BYTES, end: true, inFlight: 0, slots: 4, queued: 0, served: 1, serviceMs: 1 }
 }
+const REFUSAL: PeerFrame['frame'] = {
+  $case: 'failure', value: { reason: 'draining', notRun: true, retryAfterMs: 0, inFlight: 0, slots: 4, queued: 0 }
+}
 
 let world: World
 let listener: LinkListener
@@ -100,6 +103,19 @@
   expect(opened).toEqual([])
 })
 
+test('call whose caller left while a target refused it is not sent to another one', async () => {
+  onOpen = send => {
+    if (opened.length > 1) return
+    send(REFUSAL)
+    // The refusal leaves first; both are there when the process reads next.
+    setImmediate(() => socket.destroy())
+  }
+  const socket = await connectCaller()
+  await waitFor('the call on the link', () => opened.length > 0)
+  await sleep(200)
+  expect(opened).toHaveLength(1)
+})
+
 test('call whose caller left while the link was being opened does not cross it', async () => {
   listener.close()
   await startPeer(2)
--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { Metrics, NullLog } from '@lagoonswitch/common'
 import { PeerLink, type ICallRequest } from '@lagoonswitch/node'
 import { CallClass } from '@lagoonswitch/schema'
@@ -22,6 +22,11 @@
   return JSON.parse(body) as { reason: string, run: string }
 }
 
+/** Lets nothing of this process run for a while. */
+function blockThread (forMs: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, forMs)
+}
+
 async function sendRaw (port: number, text: string): Promise<string> {
   const socket = connect(port, '127.0.0.1')
   socket.write(text)
@@ -173,6 +178,22 @@
   for (let index = 0; index < 20; index++) expect((await world.call('n1', 'GET', '/read')).body).toBe('live')
 })
 
+test('repeat whose time ended while the process was busy reaches no target', async () => {
+  const dead = await world.addTarget('n1', 't1', 'v1', answer('dead'))
+  const live = await world.addTarget('n1', 't2', 'v1', answer('live'))
+  await dead.close()
+  const { metrics } = world.getNode('n1')
+  const spy = vi.spyOn(metrics, 'count').mockImplementation(name => {
+    if (name === 'retries_total') blockThread(300)
+  })
+  while (!spy.mock.calls.some(([name]) => name === 'retries_total')) {
+    live.requests.length = 0
+    await world.call('n1', 'POST', '/once', { 'lagoon-deadline-ms': '200' })
+  }
+  await sleep(100)
+  expect(live.requests).toEqual([])
+})
+
 test('crashed node with its target: calls not sent are sent elsewhere', async () => {
   await world.startNode('n3')
   await world.addTarget('n3', 't1', 'v1', answer('gone'))
