Tests of callers that leave block their thread without shared memory

The project uses none; the thread of callers now tells by a message that all have left, and the blocked thread asks for it.

--- a/tests/CallerLeaves.test.ts
+++ b/tests/CallerLeaves.test.ts
@@ -1,13 +1,14 @@
 import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Worker } from 'node:worker_threads'
+import { MessageChannel, Worker, receiveMessageOnPort } from 'node:worker_threads'
 import { afterEach, beforeEach, expect, test, vi } from 'vitest'
 import { PeerLink } from '@lagoonswitch/node'
 import { EndpointState, type PeerFrame } from '@lagoonswitch/schema'
 import { FrameSocket, LinkListener, PlainCredentials } from '@lagoonswitch/transport'
 import { DESK, World, waitFor } from './support/World.js'
 
+const BLOCKED_MS = 10_000
 const NO_BYTES = Buffer.alloc(0)
 const ANSWER: PeerFrame['frame'] = {
   $case: 'head',
@@ -56,6 +57,14 @@
   })))
 }
 
+/** Lets nothing else of this process run until the check holds. */
+function blockThreadUntil (check: () => boolean): void {
+  const endMs = performance.now() + BLOCKED_MS
+  while (!check()) {
+    if (performance.now() > endMs) throw new Error('the callers have not left')
+  }
+}
+
 async function waitForEnds (count: number): Promise<void> {
   const { metrics } = world.getNode('n1')
   await waitFor('the end of the calls', async () => await metrics.readCount('calls_total', 'closed') === count)
@@ -93,11 +102,11 @@
 })
 
 test('callers that come and leave while the process is busy cost the targets nothing', async () => {
-  const left = new Int32Array(new SharedArrayBuffer(4))
+  const { port1: left, port2: told } = new MessageChannel()
   const worker = new Worker(new URL('./support/leavingCallers.mjs', import.meta.url), {
-    workerData: { port: world.getNode('n1').port, count: 40, left }
+    workerData: { port: world.getNode('n1').port, count: 40, told }, transferList: [told]
   })
-  expect(Atomics.wait(left, 0, 0, 10_000)).toBe('ok')
+  blockThreadUntil(() => receiveMessageOnPort(left) !== undefined)
   await Promise.all([once(worker, 'exit'), waitForEnds(40)])
   await sleep(100)
   expect(opened).toEqual([])
--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -24,7 +24,8 @@
 
 /** Lets nothing of this process run for a while. */
 function blockThread (forMs: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, forMs)
+  const endMs = performance.now() + forMs
+  while (performance.now() < endMs) { /* busy */ }
 }
 
 async function sendRaw (port: number, text: string): Promise<string> {
--- a/tests/support/leavingCallers.mjs
+++ b/tests/support/leavingCallers.mjs
@@ -1,5 +1,5 @@
 /**
- * Thread of callers that come and leave while the thread of the test is blocked, which is woken once all have left.
+ * Thread of callers that come and leave while the thread of the test is blocked, which is told once all have left.
  */
 import { once } from 'node:events'
 import { connect } from 'node:net'
@@ -7,7 +7,7 @@
 import { workerData } from 'node:worker_threads'
 
 const STAY_MS = 100
-const { port, count, left } = workerData
+const { port, count, told } = workerData
 
 async function callAndLeave () {
   const socket = connect(port, '127.0.0.1')
@@ -19,5 +19,5 @@
 }
 
 await Promise.all(Array.from({ length: count }, callAndLeave))
-Atomics.store(left, 0, 1)
-Atomics.notify(left, 0)
+told.postMessage('left')
+told.close()
