Bytes beside bodies that a target sends without end close its connection

Cause: the client library counts only names and values of headers (16 KiB), so a status line, blanks of a header, informational answers, empty lines, a chunk size, a chunk extension and blanks of a trailer had no end. Each held its slot and one processor until the deadline of the call; on an idle connection empty lines did so until its idle time, 4 s. The verdict was right (504, cut) but late, and a read was not sent elsewhere.

Now a connection may carry 64 KiB beside bodies from one call to the next, and eight bytes for each byte of a body. Beyond it is closed; the call fails as oversized (502, may have run; a read is sent elsewhere). Counted in target_overruns_total, told by target_overrun.

Ruled out: maxResponseSize (counts bodies), headersTimeout and bodyTimeout (refreshed or as long as the deadline). Covered by the library before: header names, header values, many headers, trailers, rubbish, and anything but empty lines on an idle connection.

--- a/packages/lagoonctl/src/explain/CallExplanation.ts
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -29,6 +29,7 @@
   'link-lost': 'the link to the process beside the target broke; the answer is lost',
   'link-silent': 'the process beside the target fell silent; the answer is lost',
   broken: 'the target broke off or spoilt its answer; the answer is lost',
+  oversized: 'the target sent a head or framing beyond the limit; the answer is lost',
   crossed: 'the target sent another answer than the one to this call; the answer is lost',
   'target-replaced': 'another target had taken over the address',
   deadline: 'no answer came before the time limit',
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -31,7 +31,7 @@
   connect: { status: 503, title: 'the target takes no connections', remedy: 'check the target' },
   broken: { status: 502, title: 'the target broke the connection', remedy: 'check whether the request took effect' },
   cancelled: { status: 499, title: 'the caller gave up', remedy: 'none needed' },
-  oversized: { status: 502, title: 'the answer is too large', remedy: 'lower its size' },
+  oversized: { status: 502, title: 'the target sent too many bytes beside a body', remedy: 'check whether the request took effect' },
   'bad-frame': { status: 502, title: 'a process of the system broke its protocol', remedy: 'update the processes' },
   'target-busy': { status: 503, title: 'the target took no more calls', remedy: 'retry after the stated time' },
   'target-replaced': { status: 503, title: 'another target has the address', remedy: 'retry' },
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -36,10 +36,11 @@
   /**
    * @param announcement - from the target
    * @param clock - source of time
+   * @param onIdleOverrun - called when a connection was closed for bytes that came while no call was on it
    */
-  constructor (readonly announcement: ITargetAnnouncement, clock: IClock) {
+  constructor (readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void) {
     this.gate = new SlotGate(clock, announcement.slots)
-    this.connections = new TargetConnections(`http://${announcement.address}`)
+    this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
   }
 
   /**
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -11,7 +11,7 @@
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { LocalTarget } from './LocalTarget.js'
 import type { ISlotTicket } from './SlotGate.js'
-import type { TargetConnection } from './TargetConnections.js'
+import type { IAnswerHandler, TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
 const MISDIRECTED = 421
@@ -19,7 +19,7 @@
 const REDIRECT = 300
 
 /** Carries one call; plain callbacks, since every call passes here. */
-export class TargetCall implements ICallHandle, Dispatcher.DispatchHandler {
+export class TargetCall implements ICallHandle, IAnswerHandler {
   private readonly _ticket: ISlotTicket
   private readonly _deadline: IDisposable
   private _connection: TargetConnection | undefined
@@ -62,6 +62,10 @@
     if (this._hasEnded) this._ticket.release()
   }
 
+  get hasEnded (): boolean {
+    return this._hasEnded
+  }
+
   sendBody (chunk: Buffer): boolean {
     if (this._hasEnded) return true
     if (this._body !== undefined) return this._body.push(chunk)
@@ -121,6 +125,7 @@
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this._hasEnded || this._isRefusing) return
+    this._connection?.countBody(chunk.length)
     this._unacknowledged += chunk.length
     this._events.onData(chunk)
     if (this._unacknowledged >= FLOW_WINDOW_BYTES) controller.pause()
@@ -142,9 +147,10 @@
     this._events.onEnd()
   }
 
-  onResponseError (): void {
+  onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
     if (this._hasEnded) return
-    this._fail(this._hasStarted ? 'broken' : 'connect')
+    if (this._connection?.isOversized(error) === true) this._fail('oversized')
+    else this._fail(this._hasStarted ? 'broken' : 'connect')
   }
 
   private _send (): void {
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -83,7 +83,7 @@
     held?.leaseTimer.dispose()
     held?.target.dispose()
     this._targets.set(announcement.id, {
-      target: new LocalTarget(announcement, this._options.clock),
+      target: new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle')),
       leaseTimer: this._startLease(announcement.id),
       sequence: announcement.sequence ?? 0
     })
@@ -141,6 +141,7 @@
     this._running++
     return new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
       this._running--
+      if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
       if (failure === 'connect' || failure === 'target-replaced') this._lose(target, failure)
     })
   }
@@ -225,6 +226,11 @@
     this._publish(target.announcement, EndpointState.ENDPOINT_STATE_GONE)
   }
 
+  private _reportOverrun (id: string, reason: 'answer' | 'idle', callId?: string): void {
+    this._options.metrics.count('target_overruns_total', reason)
+    this._options.log.warn('target_overrun', { call: callId, target: id, reason })
+  }
+
   private _startLease (id: string): IDisposable {
     return this._options.clock.schedule(this._options.leaseMs, () => {
       const held = this._targets.get(id)
--- /dev/null
+++ b/tests/Floods.test.ts
@@ -0,0 +1,283 @@
+/**
+ * Targets that send bytes without end which are no answer, or an answer that never ends.
+ */
+import { request, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { FLOW_WINDOW_BYTES } from '@lagoonswitch/node'
+import { PlatformDialect } from '@lagoonswitch/platform'
+import { Flood, onRequestHead } from './support/Flood.js'
+import { DESK, World, waitFor, type IReply } from './support/World.js'
+
+const DEADLINE_MS = 2_000
+/** A verdict that needs no deadline comes well before it, also on a busy machine. */
+const EARLY_MS = 1_200
+/** Most that a loopback connection holds in the buffers of both ends (tcp_wmem and tcp_rmem), and limits of the process. */
+const FLOOD_BYTES = 16_777_216
+/** The flow window at the target, on the link and before the caller, each once, and a margin for what the world itself keeps. */
+const MEMORY_BYTES = 3 * FLOW_WINDOW_BYTES + 4_194_304
+const CLOSE_MS = 500
+
+let world: World
+let floods: Flood[] = []
+let requests = 0
+let calls = 0
+
+beforeEach(async () => {
+  floods = []
+  requests = 0
+  world = await World.start(['n1', 'n2'], '', new PlatformDialect())
+  await world.putEntry(DESK)
+})
+
+afterEach(async () => { await world.stop() })
+
+function formatAnswer (id: string, body = 'ok'): string {
+  return `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nContent-Length: ${body.length}\r\n\r\n${body}`
+}
+
+type Act = (socket: Socket, id: string) => void
+
+/** A target with one slot that does as told at its first request and answers all others. */
+async function addTarget (id: string, act: Act): Promise<void> {
+  let isFirst = true
+  await world.addRawTarget('n2', id, 'v1', socket => onRequestHead(socket, callId => {
+    requests++
+    if (isFirst) act(socket, callId)
+    else socket.write(formatAnswer(callId))
+    isFirst = false
+  }), 1)
+}
+
+function flood (socket: Socket, start: string, pattern: string): void {
+  floods.push(new Flood(socket, start, pattern))
+}
+
+async function call (method: string, path: string, body = ''): Promise<IReply | 'cut'> {
+  try {
+    return await world.call('n1', method, path, {
+      'x-attempt-id': `f${calls++}`, 'x-request-deadline': String(DEADLINE_MS), 'content-length': String(body.length)
+    }, body)
+  } catch {
+    return 'cut'
+  }
+}
+
+async function measureMs (run: () => Promise<void>): Promise<number> {
+  const startMs = Date.now()
+  await run()
+  return Date.now() - startMs
+}
+
+/** The flood has ended within a moment, and few bytes were taken. */
+async function checkFloodEnds (maxBytes = FLOOD_BYTES): Promise<void> {
+  const startMs = Date.now()
+  await waitFor('the end of the flood', () => floods.length > 0 && floods.every(({ closedMs }) => closedMs !== undefined))
+  expect(Date.now() - startMs).toBeLessThan(CLOSE_MS)
+  for (const { bytes } of floods) expect(bytes).toBeLessThan(maxBytes)
+}
+
+/** The only slot is free again, and the process isn't kept busy. */
+async function checkServes (): Promise<void> {
+  expect(await call('POST', '/once')).toMatchObject({ status: 200, body: 'ok' })
+  const before = process.cpuUsage()
+  await sleep(300)
+  const { user, system } = process.cpuUsage(before)
+  expect((user + system) / 1_000).toBeLessThan(150)
+}
+
+const OK = 'HTTP/1.1 200 OK\r\nX-Attempt-Id: ID\r\n'
+const CHUNKED = `${OK}Transfer-Encoding: chunked\r\n\r\n`
+
+const HEADS = [
+  ['status line', 'HTTP/1.1 200 ', 'O'],
+  ['status line without a code', 'HTTP/1.1', ' '],
+  ['header name', OK, 'x'],
+  ['header value', `${OK}X-A: `, 'a'],
+  ['header of spaces', `${OK}X-A:`, ' '],
+  ['headers', OK, 'X-A: a\r\n'],
+  ['informational answers', '', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+  ['informational answers with headers', '', `HTTP/1.1 103 Early Hints\r\nLink: ${'a'.repeat(900)}\r\n\r\n`],
+  ['informational head', 'HTTP/1.1 103 Early Hints\r\nLink: ', 'a'],
+  ['empty lines', '', '\r\n'],
+  ['rubbish', '', 'rubbish ']
+] as const
+
+test.each(HEADS)('head that never ends is left early: %s', async (_name, start, pattern) => {
+  await addTarget('t1', (socket, id) => flood(socket, start.replace('ID', id), pattern))
+  let reply: IReply | 'cut' = 'cut'
+  const tookMs = await measureMs(async () => { reply = await call('POST', '/once') })
+  expect(reply).toMatchObject({ status: 502 })
+  expect(JSON.parse((reply as unknown as IReply).body).run).toBe('unknown')
+  expect(tookMs).toBeLessThan(EARLY_MS)
+  expect(requests).toBe(1)
+  await checkFloodEnds()
+  await checkServes()
+})
+
+test.each(HEADS)('head that never ends lets a read be sent elsewhere: %s', async (_name, start, pattern) => {
+  const act: Act = (socket, id) => {
+    if (floods.length === 0) flood(socket, start.replace('ID', id), pattern)
+    else socket.write(formatAnswer(id))
+  }
+  await addTarget('t1', act)
+  await addTarget('t2', act)
+  expect(await call('GET', '/read')).toMatchObject({ status: 200, body: 'ok' })
+  expect(requests).toBe(2)
+  await checkFloodEnds()
+})
+
+const FRAMINGS = [
+  ['chunk size of zeros', CHUNKED, '0'],
+  ['chunk extension', `${CHUNKED}6;x=`, 'a'],
+  ['extension of a later chunk', `${CHUNKED}6\r\na part\r\n6;x=`, 'a'],
+  ['extensions of small chunks', CHUNKED, `1;x=${'a'.repeat(16_000)}\r\nx\r\n`],
+  ['trailer', `${CHUNKED}6\r\na part\r\n0\r\n`, 'X-A: a\r\n'],
+  ['trailer line', `${CHUNKED}6\r\na part\r\n0\r\nX-A: `, 'a'],
+  ['trailer line of spaces', `${CHUNKED}6\r\na part\r\n0\r\nX-A:`, ' ']
+] as const
+
+test.each(FRAMINGS)('framing that never ends is cut early: %s', async (_name, start, pattern) => {
+  await addTarget('t1', (socket, id) => flood(socket, start.replace('ID', id), pattern))
+  const tookMs = await measureMs(async () => { expect(await call('POST', '/once')).toBe('cut') })
+  expect(tookMs).toBeLessThan(EARLY_MS)
+  expect(requests).toBe(1)
+  await checkFloodEnds()
+  await checkServes()
+})
+
+const EXTRAS = [
+  ['more body', 'x'],
+  ['empty lines', '\r\n'],
+  ['informational answers', 'HTTP/1.1 103 Early Hints\r\n\r\n'],
+  ['whole answers', 'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno']
+] as const
+
+test.each(EXTRAS)('bytes behind a whole answer end with its connection: %s', async (_name, pattern) => {
+  await addTarget('t1', (socket, id) => flood(socket, formatAnswer(id), pattern))
+  expect(await call('POST', '/once')).toMatchObject({ status: 200, body: 'ok' })
+  await checkFloodEnds()
+  await checkServes()
+})
+
+test.each(EXTRAS)('bytes on an idle connection end it: %s', async (_name, pattern) => {
+  await addTarget('t1', (socket, id) => {
+    socket.write(formatAnswer(id))
+    setTimeout(() => flood(socket, '', pattern), 100)
+  })
+  expect(await call('POST', '/once')).toMatchObject({ status: 200, body: 'ok' })
+  await waitFor('the flood', () => floods.length > 0)
+  await checkFloodEnds()
+  await checkServes()
+})
+
+test('bytes beyond the limit are counted by when they came', async () => {
+  const { metrics } = world.getNode('n2')
+  await addTarget('t1', (socket, id) => {
+    socket.write(formatAnswer(id))
+    setTimeout(() => flood(socket, '', '\r\n'), 100)
+  })
+  await call('POST', '/once')
+  await waitFor('the count', async () => await metrics.readCount('target_overruns_total', 'idle') === 1)
+  await addTarget('t2', socket => flood(socket, `${OK}X-A:`, ' '))
+  await waitFor('the count', async () => {
+    await call('POST', '/once')
+    return await metrics.readCount('target_overruns_total', 'answer') === 1
+  })
+})
+
+test.each(EXTRAS.slice(0, 3))('bytes before the whole request give no answer: %s', async (_name, pattern) => {
+  await addTarget('t1', socket => flood(socket, '', pattern))
+  const tookMs = await measureMs(async () => { expect(await call('POST', '/once', 'a'.repeat(4_000_000))).toMatchObject({ status: 502 }) })
+  expect(tookMs).toBeLessThan(EARLY_MS)
+  await checkFloodEnds()
+  await checkServes()
+})
+
+const BODIES = [
+  ['without a length', `${OK}Connection: close\r\n\r\n`, 'x'],
+  ['in chunks', CHUNKED, `4000\r\n${'x'.repeat(0x4000)}\r\n`]
+] as const
+
+/** Reads an answer; a slow reader takes one piece and then nothing more. */
+async function read (isSlow: boolean): Promise<{ isCut: boolean, tookMs: number }> {
+  const startMs = Date.now()
+  const { port } = world.getNode('n1')
+  const headers = { 'x-attempt-id': `f${calls++}`, 'x-request-deadline': String(DEADLINE_MS) }
+  const answer = await new Promise<IncomingMessage>((resolve, reject) => {
+    request({ host: '127.0.0.1', port, method: 'POST', path: '/once', headers, agent: false }, resolve).on('error', reject).end()
+  })
+  return await new Promise(resolve => {
+    const finish = (isCut: boolean): void => resolve({ isCut, tookMs: Date.now() - startMs })
+    answer.on('error', () => finish(true))
+    answer.on('end', () => finish(false))
+    answer.once('data', () => {
+      if (isSlow) answer.pause()
+      // A paused reader learns of the end once it reads on.
+      if (isSlow) setTimeout(() => answer.resume(), DEADLINE_MS + 500)
+    })
+    answer.on('data', () => {})
+  })
+}
+
+/** Memory that is in use, without garbage; what was freed is counted off a moment after the collection. */
+async function measureHeldBytes (): Promise<number> {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  let held = Infinity
+  for (let sample = 0; sample < 4; sample++) {
+    collect()
+    await sleep(100)
+    const { heapUsed, arrayBuffers } = process.memoryUsage()
+    held = Math.min(held, heapUsed + arrayBuffers)
+  }
+  return held
+}
+
+test.each(BODIES)('body that never ends is cut at the deadline for a quick reader: %s', async (_name, start, pattern) => {
+  await addTarget('t1', (socket, id) => flood(socket, start.replace('ID', id), pattern))
+  const reading = read(false)
+  await waitFor('the flood', () => floods.length > 0)
+  const { isCut, tookMs } = await reading
+  expect(isCut).toBe(true)
+  expect(tookMs).toBeLessThan(DEADLINE_MS + CLOSE_MS)
+  await checkFloodEnds(Infinity)
+  await checkServes()
+})
+
+test.each(BODIES)('body that never ends is held back for a slow reader: %s', async (_name, start, pattern) => {
+  await addTarget('t1', (socket, id) => flood(socket, start.replace('ID', id), pattern))
+  const before = await measureHeldBytes()
+  const reading = read(true)
+  await waitFor('the flood', () => floods.length > 0)
+  await sleep(DEADLINE_MS / 4)
+  const grown = await measureHeldBytes() - before
+  const { isCut } = await reading
+  expect(isCut).toBe(true)
+  expect(grown).toBeLessThan(MEMORY_BYTES)
+  await checkFloodEnds(Infinity)
+  await checkServes()
+})
+
+test('other calls are served while an answer never ends', async () => {
+  await addTarget('t1', (socket, id) => flood(socket, `${OK}Connection: close\r\n\r\n`.replace('ID', id), 'x'))
+  const reading = read(false)
+  await waitFor('the flood', () => floods.length > 0)
+  await addTarget('t2', (socket, id) => socket.write(formatAnswer(id)))
+  for (let index = 0; index < 5; index++) expect(await call('GET', '/read')).toMatchObject({ status: 200 })
+  expect((await reading).isCut).toBe(true)
+})
+
+test('caller that leaves ends the flood', async () => {
+  await addTarget('t1', (socket, id) => flood(socket, `${OK}Connection: close\r\n\r\n`.replace('ID', id), 'x'))
+  const { port } = world.getNode('n1')
+  const outgoing = request({ host: '127.0.0.1', port, method: 'POST', path: '/once', headers: { 'x-attempt-id': 'gone' }, agent: false })
+  outgoing.on('error', () => undefined).end()
+  await waitFor('the flood', () => floods.length > 0)
+  outgoing.destroy()
+  await checkFloodEnds(Infinity)
+  await checkServes()
+})
--- a/tests/support/World.ts
+++ b/tests/support/World.ts
@@ -4,7 +4,7 @@
 // @ts-expect-error the harness of the benchmarks is plain JavaScript
 import { findPorts as findFreePorts } from '../../bench/harness.mjs'
 import { createServer as createHttpServer, request, type IncomingHttpHeaders, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Metrics, NullLog, SeededRandom, SystemClock } from '@lagoonswitch/common'
 import { ControlRole, MemoryStorage } from '@lagoonswitch/control'
@@ -156,13 +156,6 @@
     })
     await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
     const { port } = server.address() as AddressInfo
-    const announce = (): void => {
-      this.nodes.get(node)?.role.targets.announce({
-        id, service: 'desk', version, address: `127.0.0.1:${port}`, slots, connections: 16, instance: ''
-      })
-    }
-    announce()
-    this._heartbeats.push(setInterval(announce, 500))
     const target: ITarget = {
       id,
       port,
@@ -172,12 +165,27 @@
         await new Promise(resolve => server.close(resolve))
       }
     }
-    this._targets.push(target)
-    await waitFor(`${id} at all nodes`, () => [...this.nodes.values()].every(other =>
-      other.role.endpoints.getRecord(id) !== undefined))
+    await this._announce(node, target, version, slots)
     return target
   }
 
+  /** Adds a target that speaks in bytes: nothing but what the test writes leaves its sockets. */
+  async addRawTarget (node: string, id: string, version: string, onSocket: (socket: Socket) => void, slots = 4): Promise<void> {
+    const sockets = new Set<Socket>()
+    const server = createServer(socket => {
+      sockets.add(socket)
+      socket.on('error', () => undefined)
+      onSocket(socket)
+    })
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    const { port } = server.address() as AddressInfo
+    const close = async (): Promise<void> => {
+      for (const socket of sockets) socket.destroy()
+      await new Promise(resolve => server.close(resolve))
+    }
+    await this._announce(node, { id, port, requests: [], close }, version, slots)
+  }
+
   async call (
     node: string, method: string, path: string, headers: Record<string, string> = {}, body = ''
   ): Promise<IReply> {
@@ -208,6 +216,20 @@
     await Promise.all(this._targets.map(async target => await target.close()))
   }
 
+  private async _announce (node: string, target: ITarget, version: string, slots: number): Promise<void> {
+    const { id, port } = target
+    const announce = (): void => {
+      this.nodes.get(node)?.role.targets.announce({
+        id, service: 'desk', version, address: `127.0.0.1:${port}`, slots, connections: 16, instance: ''
+      })
+    }
+    announce()
+    this._heartbeats.push(setInterval(announce, 500))
+    this._targets.push(target)
+    await waitFor(`${id} at all nodes`, () => [...this.nodes.values()].every(other =>
+      other.role.endpoints.getRecord(id) !== undefined))
+  }
+
   private _getStorage (group: string): MemoryStorage {
     let storage = this.storages.get(group)
     if (storage === undefined) {
