A refusal whose body is endless or stalls is still a refusal

Cause: the body of an answer that says that nothing was run is read and dropped until it ends.

Now the head decides: a refusal whose body goes beyond the limit is reported at once as not run, so the call may be sent elsewhere, and at the deadline a refusal whose body stalls is told as not run. Not done: a stalled body of a refusal is waited for until the deadline.

--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -134,7 +134,7 @@
   onResponseEnd (): void {
     if (this._hasEnded) return
     if (this._isRefusing) {
-      const reason = this._isMisdirected ? 'target-replaced' : 'target-busy'
+      const reason = this._getRefusal()
       this._finish(reason)
       this._events.onFailure({ reason, isNotRun: true, retryAfterMs: 0 }, this._target.gate.load)
       return
@@ -149,7 +149,9 @@
 
   onResponseError (_controller: Dispatcher.DispatchController, error: Error): void {
     if (this._hasEnded) return
-    if (this._connection?.isOversized(error) === true) this._fail('oversized')
+    // The head of a refusal says all; what is wrong with its body changes nothing.
+    if (this._isRefusing) this._fail(this._getRefusal())
+    else if (this._connection?.isOversized(error) === true) this._fail('oversized')
     else this._fail(this._hasStarted ? 'broken' : 'connect')
   }
 
@@ -184,6 +186,10 @@
     return body
   }
 
+  private _getRefusal (): FailureReason {
+    return this._isMisdirected ? 'target-replaced' : 'target-busy'
+  }
+
   private _refuse (reason: FailureReason, retryAfterMs: number): void {
     if (this._hasEnded) return
     this._finish(reason)
@@ -194,7 +200,7 @@
     if (this._hasEnded) return
     this._finish(reason, true)
     this._controller?.abort(new Error(reason))
-    this._events.onFailure({ reason, isNotRun: !this._hasStarted, retryAfterMs: 0 }, this._target.gate.load)
+    this._events.onFailure({ reason, isNotRun: this._isRefusing || !this._hasStarted, retryAfterMs: 0 }, this._target.gate.load)
   }
 
   private _finish (failure: FailureReason | undefined, isAborted = false): void {
--- a/tests/Floods.test.ts
+++ b/tests/Floods.test.ts
@@ -197,6 +197,27 @@
   await checkServes()
 })
 
+test('refusal whose body never ends is not run and is sent elsewhere', async () => {
+  const start = 'HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nConnection: close\r\n\r\n'
+  await addTarget('t1', (socket, id) => {
+    if (floods.length === 0) flood(socket, start, 'x')
+    else socket.write(formatAnswer(id))
+  })
+  await addTarget('t2', (socket, id) => {
+    if (floods.length === 0) flood(socket, start, 'x')
+    else socket.write(formatAnswer(id))
+  })
+  const tookMs = await measureMs(async () => { expect(await call('POST', '/once')).toMatchObject({ status: 200, body: 'ok' }) })
+  expect(tookMs).toBeLessThan(EARLY_MS)
+  await checkFloodEnds()
+})
+
+test('refusal whose body stalls is not run', async () => {
+  await addTarget('t1', socket => socket.write('HTTP/1.1 503 No\r\nX-Not-Executed: 1\r\nContent-Length: 9\r\n\r\nx'))
+  const reply = await call('POST', '/once') as IReply
+  expect(JSON.parse(reply.body).run).toBe('not-run')
+})
+
 const BODIES = [
   ['without a length', `${OK}Connection: close\r\n\r\n`, 'x'],
   ['in chunks', CHUNKED, `4000\r\n${'x'.repeat(0x4000)}\r\n`]
