A late refusal of another call does not say that this one was not run

Cause: an answer that says that nothing was run was believed before its identity was compared. A target that answers twice may send a refusal a second time at the next call, which runs; that call was then answered 503 as not run.

A refusal that names another call is now a crossed answer like any other (502, may have run). One without an identity is still believed, since the platform's targets refuse requests without one as well.

Test: failed before (503 in place of 502), passes after.

--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -109,7 +109,9 @@
     if (this._hasEnded || status < 200) return
     const signs = this._dialect.readAnswer(status, headers)
     const isOther = this._request.callId !== '' && signs.callId !== this._request.callId
-    if (signs.isNotRun && status !== BAD_REQUEST) {
+    // A refusal of another call, which came late, says nothing of this one.
+    const isOtherRefusal = isOther && signs.callId !== undefined
+    if (signs.isNotRun && status !== BAD_REQUEST && !isOtherRefusal) {
       this._isRefusing = true
       this._isMisdirected = status === MISDIRECTED
       return
--- a/tests/Answers.test.ts
+++ b/tests/Answers.test.ts
@@ -105,6 +105,21 @@
   expect(reply !== 'cut' && JSON.parse(reply.body).run).toBe('not-run')
 })
 
+test('late second refusal does not say that the next call was not run', async () => {
+  let last = ''
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    const id = String(request.headers['x-attempt-id'])
+    const refusal = `HTTP/1.1 503 No\r\nX-Attempt-Id: ${last}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`
+    if (last !== '') request.socket.write(refusal)
+    else response.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1' }).end()
+    last = id
+  })
+  expect(await call('/once', 'POST')).toMatchObject({ status: 503 })
+  const reply = await call('/once', 'POST')
+  expect(reply).toMatchObject({ status: 502 })
+  expect(reply !== 'cut' && JSON.parse(reply.body).run).toBe('unknown')
+})
+
 test('target at a reused address is left until it announces itself', async () => {
   await world.addTarget('n2', 't1', 'v1', (_request, response) => { response.writeHead(421).end() })
   await world.addTarget('n2', 't2', 'v1', answer('ok'))
