Small chunks of one read are passed on together

Cause: each chunk of an answer became an event, a frame on the link and a write to the caller. A target that sends chunks of one byte without end kept the process so busy that the answer was cut up to 8.2 s after the call began (deadline 2 s), and a window of 256 KiB for a slow reader held 33 MB after a collection. Windows count bytes, not chunks.

Chunks below 1 KiB are now gathered for the rest of the turn in which the socket was read; answers with a length and larger chunks go on as before, and a chunk alone in its read is not copied.

Ruled out: counting some bytes for each chunk in the window (acknowledgements count bytes, so both ends of a link would have to change).

--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -14,6 +14,8 @@
 import type { IAnswerHandler, TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
+/** Chunks below this many bytes are passed on together at the end of the read; each one passed on costs some hundred bytes and a frame. */
+const SMALL_CHUNK_BYTES = 1_024
 const MISDIRECTED = 421
 const BAD_REQUEST = 400
 const REDIRECT = 300
@@ -36,6 +38,9 @@
   private _hasStarted = false
   private _hasEnded = false
   private _unacknowledged = 0
+  private _isChunked = false
+  /** Small chunks of one read of the socket. */
+  private _smallChunks: Buffer[] = []
   private readonly _dueMs: number
 
   constructor (
@@ -120,7 +125,8 @@
       this._fail('crossed')
       return
     }
-    this._isFramed = headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+    this._isChunked = headers['transfer-encoding'] !== undefined
+    this._isFramed = this._isChunked || headers['content-length'] !== undefined
     const serviceMs = this._clock.readMonotonicMs() - this._grantedMs
     this._events.onHead(status, copyAnswerHeaders(headers), { ...this._target.gate.load, serviceMs: Math.ceil(serviceMs) })
   }
@@ -129,7 +135,12 @@
     if (this._hasEnded || this._isRefusing) return
     this._connection?.countBody(chunk.length)
     this._unacknowledged += chunk.length
-    this._events.onData(chunk)
+    if (this._isChunked && chunk.length < SMALL_CHUNK_BYTES) {
+      this._holdSmallChunk(chunk)
+    } else {
+      this._flushSmallChunks()
+      this._events.onData(chunk)
+    }
     if (this._unacknowledged >= FLOW_WINDOW_BYTES) controller.pause()
   }
 
@@ -145,6 +156,7 @@
       this._fail('broken')
       return
     }
+    this._flushSmallChunks()
     this._finish(undefined)
     this._events.onEnd()
   }
@@ -157,6 +169,18 @@
     else this._fail(this._hasStarted ? 'broken' : 'connect')
   }
 
+  private _holdSmallChunk (chunk: Buffer): void {
+    if (this._smallChunks.length === 0) process.nextTick(() => this._flushSmallChunks())
+    this._smallChunks.push(chunk)
+  }
+
+  private _flushSmallChunks (): void {
+    if (this._smallChunks.length === 0) return
+    const chunks = this._smallChunks
+    this._smallChunks = []
+    if (!this._hasEnded) this._events.onData(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))
+  }
+
   private _send (): void {
     if (this._hasEnded) return
     const { method, path, headers, body, targetId } = this._request
--- a/tests/Floods.test.ts
+++ b/tests/Floods.test.ts
@@ -220,7 +220,8 @@
 
 const BODIES = [
   ['without a length', `${OK}Connection: close\r\n\r\n`, 'x'],
-  ['in chunks', CHUNKED, `4000\r\n${'x'.repeat(0x4000)}\r\n`]
+  ['in chunks', CHUNKED, `4000\r\n${'x'.repeat(0x4000)}\r\n`],
+  ['in chunks of a byte', CHUNKED, '1\r\nx\r\n']
 ] as const
 
 /** Reads an answer; a slow reader takes one piece and then nothing more. */
@@ -252,6 +253,7 @@
   for (let sample = 0; sample < 4; sample++) {
     collect()
     await sleep(100)
+    collect()
     const { heapUsed, arrayBuffers } = process.memoryUsage()
     held = Math.min(held, heapUsed + arrayBuffers)
   }
