--- /dev/null
+++ b/tests/CallerFloods.test.ts
@@ -0,0 +1,93 @@
+/**
+ * Callers and other processes that send bytes without end.
+ */
+import { connect, type Socket } from 'node:net'
+import { once } from 'node:events'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { LinkListener, PlainCredentials } from '@lagoonswitch/transport'
+import { PeerServer } from '@lagoonswitch/node'
+import { PlatformDialect } from '@lagoonswitch/platform'
+import { Flood } from './support/Flood.js'
+import { DESK, World, waitFor } from './support/World.js'
+
+const DEADLINE_MS = 500
+/** Time for the end of a flood after its verdict. */
+const CLOSE_MS = 1_000
+/** Most that a loopback connection holds in the buffers of both ends (tcp_wmem and tcp_rmem), and limits of the process. */
+const FLOOD_BYTES = 16_777_216
+
+let world: World
+let close: (() => void) | undefined
+const sockets: Socket[] = []
+
+beforeEach(async () => {
+  world = await World.start(['n1'], '', new PlatformDialect())
+  await world.putEntry(DESK)
+})
+
+afterEach(async () => {
+  for (const socket of sockets.splice(0)) socket.destroy()
+  close?.()
+  close = undefined
+  await world.stop()
+})
+
+async function open (port: number): Promise<Socket> {
+  const socket = connect(port, '127.0.0.1')
+  socket.on('error', () => undefined)
+  sockets.push(socket)
+  await once(socket, 'connect')
+  return socket
+}
+
+async function listenForLinks (): Promise<number> {
+  const server = new PeerServer({ open: () => { throw new Error('no call was sent') } })
+  const listener = new LinkListener(new PlainCredentials(), socket => server.serve(socket))
+  close = () => listener.close()
+  return await listener.listen('127.0.0.1', 0)
+}
+
+/** @returns time from the first byte to the end of the connection */
+async function runFlood (port: number, start: string, pattern: string): Promise<{ tookMs: number, bytes: number, text: string }> {
+  const socket = await open(port)
+  let text = ''
+  socket.on('data', chunk => { text += chunk.toString('latin1') })
+  const startMs = Date.now()
+  const flood = new Flood(socket, start, pattern)
+  await waitFor('the end of the flood', () => flood.closedMs !== undefined)
+  return { tookMs: (flood.closedMs ?? Infinity) - startMs, bytes: flood.bytes, text }
+}
+
+const HEAD = `POST /once HTTP/1.1\r\nHost: a\r\nX-Attempt-Id: c1\r\nX-Request-Deadline: ${DEADLINE_MS}\r\n`
+const CHUNKED = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`
+
+test.each([
+  ['request line', 'GET /', 'a'],
+  ['header name', HEAD, 'x'],
+  ['header value', `${HEAD}X-A: `, 'a'],
+  ['headers', HEAD, 'X-A: a\r\n'],
+  ['rubbish', '', 'rubbish ']
+] as const)('caller whose head never ends is left: %s', async (_name, start, pattern) => {
+  const { tookMs, bytes } = await runFlood(world.getNode('n1').port, start, pattern)
+  expect(tookMs).toBeLessThan(CLOSE_MS)
+  expect(bytes).toBeLessThan(FLOOD_BYTES)
+})
+
+test.each([
+  ['chunk size of zeros', CHUNKED, '0'],
+  ['chunk extension', `${CHUNKED}6;x=`, 'a'],
+  ['trailer', `${CHUNKED}6\r\na part\r\n0\r\n`, 'X-A: a\r\n'],
+  ['trailer line of spaces', `${CHUNKED}6\r\na part\r\n0\r\nX-A:`, ' ']
+] as const)('caller whose framing never ends is left by its deadline: %s', async (_name, start, pattern) => {
+  const { tookMs } = await runFlood(world.getNode('n1').port, start, pattern)
+  expect(tookMs).toBeLessThan(DEADLINE_MS + CLOSE_MS)
+})
+
+test.each([
+  ['length too large', '\x80\x80\x80\x01'],
+  ['length that never ends', '\x80']
+])('link with a frame beyond the limit is cut: %s', async (_name, start) => {
+  const { tookMs, bytes } = await runFlood(await listenForLinks(), start, '\x80')
+  expect(tookMs).toBeLessThan(CLOSE_MS)
+  expect(bytes).toBeLessThan(FLOOD_BYTES)
+})
