Late heads of callers are looked for each second

Cause: Node.js looks for heads that are late each 30 s unless told otherwise, so the header timeout (10 s, or some seconds where the catalogue states it) did not hold. A caller whose head never ends without growing by what the size limit counts (blanks of a header, empty lines) kept the process busy for up to 40 s.

The processor is kept busy until then; such bytes aren't counted while the head lasts, as they are with targets. Empty lines on a kept connection stay a gap, as the fault matrix says.

--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -7,6 +7,8 @@
 import type { ICallContext } from './CallContext.js'
 
 const HEADERS_TIMEOUT_MS = 10_000
+/** Time between checks for heads that are late; with the 30 s of Node.js a header timeout of some seconds would not hold. */
+const HEADERS_CHECK_MS = 1_000
 const KEEPALIVE_TIMEOUT_MS = 60_000
 /** Room for the request line and separators beside the headers. */
 const HEAD_MARGIN_BYTES = 4_096
@@ -27,6 +29,7 @@
     this._server = createServer({
       maxHeaderSize: headerBytes,
       headersTimeout: HEADERS_TIMEOUT_MS,
+      connectionsCheckingInterval: HEADERS_CHECK_MS,
       requestTimeout: 0,
       keepAliveTimeout: KEEPALIVE_TIMEOUT_MS,
       insecureHTTPParser: false
--- a/tests/CallerFloods.test.ts
+++ b/tests/CallerFloods.test.ts
@@ -11,6 +11,9 @@
 import { DESK, World, waitFor } from './support/World.js'
 
 const DEADLINE_MS = 500
+/** Time for a whole head where the catalogue states none, and time between the checks. */
+const HEADER_TIMEOUT_MS = 10_000
+const HEADER_CHECK_MS = 1_000
 /** Time for the end of a flood after its verdict. */
 const CLOSE_MS = 1_000
 /** Most that a loopback connection holds in the buffers of both ends (tcp_wmem and tcp_rmem), and limits of the process. */
@@ -73,6 +76,15 @@
   expect(bytes).toBeLessThan(FLOOD_BYTES)
 })
 
+test.each([
+  ['header of spaces', `${HEAD}X-A:`, ' '],
+  ['empty lines', '', '\r\n']
+] as const)('caller whose head never ends without growing is left at the header timeout: %s', async (_name, start, pattern) => {
+  const { tookMs, text } = await runFlood(world.getNode('n1').port, start, pattern)
+  expect(tookMs).toBeLessThan(HEADER_TIMEOUT_MS + HEADER_CHECK_MS + CLOSE_MS)
+  expect(text).toMatch(/^HTTP\/1.1 408 /)
+})
+
 test.each([
   ['chunk size of zeros', CHUNKED, '0'],
   ['chunk extension', `${CHUNKED}6;x=`, 'a'],
