A choice among targets looks once for near ones, and not through copies of lists

Each far target of a choice looked again for a near target of its version, and each look copied the list of the service; the lists by version are now made when the targets change. Same draws and results; the tests of the pool pass unchanged.

--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -38,6 +38,7 @@
 const NOISE = 0.015
 const HOP_MS = 1
 const BYTES_PER_KB = 1_024
+const NO_STATES: readonly TargetState[] = []
 
 /** What the choice needs to know of a call. */
 export interface IPickTerms {
@@ -73,6 +74,12 @@
   readonly isReachable?: (linkAddress: string) => boolean
 }
 
+/** The targets of a service, all and by version. */
+interface IServiceTargets {
+  readonly all: TargetState[]
+  readonly versions: Map<string, TargetState[]>
+}
+
 interface IRouteHistory {
   usualMs: number
   answerBytes: number
@@ -82,7 +89,7 @@
 /** Chooses the target that will most likely answer in time, near ones first. */
 export class TargetPool {
   private readonly _states = new Map<string, TargetState>()
-  private readonly _services = new Map<string, TargetState[]>()
+  private readonly _services = new Map<string, IServiceTargets>()
   private readonly _routes = new Map<string, IRouteHistory>()
 
   constructor (private readonly _options: ITargetPoolOptions) {
@@ -104,7 +111,7 @@
     const all = this._listStates(service, choice)
     if (all.length === 0) return undefined
     const nowMs = this._options.clock.readMonotonicMs()
-    const open = all.filter(state => !tried.has(state.record.targetId))
+    const open = tried.size === 0 ? all : all.filter(state => !tried.has(state.record.targetId))
     const usable = this._filterEjected(open, all.length, nowMs)
     return this._pickBest(usable, terms, nowMs)
   }
@@ -216,12 +223,8 @@
    * @returns true when calls must not wait there
    */
   isSpare ({ record }: TargetState, callClass: CallClass): boolean {
-    const isNear = record.availabilityZone === this._options.availabilityZone
-    if (isNear || callClass === CallClass.CALL_CLASS_FIRST) return false
-    const nowMs = this._options.clock.readMonotonicMs()
-    return this._listStates(record.service, record.version).some(other =>
-      other.record.availabilityZone === this._options.availabilityZone && other.ejectedUntilMs <= nowMs &&
-      this._options.isReachable?.(other.record.linkAddress) !== false)
+    if (this._isNear(record) || callClass === CallClass.CALL_CLASS_FIRST) return false
+    return this._hasNear(record, this._options.clock.readMonotonicMs())
   }
 
   /**
@@ -237,11 +240,24 @@
     state.recordLoad(load, this._options.clock.readMonotonicMs())
   }
 
-  private _listStates (service: string, choice: string | IVersionChoice): TargetState[] {
-    const all = this._services.get(service) ?? []
-    const { version, excluded } = typeof choice === 'string' ? { version: choice, excluded: '' } : choice
-    if (version !== '') return all.filter(state => state.record.version === version)
-    return excluded === '' ? all : all.filter(state => state.record.version !== excluded)
+  private _listStates (service: string, choice: string | IVersionChoice): readonly TargetState[] {
+    const targets = this._services.get(service)
+    if (targets === undefined) return NO_STATES
+    const version = typeof choice === 'string' ? choice : choice.version
+    if (version !== '') return targets.versions.get(version) ?? NO_STATES
+    const excluded = typeof choice === 'string' ? '' : choice.excluded
+    return excluded === '' ? targets.all : targets.all.filter(state => state.record.version !== excluded)
+  }
+
+  private _isNear (record: EndpointRecord): boolean {
+    return record.availabilityZone === this._options.availabilityZone
+  }
+
+  /** Tells whether a target of the same version is near and can be called. */
+  private _hasNear ({ service, version }: EndpointRecord, nowMs: number): boolean {
+    const { isReachable } = this._options
+    return this._listStates(service, version).some(({ record, ejectedUntilMs }) =>
+      this._isNear(record) && ejectedUntilMs <= nowMs && isReachable?.(record.linkAddress) !== false)
   }
 
   private _eject (state: TargetState, reason: string): void {
@@ -254,8 +270,22 @@
     this._options.metrics.count('targets_ejected_total', reason)
   }
 
+  /** The same as {@link isSpare} for one choice: whether a near target can be called is looked up once a version. */
+  private _createSpareCheck (callClass: CallClass, nowMs: number): (record: EndpointRecord) => boolean {
+    let version: string | undefined
+    let hasNear = false
+    return record => {
+      if (callClass === CallClass.CALL_CLASS_FIRST || this._isNear(record)) return false
+      if (record.version !== version) {
+        version = record.version
+        hasNear = this._hasNear(record, nowMs)
+      }
+      return hasNear
+    }
+  }
+
   /** A fault that all targets share must not empty the pool, so only a part may be left out. */
-  private _filterEjected (open: TargetState[], total: number, nowMs: number): TargetState[] {
+  private _filterEjected (open: readonly TargetState[], total: number, nowMs: number): readonly TargetState[] {
     const { isReachable } = this._options
     const reachable = isReachable === undefined ? open : open.filter(state => isReachable(state.record.linkAddress))
     const candidates = reachable.length > 0 ? reachable : open
@@ -269,9 +299,11 @@
   private _pickBest (states: readonly TargetState[], terms: IPickTerms | undefined, nowMs: number): TargetState | undefined {
     let best: TargetState | undefined
     let bestValue = -Infinity
+    const callClass = terms?.callClass ?? CallClass.CALL_CLASS_NORMAL
+    const isSpareFar = this._createSpareCheck(callClass, nowMs)
     for (const state of states) {
       const expected = this._computeValue(state, terms, nowMs)
-      if (!this._isWorthAsking(state, terms, expected, nowMs)) continue
+      if (isSpareFar(state.record) && !this._isWorthAsking(state, terms, callClass, expected, nowMs)) continue
       const value = expected + this._options.random.draw() * NOISE
       if (value <= bestValue) continue
       best = state
@@ -297,9 +329,9 @@
   }
 
   /** A dear way is taken when the answer is worth more than it, and there is a chance of a free slot: a question costs bytes too. */
-  private _isWorthAsking (state: TargetState, terms: IPickTerms | undefined, expectedValue: number, nowMs: number): boolean {
-    const callClass = getClass(terms)
-    if (!this.isSpare(state, callClass)) return true
+  private _isWorthAsking (
+    state: TargetState, terms: IPickTerms | undefined, callClass: CallClass, expectedValue: number, nowMs: number
+  ): boolean {
     return expectedValue > 0 && terms?.isNearOnly !== true && state.computeBusy(nowMs) < computeSpareSlots(state.record.slots, callClass)
   }
 
@@ -334,13 +366,13 @@
     }
     this._services.clear()
     for (const state of this._states.values()) {
-      const group = this._services.get(state.record.service)
-      if (group === undefined) this._services.set(state.record.service, [state])
-      else group.push(state)
+      const { service, version } = state.record
+      const targets = this._services.get(service) ?? { all: [], versions: new Map<string, TargetState[]>() }
+      this._services.set(service, targets)
+      targets.all.push(state)
+      const ofVersion = targets.versions.get(version)
+      if (ofVersion === undefined) targets.versions.set(version, [state])
+      else ofVersion.push(state)
     }
   }
 }
-
-function getClass (terms: IPickTerms | undefined): CallClass {
-  return terms?.callClass ?? CallClass.CALL_CLASS_NORMAL
-}
