Frames of a link are written by one writer, and their length is read in place

Each frame made a writer whose buffer grew from nothing by doubling (ensureCapacity was the costliest function of the code after reads and writes under a crowd), and each length was read by a reader and a search of its own. A writer that met a frame it can't encode is replaced, so that no part of that frame is sent.

--- /dev/null
+++ b/packages/transport/src/FrameSocket.test.ts
@@ -0,0 +1,75 @@
+import { EventEmitter } from 'node:events'
+import type { Socket } from 'node:net'
+import { beforeEach, expect, test } from 'vitest'
+import type { PeerFrame } from '@lagoonswitch/schema'
+import { FrameSocket } from './FrameSocket.js'
+
+class FakeSocket extends EventEmitter {
+  readonly written: Uint8Array[] = []
+  setNoDelay (): void {}
+  destroy (): void {}
+  write (bytes: Uint8Array): void {
+    this.written.push(bytes)
+  }
+}
+
+let sending: FakeSocket
+let receiving: FakeSocket
+let sender: FrameSocket
+let sizes: number[]
+let causes: string[]
+
+function createData (bytes: number, callId = 7): PeerFrame {
+  return { callId, frame: { $case: 'data', value: { chunk: Buffer.alloc(bytes, 'x'), end: false } } }
+}
+
+async function listWritten (): Promise<Buffer> {
+  await new Promise<void>(resolve => process.nextTick(resolve))
+  return Buffer.concat(sending.written.splice(0))
+}
+
+beforeEach(() => {
+  sending = new FakeSocket()
+  receiving = new FakeSocket()
+  sizes = []
+  causes = []
+  const listener = { onFrame: () => undefined, onClose: () => undefined }
+  sender = new FrameSocket(sending as unknown as Socket, listener)
+  void new FrameSocket(receiving as unknown as Socket, {
+    onFrame: ({ frame }) => { if (frame?.$case === 'data') sizes.push(frame.value.chunk.length) },
+    onClose: cause => causes.push(cause)
+  })
+})
+
+test('frames of one turn leave in one write, and arrive however they are cut', async () => {
+  const given = [0, 1, 100, 127, 128, 300, 20_000, 5, 70_000]
+  for (const size of given) sender.send(createData(size))
+  await new Promise<void>(resolve => process.nextTick(resolve))
+  expect(sending.written).toHaveLength(1)
+  const bytes = await listWritten()
+  for (const step of [1, 3, 1_000, bytes.length]) {
+    sizes = []
+    for (let start = 0; start < bytes.length; start += step) receiving.emit('data', bytes.subarray(start, start + step))
+    expect(sizes).toEqual(given)
+  }
+  expect(causes).toEqual([])
+}, 20_000)
+
+test('frame that can not be encoded leaves no part of it before the next', async () => {
+  sender.send(createData(10))
+  expect(() => sender.send(createData(10, 1.5))).toThrow()
+  sender.send(createData(20))
+  receiving.emit('data', await listWritten())
+  expect(sizes).toEqual([10, 20])
+  expect(causes).toEqual([])
+})
+
+test('frame that states more bytes than a frame may have ends the connection', () => {
+  for (const length of [[0x81, 0x80, 0x40], [0xff, 0xff, 0xff, 0xff, 0x7f]]) {
+    causes = []
+    const socket = new FakeSocket()
+    void new FrameSocket(socket as unknown as Socket, { onFrame: () => undefined, onClose: cause => causes.push(cause) })
+    socket.emit('data', Buffer.from(length))
+    expect(causes).toEqual(['a frame is too large'])
+  }
+})
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -2,8 +2,8 @@
  * A socket that carries generated messages, each behind its length as protobuf libraries write it.
  */
 import type { Socket } from 'node:net'
-import { BinaryReader, BinaryWriter } from '@bufbuild/protobuf/wire'
-import { toBuffer, type IDisposable } from '@lagoonswitch/common'
+import { BinaryWriter } from '@bufbuild/protobuf/wire'
+import type { IDisposable } from '@lagoonswitch/common'
 import { PeerFrame } from '@lagoonswitch/schema'
 
 /** Largest frame, in bytes. */
@@ -42,9 +42,7 @@
    */
   send (frame: PeerFrame): void {
     if (this._isClosed) return
-    const writer = new BinaryWriter()
-    PeerFrame.encode(frame, writer.fork())
-    this._out.push(writer.join().finish())
+    this._out.push(encodeFrame(frame))
     if (this._isFlushing) return
     this._isFlushing = true
     process.nextTick(() => this._flush())
@@ -111,12 +109,27 @@
   }
 }
 
+/** Kept from frame to frame, since a new one grows its buffer step by step; replaced when a frame can't be encoded. */
+let writer = new BinaryWriter()
+
+function encodeFrame (frame: PeerFrame): Uint8Array {
+  try {
+    PeerFrame.encode(frame, writer.fork())
+    return writer.join().finish()
+  } catch (error) {
+    writer = new BinaryWriter()
+    throw error
+  }
+}
+
 /** Finds the length of the next frame; undefined while its length isn't whole. */
 function readFrame (data: Buffer): { start: number, length: number } | undefined {
-  const lengthBytes = data.subarray(0, MAX_LENGTH_BYTES)
-  const last = lengthBytes.findIndex(byte => byte < 0x80)
-  if (last < 0) {
-    return data.length < MAX_LENGTH_BYTES ? undefined : { start: MAX_LENGTH_BYTES, length: Infinity }
+  let length = 0
+  for (let index = 0; index < MAX_LENGTH_BYTES; index++) {
+    const byte = data[index]
+    if (byte === undefined) return undefined
+    length |= (byte & 0x7f) << (7 * index)
+    if (byte < 0x80) return { start: index + 1, length }
   }
-  return { start: last + 1, length: new BinaryReader(toBuffer(lengthBytes)).uint32() }
+  return { start: MAX_LENGTH_BYTES, length: Infinity }
 }
