Loops with equal periods share one timer, so that they wake up the process together

Each link, feed and collector slept on a timer of its own, so an idle node with ten links woke up about 65 times a second for them, mostly to find nothing due. waitTick of the clock wakes up all that wait for a period at once; whoever comes late waits for less than a period. Loops that ended early with their signal now end at the next tick. Raft's timers stay as they are.

--- a/packages/common/src/Clock.ts
+++ b/packages/common/src/Clock.ts
@@ -22,10 +22,18 @@
    * @param signal - ends the wait early without an error
    */
   sleep (delayMs: number, signal?: AbortSignal): Promise<void>
+  /**
+   * Waits for the next tick of a period, at most one period. All that wait for it are woken up by one timer.
+   * @param periodMs - time between two ticks in milliseconds
+   */
+  waitTick (periodMs: number): Promise<void>
 }
 
-/** Base of clocks: builds {@link sleep} from {@link schedule}. */
+/** Base of clocks: builds {@link sleep} and {@link waitTick} from {@link schedule}. */
 export abstract class Clock implements IClock {
+  /** The next tick of each period that is waited for. */
+  private readonly _ticks = new Map<number, Promise<void>>()
+
   abstract readMonotonicMs (): number
   abstract readWallTime (): Date
   abstract schedule (delayMs: number, callback: () => void): IDisposable
@@ -42,6 +50,15 @@
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
+
+  async waitTick (periodMs: number): Promise<void> {
+    let tick = this._ticks.get(periodMs)
+    if (tick === undefined) {
+      tick = this.sleep(periodMs).then(() => { this._ticks.delete(periodMs) })
+      this._ticks.set(periodMs, tick)
+    }
+    await tick
+  }
 }
 
 /** The clock of the machine. */
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -145,7 +145,7 @@
 
   private async _run (): Promise<void> {
     while (!this._stopping.signal.aborted) {
-      await this._options.clock.sleep(WINDOW_MS, this._stopping.signal)
+      await this._options.clock.waitTick(WINDOW_MS)
       if (!this._stopping.signal.aborted) await this.decide()
     }
   }
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -292,7 +292,7 @@
     const ended = new AbortController()
     void (async () => {
       while (!ended.signal.aborted) {
-        await clock.sleep(WATCH_MS, ended.signal)
+        await clock.waitTick(WATCH_MS)
         if (ended.signal.aborted) return
         const nowMs = clock.readMonotonicMs()
         const isStalled = nowMs - getHeardMs() >= (this._stream === stream ? STALL_MS : WELCOME_MS)
@@ -394,7 +394,7 @@
 
   private async _runReports (): Promise<void> {
     while (!this._stopping.signal.aborted) {
-      await this._options.clock.sleep(EVIDENCE_MS, this._stopping.signal)
+      await this._options.clock.waitTick(EVIDENCE_MS)
       if (this._stream === undefined) continue
       if (this._options.clock.readMonotonicMs() - this._lastSentBeatMs >= BEAT_MS) this._sendBeat()
       const records = this._options.takeEvidence()
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -312,7 +312,7 @@
 
   private async _runBeats (): Promise<void> {
     while (!this._stopping.signal.aborted) {
-      await this._options.clock.sleep(BEAT_MS, this._stopping.signal)
+      await this._options.clock.waitTick(BEAT_MS)
       this._admittedInWindow = 0
       const value = { version: { ...this._options.store.version }, current: this._options.isCurrent() }
       for (const subscriber of this._subscribers) this._send(subscriber, { $case: 'beat', value })
--- a/packages/lagoonswitch/src/SettingsWatcher.ts
+++ b/packages/lagoonswitch/src/SettingsWatcher.ts
@@ -57,7 +57,7 @@
   private async _run (): Promise<void> {
     while (!this._stopping.signal.aborted) {
       this.refresh()
-      await this._clock.sleep(LOOK_MS, this._stopping.signal)
+      await this._clock.waitTick(LOOK_MS)
     }
   }
 }
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -185,7 +185,7 @@
   private async _runPings (): Promise<void> {
     const { clock } = this._context
     while (!this._stopping.signal.aborted) {
-      await clock.sleep(PING_MS, this._stopping.signal)
+      await clock.waitTick(PING_MS)
       if (this._stopping.signal.aborted) return
       if (this._checkSilence()) {
         this._socket.destroy()
--- a/packages/node/src/moves/EvidenceCollector.ts
+++ b/packages/node/src/moves/EvidenceCollector.ts
@@ -117,7 +117,7 @@
 
   private async _run (): Promise<void> {
     while (!this._stopping.signal.aborted) {
-      await this._clock.sleep(WINDOW_MS, this._stopping.signal)
+      await this._clock.waitTick(WINDOW_MS)
       this.endWindow()
     }
   }
