--- a/tests/Floods.test.ts
+++ b/tests/Floods.test.ts
@@ -181,11 +181,11 @@
     setTimeout(() => flood(socket, '', '\r\n'), 100)
   })
   await call('POST', '/once')
-  await waitFor('the count', async () => await metrics.readCount('target_overruns_total', 'idle') === 1)
+  await waitFor('the count', () => metrics.readCount('target_overruns_total', 'idle') === 1)
   await addTarget('t2', socket => flood(socket, `${OK}X-A:`, ' '))
   await waitFor('the count', async () => {
     await call('POST', '/once')
-    return await metrics.readCount('target_overruns_total', 'answer') === 1
+    return metrics.readCount('target_overruns_total', 'answer') === 1
   })
 })
 
