--- /dev/null
+++ b/packages/node/src/calls/CallBody.ts
@@ -0,0 +1,65 @@
+/**
+ * The body of a call: held as long as it is small, so that it can be sent again, else streamed.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { ICallHandle } from './CallTypes.js'
+
+const NO_BYTES = Buffer.alloc(0)
+
+/** Reads the body of one request. */
+export class CallBody {
+  private _isStreaming = false
+  /** The body, or its start where it is too large to hold. */
+  bytes: Buffer = NO_BYTES
+  /** True once {@link bytes} is all of it. */
+  isHeld = false
+
+  /** @param _request - from the caller */
+  constructor (private readonly _request: IncomingMessage) {}
+
+  /**
+   * Reads the body until it ends or is too large to hold.
+   * @param limit - bytes to hold
+   * @param onRead - called once
+   */
+  hold (limit: number, onRead: () => void): void {
+    const chunks: Buffer[] = []
+    let length = 0
+    const finish = (isHeld: boolean): void => {
+      this._request.off('data', onData)
+      this._request.off('end', onEnd)
+      this.bytes = chunks.length === 1 ? chunks[0] ?? NO_BYTES : Buffer.concat(chunks)
+      this.isHeld = isHeld
+      onRead()
+    }
+    const onEnd = (): void => finish(true)
+    const onData = (chunk: Buffer): void => {
+      chunks.push(chunk)
+      length += chunk.length
+      if (length <= limit) return
+      this._request.pause()
+      finish(false)
+    }
+    this._request.on('data', onData)
+    this._request.on('end', onEnd)
+  }
+
+  /**
+   * Sends the rest of a body that is not held straight on, which can't be done twice.
+   * @param getHandle - the attempt that takes it
+   */
+  stream (getHandle: () => ICallHandle | undefined): void {
+    if (this.isHeld || this._isStreaming) return
+    this._isStreaming = true
+    this._request.on('data', (chunk: Buffer) => {
+      if (getHandle()?.sendBody(chunk) === false) this._request.pause()
+    })
+    this._request.on('end', () => getHandle()?.endBody())
+    this._request.resume()
+  }
+
+  /** Goes on after the attempt could take no more. */
+  resume (): void {
+    this._request.resume()
+  }
+}
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -14,6 +14,8 @@
 /** Bytes between a name and its value, and after the value. */
 const SEPARATOR_BYTES = 2
 const RETRY_AFTER_MS = 1_000
+/** Time left of an objective that is over; 0 would say that there is none. */
+const OVER_MS = 1
 
 /** What a call needs of its head. */
 export interface ICallHead {
@@ -83,6 +85,15 @@
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
 }
 
+/**
+ * @param head - of the call
+ * @param passedMs - time since it arrived
+ * @returns time left of its objective in milliseconds, 0 when it has none
+ */
+export function computeObjectiveLeftMs ({ route, waitedMs }: ICallHead, passedMs: number): number {
+  return route.objectiveMs === 0 ? 0 : Math.max(OVER_MS, route.objectiveMs - waitedMs - passedMs)
+}
+
 /** Calls of the first class are made for others and state what those have left, which tells nothing of attempts. */
 function computeWaitedMs (
   context: ICallContext, route: ICompiledRoute, callClass: CallClass, wishedMs: number | undefined
--- /dev/null
+++ b/packages/node/src/calls/CallRepeats.ts
@@ -0,0 +1,95 @@
+/**
+ * Whether a call may be sent again: how often it was sent and has run, and the budget of its service.
+ */
+import { CallClass } from '@lagoonswitch/schema'
+import type { RetryBudget } from '../routing/RetryBudget.js'
+import type { IRoutePart } from '../routing/RouteTable.js'
+import type { ICallContext } from './CallContext.js'
+import type { ICallHead } from './CallHead.js'
+import type { FailureReason, ICallFailure } from './CallTypes.js'
+
+/** Attempts of one call that may fail before a target has the request. */
+const MAX_SENDS = 6
+const FIRST_SERVER_ERROR = 500
+const FINAL_REASONS = new Set<FailureReason>(['deadline', 'cancelled'])
+/** Failures before the request reached the target, which cost it nothing. */
+const FREE_REASONS = new Set<FailureReason>([
+  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare'
+])
+/** Refusals by a queue after which another target may be asked. */
+const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue'])
+/** Targets that one call may ask for a place in their queues; those of the first class, which others wait for, ask more. */
+const MAX_QUEUES = 2
+const MAX_QUEUES_FIRST = 4
+
+/** Counts the attempts of one call. */
+export class CallRepeats {
+  private _queues = 0
+  /** Attempts so far, and those among them that may have run. */
+  sends = 0
+  runs = 0
+
+  /**
+   * @param _context - what all calls share
+   * @param _head - of the call
+   * @param _part - the service that the call is for
+   */
+  constructor (
+    private readonly _context: ICallContext, private readonly _head: ICallHead, private readonly _part: IRoutePart
+  ) {}
+
+  get budget (): RetryBudget {
+    return this._context.getBudget(this._part)
+  }
+
+  /** Notes a failed attempt. */
+  recordFailure ({ reason, isNotRun }: ICallFailure): void {
+    if (!isNotRun) this.runs++
+    if (QUEUE_REASONS.has(reason)) this._queues++
+  }
+
+  /**
+   * @param status - of an answer
+   * @returns true when the call may run again in its place, budget aside
+   */
+  canRepeatAnswer (status: number): boolean {
+    return status >= FIRST_SERVER_ERROR && this._isRunRepeatable() && this.runs + 1 < this._head.route.maxAttempts && this._hasSendsLeft()
+  }
+
+  /**
+   * Decides on a repeat after a failure and spends the budget for it. These repeats cost the targets nothing as long as
+   * they have not run, and a leaving target must not use up the budget.
+   * @param failure - of the last attempt
+   * @returns true when the call is to be sent again
+   */
+  canRepeatFailure ({ reason, isNotRun }: ICallFailure): boolean {
+    const isRepeatable = isNotRun || this._isRunRepeatable()
+    if (!isRepeatable || FINAL_REASONS.has(reason) || !this._hasSendsLeft()) return false
+    const maxQueues = this._head.callClass === CallClass.CALL_CLASS_FIRST ? MAX_QUEUES_FIRST : MAX_QUEUES
+    if (QUEUE_REASONS.has(reason) && this._queues >= maxQueues) return false
+    if (isNotRun && FREE_REASONS.has(reason)) return true
+    return this.spendBudget(reason)
+  }
+
+  /**
+   * @param reason - of the repeat
+   * @returns false when the budget of the service is used up
+   */
+  spendBudget (reason: string): boolean {
+    if (this.budget.spend()) return true
+    this._context.metrics.count('retries_denied_total', reason)
+    this._context.log.info('repeat_denied', {
+      call: this._head.callId, service: this._part.service, reason, repeats_in_window: this.budget.countRepeats()
+    })
+    return false
+  }
+
+  /** Only the first layer of a chain repeats what may have run; every layer may repeat what was not run. */
+  private _isRunRepeatable (): boolean {
+    return this._head.route.isRepeatable && this._head.depth === 0
+  }
+
+  private _hasSendsLeft (): boolean {
+    return this.sends < MAX_SENDS && this.runs < this._head.route.maxAttempts
+  }
+}
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { CallDialect } from './CallDialect.js'
+import type { ClaimResult } from '../claims/ClaimsClient.js'
 import type { FailureReason } from './CallTypes.js'
 
 /** Why a call was not carried out; each has a counter. */
@@ -57,6 +58,7 @@
 /** Statuses that tell a caller that nothing was run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 const BAD_GATEWAY = 502
+const RETRY_AFTER_MS = 1_000
 
 /** An answer of the system itself. */
 export interface IRefusal {
@@ -66,6 +68,17 @@
   readonly detail?: string
 }
 
+/** Answers to calls whose key was not granted. */
+export const CLAIM_REFUSALS: Readonly<Record<UngrantedKind, IRefusal>> = {
+  'in-progress': { reason: 'key-in-progress', run: 'run-earlier', retryAfterMs: RETRY_AFTER_MS },
+  unknown: { reason: 'key-unknown', run: 'unknown', retryAfterMs: 0 },
+  mismatch: { reason: 'key-mismatch', run: 'not-run', retryAfterMs: 0 },
+  full: { reason: 'keys-full', run: 'not-run', retryAfterMs: RETRY_AFTER_MS },
+  'no-quorum': { reason: 'no-quorum', run: 'not-run', retryAfterMs: RETRY_AFTER_MS }
+}
+
+type UngrantedKind = Exclude<ClaimResult['kind'], 'granted' | 'answered'>
+
 /**
  * Sends a refusal.
  * @param response - of the call; nothing has been sent on it
