Ports that tests and benchmarks take are reserved among all that run

A process test failed once: two control VMs met EADDRINUSE, since another run of tests beside it had found the same ports free between the look and the use. Each port found is now reserved by a file that names its process, until that ends. Eight processes that look for 250 ports each at once: 755 ports found twice before, 0 after. tests/Processes.test.ts and tests/Feed.test.ts pass (16 tests).

--- a/bench/harness.mjs
+++ b/bench/harness.mjs
@@ -2,7 +2,7 @@
  * Starts processes for benchmarks and process tests on free loopback ports, and stops them by id.
  */
 import { spawn } from 'node:child_process'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
@@ -16,14 +16,56 @@
 /** Ports below the range from which the system takes those of outgoing connections. */
 const FIRST_PORT = 10_000
 const PORT_RANGE = 20_000
+/** Holds a file for each port that a process has reserved, with its id; other processes pass over it. */
+const RESERVED = join(tmpdir(), 'lagoonswitch-ports')
 let nextPort = process.pid * 101 % PORT_RANGE
+const reserved = []
 
-/** Finds free ports of the loopback interface. */
+process.on('exit', () => {
+  for (const file of reserved) rmSync(file, { force: true })
+})
+
+function isAlive (pid) {
+  try {
+    process.kill(pid, 0)
+    return true
+  } catch {
+    return false
+  }
+}
+
+/** Reserves a port for this process until it ends; a port is free again once its holder has ended. */
+function reservePort (port) {
+  mkdirSync(RESERVED, { recursive: true })
+  const file = join(RESERVED, String(port))
+  try {
+    writeFileSync(file, String(process.pid), { flag: 'wx' })
+  } catch {
+    const holder = readHolder(file)
+    if (holder === undefined || isAlive(holder)) return false
+    rmSync(file, { force: true })
+    return reservePort(port)
+  }
+  reserved.push(file)
+  return true
+}
+
+/** @returns id of the process that holds a port; undefined while it writes it */
+function readHolder (file) {
+  try {
+    return Number(readFileSync(file, 'utf8')) || undefined
+  } catch {
+    return undefined
+  }
+}
+
+/** Finds free ports of the loopback interface and reserves them among the processes that do so. */
 export async function findPorts (count) {
   const ports = []
   while (ports.length < count) {
     nextPort = (nextPort + 1) % PORT_RANGE
     const port = FIRST_PORT + nextPort
+    if (!reservePort(port)) continue
     const server = createServer()
     const isFree = await new Promise(resolve => {
       server.once('error', () => resolve(false))
