Replays of ordered moves show faults that need the full load

The replays drew a fault under load from a share of 30% on, so the step of 50% found it. New kinds: faults and slowness from 70% on, faults common to both versions late in the move, both together. The first seed, the time of answers and a later arrival of evidence can be given.

--- a/bench/short-moves.mjs
+++ b/bench/short-moves.mjs
@@ -1,7 +1,7 @@
 /**
  * Replays of ordered moves of seconds through the decisions of the control VMs, a window of 250 ms at a time: calls are
  * drawn from a seed, their outcomes are seen when they end, and a changed share holds after the time that evidence,
- * commit and feed take. Usage: node bench/short-moves.mjs [REPLAYS] [CALLS_PER_S] [SECONDS]
+ * commit and feed take. Usage: node bench/short-moves.mjs [REPLAYS] [CALLS_PER_S] [SECONDS] [FIRST_SEED] [WORK_FACTOR] [LATE_WINDOWS]
  */
 import { ManualClock, Metrics, NullLog, SeededRandom, computeBucket } from '@lagoonswitch/common'
 import { CatalogueMachine, MoveController } from '@lagoonswitch/control'
@@ -11,13 +11,17 @@
 const REPLAYS = Number(process.argv[2] ?? 50)
 const CALLS_PER_S = Number(process.argv[3] ?? 150)
 const SECONDS = Number(process.argv[4] ?? 15)
+const FIRST_SEED = Number(process.argv[5] ?? 1)
+/** Time of the answers as a part of the usual one. */
+const WORK_FACTOR = Number(process.argv[6] ?? 1)
+/** Windows by which evidence is at the leader later than at the end of its window. */
+const LATE_WINDOWS = Number(process.argv[7] ?? 0)
 const WINDOW_MS = 250
-/** Windows until a decision holds at the nodes, and until their evidence is at the leader. */
+/** Windows until a decision holds at the nodes. */
 const LAG_WINDOWS = 2
 const TARGETS = 4
 /** Calls that may meet a bad version: a share of all calls until the time limit, and some beside. */
-const EXPOSED_SHARE = 0.1
-const EXPOSED_SLACK = 50
+const EXPOSURE = { share: 0.1, slack: 50 }
 /** Time from the 50th bad answer to the decision that leaves it half a second to hold everywhere within 5 s. */
 const LATEST_BACK_MS = 4_500
 const ROUTES = [{ name: 'browse', weight: 0.77, ms: 220, failure: 0.001 }, { name: 'reserve', weight: 0.23, ms: 290, failure: 0.004 }]
@@ -28,9 +32,13 @@
   'good, old one slow in part': ({ isNew, target, seconds }) => !isNew && target === 0 && seconds > 4 && seconds < 10 ? { slow: 5 } : {},
   'good, old one loses answers': ({ isNew, seconds, draw }) => !isNew && seconds > 4 && seconds < 8 && draw < 0.05 ? { isFailed: true } : {},
   'good, both lose answers': ({ seconds, draw }) => seconds > 4 && seconds < 8 && draw < 0.1 ? { isFailed: true } : {},
+  'good, both lose answers late': ({ seconds, draw }) => seconds > 0.65 * SECONDS && seconds < 0.65 * SECONDS + 4 && draw < 0.1 ? { isFailed: true } : {},
   errors: ({ isNew, draw }) => isNew && draw < 0.5 ? { isFailed: true, isBad: true } : {},
   slow: ({ isNew, draw }) => isNew && draw < 0.5 ? { slow: 8, isBad: true } : {},
   'under load': ({ isNew, draw, share }) => isNew && share >= 0.3 && draw < 0.5 ? { isFailed: true, isBad: true } : {},
+  'under full load': ({ isNew, draw, share }) => isNew && share >= 0.7 && draw < 0.5 ? { isFailed: true, isBad: true } : {},
+  'under full load, both lose answers late': ({ isNew, seconds, draw, share }) => isNew && share >= 0.7 && draw < 0.5 ? { isFailed: true, isBad: true } : seconds > 0.65 * SECONDS && seconds < 0.65 * SECONDS + 4 && draw > 0.9 ? { isFailed: true } : {},
+  'slow under full load': ({ isNew, draw, share }) => isNew && share >= 0.7 && draw < 0.5 ? { slow: 8, isBad: true } : {},
   'one route': ({ isNew, draw, route }) => isNew && route === 'reserve' && draw < 0.5 ? { isFailed: true, isBad: true } : {},
   late: ({ isNew, draw, seconds }) => isNew && seconds > 3 && draw < 0.5 ? { isFailed: true, isBad: true } : {},
   'errors in a third': ({ isNew, draw }) => isNew && draw < 0.32 ? { isFailed: true, isBad: true } : {}
@@ -45,7 +53,7 @@
   const route = random.draw() < ROUTES[0].weight ? ROUTES[0] : ROUTES[1]
   const target = Math.floor(random.draw() * TARGETS)
   const effect = KINDS[kind]({ isNew, route: route.name, target, seconds: nowMs / 1_000, draw: random.draw(), share })
-  const tookMs = route.ms * Math.exp(SPREAD * drawGauss(random) - SPREAD ** 2 / 2) * (effect.slow ?? 1)
+  const tookMs = route.ms * WORK_FACTOR * Math.exp(SPREAD * drawGauss(random) - SPREAD ** 2 / 2) * (effect.slow ?? 1)
   const isFailed = effect.isFailed === true || random.draw() < route.failure
   return { isNew, route: route.name, target, endMs: nowMs + tookMs, tookMs, isFailed, isBad: effect.isBad === true }
 }
@@ -95,11 +103,13 @@
     metrics: new Metrics(),
     store,
     endpoints,
+    exposure: EXPOSURE,
     isLeader: () => true,
     propose: async command => { machine.apply(command); return true }
   })
   const shares = []
   let open = []
+  const waiting = []
   const result = { exposed: 0, total: 0, bad: 0, afterFiftieth: undefined, doneAt: undefined, backAt: undefined }
   for (let window = 0; window * WINDOW_MS < SECONDS * 1_000; window++) {
     const nowMs = window * WINDOW_MS
@@ -116,7 +126,8 @@
     open = open.filter(call => call.endMs > endMs)
     result.bad += ended.filter(call => call.isBad).length
     if (result.bad >= 50) result.afterFiftieth ??= nowMs
-    controller.addEvidence(toRecords(ended))
+    waiting.push(ended)
+    if (waiting.length > LATE_WINDOWS) controller.addEvidence(toRecords(waiting.shift()))
     await controller.decide()
     const move = store.getMove('desk')
     shares[window] = move.status === MoveStatus.MOVE_STATUS_TAKEN_BACK ? 0 : move.sharePpm / 1e6
@@ -129,10 +140,10 @@
 console.log('kind | done | taken back | latest end s | exposed, median | exposed, most | beyond the bound | back later than 5 s after the 50th bad answer')
 for (const kind of Object.keys(KINDS)) {
   const results = []
-  for (let seed = 1; seed <= REPLAYS; seed++) results.push(await replay(kind, seed))
+  for (let seed = FIRST_SEED; seed < FIRST_SEED + REPLAYS; seed++) results.push(await replay(kind, seed))
   const exposed = results.map(result => result.exposed).sort((a, b) => a - b)
   const isBad = !kind.startsWith('good')
-  const beyond = isBad ? results.filter(({ exposed: count, total }) => count > EXPOSED_SHARE * total + EXPOSED_SLACK).length : 0
+  const beyond = isBad ? results.filter(({ exposed: count, total }) => count > EXPOSURE.share * total + EXPOSURE.slack).length : 0
   const isLate = ({ afterFiftieth, backAt }) => afterFiftieth !== undefined && !(backAt < afterFiftieth + LATEST_BACK_MS)
   const late = isBad ? results.filter(isLate).length : 0
   const ends = results.map(({ doneAt, backAt }) => doneAt ?? backAt ?? Infinity)
