Ordered moves keep a bad version within its exposure

Now 2% until the rate of calls is known, then the share that `move_exposure` and `move_exposure_slack` (from the platform's bounds) leave beside the time that finding a fault at full share needs, then all calls at 65% of the time. A rise there is compared at 2%: the new version's calls at full share against the old one's before and after; if they differ, the move ends. A new leader that finds a comparison open takes the version back, since it hasn't the evidence. The full share waits for 30 calls until 80% of the time, so late targets get some first.

Ruled out: a larger share in the comparison (costs as much as finding the fault), steps between (each adds to the bound), a comparison of the old version with its own earlier rate alone (taken for common by chance in up to one of five).

--- a/bench/moves.mjs
+++ b/bench/moves.mjs
@@ -13,6 +13,8 @@
 const MOVE_S = 600
 const WATCH_S = 120
 const THRESHOLD = 0.05
+/** Of ordered moves, of which these replays have none. */
+const EXPOSURE = { share: 0.1, slack: 50 }
 const ROUTES = [['browse', 0.7], ['reserve', 0.29], ['rare', 0.01]]
 const BASE_FAILURE = 0.002
 const BASE_MS = 20
@@ -103,6 +105,7 @@
     metrics: new Metrics(),
     store,
     endpoints,
+    exposure: EXPOSURE,
     isLeader: () => true,
     propose: async command => { machine.apply(command); return true }
   })
--- a/packages/common/src/evidence/Evidence.test.ts
+++ b/packages/common/src/evidence/Evidence.test.ts
@@ -73,6 +73,15 @@
   expect(comparison.findFault(0.01)).toBeDefined()
 })
 
+test.each([[0, true], [0.2, false]])('rise at full share, old version fails %d later', (oldRate, isOwn) => {
+  const comparison = new VersionComparison()
+  for (let window = 0; window < 10; window++) comparison.addWindow([createOutcomes('n1', 5, 0)], [createOutcomes('o1', 50, 0)])
+  comparison.resetRise()
+  comparison.addWindow([createOutcomes('n1', 50, 10)], [])
+  for (let window = 0; window < 8; window++) comparison.addWindow([], [createOutcomes('o1', 50, 50 * oldRate)])
+  expect(comparison.findOwnRise(0.05)).toBe(isOwn)
+})
+
 test('slower version is found, a difference under a millisecond is not', () => {
   const compare = (oldMs: number, newMs: number): boolean => {
     const comparison = new VersionComparison()
--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -7,6 +7,10 @@
 
 /** Shares of the old version's calls that are slower than the thresholds of slowness. */
 const SLOW_QUANTILES = [0.5, 0.9, 0.99] as const
+/** Windows before a look for a rise whose calls to the old version count for it as well. */
+const RECENT_WINDOWS = 8
+/** The tests of a route: failures, then one for each quantile. */
+const TEST_INDEXES = [0, ...SLOW_QUANTILES.map((_, index) => index + 1)]
 const MIN_BASELINE_CALLS = 50
 /** A difference that no caller notices. */
 const LATENCY_SLACK_MS = 1
@@ -80,6 +84,11 @@
   private readonly _tests = new SparingTests()
   private _rise = new SparingTests()
   private _oldRise = createTests()
+  /** Calls since the start of the look for a rise. */
+  private _sinceNew = new OutcomeSums()
+  private _sinceOld = new OutcomeSums()
+  /** The old version's latest windows. */
+  private _recentOld: Array<readonly IOutcomes[]> = []
   private _waitingNew: IOutcomes[] = []
   private _waitingOld: IOutcomes[] = []
   newCalls = 0
@@ -114,15 +123,21 @@
 
   findKind (failureAlpha: number, latencyAlpha: number): 'failures' | 'latency' | undefined {
     if (this._tests.isRejected(0, failureAlpha)) return 'failures'
-    for (const index of SLOW_QUANTILES.keys()) {
-      if (this._tests.isRejected(index + 1, latencyAlpha)) return 'latency'
-    }
-    return undefined
+    return TEST_INDEXES.slice(1).some(index => this._tests.isRejected(index, latencyAlpha)) ? 'latency' : undefined
   }
 
   /** Finds a rise of the new version over the old version's earlier rates, without any single target, too. */
   findRise (alpha: number): boolean {
-    return [0, ...SLOW_QUANTILES].some((_, index) => this._rise.isRejected(index, alpha))
+    return TEST_INDEXES.some(index => this._rise.isRejected(index, alpha))
+  }
+
+  /** Finds a rise of the new version that the old one's calls of the same span don't show, be they earlier or later. */
+  findOwnRise (alpha: number): boolean {
+    const thresholds = this._computeThresholds()
+    const oldSide = sumOutcomes(this._sinceOld.list(), thresholds)
+    const tests = new SparingTests()
+    tests.add(this._sinceNew.list(), thresholds, (some, newSide) => addToTests(some, newSide, oldSide))
+    return TEST_INDEXES.some(index => tests.isRejected(index, alpha))
   }
 
   /** Finds a rise of the old version over its own earlier rates. */
@@ -133,9 +148,15 @@
   resetRise (): void {
     this._rise = new SparingTests()
     this._oldRise = createTests()
+    this._sinceNew = new OutcomeSums()
+    this._sinceOld = new OutcomeSums()
+    this._sinceOld.add(this._recentOld.flat())
   }
 
   private _addRise (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
+    this._sinceNew.add(newOutcomes)
+    this._sinceOld.add(oldOutcomes)
+    this._recentOld = [...this._recentOld, oldOutcomes].slice(-RECENT_WINDOWS)
     if (this.oldCalls < MIN_BASELINE_CALLS) return
     const thresholds = this._computeThresholds()
     this._rise.add(newOutcomes, thresholds, (tests, side) => this._addBaseline(tests, side))
@@ -217,6 +238,17 @@
     return [...this._routes.values()].some(route => route.findCommonRise(alpha))
   }
 
+  /**
+   * Tells whether the new version rose and the old one didn't, by all calls since the look for a rise began. The two
+   * need not have had their calls at the same time, so a fault common to both that ended in between counts as a rise.
+   * @param alpha - rate of false alarms
+   * @returns true for a rise of the new version alone
+   */
+  findOwnRise (alpha: number): boolean {
+    const share = this._computeShare(alpha)
+    return [...this._routes.values()].some(route => route.findOwnRise(share))
+  }
+
   /** Starts to look for a rise anew. */
   resetRise (): void {
     for (const route of this._routes.values()) route.resetRise()
@@ -251,7 +283,7 @@
   }
 
   private _computeShare (alpha: number): number {
-    return alpha / Math.max(1, this._routes.size * (SLOW_QUANTILES.length + 1))
+    return alpha / Math.max(1, this._routes.size * TEST_INDEXES.length)
   }
 }
 
@@ -267,7 +299,7 @@
 }
 
 function createTests (): SequentialTest[] {
-  return [0, ...SLOW_QUANTILES].map(() => new SequentialTest())
+  return TEST_INDEXES.map(() => new SequentialTest())
 }
 
 function sumOutcomes (outcomes: readonly IOutcomes[], thresholds: readonly number[]): ISide {
@@ -285,18 +317,39 @@
   return side
 }
 
-/** Adds up the outcomes of each route and target, so that what waits stays bounded. */
-function mergeOutcomes (outcomes: readonly IOutcomes[]): IOutcomes[] {
-  const merged = new Map<string, { route: string, targetId: string, calls: number, failures: number, latency: Map<number, number> }>()
-  for (const item of outcomes) {
-    const key = `${item.route}\n${item.targetId}`
-    const sum = merged.get(key) ?? {
-      route: item.route, targetId: item.targetId, calls: 0, failures: 0, latency: new Map<number, number>()
+interface IOutcomeSum {
+  readonly route: string
+  readonly targetId: string
+  calls: number
+  failures: number
+  readonly latency: Map<number, number>
+}
+
+/** Adds up outcomes by route and target, so that what is kept stays bounded. */
+class OutcomeSums {
+  private readonly _sums = new Map<string, IOutcomeSum>()
+
+  add (outcomes: readonly IOutcomes[]): void {
+    for (const { route, targetId, calls, failures, latency } of outcomes) {
+      const key = `${route}\n${targetId}`
+      let sum = this._sums.get(key)
+      if (sum === undefined) {
+        sum = { route, targetId, calls: 0, failures: 0, latency: new Map() }
+        this._sums.set(key, sum)
+      }
+      sum.calls += calls
+      sum.failures += failures
+      for (const [bucket, count] of latency) sum.latency.set(bucket, (sum.latency.get(bucket) ?? 0) + count)
     }
-    sum.calls += item.calls
-    sum.failures += item.failures
-    for (const [bucket, count] of item.latency) sum.latency.set(bucket, (sum.latency.get(bucket) ?? 0) + count)
-    merged.set(key, sum)
   }
-  return [...merged.values()]
+
+  list (): IOutcomes[] {
+    return [...this._sums.values()]
+  }
+}
+
+function mergeOutcomes (outcomes: readonly IOutcomes[]): IOutcomes[] {
+  const sums = new OutcomeSums()
+  sums.add(outcomes)
+  return sums.list()
 }
--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -121,6 +121,7 @@
       metrics,
       store: this.store,
       endpoints: this.endpoints,
+      exposure: { share: settings.control.moveExposure, slack: settings.control.moveExposureSlack },
       isLeader: () => this._catalogue.isReadyLeader,
       propose: async command => (await this._catalogue.propose(command)).ok
     }))
--- a/packages/control/src/catalogue/CatalogueMachine.ts
+++ b/packages/control/src/catalogue/CatalogueMachine.ts
@@ -11,16 +11,14 @@
   type EntryEdit, type EntryRecord, type IEntry, type MoveCommand, type MoveOrder, type MoveRecord, type RequestRecord
 } from '@lagoonswitch/schema'
 import { FULL_SHARE_PPM } from '../moves/MoveSchedule.js'
+import { planOrderTimes } from '../moves/OrderedSchedule.js'
 import { StateMachine, decodeCommand } from '../raft/StateMachine.js'
 
 const MAX_REQUESTS = 10_000
 /** Largest size of the edits of one change, in bytes; bounds what a few packed bytes can unfold to. */
 const MAX_EDITS_BYTES = 64 * 1_048_576
-/** Parts of the time of an ordered move: until all calls go to the new version, and to watch it after that. */
-const ORDERED_RAMP_SHARE = 0.8
-const ORDERED_WATCH_SHARE = 0.1
-/** Largest share of the first step of an ordered move. */
-const ORDERED_FIRST_SHARE = 0.08
+/** Largest share of an ordered move before all calls go to the new version. */
+const ORDERED_FIRST_SHARE = 0.16
 
 interface IPrepared {
   readonly records: EntryRecord[]
@@ -290,11 +288,12 @@
         `no move of ${order.service} to ${order.to} can be made; name an entry, another version and a time`)
     }
     const version = { epoch: this.store.version.epoch, version: this.store.version.version + 1 }
+    const times = planOrderTimes(this._nowMs, order.withinMs)
     this.store.commitRecords(version, [], [{
       service: order.service,
       from: order.from,
       to: order.to,
-      byMs: Math.floor(this._nowMs + order.withinMs * ORDERED_RAMP_SHARE),
+      byMs: times.fullMs,
       startedMs: this._nowMs,
       status: MoveStatus.MOVE_STATUS_RUNNING,
       sharePpm: 0,
@@ -303,7 +302,7 @@
       version: version.version,
       late: false,
       ordered: true,
-      watchMs: Math.floor(order.withinMs * ORDERED_WATCH_SHARE),
+      watchMs: times.watchMs,
       firstSharePpm: ORDERED_FIRST_SHARE * FULL_SHARE_PPM
     }])
     return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, version, '')
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -10,6 +10,9 @@
 } from '@lagoonswitch/schema'
 import { isMoveOpen } from '../catalogue/CatalogueMachine.js'
 import { FULL_SHARE_PPM, planSteps, type IMoveStep } from './MoveSchedule.js'
+import {
+  ORDERED_LOW_SHARE_PPM, computeOrderMs, planOrderTimes, planOrderedSteps, type IExposure, type IOrderTimes
+} from './OrderedSchedule.js'
 
 const WINDOW_MS = 250
 const FALSE_ALARM_RATE = 0.01
@@ -26,19 +29,16 @@
 const SHORTEST_PROBE_MS = 10_000
 const LONGEST_PROBE_MS = 300_000
 /** Parts of the time of a move that a comparison takes at least and at most; the bounds above hold for long moves. */
-const SHORTEST_PROBE_SHARE = 0.1
-const LONGEST_PROBE_SHARE = 0.25
+const SHORTEST_PROBE_SHARE = 0.2
+const LONGEST_PROBE_SHARE = 0.3
 /** Rate of needless probes over one move. */
 const NEEDLESS_PROBE_RATE = 0.05
+/** Rate at which a rise that both versions share is taken for one of the new version, once it was compared. */
+const OWN_RISE_RATE = 0.05
 /** A fault that leaves with the share of calls and comes back with it is one of the version under load. */
 const RISES_TO_TAKE_BACK = 2
 /** Rate at which a rise of the old version is seen where there is none; seeing one only spares the new version. */
 const COMMON_RISE_RATE = 0.2
-/**
- * Part of the watch time after which an ordered move that no fault was proved of is final: the time of an order ends
- * after twice the watch time, and its operator must learn of the end before that.
- */
-const LAST_WATCH_PART = 1.5
 const DEFAULT_WATCH_MS = 600_000
 
 /** What the controller needs of its process. */
@@ -48,6 +48,8 @@
   readonly metrics: Metrics
   readonly store: CatalogueStore
   readonly endpoints: EndpointView
+  /** Most calls that a bad version may get in the time of an ordered move. */
+  readonly exposure: IExposure
   /** True while this process leads the group `catalogue`. */
   readonly isLeader: () => boolean
   /** Proposes an encoded command; false when it wasn't committed. */
@@ -57,7 +59,10 @@
 interface IProbe {
   readonly resumePpm: number
   readonly startedMs: number
+  /** Calls to the version whose calls decide the length: the new one, or the old one in an ordered move. */
   readonly callsBefore: number
+  /** True when another leader started it, with evidence that this one doesn't have. */
+  readonly isInherited: boolean
 }
 
 interface IOpenMove {
@@ -174,12 +179,15 @@
         `${fault.kind} ${fault.place}: ${fault.detail}`)
     }
     const nowMs = this._options.clock.readWallTime().getTime()
-    if (move.status === MoveStatus.MOVE_STATUS_WATCHING && move.sharePpm < FULL_SHARE_PPM) {
+    const isWatching = move.status === MoveStatus.MOVE_STATUS_WATCHING
+    if (isWatching && move.sharePpm < FULL_SHARE_PPM) {
       // A leader that takes over during a comparison goes on with it.
-      open.probe ??= { resumePpm: FULL_SHARE_PPM, startedMs: nowMs, callsBefore: open.comparison.getNewCalls() }
+      open.probe ??= {
+        resumePpm: FULL_SHARE_PPM, startedMs: nowMs, callsBefore: countProbeCalls(move, open), isInherited: true
+      }
     }
-    if (move.ordered && move.status === MoveStatus.MOVE_STATUS_WATCHING && nowMs >= move.byMs + LAST_WATCH_PART * move.watchMs) {
-      return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault was proved in the time of the order')
+    if (isWatching && open.probe === undefined && nowMs >= getEndMs(move)) {
+      return this._finishOrder(move)
     }
     if (open.probe !== undefined) return this._decideProbe(move, open, open.probe, nowMs)
     if (move.sharePpm > PROBE_SHARE_PPM && open.comparison.findRise(NEEDLESS_PROBE_RATE)) {
@@ -189,8 +197,11 @@
       }
       return this._startProbe(move, open, nowMs)
     }
-    if (move.status === MoveStatus.MOVE_STATUS_WATCHING) return this._decideWatch(move, open, nowMs)
-    return this._decideStep(move, open, nowMs)
+    return isWatching ? this._decideWatch(move, open, nowMs) : this._decideStep(move, open, nowMs)
+  }
+
+  private _finishOrder (move: MoveRecord): MoveCommand {
+    return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault was proved in the time of the order')
   }
 
   private _decideWatch (move: MoveRecord, open: IOpenMove, nowMs: number): MoveCommand | undefined {
@@ -203,18 +214,27 @@
   }
 
   private _startProbe (move: MoveRecord, open: IOpenMove, nowMs: number): MoveCommand {
-    open.probe = { resumePpm: move.sharePpm, startedMs: nowMs, callsBefore: open.comparison.getNewCalls() }
-    return this._createCommand(move, move.status, PROBE_SHARE_PPM, 'fault suspected, comparing with the old version')
+    open.probe = {
+      resumePpm: move.sharePpm, startedMs: nowMs, callsBefore: countProbeCalls(move, open), isInherited: false
+    }
+    return this._createCommand(move, move.status, getProbeShare(move), 'fault suspected, comparing with the old version')
   }
 
   /** A rise that the old version shows as well is no fault of the new one. */
   private _decideProbe (move: MoveRecord, open: IOpenMove, probe: IProbe, nowMs: number): MoveCommand | undefined {
     const lengthMs = nowMs - probe.startedMs
-    const calls = open.comparison.getNewCalls() - probe.callsBefore
+    const calls = countProbeCalls(move, open) - probe.callsBefore
     const moveMs = move.byMs - move.startedMs
     const isEnough = lengthMs >= Math.min(SHORTEST_PROBE_MS, moveMs * SHORTEST_PROBE_SHARE) && calls >= PROBE_CALLS
-    this._report(move, open, `compared at ${formatShare(PROBE_SHARE_PPM)} for ${calls} calls`)
-    if (!isEnough && lengthMs < Math.min(LONGEST_PROBE_MS, moveMs * LONGEST_PROBE_SHARE)) return undefined
+    this._report(move, open, `compared at ${formatShare(getProbeShare(move))} for ${calls} calls`)
+    const isOver = nowMs >= getEndMs(move)
+    if (!isEnough && !isOver && lengthMs < Math.min(LONGEST_PROBE_MS, moveMs * LONGEST_PROBE_SHARE)) return undefined
+    // A move of seconds has no calls to spare for the same fault once more.
+    if (move.ordered && (probe.isInherited || open.comparison.findOwnRise(OWN_RISE_RATE))) {
+      return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
+        `faults of version ${move.to} came with its share of calls`)
+    }
+    if (isOver) return this._finishOrder(move)
     const isCommon = open.comparison.findCommonRise(COMMON_RISE_RATE)
     if (!isCommon) open.returningRises++
     open.probe = undefined
@@ -224,10 +244,11 @@
 
   private _decideStep (move: MoveRecord, open: IOpenMove, nowMs: number): MoveCommand | undefined {
     const entry = this._options.store.view.entries.get(move.service)
-    const steps = planSteps(move.startedMs, move.byMs, getFirstShare(move, entry))
+    const steps = this._planSteps(move, open, entry)
     const next = steps.find(step => step.sharePpm > move.sharePpm)
     if (next === undefined) return undefined
-    const obstacle = this._findObstacle(move, open, steps, move.ordered || entry?.move?.prefer === 'time')
+    const isLast = move.ordered && nowMs >= getOrderTimes(move).lastFullMs
+    const obstacle = this._findObstacle(move, open, steps, isLast || entry?.move?.prefer === 'time')
     this._report(move, open, formatNext(next, obstacle))
     if (nowMs < next.startMs) return undefined
     if (obstacle !== undefined) return this._reportLate(move, steps, nowMs, obstacle)
@@ -237,6 +258,14 @@
     return this._createCommand(move, status, next.sharePpm, isDone ? 'done, watching for late faults' : 'evidence is clean')
   }
 
+  private _planSteps (move: MoveRecord, open: IOpenMove, entry: IEntry | undefined): IMoveStep[] {
+    if (!move.ordered) return planSteps(move.startedMs, move.byMs, entry?.move?.first_share ?? 0)
+    const steps = planOrderedSteps(
+      move.startedMs, move.byMs, move.firstSharePpm, this._computeCallsPerMs(open), this._options.exposure)
+    // The rate of calls varies all the time; the share that was chosen by it doesn't.
+    return move.sharePpm > ORDERED_LOW_SHARE_PPM ? steps.slice(-1) : steps
+  }
+
   private _findObstacle (
     move: MoveRecord, open: IOpenMove, steps: readonly IMoveStep[], isTimeFirst: boolean
   ): string | undefined {
@@ -256,11 +285,15 @@
     const next = steps[index]
     const following = steps[index + 1]
     if (next === undefined || following === undefined) return ENOUGH_CALLS
+    if (move.ordered) return 0
+    const exposed = this._computeCallsPerMs(open) * Math.max(0, following.startMs - next.startMs) * next.sharePpm / FULL_SHARE_PPM
+    return Math.ceil(Math.max(0, exposed - EXPOSURE_GROWTH) / EXPOSURE_GROWTH)
+  }
+
+  private _computeCallsPerMs (open: IOpenMove): number {
     const nowMs = this._options.clock.readWallTime().getTime()
     const calls = open.comparison.getNewCalls() + open.comparison.getOldCalls()
-    const callsPerMs = calls / Math.max(WINDOW_MS, nowMs - open.seenFromMs)
-    const exposed = callsPerMs * Math.max(0, following.startMs - next.startMs) * next.sharePpm / FULL_SHARE_PPM
-    return Math.ceil(Math.max(0, exposed - EXPOSURE_GROWTH) / EXPOSURE_GROWTH)
+    return calls / Math.max(WINDOW_MS, nowMs - open.seenFromMs)
   }
 
   /** Says once that the set time can't be kept, as soon as it has passed or a whole step is lost. */
@@ -296,8 +329,21 @@
   }
 }
 
-function getFirstShare (move: MoveRecord, entry: IEntry | undefined): number {
-  return move.ordered ? move.firstSharePpm / FULL_SHARE_PPM : entry?.move?.first_share ?? 0
+function getOrderTimes (move: MoveRecord): IOrderTimes {
+  return planOrderTimes(move.startedMs, computeOrderMs(move.startedMs, move.byMs))
+}
+
+function getEndMs (move: MoveRecord): number {
+  return move.ordered ? getOrderTimes(move).endMs : Infinity
+}
+
+/** An ordered move has no calls to spare for a larger share, and is compared by those of the old version. */
+function getProbeShare (move: MoveRecord): number {
+  return move.ordered ? ORDERED_LOW_SHARE_PPM : PROBE_SHARE_PPM
+}
+
+function countProbeCalls (move: MoveRecord, open: IOpenMove): number {
+  return move.ordered ? open.comparison.getOldCalls() : open.comparison.getNewCalls()
 }
 
 function formatNext (next: IMoveStep, obstacle: string | undefined): string {
--- /dev/null
+++ b/packages/control/src/moves/OrderedSchedule.ts
@@ -0,0 +1,90 @@
+/**
+ * Times and shares of a move that was ordered for seconds.
+ */
+import { FULL_SHARE_PPM, type IMoveStep } from './MoveSchedule.js'
+
+/** Share until the rate of calls is known, and while the new version is compared with the old one. */
+export const ORDERED_LOW_SHARE_PPM = 20_000
+/** Time in which the rate of calls to the service is learnt. */
+const LEARN_RATE_MS = 1_500
+/**
+ * Time from the full share until a fault that it brings is found and its way back holds on all nodes: an answer, a window
+ * of evidence at the node and at the leader each, and the commit.
+ */
+const FIND_FAULT_MS = 1_150
+/**
+ * Parts of the time of the order: when all calls go to the new version, the latest time of that if few went to it before,
+ * the watch after it, and the end, which leaves the operator time to learn of it.
+ */
+const FULL_AT = 0.65
+const LAST_FULL_AT = 0.8
+const WATCH_PART = 0.2
+const END_AT = 0.94
+
+/** Most calls that a bad version may get between its order and the end of that time. */
+export interface IExposure {
+  /** Share of the calls to the service in that time, from 0 to 1. */
+  readonly share: number
+  /** Calls beside that share. */
+  readonly slack: number
+}
+
+/** Times of an ordered move. */
+export interface IOrderTimes {
+  /** Wall time at which all calls go to the new version, if enough went to it before. */
+  readonly fullMs: number
+  /** Wall time at which all calls go to the new version, however few went to it before. */
+  readonly lastFullMs: number
+  /** Length of the watch that follows the full share. */
+  readonly watchMs: number
+  /** Wall time of the end. */
+  readonly endMs: number
+}
+
+/**
+ * Plans the times of an ordered move.
+ * @param startedMs - wall time of the order
+ * @param withinMs - time until it must have ended
+ * @returns its times
+ */
+export function planOrderTimes (startedMs: number, withinMs: number): IOrderTimes {
+  return {
+    fullMs: Math.floor(startedMs + withinMs * FULL_AT),
+    lastFullMs: startedMs + withinMs * LAST_FULL_AT,
+    watchMs: Math.floor(withinMs * WATCH_PART),
+    endMs: startedMs + withinMs * END_AT
+  }
+}
+
+/**
+ * Computes the time of an order from its move.
+ * @param startedMs - wall time of the order
+ * @param fullMs - wall time of the full share
+ * @returns milliseconds until it must have ended
+ */
+export function computeOrderMs (startedMs: number, fullMs: number): number {
+  return (fullMs - startedMs) / FULL_AT
+}
+
+/**
+ * Plans the steps of an ordered move: a small share for more than half of its time, then all calls at once. A fault that
+ * shows at once is found with few calls, and one that shows under load costs the calls of the time that finding it takes;
+ * shares between the two would add to both. The small share gets what the exposure leaves beside the full one.
+ * @param startedMs - wall time of the order
+ * @param fullMs - wall time of the full share
+ * @param mostPpm - largest share before that, in parts per million
+ * @param callsPerMs - calls to the service
+ * @param exposure - most calls that a bad version may get
+ * @returns the steps in order; the last one is the full share
+ */
+export function planOrderedSteps (
+  startedMs: number, fullMs: number, mostPpm: number, callsPerMs: number, exposure: IExposure
+): IMoveStep[] {
+  const orderMs = computeOrderMs(startedMs, fullMs)
+  const spareCalls = exposure.slack + callsPerMs * (exposure.share * orderMs - FIND_FAULT_MS)
+  const sharePpm = Math.floor(Math.min(mostPpm, spareCalls / (callsPerMs * (fullMs - startedMs)) * FULL_SHARE_PPM))
+  const steps = [{ sharePpm: ORDERED_LOW_SHARE_PPM, startMs: startedMs }]
+  if (sharePpm > ORDERED_LOW_SHARE_PPM) steps.push({ sharePpm, startMs: startedMs + LEARN_RATE_MS })
+  steps.push({ sharePpm: FULL_SHARE_PPM, startMs: fullMs })
+  return steps
+}
