--- a/packages/common/src/evidence/Evidence.test.ts
+++ b/packages/common/src/evidence/Evidence.test.ts
@@ -73,6 +73,21 @@
   expect(comparison.findFault(0.01)).toBeDefined()
 })
 
+test('suspicion passes once the old version fails as often', () => {
+  const comparison = new VersionComparison()
+  comparison.addWindow([createOutcomes('n1', 10, 2), createOutcomes('n2', 10, 2)], [createOutcomes('o1', 100, 0)])
+  expect(comparison.isSuspected()).toBe(true)
+  expect(comparison.findFault(0.01)).toBeUndefined()
+  comparison.addWindow([createOutcomes('n1', 100, 0), createOutcomes('n2', 100, 0)], [createOutcomes('o1', 1_000, 20)])
+  expect(comparison.isSuspected()).toBe(false)
+})
+
+test('one bad target is no suspicion', () => {
+  const comparison = new VersionComparison()
+  comparison.addWindow([createOutcomes('n1', 10, 5), createOutcomes('n2', 10, 0)], [createOutcomes('o1', 100, 0)])
+  expect(comparison.isSuspected()).toBe(false)
+})
+
 test.each([[0, true], [0.2, false]])('rise at full share, old version fails %d later', (oldRate, isOwn) => {
   const comparison = new VersionComparison()
   for (let window = 0; window < 10; window++) comparison.addWindow([createOutcomes('n1', 5, 0)], [createOutcomes('o1', 50, 0)])
--- a/packages/common/src/evidence/SequentialTest.ts
+++ b/packages/common/src/evidence/SequentialTest.ts
@@ -74,6 +74,15 @@
     return this._peakLog >= Math.log(1 / alpha)
   }
 
+  /**
+   * Tells whether the evidence as it stands, which later events on the old version may clear, speaks for a fault.
+   * @param ratio - how many times as likely the calls must be under worse odds as under tolerated ones
+   * @returns true while the new version is suspected
+   */
+  isSuspected (ratio: number): boolean {
+    return this._computeMixtureLog() >= Math.log(ratio)
+  }
+
   private _add (index: number, gain: number): void {
     this._logRatios[index] = Math.max(-MAX_LOG, Math.min(MAX_LOG, (this._logRatios[index] ?? 0) + gain))
   }
--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -67,9 +67,18 @@
 
   /** With several targets, the fault must show without each single one of them. */
   isRejected (index: number, alpha: number): boolean {
-    if (this._all[index]?.isRejected(alpha) !== true) return false
+    return this._matchesAll(index, test => test.isRejected(alpha))
+  }
+
+  isSuspected (index: number, ratio: number): boolean {
+    return this._matchesAll(index, test => test.isSuspected(ratio))
+  }
+
+  private _matchesAll (index: number, matches: (test: SequentialTest) => boolean): boolean {
+    const all = this._all[index]
+    if (all === undefined || !matches(all)) return false
     if (this._without.size < 2) return true
-    return [...this._without.values()].every(tests => tests[index]?.isRejected(alpha) === true)
+    return [...this._without.values()].every(tests => tests[index] !== undefined && matches(tests[index]))
   }
 
   /** A target that is new has had no calls so far, so leaving it out leaves all the evidence until now. */
@@ -126,6 +135,10 @@
     return TEST_INDEXES.slice(1).some(index => this._tests.isRejected(index, latencyAlpha)) ? 'latency' : undefined
   }
 
+  isSuspected (ratio: number): boolean {
+    return TEST_INDEXES.some(index => this._tests.isSuspected(index, ratio))
+  }
+
   /** Finds a rise of the new version over the old version's earlier rates, without any single target, too. */
   findRise (alpha: number): boolean {
     return TEST_INDEXES.some(index => this._rise.isRejected(index, alpha))
@@ -249,6 +262,16 @@
     return [...this._routes.values()].some(route => route.findOwnRise(share))
   }
 
+  /**
+   * Tells whether the calls so far, corrected for the number of tests, are likelier for a worse version than for one
+   * that isn't worse. That is less than a finding, and events on the old version may clear it.
+   * @returns true while more calls are needed to tell
+   */
+  isSuspected (): boolean {
+    const ratio = 1 / this._computeShare(1)
+    return [...this._routes.values()].some(route => route.isSuspected(ratio))
+  }
+
   /** Starts to look for a rise anew. */
   resetRise (): void {
     for (const route of this._routes.values()) route.resetRise()
--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -257,6 +257,29 @@
   expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
 })
 
+test('suspected version gets the full share once the old one fails as often', async () => {
+  await suspectOrder()
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_RUNNING)
+  expect(controller.getProgress('desk')?.next).toMatch(/suspected/)
+  await runOrdered(1, () => ({ new: 0, old: 0.1 }), 400)
+  expect(getMove().sharePpm).toBe(FULL_SHARE_PPM)
+})
+
+test('version that stays suspected is taken back at the last time for the full share', async () => {
+  await suspectOrder()
+  await runOrdered(ORDER_S * 0.14, undefined, 0)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+  expect(getMove().reason).toMatch(/still suspected/)
+})
+
+/** Orders a move whose version fails too few calls for a finding, until after the time of the full share. */
+async function suspectOrder (): Promise<void> {
+  startOrder(ORDER_S)
+  await runOrdered(ORDER_S * 0.6)
+  controller.addEvidence([createRecord('v2', 10, 3), createRecord('v1', 60, 0)])
+  await runOrdered(1.25, undefined, 0)
+}
+
 /** Orders a move from v1 to v2. */
 function startOrder (seconds: number, hasTarget = true): void {
   putEntry({})
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -35,6 +35,8 @@
 const NEEDLESS_PROBE_RATE = 0.05
 /** Rate at which a rise that both versions share is taken for one of the new version, once it was compared. */
 const OWN_RISE_RATE = 0.05
+/** As many weak rises as tests may be seen without a fault; each costs a comparison before an ordered move ends. */
+const WEAK_RISE_RATE = 1
 /** A fault that leaves with the share of calls and comes back with it is one of the version under load. */
 const RISES_TO_TAKE_BACK = 2
 /** Rate at which a rise of the old version is seen where there is none; seeing one only spares the new version. */
@@ -210,6 +212,8 @@
     const endMs = move.stepStartedMs + watchMs
     this._report(move, open, `final at ${new Date(endMs).toISOString()}`)
     if (nowMs < endMs) return undefined
+    // Slow answers are seen late, so a weak rise is looked into before the old targets end.
+    if (move.ordered && open.comparison.findRise(WEAK_RISE_RATE)) return this._startProbe(move, open, nowMs)
     return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault in the watch time')
   }
 
@@ -247,8 +251,15 @@
     const steps = this._planSteps(move, open, entry)
     const next = steps.find(step => step.sharePpm > move.sharePpm)
     if (next === undefined) return undefined
+    const isSuspected = move.ordered && next.sharePpm === FULL_SHARE_PPM && open.comparison.isSuspected()
     const isLast = move.ordered && nowMs >= getOrderTimes(move).lastFullMs
-    const obstacle = this._findObstacle(move, open, steps, isLast || entry?.move?.prefer === 'time')
+    if (isSuspected && isLast) {
+      return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
+        `version ${move.to} was still suspected at the last time for all calls`)
+    }
+    const obstacle = isSuspected
+      ? `version ${move.to} is suspected of a fault; more calls decide`
+      : this._findObstacle(move, open, steps, isLast || entry?.move?.prefer === 'time')
     this._report(move, open, formatNext(next, obstacle))
     if (nowMs < next.startMs) return undefined
     if (obstacle !== undefined) return this._reportLate(move, steps, nowMs, obstacle)
--- a/packages/control/src/moves/OrderedSchedule.ts
+++ b/packages/control/src/moves/OrderedSchedule.ts
@@ -13,7 +13,7 @@
  */
 const FIND_FAULT_MS = 1_150
 /**
- * Parts of the time of the order: when all calls go to the new version, the latest time of that if few went to it before,
+ * Parts of the time of the order: when all calls go to the new version, the latest time of that while it is suspected,
  * the watch after it, and the end, which leaves the operator time to learn of it.
  */
 const FULL_AT = 0.65
@@ -31,9 +31,9 @@
 
 /** Times of an ordered move. */
 export interface IOrderTimes {
-  /** Wall time at which all calls go to the new version, if enough went to it before. */
+  /** Wall time at which all calls go to the new version, if it isn't suspected. */
   readonly fullMs: number
-  /** Wall time at which all calls go to the new version, however few went to it before. */
+  /** Wall time at which a version that is still suspected is taken back. */
   readonly lastFullMs: number
   /** Length of the watch that follows the full share. */
   readonly watchMs: number
