Outcomes of a move are in the next report of their node

Cause: an outcome waited for the end of its 250 ms window at the node and then for the next report, also each 250 ms, so a fault under full load was decided on up to 250 ms later than its evidence allowed.

The window stays for the cut that the node makes by itself.

Test that failed before: outcome is in the next report, before its window has ended, and in no other.

--- a/packages/node/src/moves/EvidenceCollector.test.ts
+++ b/packages/node/src/moves/EvidenceCollector.test.ts
@@ -36,6 +36,13 @@
   collector = new EvidenceCollector(store, clock, new NullLog(), new Metrics())
 })
 
+test('outcome is in the next report, before its window has ended, and in no other', () => {
+  collector.record('desk', 'v2', 'r', 'n1', true, 5)
+  expect(collector.takeEvidence()).toMatchObject([{ version: 'v2', calls: 1, failures: 1, latency: { counts: [1] } }])
+  collector.endWindow()
+  expect(collector.takeEvidence()).toEqual([])
+})
+
 test('clear faults cut the version within a second', () => {
   for (let window = 0; window < 4 && !collector.isCut('desk'); window++) addWindow(5)
   expect(collector.isCut('desk')).toBe(true)
--- a/packages/node/src/moves/EvidenceCollector.ts
+++ b/packages/node/src/moves/EvidenceCollector.ts
@@ -63,16 +63,18 @@
   ): void {
     if (!isOpen(this._store.getMove(service))) return
     const key = `${service}\n${version}\n${route}\n${targetId}`
-    let counts = this._window.get(key)
-    if (counts === undefined) {
-      counts = { service, version, route, targetId, calls: 0, failures: 0, latency: new Map() }
-      this._window.set(key, counts)
+    const bucket = latencyMs === undefined ? undefined : computeBucket(latencyMs)
+    // The control VMs get an outcome with the next report, and don't wait for the end of its window here.
+    for (const outcomes of [this._window, this._unsent]) {
+      let counts = outcomes.get(key)
+      if (counts === undefined) {
+        counts = { service, version, route, targetId, calls: 0, failures: 0, latency: new Map() }
+        outcomes.set(key, counts)
+      }
+      counts.calls++
+      if (isFailure) counts.failures++
+      if (bucket !== undefined) counts.latency.set(bucket, (counts.latency.get(bucket) ?? 0) + 1)
     }
-    counts.calls++
-    if (isFailure) counts.failures++
-    if (latencyMs === undefined) return
-    const bucket = computeBucket(latencyMs)
-    counts.latency.set(bucket, (counts.latency.get(bucket) ?? 0) + 1)
   }
 
   /**
@@ -104,7 +106,6 @@
   endWindow (): void {
     const window = this._window
     this._window = new Map()
-    for (const [key, counts] of window) this._addUnsent(key, counts)
     for (const move of this._store.view.moves.values()) {
       if (isOpen(move)) this._checkMove(move, [...window.values()])
       else this._guards.delete(move.service)
@@ -142,17 +143,6 @@
       service: move.service, version: move.to, place: fault.place, kind: fault.kind, detail: fault.detail
     })
   }
-
-  private _addUnsent (key: string, counts: ICounts): void {
-    const known = this._unsent.get(key)
-    if (known === undefined) {
-      this._unsent.set(key, counts)
-      return
-    }
-    known.calls += counts.calls
-    known.failures += counts.failures
-    for (const [bucket, count] of counts.latency) known.latency.set(bucket, (known.latency.get(bucket) ?? 0) + count)
-  }
 }
 
 function isOpen (move: MoveRecord | undefined): boolean {
