--- a/packages/control/src/moves/OrderedSchedule.ts
+++ b/packages/control/src/moves/OrderedSchedule.ts
@@ -11,7 +11,7 @@
  * Time from the full share until a fault that it brings is found and its way back holds on all nodes: an answer, a window
  * of evidence at the node and at the leader each, and the commit.
  */
-const FIND_FAULT_MS = 1_150
+const FIND_FAULT_MS = 1_200
 /**
  * Parts of the time of the order: when all calls go to the new version, the latest time of that while it is suspected,
  * the watch after it, and the end, which leaves the operator time to learn of it.
