The rate of an ordered move's calls is that of the last second

Cause: the rate was the mean since the start, when the answers of the first calls are still due. A rate that is too low gives a share that is too large for the exposure.

Test that failed before: small share goes by the calls of the last second, not by the start without answers.

--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -8,7 +8,7 @@
 import { CatalogueMachine } from '../catalogue/CatalogueMachine.js'
 import { MoveController } from './MoveController.js'
 import { FULL_SHARE_PPM, planSteps } from './MoveSchedule.js'
-import { ORDERED_LOW_SHARE_PPM } from './OrderedSchedule.js'
+import { ORDERED_LOW_SHARE_PPM, planOrderedSteps } from './OrderedSchedule.js'
 
 const LENGTH_S = 100
 const WATCH_S = 20
@@ -227,6 +227,14 @@
   expect(exposed).toBeLessThanOrEqual(EXPOSURE.share * all + EXPOSURE.slack)
 })
 
+test('small share goes by the calls of the last second, not by the start without answers', async () => {
+  startOrder(ORDER_S)
+  await runOrdered(0.5, undefined, 0)
+  await runOrdered(1.25, undefined, 400)
+  // 300 of 400 calls were seen in the last second, 200 calls/s since the start; fewer calls would give a larger share.
+  expect(getMove().sharePpm).toBe(planOrderedSteps(0, ORDER_S * 650, 160_000, 0.3, EXPOSURE)[1]?.sharePpm)
+})
+
 test('targets that come late get some calls before the full share', async () => {
   startOrder(ORDER_S, false)
   await runOrdered(ORDER_S * 0.7)
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -15,6 +15,8 @@
 } from './OrderedSchedule.js'
 
 const WINDOW_MS = 250
+/** Windows by which the rate of calls is told: a second. The first ones of a move lack the answers that are still due. */
+const RATE_WINDOWS = 4
 const FALSE_ALARM_RATE = 0.01
 /** A step may expose this many times as many calls as went well before, and as many more from the start. */
 const EXPOSURE_GROWTH = 10
@@ -75,6 +77,8 @@
   windowOld: IOutcomes[]
   /** Wall time since which this process has seen evidence. */
   readonly seenFromMs: number
+  /** Calls to the service in the latest windows. */
+  recentCalls: number[]
   probe: IProbe | undefined
   /** Rises that a comparison at a lower share did not show on either version. */
   returningRises: number
@@ -139,6 +143,8 @@
       }
       const open = this._getOpen(move)
       open.comparison.addWindow(open.windowNew, open.windowOld)
+      const calls = [...open.windowNew, ...open.windowOld].reduce((sum, outcomes) => sum + outcomes.calls, 0)
+      open.recentCalls = [...open.recentCalls, calls].slice(-RATE_WINDOWS)
       open.windowNew = []
       open.windowOld = []
       const { probe, returningRises } = open
@@ -166,6 +172,7 @@
         windowNew: [],
         windowOld: [],
         seenFromMs: this._options.clock.readWallTime().getTime(),
+        recentCalls: [],
         probe: undefined,
         returningRises: 0
       }
@@ -272,7 +279,7 @@
   private _planSteps (move: MoveRecord, open: IOpenMove, entry: IEntry | undefined): IMoveStep[] {
     if (!move.ordered) return planSteps(move.startedMs, move.byMs, entry?.move?.first_share ?? 0)
     const steps = planOrderedSteps(
-      move.startedMs, move.byMs, move.firstSharePpm, this._computeCallsPerMs(open), this._options.exposure)
+      move.startedMs, move.byMs, move.firstSharePpm, computeRecentCallsPerMs(open), this._options.exposure)
     // The rate of calls varies all the time; the share that was chosen by it doesn't.
     return move.sharePpm > ORDERED_LOW_SHARE_PPM ? steps.slice(-1) : steps
   }
@@ -353,6 +360,11 @@
   return move.ordered ? ORDERED_LOW_SHARE_PPM : PROBE_SHARE_PPM
 }
 
+function computeRecentCallsPerMs (open: IOpenMove): number {
+  const calls = open.recentCalls.reduce((sum, count) => sum + count, 0)
+  return calls / (WINDOW_MS * Math.max(1, open.recentCalls.length))
+}
+
 function countProbeCalls (move: MoveRecord, open: IOpenMove): number {
   return move.ordered ? open.comparison.getOldCalls() : open.comparison.getNewCalls()
 }
