Headers of a request are copied in one pass, and a route is found without making names

The Connection header was looked for in a pass of its own that lowered each name a second time, though it names a header only seldom; the route was looked up by texts made from host and segment, after a pattern over the host. A header called Close beside the option close now goes on, as options are no names.

--- a/packages/node/src/calls/Headers.ts
+++ b/packages/node/src/calls/Headers.ts
@@ -18,6 +18,9 @@
   'transfer-encoding', 'upgrade', 'expect'
 ])
 
+/** Values of the Connection header that name no header, in the usual spelling; `keep-alive` ends at this hop anyway. */
+const PLAIN_CONNECTIONS = new Set(['keep-alive', 'Keep-Alive', 'close'])
+
 /**
  * Copies the headers of a request that go on to the target.
  * @param raw - names and values in turn
@@ -25,14 +28,15 @@
  * @returns names and values in turn, without those of the connection and of this system
  */
 export function copyRequestHeaders (raw: readonly string[], ownHeaders: ReadonlySet<string>): string[] {
-  const named = findConnectionNames(raw)
   const headers: string[] = []
+  let named: Set<string> | undefined
   for (let index = 0; index < raw.length; index += 2) {
     const name = (raw[index] ?? '').toLowerCase()
-    if (HOP_HEADERS.has(name) || ownHeaders.has(name) || named?.has(name) === true) continue
-    headers.push(name, raw[index + 1] ?? '')
+    const value = raw[index + 1] ?? ''
+    if (name === 'connection') named = addConnectionNames(named, value)
+    if (!HOP_HEADERS.has(name) && !ownHeaders.has(name)) headers.push(name, value)
   }
-  return headers
+  return named === undefined ? headers : removeNames(headers, named)
 }
 
 /**
@@ -54,15 +58,19 @@
   return copied
 }
 
-/** The Connection header may name further headers that end at this hop. */
-function findConnectionNames (raw: readonly string[]): Set<string> | undefined {
-  let names: Set<string> | undefined
-  for (let index = 0; index < raw.length; index += 2) {
-    if (raw[index]?.toLowerCase() !== 'connection') continue
-    for (const name of (raw[index + 1] ?? '').split(',')) {
-      names ??= new Set()
-      names.add(name.trim().toLowerCase())
-    }
+/** The Connection header may name further headers that end at this hop, in any place; most often it names none. */
+function addConnectionNames (names: Set<string> | undefined, value: string): Set<string> | undefined {
+  if (PLAIN_CONNECTIONS.has(value)) return names
+  const all = names ?? new Set<string>()
+  for (const name of value.split(',')) all.add(name.trim().toLowerCase())
+  return all
+}
+
+function removeNames (headers: readonly string[], names: ReadonlySet<string>): string[] {
+  const kept: string[] = []
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] ?? ''
+    if (!names.has(name)) kept.push(name, headers[index + 1] ?? '')
   }
-  return names
+  return kept
 }
--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -8,6 +8,8 @@
 /** Share of all calls in parts per million. */
 export const FULL_SHARE_PPM = 1_000_000
 const DEFAULT_DEADLINE_MS = 10_000
+const ANY_HOST = '*'
+const ROOT = '/'
 /** Targets that one call may be sent to unless its route says otherwise. */
 const DEFAULT_ATTEMPTS = 3
 const CLASS_NUMBERS: Readonly<Record<typeof CLASSES[number], CallClass>> = {
@@ -54,6 +56,9 @@
   readonly isRepeatable: boolean
 }
 
+/** Routes of one host by the first segment of their path. */
+type HostRoutes = Map<string, ICompiledRoute[]>
+
 /**
  * Computes which versions of a service take calls.
  * @param entry - entry of the service
@@ -87,14 +92,16 @@
 /** The routes of one version; made once per version, read at every call. */
 export class RouteTable {
   /** Routes by host and first segment of the path, longest path first. */
-  private readonly _buckets = new Map<string, ICompiledRoute[]>()
+  private readonly _hosts = new Map<string, HostRoutes>()
 
   /** @param view - a whole version */
   constructor (readonly view: ICatalogueView) {
     for (const entry of view.entries.values()) {
       for (const route of entry.routes) this._addRoute(entry, route)
     }
-    for (const bucket of this._buckets.values()) bucket.sort((a, b) => b.route.path.length - a.route.path.length)
+    for (const segments of this._hosts.values()) {
+      for (const routes of segments.values()) routes.sort((a, b) => b.route.path.length - a.route.path.length)
+    }
   }
 
   /**
@@ -108,27 +115,23 @@
     const end = path.indexOf('?')
     const plain = end < 0 ? path : path.slice(0, end)
     const segment = getFirstSegment(plain)
-    const name = parseHost(host)
-    return this._findIn(`${name} ${segment}`, method, plain) ?? this._findIn(`${name} /`, method, plain) ??
-      this._findIn(`* ${segment}`, method, plain) ?? this._findIn('* /', method, plain)
-  }
-
-  private _findIn (bucket: string, method: string, path: string): ICompiledRoute | undefined {
-    const routes = this._buckets.get(bucket)
-    if (routes === undefined) return undefined
-    for (const compiled of routes) {
-      if (matchesPath(compiled.route.path, path) && matchesMethod(compiled.route, method)) return compiled
-    }
-    return undefined
+    // Most callers spell the host as it is declared.
+    const ofHost = this._hosts.get(host) ?? this._hosts.get(parseHost(host))
+    const ofAny = this._hosts.get(ANY_HOST)
+    return findIn(ofHost?.get(segment), method, plain) ?? findIn(ofHost?.get(ROOT), method, plain) ??
+      findIn(ofAny?.get(segment), method, plain) ?? findIn(ofAny?.get(ROOT), method, plain)
   }
 
   private _addRoute (entry: IEntry, route: IRoute): void {
     const parts = this._compileParts(entry, route)
     if (parts.length === 0) return
-    const key = `${parseHost(entry.host ?? '*')} ${getFirstSegment(route.path)}`
-    const bucket = this._buckets.get(key) ?? []
-    this._buckets.set(key, bucket)
-    bucket.push({
+    const host = parseHost(entry.host ?? ANY_HOST)
+    const segments: HostRoutes = this._hosts.get(host) ?? new Map<string, ICompiledRoute[]>()
+    this._hosts.set(host, segments)
+    const segment = getFirstSegment(route.path)
+    const routes = segments.get(segment) ?? []
+    segments.set(segment, routes)
+    routes.push({
       entry,
       route,
       key: `${entry.entry}/${route.name}`,
@@ -154,6 +157,14 @@
   }
 }
 
+function findIn (routes: readonly ICompiledRoute[] | undefined, method: string, path: string): ICompiledRoute | undefined {
+  if (routes === undefined) return undefined
+  for (const compiled of routes) {
+    if (matchesPath(compiled.route.path, path) && matchesMethod(compiled.route, method)) return compiled
+  }
+  return undefined
+}
+
 function matchesMethod (route: IRoute, method: string): boolean {
   return route.methods === undefined || route.methods.includes(method as 'GET')
 }
