--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -28,20 +28,11 @@
 import type { StateMachine } from './raft/StateMachine.js'
 
 /** Name of the group that holds the catalogue. */
-export const CATALOGUE_GROUP = 'catalogue'
+const CATALOGUE_GROUP = 'catalogue'
 const CHANGE_TIMEOUT_MS = 10_000
 const CONFIRM_TIMEOUT_MS = 3_000
 const BOOTSTRAP_RETRY_MS = 200
 
-/**
- * Names the group of a claim shard.
- * @param shard - number from 0
- * @returns name of the group
- */
-export function formatClaimGroup (shard: number): string {
-  return `claims-${shard}`
-}
-
 /** Edits of single entries by one operator. */
 export interface IEntryChange {
   readonly requestId: string
@@ -96,7 +87,7 @@
       const machine = new ClaimsMachine({
         retentionMs: settings.control.answerRetentionMs, capacity: settings.control.claimCapacity
       })
-      this._addGroup(formatClaimGroup(shard), machine)
+      this._addGroup(`claims-${shard}`, machine)
       metrics.addGauge(`claims_kept_shard_${shard}`, () => machine.getSize())
     }
     this._mesh = this._disposables.add(new EndpointMesh(this.directory, this.endpoints, _options))
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -17,7 +17,7 @@
 import { REPEATED_HEADER } from './Headers.js'
 import type { PlannedStop } from './PlannedStop.js'
 import { TargetPicker } from './TargetPicker.js'
-import { CLAIM_REFUSALS, sendRefusal, type RefusalReason, type RunState } from './Refusal.js'
+import { CLAIM_REFUSALS, sendRefusal, type IRefusal, type RefusalReason, type RunState } from './Refusal.js'
 
 const HELD_BODY_BYTES = 16_384
 const RETRY_AFTER_MS = 1_000
@@ -99,14 +99,8 @@
   /** Ends the call, since its process ends. */
   cut (): void {
     if (this._isDone) return
-    if (!this._hasHead) {
-      this._refuse('process-draining', this._attempt === undefined ? 'not-run' : 'unknown', RETRY_AFTER_MS)
-      return
-    }
-    this._key.settleUnknown()
-    this._attempt?.cancel()
-    this._finish('cut', 'process-draining')
-    this._response.destroy()
+    if (this._hasHead) this._cutAnswer('process-draining')
+    else this._refuse('process-draining', this._attempt === undefined ? 'not-run' : 'unknown', RETRY_AFTER_MS)
   }
 
   onHead (status: number, headers: readonly string[]): void {
@@ -146,10 +140,7 @@
   onFailure (failure: ICallFailure): void {
     if (this._isDone) return
     if (this._hasHead) {
-      // A part of the answer is out; cutting the connection shows the caller that it isn't whole.
-      this._key.settleUnknown()
-      this._finish('cut', failure.reason)
-      this._response.destroy()
+      this._cutAnswer(failure.reason)
       return
     }
     this._repeats.recordFailure(failure)
@@ -172,10 +163,7 @@
 
   private _readHead (): boolean {
     const head = readCallHead(this._context, this._request)
-    if (head.err) {
-      const { reason, run, retryAfterMs, detail } = head.val
-      return this._refuse(reason, run, retryAfterMs, detail)
-    }
+    if (head.err) return this._refuseAs(head.val)
     this._head = head.val
     this._picker = new TargetPicker(this._context, head.val)
     this._repeats = new CallRepeats(this._context, head.val, this._picker.part)
@@ -229,10 +217,8 @@
       case 'answered':
         this._sendRecorded(result.answer)
         return
-      default: {
-        const { reason, run, retryAfterMs } = CLAIM_REFUSALS[result.kind]
-        this._refuse(reason, run, retryAfterMs)
-      }
+      default:
+        this._refuseAs(CLAIM_REFUSALS[result.kind])
     }
   }
 
@@ -357,11 +343,16 @@
     this._response.end(answer.body)
   }
 
+  private _refuse (reason: RefusalReason, run: RunState, retryAfterMs: number): false {
+    return this._refuseAs({ reason, run, retryAfterMs })
+  }
+
   /** @returns false, so that checks can return it */
-  private _refuse (reason: RefusalReason, run: RunState, retryAfterMs: number, detail?: string): false {
+  private _refuseAs (refusal: IRefusal): false {
     if (this._isDone) return false
+    const { reason } = refusal
     // One attempt that may have run is enough to make the whole call doubtful.
-    if (run === 'not-run' && (this._report.repeats?.runs ?? 0) > 0) run = 'unknown'
+    const run = refusal.run === 'not-run' && (this._report.repeats?.runs ?? 0) > 0 ? 'unknown' : refusal.run
     if (run === 'not-run') this._key.settleReleased()
     else this._key.settleUnknown()
     this._attempt?.cancel()
@@ -369,11 +360,19 @@
     this._context.metrics.count('refusals_total', reason)
     if (!this._isCallerGone) {
       const isClosing = this._context.getStop()?.isRefusing === true || !this._request.complete
-      sendRefusal(this._response, { reason, run, retryAfterMs, detail }, isClosing, this._context.dialect)
+      sendRefusal(this._response, { ...refusal, run }, isClosing, this._context.dialect)
     }
     return false
   }
 
+  /** A part of the answer is out; cutting the connection shows the caller that it isn't whole. */
+  private _cutAnswer (reason: string): void {
+    this._key.settleUnknown()
+    this._attempt?.cancel()
+    this._finish('cut', reason)
+    this._response.destroy()
+  }
+
   private _handleDeadline (): void {
     if (this._isDone || this._attempt !== undefined) return
     this._refuse('deadline', 'not-run', 0)
