Long moves are compared as long as before

Cause: the plan of ordered moves made their comparisons longer by constants that long moves use as well, so those with few calls were compared for 0.3 of their time instead of 0.25.

Test that failed before: comparison of a long move with few calls ends after a quarter of its time.

--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -192,6 +192,17 @@
   expect(getMove().sharePpm).toBeGreaterThan(200_000)
 })
 
+test('comparison of a long move with few calls ends after a quarter of its time', async () => {
+  startMove()
+  await run(80)
+  await run(1, 0.2)
+  expect(getMove().sharePpm).toBe(200_000)
+  await run(LENGTH_S * 0.25 - 1, 0, 5)
+  expect(getMove().sharePpm).toBe(200_000)
+  await run(2, 0, 5)
+  expect(getMove().sharePpm).toBeGreaterThan(200_000)
+})
+
 test('decision without a quorum changes nothing', async () => {
   startMove()
   await run(50)
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -31,8 +31,9 @@
 const SHORTEST_PROBE_MS = 10_000
 const LONGEST_PROBE_MS = 300_000
 /** Parts of the time of a move that a comparison takes at least and at most; the bounds above hold for long moves. */
-const SHORTEST_PROBE_SHARE = 0.2
-const LONGEST_PROBE_SHARE = 0.3
+const PROBE_PARTS = { shortest: 0.1, longest: 0.25 } as const
+/** The same of an ordered move until its full share; the old version's calls must show what both share. */
+const ORDERED_PROBE_PARTS = { shortest: 0.2, longest: 0.3 } as const
 /** Rate of needless probes over one move. */
 const NEEDLESS_PROBE_RATE = 0.05
 /** Rate at which a rise that both versions share is taken for one of the new version, once it was compared. */
@@ -236,10 +237,11 @@
     const lengthMs = nowMs - probe.startedMs
     const calls = countProbeCalls(move, open) - probe.callsBefore
     const moveMs = move.byMs - move.startedMs
-    const isEnough = lengthMs >= Math.min(SHORTEST_PROBE_MS, moveMs * SHORTEST_PROBE_SHARE) && calls >= PROBE_CALLS
+    const parts = move.ordered ? ORDERED_PROBE_PARTS : PROBE_PARTS
+    const isEnough = lengthMs >= Math.min(SHORTEST_PROBE_MS, moveMs * parts.shortest) && calls >= PROBE_CALLS
     this._report(move, open, `compared at ${formatShare(getProbeShare(move))} for ${calls} calls`)
     const isOver = nowMs >= getEndMs(move)
-    if (!isEnough && !isOver && lengthMs < Math.min(LONGEST_PROBE_MS, moveMs * LONGEST_PROBE_SHARE)) return undefined
+    if (!isEnough && !isOver && lengthMs < Math.min(LONGEST_PROBE_MS, moveMs * parts.longest)) return undefined
     // A move of seconds has no calls to spare for the same fault once more.
     if (move.ordered && (probe.isInherited || open.comparison.findOwnRise(OWN_RISE_RATE))) {
       return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
