--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -77,7 +77,7 @@
     method: 'POST', headers: { 'idempotency-key': key }, body: 'x'
   })
   await answer.text()
-  return answer.status === 200 ? (answer.headers.has('lagoon-repeated') ? 'repeated' : 'run') : 'refused'
+  return answer.status === 200 ? (answer.headers.has('lagoon-repeated') ? 'repeated' : 'run') : `refused ${answer.status}`
 }
 
 async function countRuns (port: number): Promise<number[]> {
@@ -87,8 +87,12 @@
 
 test('killed processes come back with everything accepted', async () => {
   const port = await startTarget('t1', 'v1')
-  await runCtl('apply', writeDeclaration(ENTRY))
-  await waitUntil('an order', async () => await sendOrder('kept') === 'run')
+  expect(await runCtl('apply', writeDeclaration(ENTRY))).toMatchObject({ code: 0 })
+  let last = ''
+  await waitUntil('an order', async () => {
+    last = await sendOrder('kept')
+    return last === 'run'
+  }).catch(error => { throw new Error(`${String(error)}: last it was ${last}`) })
   await waitUntil('its record', async () => await sendOrder('kept') === 'repeated')
   // The record of this one may be lost with the node; it must not run again all the same.
   await sendOrder('doubtful')
