One loop waits in a planned stop, and a comment on repeats says what is free

The two waits of NodeRole.stop were the same loop with another condition and end, applyStop was asked for twice whether a stop runs, a constant stood below its use, and the comment of canRepeatFailure said that all repeats are free.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -211,8 +211,11 @@
     const { clock } = this._options
     const stop = new PlannedStop(clock.readMonotonicMs(), timeoutMs)
     const getPassedMs = (): number => clock.readMonotonicMs() - stop.startedMs
-    const sleepUntil = async (endMs: number): Promise<void> =>
-      await clock.sleep(Math.max(0, Math.min(POLL_MS, endMs - clock.readMonotonicMs())))
+    const waitWhile = async (check: () => boolean, endMs: number): Promise<void> => {
+      for (let leftMs = endMs - clock.readMonotonicMs(); leftMs > 0 && check(); leftMs = endMs - clock.readMonotonicMs()) {
+        await clock.sleep(Math.min(POLL_MS, leftMs))
+      }
+    }
     this._stop = stop
     this.targets.drain()
     this._peerServer.drain()
@@ -222,11 +225,11 @@
       this.targets.getRunningCount() > 0
     const isServing = (): boolean => getPassedMs() < NOTICE_MS || isBusy() || this._calls.getQuietMs() < QUIET_MS
     this._reportStop('serving', 0)
-    while (clock.readMonotonicMs() < stop.refuseAtMs && isServing()) await sleepUntil(stop.refuseAtMs)
+    await waitWhile(isServing, stop.refuseAtMs)
     stop.refuseCalls()
     this._reportStop('refusing', getPassedMs())
     // Until the last call has ended, callers that connect learn when to come back.
-    while (clock.readMonotonicMs() < stop.cutAtMs && isBusy()) await sleepUntil(stop.cutAtMs)
+    await waitWhile(isBusy, stop.cutAtMs)
     this._reportStop('closing', getPassedMs())
     await this._calls.close()
     this._peerServer.closeLinks()
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -236,7 +236,7 @@
     this._attempt = attempt
     attempt.handle = this._context.findOpener(target.record.linkAddress)
       .open(this._createRequest(target), attempt)
-    if (this._context.getStop() !== undefined) this.applyStop()
+    this.applyStop()
     if (!this._isDone) this._body.stream(() => this._attempt?.handle)
   }
 
--- a/packages/node/src/calls/CallRepeats.ts
+++ b/packages/node/src/calls/CallRepeats.ts
@@ -57,8 +57,8 @@
   }
 
   /**
-   * Decides on a repeat after a failure and spends the budget for it. These repeats cost the targets nothing as long as
-   * they have not run, and a leaving target must not use up the budget.
+   * Decides on a repeat after a failure and spends the budget for it, unless the attempt cost its target nothing: a leaving
+   * target must not use up the budget.
    * @param failure - of the last attempt
    * @returns true when the call is to be sent again
    */
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -14,6 +14,8 @@
 const HEAD_MARGIN_BYTES = 4_096
 /** Most connections that wait to be accepted. */
 const BACKLOG = 1_024
+/** Time for the answers to calls that are cut, in milliseconds; a planned stop keeps more at its end. */
+const ANSWER_GRACE_MS = 50
 
 /** Accepts calls until it is stopped. */
 export class CallServer {
@@ -106,6 +108,3 @@
     call.start()
   }
 }
-
-/** Time for the answers to calls that are cut, in milliseconds; a planned stop keeps more at its end. */
-const ANSWER_GRACE_MS = 50
--- a/packages/node/src/calls/PlannedStop.ts
+++ b/packages/node/src/calls/PlannedStop.ts
@@ -1,7 +1,6 @@
 /**
  * Until when a process that is told to stop takes calls, lets them begin at a target, and waits for their ends.
  */
-
 import { DEADLINE_GRACE_MS, LATE_MARGIN_MS } from './CallTypes.js'
 
 /** Time after the deadline of a call until its caller has the answer. */
