Counters stand before percentiles on the metrics page

Counters and gauges now come first; the test fails on the order of registration that was used before.

--- a/packages/common/src/Metrics.test.ts
+++ b/packages/common/src/Metrics.test.ts
@@ -18,3 +18,11 @@
   expect(lines.length).toBe(257)
   expect(lines).toContain('lagoonswitch_call_duration_count{route="other"} 44')
 })
+
+test('counters stand before latencies, whatever came first', async () => {
+  const metrics = new Metrics()
+  metrics.getLatencies('attempt_duration', 'target').record('t1', 1)
+  metrics.count('retries_total', 'answer')
+  const text = await metrics.format()
+  expect(text.indexOf('lagoonswitch_retries_total')).toBeLessThan(text.indexOf('lagoonswitch_attempt_duration'))
+})
--- a/packages/common/src/Metrics.ts
+++ b/packages/common/src/Metrics.ts
@@ -97,6 +97,8 @@
 /** Registry of all metrics of one process. */
 export class Metrics {
   private readonly _registry = new Registry()
+  /** Kept apart, since a reader that takes only the first part of the page needs the counters. */
+  private readonly _latencies = new Registry()
   /** Counts by metric and reason, which the registry takes over at each scrape: its own counters cost more than a call's count may. */
   private readonly _counts = new Map<string, Map<string, number>>()
   private readonly _families = new Map<string, LatencyFamily>()
@@ -135,7 +137,7 @@
   getLatencies (name: string, label: string): LatencyFamily {
     const known = this._families.get(name)
     if (known !== undefined) return known
-    const family = new LatencyFamily(`lagoonswitch_${name}`, label, this._registry)
+    const family = new LatencyFamily(`lagoonswitch_${name}`, label, this._latencies)
     this._families.set(name, family)
     return family
   }
@@ -150,9 +152,9 @@
     return this._counts.get(name)?.get(reason) ?? 0
   }
 
-  /** @returns all metrics in Prometheus text format */
+  /** @returns all metrics in Prometheus text format, counters first */
   async format (): Promise<string> {
-    return await this._registry.metrics()
+    return await this._registry.metrics() + await this._latencies.metrics()
   }
 
   private _addCounts (name: string): Map<string, number> {
