--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -94,12 +94,15 @@
   /** Control VM that was left or didn't answer last, which is not tried again at once. */
   private _failedAddress = ''
   private _isMovingNearer = false
+  /** Since when no source is followed. */
+  private _orphanedMs: number
 
   /** Fires once the first version is confirmed by a quorum. */
   readonly onReady = this._onReady.event
 
   constructor (private readonly _options: IFeedClientOptions) {
     this._finder = new SourceFinder(_options)
+    this._orphanedMs = _options.clock.readMonotonicMs()
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._store.add(toDisposable(() => {
       this._stopping.abort()
@@ -228,6 +231,7 @@
             break
           case 'redirect':
             redirect = frame.value
+            this._options.log.info(wasWelcome ? 'feed_left' : 'feed_refused', { source: address, reason: frame.value.reason })
             break
           case 'catalogue':
             this._applyCatalogue(frame.value)
@@ -248,7 +252,7 @@
       }
     } catch (error) {
       this._options.metrics.count('feed_source_left_total', error instanceof FeedError ? 'refused' : 'broken')
-      if (wasWelcome) this._options.log.warn('feed_lost', { source: this._source, error: formatError(error) })
+      this._options.log.warn(wasWelcome ? 'feed_lost' : 'feed_not_joined', { source: address, error: formatError(error) })
     }
     watch.dispose()
     stream.cancel()
@@ -316,7 +320,12 @@
     this._source = source
     this._lastBeatMs = this._options.clock.readMonotonicMs()
     this._rememberRelays(relays)
-    this._options.log.info('feed_joined', { source, feed_level: level })
+    this._options.log.info('feed_joined', {
+      source,
+      feed_level: level,
+      orphaned_ms: Math.round(this._lastBeatMs - this._orphanedMs),
+      held: this._options.store.version.version
+    })
     this._pending = this._options.endpoints.getRecords().filter(record => this._isOwn(record))
     this._announceOwn()
     void this._confirmFirst()
@@ -324,6 +333,7 @@
 
   private _leave (): void {
     this._stream = undefined
+    this._orphanedMs = this._options.clock.readMonotonicMs()
     this._address = ''
     this._level = 0
     this._source = ''
