A process knows which of its calls repeated runs make

A repeat is marked on the link to its target; calls that the target makes for it find their parent among the runs beside it, or carry lagoon-repeat where callers name no parent. They are counted in calls_of_repeats_total by service. Nothing is decided by it yet.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -146,6 +146,7 @@
       owners: new OwnerLimits(),
       callerTimes: new CallerTimes(clock),
       findOpener: address => this._findOpener(address),
+      isRepeatRun: callId => this.targets.isRepeatRun(callId),
       getBudget: part => this._getBudget(part),
       getRoutes: () => this._getRoutes(),
       getStop: () => this._stop,
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -107,7 +107,7 @@
     if (this._isDone) return
     if (this._canRetryAnswer(status)) {
       this._attempt?.cancel()
-      this._repeats.runs++
+      this._repeats.recordFailedAnswer()
       this._report.reportRepeat('answer', this._attempt?.target)
       this._scheduleSend()
       return
@@ -182,7 +182,7 @@
 
   private _proceed (): void {
     if (this._isDone) return
-    this._repeats.budget.recordCall()
+    this._repeats.recordCall()
     if (this._head.route.isKeyed) {
       void this._claimKey()
       return
@@ -299,6 +299,7 @@
       expectedMs: this._context.pool.computeExpectedMs(target, this._head.route.key),
       isRepeatable: this._head.route.isRepeatable,
       isSpareOnly: this._context.pool.isSpare(target, this._head.callClass),
+      isRepeat: this._repeats.isRepeat,
       owner,
       body: this._body.bytes,
       isBodyComplete: this._body.isHeld,
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -28,6 +28,8 @@
   readonly callerTimes: CallerTimes
   /** Opens calls on the target of this VM or over a link. */
   readonly findOpener: (linkAddress: string) => ICallOpener
+  /** Tells whether a target of this VM runs a repeat of the call with this identity. */
+  readonly isRepeatRun: (callId: string) => boolean
   readonly getBudget: (part: IRoutePart) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
   /** Times of the planned stop that is under way; undefined while there is none. */
--- a/packages/node/src/calls/CallDialect.ts
+++ b/packages/node/src/calls/CallDialect.ts
@@ -5,7 +5,7 @@
 import { Err, Ok, type Result } from '@lagoonswitch/common'
 import type { CallClass } from '@lagoonswitch/schema'
 import { findClass } from '../routing/RouteTable.js'
-import { CLASS_HEADER, DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER } from './Headers.js'
+import { CLASS_HEADER, DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER, REPEAT_HEADER } from './Headers.js'
 
 const MS_PER_SECOND = 1_000
 
@@ -21,6 +21,10 @@
   readonly depth: number
   /** True when a target makes the call for one that it runs, and holds a slot for that meanwhile. */
   readonly isAwaited: boolean
+  /** Identity of the call that the target runs which makes this one; empty when it makes none or doesn't tell. */
+  readonly parentId: string
+  /** True when the caller states that a repeated run makes the call. */
+  readonly isOfRepeat: boolean
   /** Idempotency key; empty when none was given. */
   readonly key: string
 }
@@ -29,6 +33,8 @@
 export interface ITargetTerms {
   readonly remainingMs: number
   readonly targetId: string
+  /** True when a target has had the call before, or when such a run makes it. */
+  readonly isRepeat: boolean
 }
 
 /** What an answer of a target says of itself. */
@@ -88,7 +94,7 @@
 
 /** The headers of the product's own interface. */
 export class LagoonDialect extends CallDialect {
-  readonly ownHeaders = new Set([DEADLINE_HEADER, DEPTH_HEADER, CLASS_HEADER])
+  readonly ownHeaders = new Set([DEADLINE_HEADER, DEPTH_HEADER, CLASS_HEADER, REPEAT_HEADER])
 
   readCallId (): string {
     return ''
@@ -110,6 +116,8 @@
       depth: readNumber(headers[DEPTH_HEADER]) ?? 0,
       // The header of the depth can be set by any caller, who may only lower the class.
       isAwaited: false,
+      parentId: '',
+      isOfRepeat: headers[REPEAT_HEADER] !== undefined,
       key: typeof key === 'string' ? key : ''
     })
   }
@@ -119,7 +127,8 @@
   }
 
   formatTargetHeaders (terms: ITargetTerms): string[] {
-    return [DEADLINE_HEADER, String(terms.remainingMs)]
+    const repeat = terms.isRepeat ? [REPEAT_HEADER, 'true'] : []
+    return [DEADLINE_HEADER, String(terms.remainingMs), ...repeat]
   }
 
   readAnswer (): IAnswerSigns {
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -29,6 +29,10 @@
   readonly callId: string
   /** Calls above this one in a chain. */
   readonly depth: number
+  /** Identity of the call that the target runs which makes this one; empty when it makes none or doesn't tell. */
+  readonly parentId: string
+  /** True when a repeated run makes the call. */
+  readonly isOfRepeat: boolean
   /** Headers for the target, names and values in turn. */
   readonly headers: readonly string[]
   /** Idempotency key; empty on routes without keys. */
@@ -71,6 +75,8 @@
     callClass,
     callId: terms.callId,
     depth: terms.depth,
+    parentId: terms.parentId,
+    isOfRepeat: terms.isOfRepeat || context.isRepeatRun(terms.parentId),
     headers: copied,
     key: route.isKeyed ? terms.key : ''
   })
--- a/packages/node/src/calls/CallRepeats.ts
+++ b/packages/node/src/calls/CallRepeats.ts
@@ -25,6 +25,8 @@
 /** Counts the attempts of one call. */
 export class CallRepeats {
   private _queues = 0
+  /** Attempts that reached their target. */
+  private _arrivals = 0
   /** Attempts so far, and those among them that may have run. */
   sends = 0
   runs = 0
@@ -42,9 +44,27 @@
     return this._context.getBudget(this._part)
   }
 
+  /** True when the next attempt is not the first one that a target gets, or when a repeated run makes the call. */
+  get isRepeat (): boolean {
+    return this._arrivals > 0 || this._head.isOfRepeat
+  }
+
+  /** Notes the call itself, before its first attempt. */
+  recordCall (): void {
+    this.budget.recordCall()
+    if (this._head.isOfRepeat) this._context.metrics.count('calls_of_repeats_total', this._part.service)
+  }
+
+  /** Notes an answer in whose place the call is sent again. */
+  recordFailedAnswer (): void {
+    this.runs++
+    this._arrivals++
+  }
+
   /** Notes a failed attempt. */
   recordFailure ({ reason, isNotRun }: ICallFailure): void {
     if (!isNotRun) this.runs++
+    if (!isFree(reason, isNotRun)) this._arrivals++
     if (QUEUE_REASONS.has(reason)) this._queues++
   }
 
@@ -67,7 +87,7 @@
     if (!isRepeatable || FINAL_REASONS.has(reason) || !this._hasSendsLeft()) return false
     const maxQueues = this._head.callClass === CallClass.CALL_CLASS_FIRST ? MAX_QUEUES_FIRST : MAX_QUEUES
     if (QUEUE_REASONS.has(reason) && this._queues >= maxQueues) return false
-    if (isNotRun && FREE_REASONS.has(reason)) return true
+    if (isFree(reason, isNotRun)) return true
     return this.spendBudget(reason)
   }
 
@@ -93,3 +113,8 @@
     return this.sends < MAX_SENDS && this.runs < this._head.route.maxAttempts
   }
 }
+
+/** Tells whether an attempt ended before its target had the request. */
+function isFree (reason: FailureReason, isNotRun: boolean): boolean {
+  return isNotRun && FREE_REASONS.has(reason)
+}
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -34,6 +34,8 @@
   readonly isRepeatable: boolean
   /** True when the call may take a free slot but must not wait for one, since it came a dear way. */
   readonly isSpareOnly: boolean
+  /** True when a target has had the call before, or when such a run makes it. */
+  readonly isRepeat: boolean
   readonly owner: string
   /** First bytes of the body. */
   readonly body: Buffer
--- a/packages/node/src/calls/Headers.ts
+++ b/packages/node/src/calls/Headers.ts
@@ -6,6 +6,8 @@
 export const DEADLINE_HEADER = 'lagoon-deadline-ms'
 /** Number of calls above this one in a chain. */
 export const DEPTH_HEADER = 'lagoon-depth'
+/** Set on a call that a target has had before, or that such a run makes. */
+export const REPEAT_HEADER = 'lagoon-repeat'
 /** Class wished by the caller; it can only lower the class of the route. */
 export const CLASS_HEADER = 'lagoon-class'
 /** Key of a call that must run at most once. */
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -263,6 +263,7 @@
         callId: request.callId,
         expectedMs: request.expectedMs,
         spareOnly: request.isSpareOnly,
+        repeat: request.isRepeat,
         objectiveMs: Math.max(request.objectiveMs > 0 ? 1 : 0, Math.floor(request.objectiveMs - (request.remainingMs - remainingMs)))
       }
     })
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -103,7 +103,8 @@
       objectiveMs: open.objectiveMs,
       expectedMs: open.expectedMs,
       isRepeatable: false,
-      isSpareOnly: open.spareOnly
+      isSpareOnly: open.spareOnly,
+      isRepeat: open.repeat
     }, call))
     if (open.body.length > 0) call.countBody(open.body.length)
   }
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -183,7 +183,7 @@
 
   private _send (): void {
     if (this._hasEnded) return
-    const { method, path, headers, body, targetId } = this._request
+    const { method, path, headers, body, targetId, isRepeat } = this._request
     this._grantedMs = this._clock.readMonotonicMs()
     const leftMs = Math.max(1, Math.floor(this._dueMs - this._clock.readMonotonicMs()))
     const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBody.length === 0
@@ -191,7 +191,7 @@
     this._connection.dispatch({
       method: method as Dispatcher.HttpMethod,
       path,
-      headers: [...headers, ...this._dialect.formatTargetHeaders({ remainingMs: leftMs, targetId })],
+      headers: [...headers, ...this._dialect.formatTargetHeaders({ remainingMs: leftMs, targetId, isRepeat })],
       body: isEmpty ? null : this._createBody(body)
     }, this)
   }
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -59,6 +59,8 @@
   private readonly _withdrawn = new Map<string, IWithdrawal>()
   private _isDraining = false
   private _running = 0
+  /** Requests that targets run or that wait for them, by the identity of their call. */
+  private readonly _runs = new Map<string, ICallRequest>()
 
   constructor (private readonly _options: ITargetSideOptions) {
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
@@ -139,8 +141,10 @@
     }
     target.applyLimits(request.slots, request.connections)
     this._running++
+    if (request.callId !== '') this._runs.set(request.callId, request)
     return new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
       this._running--
+      if (this._runs.get(request.callId) === request) this._runs.delete(request.callId)
       if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
       if (failure === 'connect' || failure === 'target-replaced') this._lose(target, failure)
     })
@@ -160,6 +164,14 @@
     return this._running
   }
 
+  /**
+   * @param callId - identity of a call
+   * @returns true when a target of this VM runs it and it is a repeat, or made by one
+   */
+  isRepeatRun (callId: string): boolean {
+    return this._runs.get(callId)?.isRepeat === true
+  }
+
   /** @returns what is known of the targets of this VM */
   listTargets (): Array<ITargetAnnouncement & { draining: boolean, inFlight: number, queued: number }> {
     return [...this._targets.values()].map(({ target }) => ({
