--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -101,6 +101,7 @@
     expectedMs: 0,
     isRepeatable: true,
     isSpareOnly: false,
+    isRepeat: false,
     owner: 'o',
     body: Buffer.alloc(0),
     isBodyComplete: true,
--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -2,9 +2,9 @@
 import { afterEach, expect, test } from 'vitest'
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { EndpointState, FeedService, type FeedDown, type FeedUp } from '@lagoonswitch/schema'
-import { NullLog, Metrics, SeededRandom } from '@lagoonswitch/common'
-import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
+import { CatalogueStore, ControlDirectory } from '@lagoonswitch/feed'
 import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
+import { startFeedClient, startHub } from './support/Feeds.js'
 import { DESK, World, findPorts, waitFor } from './support/World.js'
 
 const ONE_STREAM = 'source_streams = 1'
@@ -14,29 +14,6 @@
   return world.putEntry({ ...DESK, owner })
 }
 
-function startFakeClient (addresses: readonly string[], store: CatalogueStore, seed = 1): FeedClient {
-  const client = new FeedClient({
-    node: 'fake',
-    region: 'r1',
-    availabilityZone: 'z1',
-    feedAddress: '',
-    incarnation: 1,
-    directory: new ControlDirectory(addresses),
-    isMesh: false,
-    clock: world.clock,
-    random: new SeededRandom(seed),
-    log: new NullLog(),
-    metrics: new Metrics(),
-    channels: world.channels,
-    store,
-    endpoints: new EndpointView(),
-    computeFleetStatus: () => ({ nodes: 1, lowest: store.version }),
-    takeEvidence: () => []
-  })
-  client.start()
-  return client
-}
-
 afterEach(async () => { await world.stop() })
 
 test('full source sends nodes to a relay', async () => {
@@ -79,65 +56,25 @@
 test('restarted node does not start from a source without a quorum', async () => {
   world = await World.start([])
   await changeOwner('first')
-  const [port] = await findPorts(1)
-  const stale = new CatalogueStore()
-  stale.restoreContent(world.control.store.getContent())
-  const hub = new FeedHub({
-    name: 'stale',
-    clock: world.clock,
-    random: new SeededRandom(1),
-    log: new NullLog(),
-    metrics: new Metrics(),
-    store: stale,
-    endpoints: new EndpointView(),
-    maxStreams: 10,
-    subscriberLevel: 1,
-    isCurrent: () => true,
-    confirm: async () => ({ confirmed: false, version: undefined, message: 'no quorum' }),
-    directory: new ControlDirectory([]),
-    onEvidence: () => {}
-  })
-  const listener = new PeerListener(new PlainCredentials())
-  listener.addService(FeedService, hub.createHandlers())
-  await listener.listen('127.0.0.1', port ?? 0)
+  const stale = await startHub(world, 'stale', { confirm: async () => ({ confirmed: false, version: undefined, message: 'no quorum' }) })
   const store = new CatalogueStore()
-  const client = startFakeClient([`127.0.0.1:${port}`], store)
+  const client = startFeedClient(world, [stale.address], store)
   await waitFor('the stale version', () => store.version.epoch > 0)
   expect(client.isReady).toBe(false)
   client.dispose()
-  hub.dispose()
-  listener.close()
+  stale.close()
 })
 
 test('source is not left for a nearer one that is down', async () => {
   world = await World.start([])
   await changeOwner('first')
-  const [port, deadPort] = await findPorts(2)
+  const [deadPort] = await findPorts(1)
   const directory = new ControlDirectory([])
+  const far = await startHub(world, 'far', { directory })
   directory.setMembers([
-    { address: `127.0.0.1:${port}`, availabilityZone: 'z2' }, { address: `127.0.0.1:${deadPort}`, availabilityZone: 'z1' }
+    { address: far.address, availabilityZone: 'z2' }, { address: `127.0.0.1:${deadPort}`, availabilityZone: 'z1' }
   ])
-  const source = new CatalogueStore()
-  source.restoreContent(world.control.store.getContent())
-  const hub = new FeedHub({
-    name: 'far',
-    clock: world.clock,
-    random: new SeededRandom(1),
-    log: new NullLog(),
-    metrics: new Metrics(),
-    store: source,
-    endpoints: new EndpointView(),
-    maxStreams: 10,
-    subscriberLevel: 1,
-    isCurrent: () => true,
-    confirm: async () => ({ confirmed: true, version: { ...source.version }, message: '' }),
-    directory,
-    onEvidence: () => {}
-  })
-  const listener = new PeerListener(new PlainCredentials())
-  listener.addService(FeedService, hub.createHandlers())
-  await listener.listen('127.0.0.1', port ?? 0)
-  const client = startFakeClient([`127.0.0.1:${port}`], new CatalogueStore())
+  const client = startFeedClient(world, [far.address], new CatalogueStore())
   await waitFor('the far source', () => client.isReady)
   const sources = new Set<string>()
   for (let step = 0; step < 50; step++) {
@@ -146,8 +83,7 @@
   }
   expect([...sources]).toEqual(['far'])
   client.dispose()
-  hub.dispose()
-  listener.close()
+  far.close()
 })
 
 test('sources that are down cost no time one after the other', async () => {
@@ -162,7 +98,7 @@
     addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`)
   }
   for (let seed = 1; seed <= 4; seed++) {
-    const client = startFakeClient(addresses, new CatalogueStore(), seed)
+    const client = startFeedClient(world, addresses, new CatalogueStore(), { seed })
     const startedMs = world.clock.readMonotonicMs()
     await waitFor('the live source', () => client.isReady)
     expect(world.clock.readMonotonicMs() - startedMs).toBeLessThan(2_500)
@@ -186,7 +122,7 @@
   })
   await listener.listen('127.0.0.1', port ?? 0)
   const store = new CatalogueStore()
-  const client = startFakeClient([`127.0.0.1:${port}`, world.control.listStatus()[0]?.leaderAddress ?? ''], store)
+  const client = startFeedClient(world, [`127.0.0.1:${port}`, world.control.listStatus()[0]?.leaderAddress ?? ''], store)
   await waitFor('another source', () => client.source === 'c1' && client.isReady)
   client.dispose()
   listener.close()
@@ -198,7 +134,7 @@
   const store = new CatalogueStore()
   store.restoreContent(world.control.store.getContent())
   store.commitRecords({ epoch: store.version.epoch + 1, version: 1 }, [], [])
-  const client = startFakeClient([world.control.listStatus()[0]?.leaderAddress ?? ''], store)
+  const client = startFeedClient(world, [world.control.listStatus()[0]?.leaderAddress ?? ''], store)
   await new Promise(resolve => setTimeout(resolve, 500))
   expect(client.level).toBe(0)
   expect(store.version.version).toBe(1)
--- /dev/null
+++ b/tests/FeedFailover.test.ts
@@ -0,0 +1,92 @@
+/**
+ * What nodes below relays do when their relay goes: how soon they are fed again, and that they stay where they are then.
+ */
+import { createServer, type AddressInfo, type Server } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, expect, test } from 'vitest'
+import { CatalogueStore, ControlDirectory, LEAF_LEVEL, type FeedClient } from '@lagoonswitch/feed'
+import { startFeedClient, startHub } from './support/Feeds.js'
+import { DESK, World, waitFor } from './support/World.js'
+
+/** Time after its acknowledgement in which a change must be in force. */
+const IN_FORCE_MS = 2_000
+const GHOSTS = 4
+/** Several times the interval in which a node looks for a nearer source. */
+const WATCHED_MS = 5_500
+const POLL_MS = 25
+let world: World
+
+afterEach(async () => { await world.stop() })
+
+/** Takes connections and never answers, as a VM that has lost its power seems to do. */
+async function startSilentServer (): Promise<Server> {
+  const server = createServer(() => {})
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return server
+}
+
+function getAddress (server: Server): string {
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+test('change is in force in time below a relay that stops, though other relays known there are dead', async () => {
+  world = await World.start([], `source_streams = ${GHOSTS + 1}`)
+  await world.putEntry(DESK)
+  const silent = await Promise.all(Array.from({ length: GHOSTS }, startSilentServer))
+  const source = world.control.listStatus()[0]?.leaderAddress ?? ''
+  const ghosts = silent.map(server => startFeedClient(world, [source], new CatalogueStore(), { feedAddress: getAddress(server) }))
+  await waitFor('the relays that will die', () => ghosts.every(ghost => ghost.isReady))
+  const relay = await world.startNode('relay')
+  const leaf = await world.startNode('leaf')
+  await waitFor('the node below the relay', () => leaf.role.feed.source === 'relay')
+  for (const ghost of ghosts) ghost.dispose()
+  for (let index = 1; index <= GHOSTS; index++) await world.startNode(`r${index}`)
+  const stopping = relay.role.stop(3_000)
+  await sleep(100)
+  await world.control.applyChange({
+    requestId: 'after the stop',
+    operator: 'test',
+    edits: [{
+      name: 'desk',
+      expectedVersion: world.control.store.getRecord('desk')?.version ?? 0,
+      declaration: JSON.stringify({ ...DESK, owner: 'second' })
+    }]
+  })
+  const acknowledgedMs = world.clock.readMonotonicMs()
+  await waitFor('the change below', () => leaf.role.store.view.entries.get('desk')?.owner === 'second')
+  expect(world.clock.readMonotonicMs() - acknowledgedMs).toBeLessThan(IN_FORCE_MS)
+  await stopping
+  for (const server of silent) server.close()
+})
+
+test('node that was moved to another relay stays there while the control VMs are full', async () => {
+  world = await World.start([])
+  await world.putEntry(DESK)
+  const directory = new ControlDirectory([])
+  const control = await startHub(world, 'near', { directory, maxStreams: 2 })
+  directory.setMembers([{ address: control.address, availabilityZone: 'z1' }])
+  const relays = [
+    await startHub(world, 'first', { directory, subscriberLevel: LEAF_LEVEL }),
+    await startHub(world, 'second', { directory, subscriberLevel: LEAF_LEVEL })
+  ]
+  const feeders = relays.map(({ address }) => startFeedClient(world, [control.address], new CatalogueStore(), { feedAddress: address }))
+  await waitFor('both relays', () => control.hub.getStreamCount() === relays.length)
+  const client = startFeedClient(world, [control.address], new CatalogueStore())
+  await waitFor('a relay', () => client.isReady && client.source !== '')
+  const left = client.source
+  relays.find(({ hub }) => hub.getStreamCount() > 0)?.hub.drain()
+  await waitFor('the other relay', () => client.source !== left && client.source !== '')
+  expect(await listSources(client, WATCHED_MS)).toEqual([client.source])
+  for (const one of [client, ...feeders]) one.dispose()
+  for (const { close } of [control, ...relays]) close()
+})
+
+async function listSources (client: FeedClient, forMs: number): Promise<string[]> {
+  const sources = new Set<string>()
+  const endMs = world.clock.readMonotonicMs() + forMs
+  while (world.clock.readMonotonicMs() < endMs) {
+    sources.add(client.source)
+    await sleep(POLL_MS)
+  }
+  return [...sources]
+}
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -35,7 +35,8 @@
   objectiveMs: 0,
   expectedMs: 0,
   isRepeatable: false,
-  isSpareOnly: false
+  isSpareOnly: false,
+  isRepeat: false
 }
 
 let opened = 0
--- /dev/null
+++ b/tests/RepeatBudget.test.ts
@@ -0,0 +1,84 @@
+/**
+ * Repeats of the calls that targets make while they run others, as the targets of the called service see them.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { SeededRandom } from '@lagoonswitch/common'
+import { PlatformDialect } from '@lagoonswitch/platform'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { DESK, World } from './support/World.js'
+
+const RATIO = 0.2
+const SLACK = 30
+const REFUSED_SHARE = 0.6
+const INNER_CALLS = 2
+const BATCHES = 20
+const BATCH_CALLS = 15
+const DEADLINE = { 'x-request-deadline': '2000' }
+const NODES = ['n1', 'n2', 'n3']
+let world: World
+let random: SeededRandom
+/** Arrivals by the identity of the call; those of calls that a repeated run made are kept apart. */
+let arrivals: Map<string, number>
+let arrivalsOfRepeats: Map<string, number>
+
+beforeEach(async () => {
+  random = new SeededRandom(19)
+  arrivals = new Map()
+  arrivalsOfRepeats = new Map()
+  world = await World.start(NODES, `[node]\nretry_slack = ${SLACK}\n`, new PlatformDialect())
+  const limits = { ...DESK.limits, slots: 64, connections: 64, queue: 64, retry_budget: RATIO }
+  const route = { name: 'read', path: '/read', methods: ['GET'], idempotency: 'safe', attempts: 3 }
+  await world.putEntry({ ...DESK, class: 'normal', limits, routes: [route] })
+  await world.putEntry({ ...DESK, entry: 'price', limits, routes: [{ ...route, path: '/price' }] })
+  for (const node of NODES) {
+    await world.addTarget(node, `desk-${node}`, 'v1', createDesk(node), 64)
+    await world.addTarget(node, `price-${node}`, 'v1', answerPrice, 64, 'price')
+  }
+})
+
+afterEach(async () => { await world.stop() })
+
+function readId (request: IncomingMessage): string {
+  return String(request.headers['x-attempt-id'])
+}
+
+/** Runs a call by calling the other service in turn, and fails with it. */
+function createDesk (node: string) {
+  return (request: IncomingMessage, response: ServerResponse): void => {
+    const id = readId(request)
+    const run = countArrival(arrivals, id)
+    void (async () => {
+      let status = 200
+      for (let call = 0; call < INNER_CALLS && status === 200; call++) {
+        status = (await world.call(node, 'GET', '/price', { ...DEADLINE, 'x-attempt-id': `${id}.${run}-${call}` })).status
+      }
+      response.writeHead(status === 200 ? 200 : 500, { 'x-attempt-id': id }).end('desk')
+    })()
+  }
+}
+
+function answerPrice (request: IncomingMessage, response: ServerResponse): void {
+  const id = readId(request)
+  const isOfFirstRun = id.split('.')[1]?.startsWith('1-') === true
+  countArrival(isOfFirstRun ? arrivals : arrivalsOfRepeats, id)
+  if (random.draw() < REFUSED_SHARE) response.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1' }).end()
+  else response.writeHead(200, { 'x-attempt-id': id }).end('price')
+}
+
+function countArrival (counts: Map<string, number>, id: string): number {
+  const count = (counts.get(id) ?? 0) + 1
+  counts.set(id, count)
+  return count
+}
+
+test('repeated runs do not take their service\'s calls elsewhere beyond the retry budget there', async () => {
+  for (let batch = 0; batch < BATCHES; batch++) {
+    await Promise.all(Array.from({ length: BATCH_CALLS }, async (_, call) =>
+      await world.call('n1', 'GET', '/read', { ...DEADLINE, 'x-attempt-id': `a${batch}-${call}` })))
+  }
+  const ofFirstRuns = [...arrivals].filter(([id]) => id.includes('.')).map(([, count]) => count)
+  const ofRepeats = [...arrivalsOfRepeats.values()].reduce((sum, count) => sum + count, 0)
+  const repeats = ofFirstRuns.reduce((sum, count) => sum + count - 1, 0) + ofRepeats
+  expect(ofFirstRuns.length).toBeGreaterThan(BATCHES * BATCH_CALLS)
+  expect(repeats).toBeLessThanOrEqual(RATIO * ofFirstRuns.length + SLACK)
+})
--- /dev/null
+++ b/tests/support/Feeds.ts
@@ -0,0 +1,79 @@
+/**
+ * Both ends of the feed on their own, for tests that choose who feeds whom.
+ */
+import { Metrics, NullLog, SeededRandom } from '@lagoonswitch/common'
+import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub, RELAY_LEVEL, type IFeedHubOptions } from '@lagoonswitch/feed'
+import { FeedService } from '@lagoonswitch/schema'
+import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
+import { findPorts, type World } from './World.js'
+
+export interface IHub {
+  hub: FeedHub
+  address: string
+  close: () => void
+}
+
+interface IClientOptions {
+  seed?: number
+  /** Address at which others are told to find this subscriber as a relay. */
+  feedAddress?: string
+}
+
+export function startFeedClient (
+  world: World, addresses: readonly string[], store: CatalogueStore, { seed = 1, feedAddress = '' }: IClientOptions = {}
+): FeedClient {
+  const client = new FeedClient({
+    node: feedAddress === '' ? 'fake' : `fake at ${feedAddress}`,
+    region: 'r1',
+    availabilityZone: 'z1',
+    feedAddress,
+    incarnation: 1,
+    directory: new ControlDirectory(addresses),
+    isMesh: false,
+    clock: world.clock,
+    random: new SeededRandom(seed),
+    log: new NullLog(),
+    metrics: new Metrics(),
+    channels: world.channels,
+    store,
+    endpoints: new EndpointView(),
+    computeFleetStatus: () => ({ nodes: 1, lowest: store.version }),
+    takeEvidence: () => []
+  })
+  client.start()
+  return client
+}
+
+/** Serves a copy of the control VM's catalogue, which a quorum confirms unless the options say otherwise. */
+export async function startHub (world: World, name: string, options: Partial<IFeedHubOptions> = {}): Promise<IHub> {
+  const store = new CatalogueStore()
+  store.restoreContent(world.control.store.getContent())
+  const [port] = await findPorts(1)
+  const hub = new FeedHub({
+    name,
+    clock: world.clock,
+    random: new SeededRandom(1),
+    log: new NullLog(),
+    metrics: new Metrics(),
+    store,
+    endpoints: new EndpointView(),
+    maxStreams: 10,
+    subscriberLevel: RELAY_LEVEL,
+    isCurrent: () => true,
+    confirm: async () => ({ confirmed: true, version: { ...store.version }, message: '' }),
+    directory: new ControlDirectory([]),
+    onEvidence: () => {},
+    ...options
+  })
+  const listener = new PeerListener(new PlainCredentials())
+  listener.addService(FeedService, hub.createHandlers())
+  await listener.listen('127.0.0.1', port ?? 0)
+  return {
+    hub,
+    address: `127.0.0.1:${port}`,
+    close: () => {
+      hub.dispose()
+      listener.close()
+    }
+  }
+}
--- a/tests/support/World.ts
+++ b/tests/support/World.ts
@@ -147,7 +147,7 @@
 
   async addTarget (
     node: string, id: string, version: string, handle: (request: IncomingMessage, response: ServerResponse) => void,
-    slots = 4
+    slots = 4, service = 'desk'
   ): Promise<ITarget> {
     const requests: IncomingMessage[] = []
     const server = createHttpServer((incoming, response) => {
@@ -165,7 +165,7 @@
         await new Promise(resolve => server.close(resolve))
       }
     }
-    await this._announce(node, target, version, slots)
+    await this._announce(node, target, version, slots, service)
     return target
   }
 
@@ -183,7 +183,7 @@
       for (const socket of sockets) socket.destroy()
       await new Promise(resolve => server.close(resolve))
     }
-    await this._announce(node, { id, port, requests: [], close }, version, slots)
+    await this._announce(node, { id, port, requests: [], close }, version, slots, 'desk')
   }
 
   async call (
@@ -216,11 +216,11 @@
     await Promise.all(this._targets.map(async target => await target.close()))
   }
 
-  private async _announce (node: string, target: ITarget, version: string, slots: number): Promise<void> {
+  private async _announce (node: string, target: ITarget, version: string, slots: number, service: string): Promise<void> {
     const { id, port } = target
     const announce = (): void => {
       this.nodes.get(node)?.role.targets.announce({
-        id, service: 'desk', version, address: `127.0.0.1:${port}`, slots, connections: 16, instance: ''
+        id, service, version, address: `127.0.0.1:${port}`, slots, connections: 16, instance: ''
       })
     }
     announce()
