A node that lost its source asks all others at once, control VMs first

The node then tried up to three relays of those it had learnt at its start, one after another, 1 s each where none answered, and the control VMs after them; a round that failed cost up to 1 s more. It was not short of processor time (3 to 13% used), and nodes that were fed had the version.

Now all sources that are known are asked for a confirmed version at once, with head starts for near control VMs, other ones and relays in that order, and are followed as they answer. A control VM that is full names relays, which are asked in the same way.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -32,11 +32,13 @@
 const NEARER_MS = 2_000
 /** Longest time between two beats of a node whose version has not changed. */
 const BEAT_MS = 5_000
-const RELAYS_PER_ROUND = 3
 const BACKOFF_BASE_MS = 100
 const BACKOFF_MAX_MS = 500
 const UNCONFIRMED_MS = 30_000
-const MAX_KNOWN_RELAYS = 64
+/** Relays that are remembered, which are all asked when no control VM answers. */
+const MAX_KNOWN_RELAYS = 8
+/** A round in which no source answered. */
+const NOT_FED: IEnded = { wasWelcome: false, relays: [], retryAfterMs: 0 }
 
 /** What a subscriber needs to know of its process. */
 export interface IFeedClientOptions {
@@ -82,7 +84,6 @@
   private _relays: string[] = []
   private _stream: Stream | undefined
   private _level = 0
-  private _lastLevel = 0
   private _lastSentBeatMs = -Infinity
   private _source = ''
   /** Address of the source followed now, empty for none. */
@@ -165,28 +166,25 @@
     }
   }
 
-  /**
-   * Tries a few sources one after another until one takes this node, and follows it to its end. A node that
-   * was fed by a relay tries other relays first, so that the few streams of the control VMs stay for relays.
-   */
+  /** Asks sources until one takes this node, and follows it to its end. One that is full names others that live. */
   private async _runRound (): Promise<IEnded> {
-    const control = await this._finder.findControl(this._failedAddress)
-    const wasLeaf = this._lastLevel === LEAF_LEVEL
-    const queue = wasLeaf ? [...this._pickRelays(this._relays), control] : [control]
-    let ended: IEnded = { wasWelcome: false, relays: [], retryAfterMs: 0 }
-    while (queue.length > 0 && !this._stopping.signal.aborted) {
-      const address = queue.shift() ?? ''
-      ended = await this._follow(address, this._pickLevel(address))
-      this._rememberRelays(ended.relays)
-      if (ended.wasWelcome) return ended
-      if (address === control) queue.push(...this._pickRelays(ended.relays))
+    let ended = NOT_FED
+    for await (const address of this._finder.listSources(this._failedAddress, this._relays)) {
+      ended = await this._followFirst([address])
+      if (!ended.wasWelcome && ended.relays.length > 0) ended = await this._followFirst(this._finder.listRelays(this._relays))
+      if (ended.wasWelcome || this._stopping.signal.aborted) return ended
     }
     return ended
   }
 
-  private _pickRelays (relays: readonly string[]): string[] {
-    const others = relays.filter(address => address !== this._options.feedAddress)
-    return this._finder.shuffle(others.slice(0, RELAYS_PER_ROUND * 2)).slice(0, RELAYS_PER_ROUND)
+  private async _followFirst (addresses: Iterable<string> | AsyncIterable<string>): Promise<IEnded> {
+    let ended = NOT_FED
+    for await (const address of addresses) {
+      ended = await this._follow(address, this._pickLevel(address))
+      this._rememberRelays(ended.relays)
+      if (ended.wasWelcome || this._stopping.signal.aborted) return ended
+    }
+    return ended
   }
 
   private _pickLevel (address: string): number {
@@ -195,7 +193,9 @@
   }
 
   private _rememberRelays (relays: readonly string[]): void {
-    this._relays = [...new Set([...relays, ...this._relays])].slice(0, MAX_KNOWN_RELAYS)
+    if (this._options.isMesh) return
+    const others = [...relays, ...this._relays].filter(address => address !== this._options.feedAddress)
+    this._relays = [...new Set(others)].slice(0, MAX_KNOWN_RELAYS)
   }
 
   private async _follow (address: string, level: number): Promise<IEnded> {
@@ -316,7 +316,6 @@
     this._stream = stream
     this._address = address
     this._level = level
-    this._lastLevel = level
     this._source = source
     this._lastBeatMs = this._options.clock.readMonotonicMs()
     this._rememberRelays(relays)
--- a/packages/feed/src/SourceFinder.ts
+++ b/packages/feed/src/SourceFinder.ts
@@ -9,6 +9,10 @@
 const CONFIRM_TIMEOUT_MS = 1_500
 /** Head start of near control VMs when several are asked at once; more than a round trip between zones. */
 const NEAR_HEAD_START_MS = 60
+/** Head start of control VMs over relays that were learnt earlier, since a control VM names relays that live. */
+const CONTROL_HEAD_START_MS = 200
+/** Head start of each relay over the next one, which is not nearer. */
+const RELAY_HEAD_START_MS = 15
 
 /** What the finder needs of its process. */
 export interface ISourceFinderOptions {
@@ -26,16 +30,37 @@
   constructor (private readonly _options: ISourceFinderOptions) {}
 
   /**
-   * Finds a control VM to follow. After a failure all are asked at once, so that those that are down or cut off cost no
-   * time one after the other; near ones get a head start.
-   * @param failedAddress - the one that failed last, empty for none; chosen only when there is no other
-   * @returns its peer address
+   * Lists sources to follow, control VMs before relays and near ones before others. After a failure all are asked at once,
+   * so that those that are down or cut off cost no time one after the other.
+   * @param failedAddress - the one that failed last, empty for none; the last choice
+   * @param relays - known from earlier, which may be gone
+   * @returns addresses; after a failure those that are current, as they answer, and one control VM if none is
    */
-  async findControl (failedAddress: string): Promise<string> {
-    const addresses = this.shuffle(this._options.directory.listAddresses().filter(address => address !== failedAddress))
-    const drawn = addresses.find(address => this.isNear(address)) ?? addresses[0] ?? failedAddress
-    if (failedAddress === '' || addresses.length < 2) return drawn
-    return await Promise.any(addresses.map(async address => await this._confirmControl(address))).catch(() => drawn)
+  async * listSources (failedAddress: string, relays: readonly string[]): AsyncGenerator<string> {
+    const controls = this.shuffle(this._options.directory.listAddresses().filter(address => address !== failedAddress))
+    const drawn = controls.find(address => this.isNear(address)) ?? controls[0] ?? failedAddress
+    const others = relays.filter(address => address !== failedAddress)
+    if (failedAddress === '' || controls.length + others.length < 2) {
+      yield drawn
+      return
+    }
+    let hasCurrent = false
+    const delays = new Map(others.map((address, index) => [address, CONTROL_HEAD_START_MS + index * RELAY_HEAD_START_MS]))
+    for (const address of controls) delays.set(address, this.isNear(address) ? 0 : NEAR_HEAD_START_MS)
+    for await (const address of this._confirmInTurn(delays)) {
+      hasCurrent = true
+      yield address
+    }
+    if (!hasCurrent) yield drawn
+  }
+
+  /**
+   * Asks relays at once.
+   * @param relays - the nearest first
+   * @returns addresses of those that are current, as they answer
+   */
+  listRelays (relays: readonly string[]): AsyncGenerator<string> {
+    return this._confirmInTurn(new Map(relays.map((address, index) => [address, index * RELAY_HEAD_START_MS])))
   }
 
   /** @returns one of the control VMs in this availability zone, if it has any */
@@ -88,10 +113,20 @@
     return items
   }
 
-  private async _confirmControl (address: string): Promise<string> {
-    if (!this.isNear(address)) await this._options.clock.sleep(NEAR_HEAD_START_MS)
-    await this._confirmCurrent(address)
-    return address
+  /** @param delays - time after which each address is asked, in milliseconds */
+  private async * _confirmInTurn (delays: ReadonlyMap<string, number>): AsyncGenerator<string> {
+    const open = new Map([...delays].map(([address, delayMs]) => [address, this._confirmLater(address, delayMs)]))
+    while (open.size > 0) {
+      const { address, isConfirmed } = await Promise.race(open.values())
+      open.delete(address)
+      if (isConfirmed) yield address
+    }
+  }
+
+  private async _confirmLater (address: string, delayMs: number): Promise<{ address: string, isConfirmed: boolean }> {
+    if (delayMs > 0) await this._options.clock.sleep(delayMs)
+    const reply = await this.confirmAt(address)
+    return { address, isConfirmed: reply?.confirmed === true }
   }
 
   private async _confirmCurrent (address: string): Promise<ConfirmReply> {
