A node that is fed by a relay stays there

It wanted a control VM of its own zone, which confirmed its version but had no stream left; relays count as not near, as only control VMs have a known zone. While no relay had been lost, the control VM that had refused the node last was left out of the search, which hid this.

Only a node that is fed by a control VM looks for a nearer one now.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -269,9 +269,13 @@
     this._scheduleNearer(stream, address)
   }
 
-  /** Control traffic between availability zones is avoided where a control VM is near. */
+  /**
+   * Control traffic between availability zones is avoided where a control VM is near. A node that is fed by a relay stays
+   * there: it came from control VMs that had no stream for it.
+   */
   private _scheduleNearer (stream: Stream, address: string): void {
     const { directory, clock } = this._options
+    if (!directory.hasAddress(address)) return
     const hasNearer = directory.listAddresses().some(other => other !== this._failedAddress && this._finder.isNear(other))
     if (this._finder.isNear(address) || !hasNearer) return
     const delayMs = this._isConfirmed ? NEARER_MS : NEARER_AT_START_MS
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -63,22 +63,25 @@
   world = await World.start([])
   await world.putEntry(DESK)
   const directory = new ControlDirectory([])
-  const control = await startHub(world, 'near', { directory, maxStreams: 2 })
-  directory.setMembers([{ address: control.address, availabilityZone: 'z1' }])
+  const controls = [
+    await startHub(world, 'near', { directory, maxStreams: 2 }), await startHub(world, 'also near', { directory, maxStreams: 2 })
+  ]
+  directory.setMembers(controls.map(({ address }) => ({ address, availabilityZone: 'z1' })))
   const relays = [
     await startHub(world, 'first', { directory, subscriberLevel: LEAF_LEVEL }),
     await startHub(world, 'second', { directory, subscriberLevel: LEAF_LEVEL })
   ]
-  const feeders = relays.map(({ address }) => startFeedClient(world, [control.address], new CatalogueStore(), { feedAddress: address }))
-  await waitFor('both relays', () => control.hub.getStreamCount() === relays.length)
-  const client = startFeedClient(world, [control.address], new CatalogueStore())
+  const feeders = controls.flatMap(control => relays.map(({ address }) =>
+    startFeedClient(world, [control.address], new CatalogueStore(), { feedAddress: address })))
+  await waitFor('full control VMs', () => controls.every(({ hub }) => hub.getStreamCount() === relays.length))
+  const client = startFeedClient(world, [controls[0]?.address ?? ''], new CatalogueStore())
   await waitFor('a relay', () => client.isReady && client.source !== '')
   const left = client.source
   relays.find(({ hub }) => hub.getStreamCount() > 0)?.hub.drain()
   await waitFor('the other relay', () => client.source !== left && client.source !== '')
   expect(await listSources(client, WATCHED_MS)).toEqual([client.source])
   for (const one of [client, ...feeders]) one.dispose()
-  for (const { close } of [control, ...relays]) close()
+  for (const { close } of [...controls, ...relays]) close()
 })
 
 async function listSources (client: FeedClient, forMs: number): Promise<string[]> {
