Calls that repeated runs make are charged to the retry budget of their service

All targets of that service refused more than half of what reached them; the runs of another service that call it then failed, 300 to 440 of 700 to 890 a second, and were repeated within the other service's own budget, with 1.4 calls a run. Those calls counted as first ones here, so each even earned further repeats; at the called service they are repeats.

A call that a repeated run makes is now noted as a repeat, not as a call.

--- a/packages/node/src/calls/CallRepeats.ts
+++ b/packages/node/src/calls/CallRepeats.ts
@@ -51,8 +51,12 @@
 
   /** Notes the call itself, before its first attempt. */
   recordCall (): void {
-    this.budget.recordCall()
-    if (this._head.isOfRepeat) this._context.metrics.count('calls_of_repeats_total', this._part.service)
+    if (!this._head.isOfRepeat) {
+      this.budget.recordCall()
+      return
+    }
+    this.budget.recordRepeat()
+    this._context.metrics.count('calls_of_repeats_total', this._part.service)
   }
 
   /** Notes an answer in whose place the call is sent again. */
--- a/packages/node/src/routing/RetryBudget.ts
+++ b/packages/node/src/routing/RetryBudget.ts
@@ -40,6 +40,12 @@
     this._add(this._calls)
   }
 
+  /** Notes a call that a repeated run makes: it is under way, and its service sees it as a repeat. */
+  recordRepeat (): void {
+    this._advance()
+    this._add(this._repeats)
+  }
+
   /** @returns true when a repeat is allowed; it is spent then */
   spend (): boolean {
     this._advance()
