A run that failed for want of retry budget at a called service is not repeated

The process beside the target now notes on the run that a call of its own found no budget, the head of its answer says so, and the entry passes the failure on (repeat_denied reason=called-service).

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -147,6 +147,7 @@
       callerTimes: new CallerTimes(clock),
       findOpener: address => this._findOpener(address),
       isRepeatRun: callId => this.targets.isRepeatRun(callId),
+      reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
       getBudget: part => this._getBudget(part),
       getRoutes: () => this._getRoutes(),
       getStop: () => this._stop,
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -13,7 +13,7 @@
 import { computeObjectiveLeftMs, hasBody, readCallHead, type ICallHead } from './CallHead.js'
 import { CallRepeats } from './CallRepeats.js'
 import { CallReport } from './CallReport.js'
-import type { ICallEvents, ICallFailure, ICallRequest } from './CallTypes.js'
+import type { ICallEvents, ICallFailure, ICallRequest, ITargetLoad } from './CallTypes.js'
 import { REPEATED_HEADER } from './Headers.js'
 import type { PlannedStop } from './PlannedStop.js'
 import { TargetPicker } from './TargetPicker.js'
@@ -103,9 +103,9 @@
     else this._refuse('process-draining', this._attempt === undefined ? 'not-run' : 'unknown', RETRY_AFTER_MS)
   }
 
-  onHead (status: number, headers: readonly string[]): void {
+  onHead (status: number, headers: readonly string[], { isRepeatDenied }: ITargetLoad): void {
     if (this._isDone) return
-    if (this._canRetryAnswer(status)) {
+    if (this._canRetryAnswer(status, isRepeatDenied)) {
       this._attempt?.cancel()
       this._repeats.recordFailedAnswer()
       this._report.reportRepeat('answer', this._attempt?.target)
@@ -320,8 +320,8 @@
     return this._body.isHeld && this._getRemainingMs() > 0 && !this._isCallerGone && !this._isWithdrawn
   }
 
-  private _canRetryAnswer (status: number): boolean {
-    if (!this._repeats.canRepeatAnswer(status) || !this._canSendAgain()) return false
+  private _canRetryAnswer (status: number, isDenied: boolean): boolean {
+    if (!this._repeats.canRepeatAnswer(status, isDenied) || !this._canSendAgain()) return false
     const next = this._pickTarget()
     if (next === undefined || !this._repeats.spendBudget('answer')) return false
     this._next = next
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -30,6 +30,8 @@
   readonly findOpener: (linkAddress: string) => ICallOpener
   /** Tells whether a target of this VM runs a repeat of the call with this identity. */
   readonly isRepeatRun: (callId: string) => boolean
+  /** Notes beside the target that a call which it makes found no budget for its repeat. */
+  readonly reportRepeatDenied: (parentId: string) => void
   readonly getBudget: (part: IRoutePart) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
   /** Times of the planned stop that is under way; undefined while there is none. */
--- a/packages/node/src/calls/CallRepeats.ts
+++ b/packages/node/src/calls/CallRepeats.ts
@@ -74,10 +74,14 @@
 
   /**
    * @param status - of an answer
+   * @param isDenied - a call that the run made found no budget for its repeat
    * @returns true when the call may run again in its place, budget aside
    */
-  canRepeatAnswer (status: number): boolean {
-    return status >= FIRST_SERVER_ERROR && this._isRunRepeatable() && this.runs + 1 < this._head.route.maxAttempts && this._hasSendsLeft()
+  canRepeatAnswer (status: number, isDenied: boolean): boolean {
+    const isRepeatable = status >= FIRST_SERVER_ERROR && this._isRunRepeatable() &&
+      this.runs + 1 < this._head.route.maxAttempts && this._hasSendsLeft()
+    if (isRepeatable && isDenied) this._reportDenied('called-service')
+    return isRepeatable && !isDenied
   }
 
   /**
@@ -101,11 +105,16 @@
    */
   spendBudget (reason: string): boolean {
     if (this.budget.spend()) return true
+    this._context.reportRepeatDenied(this._head.parentId)
+    this._reportDenied(reason)
+    return false
+  }
+
+  private _reportDenied (reason: string): void {
     this._context.metrics.count('retries_denied_total', reason)
     this._context.log.info('repeat_denied', {
       call: this._head.callId, service: this._part.service, reason, repeats_in_window: this.budget.countRepeats()
     })
-    return false
   }
 
   /** Only the first layer of a chain repeats what may have run; every layer may repeat what was not run. */
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -55,6 +55,8 @@
   readonly served: number
   /** Time that the call has held its slot, in milliseconds; 0 when it had none. */
   readonly serviceMs: number
+  /** True when a call that the run made found no budget for its repeat, so that a repeat of the run would go around that budget. */
+  readonly isRepeatDenied: boolean
 }
 
 /** A call that ended without a whole answer. */
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -318,9 +318,9 @@
     if (this._hasEnded) return
     switch (frame.$case) {
       case 'head': {
-        const { status, headers, body, end, inFlight, slots, queued, served, serviceMs } = frame.value
+        const { status, headers, body, end, inFlight, slots, queued, served, serviceMs, repeatDenied } = frame.value
         this._hasHead = true
-        this._events.onHead(status, headers, { inFlight, slots, queued, served, serviceMs })
+        this._events.onHead(status, headers, { inFlight, slots, queued, served, serviceMs, isRepeatDenied: repeatDenied })
         if (body.length > 0) this._events.onData(body)
         if (end) this._end()
         return
@@ -334,9 +334,9 @@
         return
       case 'failure': {
         const { reason, notRun, retryAfterMs, inFlight, slots, queued } = frame.value
-        const load: ITargetLoad | undefined = slots > 0 ? { inFlight, slots, queued, served: 0, serviceMs: 0 } : undefined
+        const load: ITargetLoad = { inFlight, slots, queued, served: 0, serviceMs: 0, isRepeatDenied: false }
         this._finish()
-        this._events.onFailure({ reason: reason as FailureReason, isNotRun: notRun, retryAfterMs }, load)
+        this._events.onFailure({ reason: reason as FailureReason, isNotRun: notRun, retryAfterMs }, slots > 0 ? load : undefined)
         return
       }
       default:
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -199,9 +199,10 @@
     if (this._head === undefined || this._hasEnded) return
     const { status, headers, load } = this._head
     this._head = undefined
-    const { inFlight, slots, queued, served, serviceMs } = load
+    const { inFlight, slots, queued, served, serviceMs, isRepeatDenied } = load
     this._send({
-      $case: 'head', value: { status, headers: headers as string[], body, end, inFlight, slots, queued, served, serviceMs }
+      $case: 'head',
+      value: { status, headers: headers as string[], body, end, inFlight, slots, queued, served, serviceMs, repeatDenied: isRepeatDenied }
     })
   }
 
--- a/packages/node/src/targets/SlotGate.ts
+++ b/packages/node/src/targets/SlotGate.ts
@@ -73,7 +73,9 @@
   constructor (private readonly _clock: IClock, public slots: number) {}
 
   get load (): ITargetLoad {
-    return { inFlight: this._inFlight, slots: this.slots, queued: this._queue.length, served: this._served, serviceMs: 0 }
+    return {
+      inFlight: this._inFlight, slots: this.slots, queued: this._queue.length, served: this._served, serviceMs: 0, isRepeatDenied: false
+    }
   }
 
   /**
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -42,6 +42,8 @@
   /** Small chunks of one read of the socket. */
   private _smallChunks: Buffer[] = []
   private readonly _dueMs: number
+  /** A call that this run made found no budget for its repeat. */
+  isRepeatDenied = false
 
   constructor (
     private readonly _target: LocalTarget,
@@ -128,7 +130,9 @@
     this._isChunked = headers['transfer-encoding'] !== undefined
     this._isFramed = this._isChunked || headers['content-length'] !== undefined
     const serviceMs = this._clock.readMonotonicMs() - this._grantedMs
-    this._events.onHead(status, copyAnswerHeaders(headers), { ...this._target.gate.load, serviceMs: Math.ceil(serviceMs) })
+    this._events.onHead(status, copyAnswerHeaders(headers), {
+      ...this._target.gate.load, serviceMs: Math.ceil(serviceMs), isRepeatDenied: this.isRepeatDenied
+    })
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -46,6 +46,11 @@
   sequence: number
 }
 
+interface IRun {
+  readonly request: ICallRequest
+  readonly call: TargetCall
+}
+
 /** A target that has left, with the wall time from which a new start under its id counts. */
 interface IWithdrawal {
   readonly bornMs: number | undefined
@@ -59,8 +64,8 @@
   private readonly _withdrawn = new Map<string, IWithdrawal>()
   private _isDraining = false
   private _running = 0
-  /** Requests that targets run or that wait for them, by the identity of their call. */
-  private readonly _runs = new Map<string, ICallRequest>()
+  /** Calls that targets run or that wait for them, by identity. */
+  private readonly _runs = new Map<string, IRun>()
 
   constructor (private readonly _options: ITargetSideOptions) {
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
@@ -141,13 +146,16 @@
     }
     target.applyLimits(request.slots, request.connections)
     this._running++
-    if (request.callId !== '') this._runs.set(request.callId, request)
-    return new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
+    let hasEnded = false
+    const call = new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
       this._running--
-      if (this._runs.get(request.callId) === request) this._runs.delete(request.callId)
+      hasEnded = true
+      if (this._runs.get(request.callId)?.request === request) this._runs.delete(request.callId)
       if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
       if (failure === 'connect' || failure === 'target-replaced') this._lose(target, failure)
     })
+    if (!hasEnded && request.callId !== '') this._runs.set(request.callId, { request, call })
+    return call
   }
 
   /** Tells the other processes to send no new calls to the targets of this VM, which this process is leaving. */
@@ -169,7 +177,16 @@
    * @returns true when a target of this VM runs it and it is a repeat, or made by one
    */
   isRepeatRun (callId: string): boolean {
-    return this._runs.get(callId)?.isRepeat === true
+    return this._runs.get(callId)?.request.isRepeat === true
+  }
+
+  /**
+   * Notes that a call which a target makes found no budget for its repeat.
+   * @param parentId - identity of the call that the target runs; empty when it isn't known
+   */
+  recordRepeatDenied (parentId: string): void {
+    const run = this._runs.get(parentId)
+    if (run !== undefined) run.call.isRepeatDenied = true
   }
 
   /** @returns what is known of the targets of this VM */
--- a/tests/RepeatBudget.test.ts
+++ b/tests/RepeatBudget.test.ts
@@ -10,26 +10,30 @@
 const RATIO = 0.2
 const SLACK = 30
 const REFUSED_SHARE = 0.6
+/** Calls after which the budgets of a service that refuses everything are used up. */
+const FIRST_CALLS = 20
 const INNER_CALLS = 2
 const BATCHES = 20
 const BATCH_CALLS = 15
 const DEADLINE = { 'x-request-deadline': '2000' }
 const NODES = ['n1', 'n2', 'n3']
+const ROUTE = { name: 'read', path: '/read', methods: ['GET'], idempotency: 'safe', attempts: 3 }
 let world: World
 let random: SeededRandom
+let refusedShare: number
 /** Arrivals by the identity of the call; those of calls that a repeated run made are kept apart. */
 let arrivals: Map<string, number>
 let arrivalsOfRepeats: Map<string, number>
 
 beforeEach(async () => {
   random = new SeededRandom(19)
+  refusedShare = REFUSED_SHARE
   arrivals = new Map()
   arrivalsOfRepeats = new Map()
   world = await World.start(NODES, `[node]\nretry_slack = ${SLACK}\n`, new PlatformDialect())
   const limits = { ...DESK.limits, slots: 64, connections: 64, queue: 64, retry_budget: RATIO }
-  const route = { name: 'read', path: '/read', methods: ['GET'], idempotency: 'safe', attempts: 3 }
-  await world.putEntry({ ...DESK, class: 'normal', limits, routes: [route] })
-  await world.putEntry({ ...DESK, entry: 'price', limits, routes: [{ ...route, path: '/price' }] })
+  await world.putEntry({ ...DESK, class: 'normal', limits, routes: [ROUTE] })
+  await world.putEntry({ ...DESK, entry: 'price', limits, routes: [{ ...ROUTE, path: '/price' }] })
   for (const node of NODES) {
     await world.addTarget(node, `desk-${node}`, 'v1', createDesk(node), 64)
     await world.addTarget(node, `price-${node}`, 'v1', answerPrice, 64, 'price')
@@ -61,7 +65,7 @@
   const id = readId(request)
   const isOfFirstRun = id.split('.')[1]?.startsWith('1-') === true
   countArrival(isOfFirstRun ? arrivals : arrivalsOfRepeats, id)
-  if (random.draw() < REFUSED_SHARE) response.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1' }).end()
+  if (random.draw() < refusedShare) response.writeHead(503, { 'x-attempt-id': id, 'x-not-executed': '1' }).end()
   else response.writeHead(200, { 'x-attempt-id': id }).end('price')
 }
 
@@ -82,3 +86,17 @@
   expect(ofFirstRuns.length).toBeGreaterThan(BATCHES * BATCH_CALLS)
   expect(repeats).toBeLessThanOrEqual(RATIO * ofFirstRuns.length + SLACK)
 })
+
+test('run that failed for want of budget at a called service is not repeated', async () => {
+  const limits = { ...DESK.limits, slots: 64, connections: 64, queue: 64, retry_budget: 1 }
+  await world.putEntry({ ...DESK, class: 'normal', limits, routes: [ROUTE] })
+  refusedShare = 1
+  const countRuns = (): number => [...arrivals].reduce((sum, [id, count]) => id.includes('.') ? sum : sum + count, 0)
+  const callInTurn = async (name: string, count: number): Promise<void> => {
+    for (let call = 0; call < count; call++) await world.call('n1', 'GET', '/read', { ...DEADLINE, 'x-attempt-id': `${name}${call}` })
+  }
+  await callInTurn('first', FIRST_CALLS)
+  const before = countRuns()
+  await callInTurn('later', BATCH_CALLS)
+  expect(countRuns() - before).toBeLessThanOrEqual((1 + RATIO) * BATCH_CALLS)
+})
