A silent source is left after two beats, and a steady one that ends is replaced at once

A silent source is now left after 1 s (two beats), and one that was followed for 1 s or more is replaced without a wait. An election is not taken for silence: a source that says that it is not current is left after 1.5 s as before.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -17,8 +17,10 @@
 import { SourceFinder } from './SourceFinder.js'
 import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL, type IFleetStatus } from './FeedHub.js'
 
-/** Silence of a source after which it is left, several of its beats. */
-const STALL_MS = 1_500
+/** Silence of a source after which it is left, two of its beats; half of the 2 s in which a change must be in force. */
+const STALL_MS = 1_000
+/** A source that was followed for so long is replaced without a wait, so that a loss costs no more than the search. */
+const STEADY_MS = 1_000
 /** Longest wait for the welcome of a source. */
 const WELCOME_MS = 1_000
 /** Time without a current source after which a node looks for another one. */
@@ -38,7 +40,7 @@
 /** Relays that are remembered, which are all asked when no control VM answers. */
 const MAX_KNOWN_RELAYS = 8
 /** A round in which no source answered. */
-const NOT_FED: IEnded = { wasWelcome: false, relays: [], retryAfterMs: 0 }
+const NOT_FED: IEnded = { wasWelcome: false, wasSteady: false, relays: [], retryAfterMs: 0 }
 
 /** What a subscriber needs to know of its process. */
 export interface IFeedClientOptions {
@@ -70,6 +72,8 @@
 /** Why a subscription ended, and where to go next. */
 interface IEnded {
   readonly wasWelcome: boolean
+  /** The source was followed for long enough that its end shows no fault of this node. */
+  readonly wasSteady: boolean
   readonly relays: readonly string[]
   readonly retryAfterMs: number
 }
@@ -133,7 +137,7 @@
 
   /** True while the source shows that it holds the newest version. */
   get isCurrent (): boolean {
-    return this._options.clock.readMonotonicMs() - this._lastBeatMs < STALL_MS
+    return this._options.clock.readMonotonicMs() - this._lastBeatMs < ORPHAN_MS
   }
 
   /** Starts the subscription and the reports. */
@@ -162,6 +166,7 @@
     while (!this._stopping.signal.aborted) {
       const ended = await this._runRound()
       if (ended.wasWelcome) this._backoff.reset()
+      if (ended.wasSteady) continue
       await this._options.clock.sleep(this._backoff.computeNextMs(ended.retryAfterMs), this._stopping.signal)
     }
   }
@@ -219,7 +224,8 @@
         }
       }
     })
-    let heardMs = clock.readMonotonicMs()
+    const startedMs = clock.readMonotonicMs()
+    let heardMs = startedMs
     const watch = this._startStallWatch(stream, address, () => heardMs)
     try {
       for await (const { frame } of stream as AsyncIterable<FeedDown>) {
@@ -259,7 +265,7 @@
     if (this._stream === stream) this._leave()
     this._failedAddress = this._isMovingNearer ? '' : address
     this._isMovingNearer = false
-    return { wasWelcome, ...redirect }
+    return { ...redirect, wasWelcome, wasSteady: wasWelcome && clock.readMonotonicMs() - startedMs >= STEADY_MS }
   }
 
   /** A link of the mesh stays with the one control VM that it is for. */
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -4,9 +4,12 @@
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
+import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { CatalogueStore, ControlDirectory, LEAF_LEVEL, type FeedClient } from '@lagoonswitch/feed'
+import { FeedService, type ConfirmReply, type FeedDown, type FeedUp } from '@lagoonswitch/schema'
+import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
 import { startFeedClient, startHub } from './support/Feeds.js'
-import { DESK, World, waitFor } from './support/World.js'
+import { DESK, World, findPorts, waitFor } from './support/World.js'
 
 /** Time after its acknowledgement in which a change must be in force. */
 const IN_FORCE_MS = 2_000
@@ -14,10 +17,30 @@
 /** Several times the interval in which a node looks for a nearer source. */
 const WATCHED_MS = 5_500
 const POLL_MS = 25
+/** Time of a confirmation at a control VM that is busy. */
+const SLOW_CONFIRM_MS = 500
+/** With this one the first source drawn of three is the first one listed. */
+const SEED_OF_SILENT = 1
 let world: World
 
 afterEach(async () => { await world.stop() })
 
+/** Welcomes whoever subscribes and says nothing more. */
+async function startSilentRelay (): Promise<{ address: string, close: () => void }> {
+  const [port] = await findPorts(1)
+  const listener = new PeerListener(new PlainCredentials())
+  listener.addService(FeedService, {
+    subscribe: (stream: ServerDuplexStream<FeedUp, FeedDown>) => {
+      stream.on('error', () => undefined)
+      stream.on('data', () => undefined)
+      stream.write({ frame: { $case: 'welcome', value: { source: 'silent', level: 1, relays: [] } } })
+    },
+    confirm: () => {}
+  })
+  await listener.listen('127.0.0.1', port ?? 0)
+  return { address: `127.0.0.1:${port}`, close: () => listener.close() }
+}
+
 /** Takes connections and never answers, as a VM that has lost its power seems to do. */
 async function startSilentServer (): Promise<Server> {
   const server = createServer(() => {})
@@ -59,6 +82,29 @@
   for (const server of silent) server.close()
 })
 
+test('change is in force in time below a relay that falls silent, though a confirmation takes half a second', async () => {
+  world = await World.start([])
+  await world.putEntry(DESK)
+  const store = new CatalogueStore()
+  store.restoreContent(world.control.store.getContent())
+  const confirm = async (): Promise<ConfirmReply> => {
+    await sleep(SLOW_CONFIRM_MS)
+    return { confirmed: true, version: { ...store.version }, message: '' }
+  }
+  const controls = [await startHub(world, 'one', { store, confirm }), await startHub(world, 'other', { store, confirm })]
+  const silent = await startSilentRelay()
+  const held = new CatalogueStore()
+  const client = startFeedClient(world, [silent.address, ...controls.map(({ address }) => address)], held, { seed: SEED_OF_SILENT })
+  await waitFor('the relay', () => client.source === 'silent')
+  store.commitRecords({ ...store.version, version: store.version.version + 1 }, [], [])
+  const acknowledgedMs = world.clock.readMonotonicMs()
+  await waitFor('the change below', () => held.version.version === store.version.version)
+  expect(world.clock.readMonotonicMs() - acknowledgedMs).toBeLessThan(IN_FORCE_MS)
+  client.dispose()
+  for (const { close } of controls) close()
+  silent.close()
+})
+
 test('node that was moved to another relay stays there while the control VMs are full', async () => {
   world = await World.start([])
   await world.putEntry(DESK)
