--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -1,21 +1,20 @@
 /**
  * The receiving side of the feed: finds a source, follows it, and leaves it when it fails.
  */
-import type { ClientDuplexStream } from '@grpc/grpc-js'
 import {
   Backoff, DisposableStore, Emitter, FeedError, NO_VERSION, compareVersions, formatError, toDisposable,
-  type ICatalogueVersion, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
+  type ICatalogueVersion, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
 import {
-  FeedClient as FeedService, EndpointState,
-  type ConfirmReply, type ControlMember, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp
+  FeedClient as FeedService,
+  type ConfirmReply, type ControlMember, type EndpointRecord, type FeedDown
 } from '@lagoonswitch/schema'
 import type { PeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
 import type { ControlDirectory } from './ControlDirectory.js'
-import type { EndpointView } from './EndpointView.js'
+import { FeedReporter, type FeedStream, type IFeedReporterOptions } from './FeedReporter.js'
+import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL } from './FeedHub.js'
 import { SourceFinder } from './SourceFinder.js'
-import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL, type IFleetStatus } from './FeedHub.js'
 
 /** Silence of a source after which it is left, two of its beats; half of the 2 s in which a change must be in force. */
 const STALL_MS = 1_000
@@ -32,8 +31,6 @@
 /** Time after which a source that isn't near is left for one that is; longer while calls depend on it. */
 const NEARER_AT_START_MS = 100
 const NEARER_MS = 2_000
-/** Longest time between two beats of a node whose version has not changed. */
-const BEAT_MS = 5_000
 const BACKOFF_BASE_MS = 100
 const BACKOFF_MAX_MS = 500
 const UNCONFIRMED_MS = 30_000
@@ -43,8 +40,7 @@
 const NOT_FED: IEnded = { wasWelcome: false, wasSteady: false, relays: [], retryAfterMs: 0 }
 
 /** What a subscriber needs to know of its process. */
-export interface IFeedClientOptions {
-  readonly node: string
+export interface IFeedClientOptions extends IFeedReporterOptions {
   readonly region: string
   readonly availabilityZone: string
   /** Address at which this process serves the feed to others; empty when it doesn't. */
@@ -52,23 +48,12 @@
   readonly incarnation: number
   /** The control VMs that are known. */
   readonly directory: ControlDirectory
-  /** True for a link between control VMs, which carries endpoints only. */
-  readonly isMesh: boolean
-  readonly clock: IClock
   readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
   readonly channels: PeerChannels
-  readonly store: CatalogueStore
-  readonly endpoints: EndpointView
-  /** Versions applied by this process and those below it. */
-  readonly computeFleetStatus: () => IFleetStatus
-  /** Takes the evidence collected since the last call. */
-  readonly takeEvidence: () => EvidenceRecord[]
 }
 
-type Stream = ClientDuplexStream<FeedUp, FeedDown>
-
 /** Why a subscription ended, and where to go next. */
 interface IEnded {
   readonly wasWelcome: boolean
@@ -85,17 +70,16 @@
   private readonly _onReady = new Emitter<void>()
   private readonly _backoff: Backoff
   private readonly _finder: SourceFinder
+  private readonly _reporter: FeedReporter
   private _relays: string[] = []
-  private _stream: Stream | undefined
+  private _stream: FeedStream | undefined
   private _level = 0
-  private _lastSentBeatMs = -Infinity
   private _source = ''
   /** Address of the source followed now, empty for none. */
   private _address = ''
   private _lastBeatMs = -Infinity
   private _isConfirmed = false
   private _floor: ICatalogueVersion = NO_VERSION
-  private _pending: EndpointRecord[] = []
   /** Control VM that was left or didn't answer last, which is not tried again at once. */
   private _failedAddress = ''
   private _isMovingNearer = false
@@ -107,17 +91,13 @@
 
   constructor (private readonly _options: IFeedClientOptions) {
     this._finder = new SourceFinder(_options)
+    this._reporter = this._store.add(new FeedReporter(_options, this))
     this._orphanedMs = _options.clock.readMonotonicMs()
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._store.add(toDisposable(() => {
       this._stopping.abort()
       this._stream?.end()
     }))
-    this._store.add(_options.endpoints.onChanged(({ records, origin }) => {
-      if (origin === this || origin === _options.endpoints) return
-      this._pending.push(...records)
-      this._sendEndpoints()
-    }))
   }
 
   /** True once calls may be routed by the catalogue held here. */
@@ -207,7 +187,7 @@
     const { channels, store, clock } = this._options
     let wasWelcome = false
     let redirect: { relays: readonly string[], retryAfterMs: number } = { relays: [], retryAfterMs: 0 }
-    const stream: Stream = channels.getClient(FeedService, address).subscribe()
+    const stream: FeedStream = channels.getClient(FeedService, address).subscribe()
     stream.on('error', () => undefined)
     stream.write({
       frame: {
@@ -269,7 +249,7 @@
   }
 
   /** A link of the mesh stays with the one control VM that it is for. */
-  private _learnMembers (stream: Stream, address: string, members: readonly ControlMember[]): void {
+  private _learnMembers (stream: FeedStream, address: string, members: readonly ControlMember[]): void {
     if (this._options.isMesh) return
     this._options.directory.setMembers(members)
     this._scheduleNearer(stream, address)
@@ -279,7 +259,7 @@
    * Control traffic between availability zones is avoided where a control VM is near. A node that is fed by a relay stays
    * there: it came from control VMs that had no stream for it.
    */
-  private _scheduleNearer (stream: Stream, address: string): void {
+  private _scheduleNearer (stream: FeedStream, address: string): void {
     const { directory, clock } = this._options
     if (!directory.hasAddress(address)) return
     const hasNearer = directory.listAddresses().some(other => other !== this._failedAddress && this._finder.isNear(other))
@@ -289,7 +269,7 @@
   }
 
   /** The present source is left only once a nearer one has answered. */
-  private async _moveNearer (stream: Stream): Promise<void> {
+  private async _moveNearer (stream: FeedStream): Promise<void> {
     const near = this._finder.pickNear()
     const reply = near === undefined ? undefined : await this._finder.confirmAt(near)
     if (this._stream !== stream) return
@@ -301,7 +281,7 @@
     stream.cancel()
   }
 
-  private _startStallWatch (stream: Stream, address: string, getHeardMs: () => number): IDisposable {
+  private _startStallWatch (stream: FeedStream, address: string, getHeardMs: () => number): IDisposable {
     const { clock, metrics } = this._options
     const ended = new AbortController()
     void (async () => {
@@ -322,7 +302,7 @@
     return toDisposable(() => ended.abort())
   }
 
-  private _enter (stream: Stream, address: string, level: number, source: string, relays: readonly string[]): void {
+  private _enter (stream: FeedStream, address: string, level: number, source: string, relays: readonly string[]): void {
     this._stream = stream
     this._address = address
     this._level = level
@@ -335,43 +315,27 @@
       orphaned_ms: Math.round(this._lastBeatMs - this._orphanedMs),
       held: this._options.store.version.version
     })
-    this._pending = this._options.endpoints.getRecords().filter(record => this._isOwn(record))
-    this._announceOwn()
+    this._reporter.open(stream, this._options.isMesh || level === RELAY_LEVEL)
     void this._confirmFirst()
   }
 
   private _leave (): void {
     this._stream = undefined
+    this._reporter.close()
     this._orphanedMs = this._options.clock.readMonotonicMs()
     this._address = ''
     this._level = 0
     this._source = ''
   }
 
-  /** A new attachment sends own records as newer ones, so that a late removal elsewhere can't win. */
-  private _announceOwn (): void {
-    const own = this._pending.filter(record => record.state !== EndpointState.ENDPOINT_STATE_GONE)
-    this._pending = []
-    this._options.endpoints.merge(own.map(record => ({ ...record, sequence: record.sequence + 1 })))
-    const others = this._options.isMesh || this._level === RELAY_LEVEL
-      ? this._options.endpoints.getRecords().filter(record => !this._isOwn(record))
-      : []
-    this._pending.push(...others)
-    this._sendEndpoints()
-  }
-
-  private _isOwn (record: EndpointRecord): boolean {
-    return record.node === this._options.node
-  }
-
   private _applyCatalogue (delta: Parameters<CatalogueStore['applyDelta']>[0]): void {
     const applied = this._options.store.applyDelta(delta)
     if (applied.ok) {
-      this._sendBeat()
+      this._reporter.sendBeat()
       return
     }
     this._options.metrics.count('feed_bad_versions_total', 'refused')
-    this._send({
+    this._reporter.send({
       $case: 'badVersion',
       value: { node: this._options.node, reason: applied.val.message, version: delta.version }
     })
@@ -387,7 +351,7 @@
   private _startConfirmation (records: readonly EndpointRecord[]): void {
     const { endpoints, clock } = this._options
     const known = new Set(records.map(record => record.targetId))
-    const doubtful = endpoints.getRecords().filter(record => !known.has(record.targetId) && !this._isOwn(record))
+    const doubtful = endpoints.getRecords().filter(record => !known.has(record.targetId) && !this._reporter.isOwn(record))
     if (doubtful.length === 0) return
     this._store.add(clock.schedule(UNCONFIRMED_MS, () => {
       endpoints.remove(doubtful.filter(record => endpoints.getRecord(record.targetId) === record).map(record => record.targetId))
@@ -414,35 +378,11 @@
   private async _runReports (): Promise<void> {
     while (!this._stopping.signal.aborted) {
       await this._options.clock.waitTick(EVIDENCE_MS)
-      if (this._stream === undefined) continue
-      if (this._options.clock.readMonotonicMs() - this._lastSentBeatMs >= BEAT_MS) this._sendBeat()
-      const records = this._options.takeEvidence()
-      if (records.length > 0) this._send({ $case: 'evidence', value: { records } })
-      if (!this._isConfirmed) void this._confirmFirst()
+      this._reporter.sendDue()
+      if (this._stream !== undefined && !this._isConfirmed) void this._confirmFirst()
     }
   }
 
-  private _sendBeat (): void {
-    if (this._options.isMesh) return
-    this._lastSentBeatMs = this._options.clock.readMonotonicMs()
-    const fleet = this._options.computeFleetStatus()
-    this._send({
-      $case: 'beat',
-      value: { applied: { ...this._options.store.version }, nodes: fleet.nodes, lowest: { ...fleet.lowest } }
-    })
-  }
-
-  private _sendEndpoints (): void {
-    if (this._stream === undefined || this._pending.length === 0) return
-    const records = this._pending
-    this._pending = []
-    this._send({ $case: 'endpoints', value: { full: false, records } })
-  }
-
-  private _send (frame: FeedUp['frame']): void {
-    if (this._stream?.writable === true) this._stream.write({ frame })
-  }
-
   private _listSources (): string[] {
     const controls = this._finder.shuffle(this._options.directory.listAddresses())
     return this._level === LEAF_LEVEL ? [...this._relays.slice(0, 2), ...controls] : controls
