A new version compiles only the routes that differ

The other cost of a version at each node: the table of routes was made anew, with the durations and parts of each route. Compiled routes are kept by their declaration and used again while their services and moves are the same. 814 routes, one changed: 2.5 to 2.9 ms before, 0.8 to 1.0 ms now. Copying the kept terms by a spread of properties had taken 10 ms and was not kept.

--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -35,6 +35,8 @@
   readonly service: string
   readonly weight: number
   readonly serviceEntry: IEntry
+  /** Last move of the service, from which the split follows. */
+  readonly move: MoveRecord | undefined
   readonly split: IVersionSplit
 }
 
@@ -43,6 +45,8 @@
   readonly entry: IEntry
   readonly route: IRoute
   readonly key: string
+  /** In lower case, without a port. */
+  readonly host: string
   readonly parts: readonly IRoutePart[]
   readonly totalWeight: number
   readonly deadlineMs: number
@@ -56,6 +60,9 @@
   readonly isRepeatable: boolean
 }
 
+/** Compiled routes by what they were declared as; most stay the same from one version to the next. */
+const COMPILED = new WeakMap<IRoute, ICompiledRoute>()
+
 /** Routes of one host by the first segment of their path. */
 type HostRoutes = Map<string, ICompiledRoute[]>
 
@@ -100,7 +107,9 @@
       for (const route of entry.routes) this._addRoute(entry, route)
     }
     for (const segments of this._hosts.values()) {
-      for (const routes of segments.values()) routes.sort((a, b) => b.route.path.length - a.route.path.length)
+      for (const routes of segments.values()) {
+        if (routes.length > 1) routes.sort((a, b) => b.route.path.length - a.route.path.length)
+      }
     }
   }
 
@@ -123,18 +132,34 @@
   }
 
   private _addRoute (entry: IEntry, route: IRoute): void {
-    const parts = this._compileParts(entry, route)
-    if (parts.length === 0) return
-    const host = parseHost(entry.host ?? ANY_HOST)
-    const segments: HostRoutes = this._hosts.get(host) ?? new Map<string, ICompiledRoute[]>()
-    this._hosts.set(host, segments)
+    const known = COMPILED.get(route)
+    const compiled = known !== undefined && this._isInForce(known) ? known : this._compileRoute(entry, route)
+    if (compiled.parts.length === 0) return
+    let segments = this._hosts.get(compiled.host)
+    if (segments === undefined) {
+      segments = new Map()
+      this._hosts.set(compiled.host, segments)
+    }
     const segment = getFirstSegment(route.path)
-    const routes = segments.get(segment) ?? []
-    segments.set(segment, routes)
-    routes.push({
+    const routes = segments.get(segment)
+    if (routes === undefined) segments.set(segment, [compiled])
+    else routes.push(compiled)
+  }
+
+  /** Services and moves are replaced as a whole when they change. */
+  private _isInForce ({ parts }: ICompiledRoute): boolean {
+    const { entries, moves } = this.view
+    return parts.length > 0 && parts.every(({ service, serviceEntry, move }) =>
+      entries.get(service) === serviceEntry && moves.get(service) === move)
+  }
+
+  private _compileRoute (entry: IEntry, route: IRoute): ICompiledRoute {
+    const parts = this._compileParts(entry, route)
+    const compiled = {
       entry,
       route,
       key: `${entry.entry}/${route.name}`,
+      host: parseHost(entry.host ?? ANY_HOST),
       parts,
       totalWeight: parts.reduce((sum, part) => sum + part.weight, 0),
       objectiveMs: parseDurationMs(route.objective ?? '') ?? 0,
@@ -143,7 +168,10 @@
       callClass: CLASS_NUMBERS[route.class ?? entry.class],
       isKeyed: route.idempotency === 'keyed',
       isRepeatable: route.idempotency === 'safe' || route.idempotency === 'idempotent'
-    })
+    }
+    // A part without its service is missing here and may come later.
+    if (parts.length === listParts(entry, route).filter(({ weight }) => weight > 0).length) COMPILED.set(route, compiled)
+    return compiled
   }
 
   private _compileParts (entry: IEntry, route: IRoute): IRoutePart[] {
@@ -151,7 +179,8 @@
     for (const { service, weight } of listParts(entry, route)) {
       const serviceEntry = this.view.entries.get(service)
       if (serviceEntry === undefined || weight <= 0) continue
-      parts.push({ service, weight, serviceEntry, split: computeSplit(serviceEntry, this.view.moves.get(service)) })
+      const move = this.view.moves.get(service)
+      parts.push({ service, weight, serviceEntry, move, split: computeSplit(serviceEntry, move) })
     }
     return parts
   }
