Subscribers get a publication without the order and the text that only control VMs give back

No node uses these names. Control VMs keep the whole publication; subscribers get its number, its digest and the limits, and the digest of the catalogue covers that. Nodes of the version before take it as well.

--- a/packages/feed/src/CatalogueStore.test.ts
+++ b/packages/feed/src/CatalogueStore.test.ts
@@ -1,9 +1,12 @@
 import { beforeEach, expect, test } from 'vitest'
 import fc from 'fast-check'
 import { compareVersions } from '@lagoonswitch/common'
-import { formatEntry, parseEntry, type CatalogueDelta, type EntryRecord } from '@lagoonswitch/schema'
+import { CatalogueDelta, Publication, formatEntry, parseEntry, type EntryRecord } from '@lagoonswitch/schema'
 import { CatalogueStore } from './CatalogueStore.js'
 
+/** Control traffic of a node in a second, from docs/CAPACITY.md. */
+const CONTROL_BYTES = 3_000
+const MANY = 800
 let source: CatalogueStore
 let copy: CatalogueStore
 
@@ -50,6 +53,24 @@
   expect(copy.digest).toEqual(source.digest)
 })
 
+test('change of one entry among many is small, in whatever order they were published', () => {
+  const names = Array.from({ length: MANY }, (_, index) => `entry-${index}`)
+  const publish = (version: number, ...records: EntryRecord[]): void => source.commitRecords({ epoch: 1, version }, records, [],
+    Publication.fromPartial({ number: version, digest: `content-${version}`, order: [...names].reverse(), annotation: 'x'.repeat(MANY) }))
+  publish(2, ...names.map(name => createRecord(name, 2)))
+  copy.applyDelta(takeDelta()).unwrap()
+  publish(3, createRecord('entry-7', 3))
+  const delta = takeDelta()
+  expect(CatalogueDelta.encode(delta).finish().length).toBeLessThan(CONTROL_BYTES)
+  copy.applyDelta(delta).unwrap()
+  expect(copy.digest).toEqual(source.digest)
+  expect(copy.view.publication?.digest).toBe('content-3')
+  const restored = new CatalogueStore()
+  restored.restoreContent(source.getContent())
+  expect(restored.digest).toEqual(source.digest)
+  expect(restored.view.publication?.order).toEqual([...names].reverse())
+})
+
 test('older and equal versions are refused', () => {
   const old = { ...takeDeltaOf(0), version: { epoch: 1, version: 1 } }
   expect(copy.applyDelta(old).ok).toBe(false)
--- a/packages/feed/src/CatalogueStore.ts
+++ b/packages/feed/src/CatalogueStore.ts
@@ -43,6 +43,8 @@
   moves: Map<string, MoveRecord>
   entries: Map<string, IEntry>
   publication: Publication | undefined
+  /** The publication as subscribers get it, which is the one that the digest covers. */
+  sentPublication: Publication | undefined
   digest: Buffer
 }
 
@@ -98,7 +100,7 @@
   restoreContent (content: ICatalogueContent): void {
     const next = createEmptyState()
     putRecords(next, content.records, content.moves)
-    putPublication(next, content.publication)
+    putPublication(next, content.publication, trimPublication(content.publication))
     next.version = content.version
     next.compactedVersion = content.compactedVersion
     this._swap(next)
@@ -116,7 +118,7 @@
   ): void {
     const next = copyState(this._state)
     putRecords(next, records, moves)
-    if (publication !== undefined) putPublication(next, publication)
+    if (publication !== undefined) putPublication(next, publication, trimPublication(publication))
     next.version = version
     dropTombstones(next)
     this._swap(next)
@@ -128,7 +130,7 @@
    * @returns the delta, or undefined when the other side lacks nothing
    */
   computeDelta (held: ICatalogueVersion): CatalogueDelta | undefined {
-    const { version, compactedVersion, records, moves, publication, digest } = this._state
+    const { version, compactedVersion, records, moves, sentPublication, digest } = this._state
     if (compareVersions(held, version) >= 0) return undefined
     const full = held.epoch !== version.epoch || held.version < compactedVersion
     const since = full ? -1 : held.version
@@ -142,7 +144,7 @@
       packedEntries,
       moves: [...moves.values()].filter(move => move.version > since),
       digest,
-      publication
+      publication: sentPublication
     }
   }
 
@@ -167,7 +169,7 @@
     const next = delta.full ? createEmptyState() : copyState(this._state)
     const put = putRecords(next, entries.val, delta.moves)
     if (put.err) return put
-    if (delta.publication !== undefined) putPublication(next, delta.publication)
+    if (delta.publication !== undefined) putPublication(next, delta.publication, delta.publication)
     next.version = { epoch: version.epoch, version: version.version }
     if (delta.full) next.compactedVersion = version.version
     dropTombstones(next)
@@ -215,6 +217,7 @@
     moves: new Map(),
     entries: new Map(),
     publication: undefined,
+    sentPublication: undefined,
     digest: Buffer.alloc(DIGEST_BYTES)
   }
 }
@@ -254,10 +257,16 @@
   return Ok(undefined)
 }
 
-function putPublication (state: IState, publication: Publication | undefined): void {
-  if (state.publication !== undefined) updateDigest(state.digest, 'publication', Publication.encode(state.publication).finish())
+function putPublication (state: IState, publication: Publication | undefined, sent: Publication | undefined): void {
+  if (state.sentPublication !== undefined) updateDigest(state.digest, 'publication', Publication.encode(state.sentPublication).finish())
   state.publication = publication
-  if (publication !== undefined) updateDigest(state.digest, 'publication', Publication.encode(publication).finish())
+  state.sentPublication = sent
+  if (sent !== undefined) updateDigest(state.digest, 'publication', Publication.encode(sent).finish())
+}
+
+/** Only control VMs give a publication back as it was sent; its own digest covers what subscribers don't get. */
+function trimPublication (publication: Publication | undefined): Publication | undefined {
+  return publication === undefined ? undefined : { ...publication, annotation: '', order: [] }
 }
 
 function parseDeclaration (declaration: string): Result<IEntry, FeedError> {
