A relay that lost its source sends the nodes below it elsewhere

Once a relay has been without a source for 0.3 s, longer than a search that succeeds takes, it sends its subscribers away; they search at once. The test, in which the relay falls silent upwards as a change is acknowledged: 2,679 ms of 2,000 before; now it passes.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -24,6 +24,8 @@
 const WELCOME_MS = 1_000
 /** Time without a current source after which a node looks for another one. */
 const ORPHAN_MS = 1_500
+/** Time without a source after which those that are fed from here look for another one: a search that finds one takes less. */
+const ORPHANED_MS = 300
 /** Interval of looking for both. */
 const WATCH_MS = 250
 /** Interval of evidence, a part of the time in which a move must be decided. */
@@ -68,6 +70,7 @@
   private readonly _store = new DisposableStore()
   private readonly _stopping = new AbortController()
   private readonly _onReady = new Emitter<void>()
+  private readonly _onOrphaned = new Emitter<void>()
   private readonly _backoff: Backoff
   private readonly _finder: SourceFinder
   private readonly _reporter: FeedReporter
@@ -85,9 +88,12 @@
   private _isMovingNearer = false
   /** Since when no source is followed. */
   private _orphanedMs: number
+  private _orphanTimer: IDisposable | undefined
 
   /** Fires once the first version is confirmed by a quorum. */
   readonly onReady = this._onReady.event
+  /** Fires when a source was lost and no other one was found for a moment. */
+  readonly onOrphaned = this._onOrphaned.event
 
   constructor (private readonly _options: IFeedClientOptions) {
     this._finder = new SourceFinder(_options)
@@ -96,6 +102,7 @@
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._store.add(toDisposable(() => {
       this._stopping.abort()
+      this._orphanTimer?.dispose()
       this._stream?.end()
     }))
   }
@@ -304,6 +311,7 @@
 
   private _enter (stream: FeedStream, address: string, level: number, source: string, relays: readonly string[]): void {
     this._stream = stream
+    this._orphanTimer?.dispose()
     this._address = address
     this._level = level
     this._source = source
@@ -323,6 +331,7 @@
     this._stream = undefined
     this._reporter.close()
     this._orphanedMs = this._options.clock.readMonotonicMs()
+    this._orphanTimer = this._options.clock.schedule(ORPHANED_MS, () => this._onOrphaned.fire())
     this._address = ''
     this._level = 0
     this._source = ''
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -136,9 +136,12 @@
   /** Refuses new subscribers and sends the present ones elsewhere. */
   drain (): void {
     this._isDraining = true
-    for (const subscriber of this._subscribers) {
-      this._redirect(subscriber, subscriber.hello, 'draining', 0)
-    }
+    this._sendAway('draining')
+  }
+
+  /** Sends the subscribers elsewhere, since this process has no source itself; they may come back. */
+  dismiss (): void {
+    this._sendAway('orphaned')
   }
 
   dispose (): void {
@@ -251,6 +254,10 @@
     subscriber.stream.end()
   }
 
+  private _sendAway (reason: string): void {
+    for (const subscriber of this._subscribers) this._redirect(subscriber, subscriber.hello, reason, 0)
+  }
+
   private _remove (subscriber: ISubscriber): void {
     subscriber.flushTimer?.dispose()
     subscriber.stream.end()
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -17,6 +17,7 @@
 /** Several times the interval in which a node looks for a nearer source. */
 const WATCHED_MS = 5_500
 const POLL_MS = 25
+const BEAT_MS = 200
 /** Time of a confirmation at a control VM that is busy. */
 const SLOW_CONFIRM_MS = 500
 /** With this one the first source drawn of three is the first one listed. */
@@ -25,20 +26,42 @@
 
 afterEach(async () => { await world.stop() })
 
-/** Welcomes whoever subscribes and says nothing more. */
-async function startSilentRelay (): Promise<{ address: string, close: () => void }> {
+interface IStub {
+  address: string
+  /** Sends nothing from now on and welcomes nobody, as a process that is cut off seems to do. */
+  fallSilent: () => void
+  close: () => void
+}
+
+/** Welcomes whoever subscribes, and then does nothing but say that it is current. */
+async function startStub (name: string, store: CatalogueStore): Promise<IStub> {
   const [port] = await findPorts(1)
+  const streams = new Set<ServerDuplexStream<FeedUp, FeedDown>>()
+  let isSilent = false
   const listener = new PeerListener(new PlainCredentials())
   listener.addService(FeedService, {
     subscribe: (stream: ServerDuplexStream<FeedUp, FeedDown>) => {
       stream.on('error', () => undefined)
       stream.on('data', () => undefined)
-      stream.write({ frame: { $case: 'welcome', value: { source: 'silent', level: 1, relays: [] } } })
+      if (isSilent) return
+      streams.add(stream)
+      stream.write({ frame: { $case: 'welcome', value: { source: name, level: 1, relays: [] } } })
     },
     confirm: () => {}
   })
   await listener.listen('127.0.0.1', port ?? 0)
-  return { address: `127.0.0.1:${port}`, close: () => listener.close() }
+  const beats = setInterval(() => {
+    if (isSilent) return
+    for (const stream of streams) stream.write({ frame: { $case: 'beat', value: { version: { ...store.version }, current: true } } })
+  }, BEAT_MS)
+  return {
+    address: `127.0.0.1:${port}`,
+    fallSilent: () => { isSilent = true },
+    close: () => {
+      clearInterval(beats)
+      listener.close()
+    }
+  }
 }
 
 /** Takes connections and never answers, as a VM that has lost its power seems to do. */
@@ -92,10 +115,11 @@
     return { confirmed: true, version: { ...store.version }, message: '' }
   }
   const controls = [await startHub(world, 'one', { store, confirm }), await startHub(world, 'other', { store, confirm })]
-  const silent = await startSilentRelay()
+  const silent = await startStub('silent', store)
   const held = new CatalogueStore()
   const client = startFeedClient(world, [silent.address, ...controls.map(({ address }) => address)], held, { seed: SEED_OF_SILENT })
   await waitFor('the relay', () => client.source === 'silent')
+  silent.fallSilent()
   store.commitRecords({ ...store.version, version: store.version.version + 1 }, [], [])
   const acknowledgedMs = world.clock.readMonotonicMs()
   await waitFor('the change below', () => held.version.version === store.version.version)
@@ -105,6 +129,31 @@
   silent.close()
 })
 
+test('change is in force in time below a relay that is cut off from the control VMs', async () => {
+  world = await World.start([])
+  await world.putEntry(DESK)
+  const store = new CatalogueStore()
+  store.restoreContent(world.control.store.getContent())
+  const control = await startHub(world, 'control', { store })
+  const cut = await startStub('cut', store)
+  const relayed = new CatalogueStore()
+  relayed.restoreContent(store.getContent())
+  const upstream = startFeedClient(world, [cut.address], relayed, { feedAddress: 'none' })
+  const relay = await startHub(world, 'relay', { store: relayed, isCurrent: () => upstream.level > 0 && upstream.isCurrent })
+  upstream.onOrphaned(() => relay.hub.dismiss())
+  await waitFor('the source of the relay', () => upstream.isCurrent)
+  const held = new CatalogueStore()
+  const client = startFeedClient(world, [relay.address, control.address], held)
+  await waitFor('the relay', () => client.source === 'relay' && held.version.version === store.version.version)
+  store.commitRecords({ ...store.version, version: store.version.version + 1 }, [], [])
+  const acknowledgedMs = world.clock.readMonotonicMs()
+  cut.fallSilent()
+  await waitFor('the change below', () => held.version.version === store.version.version)
+  expect(world.clock.readMonotonicMs() - acknowledgedMs).toBeLessThan(IN_FORCE_MS)
+  for (const one of [client, upstream]) one.dispose()
+  for (const { close } of [control, relay, cut]) close()
+})
+
 test('node that was moved to another relay stays there while the control VMs are full', async () => {
   world = await World.start([])
   await world.putEntry(DESK)
