--- a/tests/Calls.test.ts
+++ b/tests/Calls.test.ts
@@ -57,6 +57,20 @@
   expect(headers['lagoon-depth']).toBe('1')
 })
 
+test('repeat tells its target so, and a call that carries the mark is charged as a repeat', async () => {
+  const marks: unknown[] = []
+  for (const id of ['t1', 't2']) {
+    await world.addTarget('n2', id, 'v1', (request, response) => {
+      marks.push(request.headers['lagoon-repeat'])
+      response.writeHead(marks.length === 1 ? 500 : 200).end()
+    })
+  }
+  expect((await world.call('n1', 'GET', '/read')).status).toBe(200)
+  expect((await world.call('n1', 'GET', '/read', { 'lagoon-repeat': 'true', 'lagoon-depth': '1' })).status).toBe(200)
+  expect(marks).toEqual([undefined, 'true', 'true'])
+  expect(world.getNode('n1').metrics.readCount('calls_of_repeats_total', 'desk')).toBe(1)
+})
+
 test('no route and no target are refused as not run', async () => {
   expect((await world.call('n1', 'GET', '/nowhere')).status).toBe(404)
   const reply = await world.call('n1', 'GET', '/read')
