--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -1,10 +1,8 @@
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
-import type { ServerDuplexStream } from '@grpc/grpc-js'
-import { EndpointState, FeedService, type FeedDown, type FeedUp } from '@lagoonswitch/schema'
+import { EndpointState } from '@lagoonswitch/schema'
 import { CatalogueStore, ControlDirectory } from '@lagoonswitch/feed'
-import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
-import { startFeedClient, startHub } from './support/Feeds.js'
+import { startFeedClient, startHub, startStub } from './support/Feeds.js'
 import { DESK, World, findPorts, waitFor } from './support/World.js'
 
 const ONE_STREAM = 'source_streams = 1'
@@ -110,22 +108,14 @@
 test('silent source is left', async () => {
   world = await World.start([])
   await changeOwner('first')
-  const [port] = await findPorts(1)
-  const listener = new PeerListener(new PlainCredentials())
-  listener.addService(FeedService, {
-    subscribe: (stream: ServerDuplexStream<FeedUp, FeedDown>) => {
-      stream.on('error', () => undefined)
-      stream.on('data', () => undefined)
-      stream.write({ frame: { $case: 'welcome', value: { source: 'silent', level: 1, relays: [] } } })
-    },
-    confirm: () => {}
-  })
-  await listener.listen('127.0.0.1', port ?? 0)
+  const silent = await startStub('silent', new CatalogueStore())
   const store = new CatalogueStore()
-  const client = startFeedClient(world, [`127.0.0.1:${port}`, world.control.listStatus()[0]?.leaderAddress ?? ''], store)
+  const client = startFeedClient(world, [silent.address, world.control.listStatus()[0]?.leaderAddress ?? ''], store)
+  await waitFor('the source', () => client.source === 'silent')
+  silent.fallSilent()
   await waitFor('another source', () => client.source === 'c1' && client.isReady)
   client.dispose()
-  listener.close()
+  silent.close()
 })
 
 test('source that is behind is left', async () => {
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -4,12 +4,10 @@
 import { createServer, type AddressInfo, type Server } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
-import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { CatalogueStore, ControlDirectory, LEAF_LEVEL, type FeedClient } from '@lagoonswitch/feed'
-import { FeedService, type ConfirmReply, type FeedDown, type FeedUp } from '@lagoonswitch/schema'
-import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
-import { startFeedClient, startHub } from './support/Feeds.js'
-import { DESK, World, findPorts, waitFor } from './support/World.js'
+import type { ConfirmReply } from '@lagoonswitch/schema'
+import { startFeedClient, startHub, startStub } from './support/Feeds.js'
+import { DESK, World, waitFor } from './support/World.js'
 
 /** Time after its acknowledgement in which a change must be in force. */
 const IN_FORCE_MS = 2_000
@@ -17,7 +15,6 @@
 /** Several times the interval in which a node looks for a nearer source. */
 const WATCHED_MS = 5_500
 const POLL_MS = 25
-const BEAT_MS = 200
 /** Time of a confirmation at a control VM that is busy. */
 const SLOW_CONFIRM_MS = 500
 /** With this one the first source drawn of three is the first one listed. */
@@ -26,44 +23,6 @@
 
 afterEach(async () => { await world.stop() })
 
-interface IStub {
-  address: string
-  /** Sends nothing from now on and welcomes nobody, as a process that is cut off seems to do. */
-  fallSilent: () => void
-  close: () => void
-}
-
-/** Welcomes whoever subscribes, and then does nothing but say that it is current. */
-async function startStub (name: string, store: CatalogueStore): Promise<IStub> {
-  const [port] = await findPorts(1)
-  const streams = new Set<ServerDuplexStream<FeedUp, FeedDown>>()
-  let isSilent = false
-  const listener = new PeerListener(new PlainCredentials())
-  listener.addService(FeedService, {
-    subscribe: (stream: ServerDuplexStream<FeedUp, FeedDown>) => {
-      stream.on('error', () => undefined)
-      stream.on('data', () => undefined)
-      if (isSilent) return
-      streams.add(stream)
-      stream.write({ frame: { $case: 'welcome', value: { source: name, level: 1, relays: [] } } })
-    },
-    confirm: () => {}
-  })
-  await listener.listen('127.0.0.1', port ?? 0)
-  const beats = setInterval(() => {
-    if (isSilent) return
-    for (const stream of streams) stream.write({ frame: { $case: 'beat', value: { version: { ...store.version }, current: true } } })
-  }, BEAT_MS)
-  return {
-    address: `127.0.0.1:${port}`,
-    fallSilent: () => { isSilent = true },
-    close: () => {
-      clearInterval(beats)
-      listener.close()
-    }
-  }
-}
-
 /** Takes connections and never answers, as a VM that has lost its power seems to do. */
 async function startSilentServer (): Promise<Server> {
   const server = createServer(() => {})
--- a/tests/support/Feeds.ts
+++ b/tests/support/Feeds.ts
@@ -1,12 +1,15 @@
 /**
  * Both ends of the feed on their own, for tests that choose who feeds whom.
  */
+import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { Metrics, NullLog, SeededRandom } from '@lagoonswitch/common'
 import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub, RELAY_LEVEL, type IFeedHubOptions } from '@lagoonswitch/feed'
-import { FeedService } from '@lagoonswitch/schema'
+import { FeedService, type FeedDown, type FeedUp } from '@lagoonswitch/schema'
 import { PeerListener, PlainCredentials } from '@lagoonswitch/transport'
 import { findPorts, type World } from './World.js'
 
+const STUB_BEAT_MS = 200
+
 export interface IHub {
   hub: FeedHub
   address: string
@@ -77,3 +80,41 @@
     }
   }
 }
+
+export interface IStub {
+  address: string
+  /** Sends nothing from now on and welcomes nobody, as a process that is cut off seems to do. */
+  fallSilent: () => void
+  close: () => void
+}
+
+/** Welcomes whoever subscribes, and then does nothing but say that it is current. */
+export async function startStub (name: string, store: CatalogueStore): Promise<IStub> {
+  const [port] = await findPorts(1)
+  const streams = new Set<ServerDuplexStream<FeedUp, FeedDown>>()
+  let isSilent = false
+  const listener = new PeerListener(new PlainCredentials())
+  listener.addService(FeedService, {
+    subscribe: (stream: ServerDuplexStream<FeedUp, FeedDown>) => {
+      stream.on('error', () => undefined)
+      stream.on('data', () => undefined)
+      if (isSilent) return
+      streams.add(stream)
+      stream.write({ frame: { $case: 'welcome', value: { source: name, level: 1, relays: [] } } })
+    },
+    confirm: () => {}
+  })
+  await listener.listen('127.0.0.1', port ?? 0)
+  const beats = setInterval(() => {
+    if (isSilent) return
+    for (const stream of streams) stream.write({ frame: { $case: 'beat', value: { version: { ...store.version }, current: true } } })
+  }, STUB_BEAT_MS)
+  return {
+    address: `127.0.0.1:${port}`,
+    fallSilent: () => { isSilent = true },
+    close: () => {
+      clearInterval(beats)
+      listener.close()
+    }
+  }
+}
