The bundled process starts from compiled code that is kept beside it

The process is one CommonJS file now, loaded by a small script with V8's code cache, which the bundler makes by running the process, with the deploy file's flags, until it finds no settings; V8 refuses it under other flags or another version, and the program is compiled as before.

--- a/bench/processor-time.mjs
+++ b/bench/processor-time.mjs
@@ -16,7 +16,7 @@
 import { StandInOperator, StandInTarget } from './stand-in-platform.mjs'
 
 const SECONDS = Number(process.argv[2] ?? 8)
-const BUNDLES = process.argv.length > 3 ? process.argv.slice(3) : ['target/lagoonswitch.mjs']
+const BUNDLES = process.argv.length > 3 ? process.argv.slice(3) : ['target/lagoonswitch.cjs']
 const CASES = (process.env.BENCH_CASES ?? 'idle,steady,far,crowd').split(',')
 const FLAGS = process.env.BENCH_NODE_FLAGS?.split(' ') ?? []
 const CONTROLS = 3
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,10 +1,11 @@
 /**
- * Bundles the binaries into target/, for machines that may open few files: what a call needs in one file each, and
- * the product's own HTTP interface in files that are loaded only when it is served.
+ * Bundles the binaries into target/, one file each, for machines that may open few files. The compiled code of the process is kept
+ * beside it, since a start on a slow core spends most of its time on compiling. Usage: node scripts/bundle.mjs [FOLDER]
  */
 import { build } from 'esbuild'
-import { readdirSync, rmSync } from 'node:fs'
-import { dirname, join } from 'node:path'
+import { spawnSync } from 'node:child_process'
+import { copyFileSync, readFileSync, readdirSync, rmSync, statSync } from 'node:fs'
+import { dirname, join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
 const ROOT = dirname(dirname(fileURLToPath(import.meta.url)))
@@ -27,19 +28,13 @@
   }
 }
 
-rmSync(join(ROOT, 'target'), { recursive: true, force: true })
-await build({
-  entryPoints: {
-    lagoonswitch: join(ROOT, 'platform/src/main.ts'),
-    lagoonctl: join(ROOT, 'packages/lagoonctl/src/main.ts')
-  },
-  outdir: join(ROOT, 'target'),
+const TARGET = process.argv[2] === undefined ? join(ROOT, 'target') : resolve(process.argv[2])
+const LOADER = join(TARGET, 'lagoonswitch.cjs')
+const OPTIONS = {
+  outdir: TARGET,
   bundle: true,
-  splitting: true,
   platform: 'node',
   target: 'node20',
-  format: 'esm',
-  outExtension: { '.js': '.mjs' },
   legalComments: 'none',
   // Names stay, so that stacks can be read; a smaller text is parsed sooner and takes less memory.
   minifyWhitespace: true,
@@ -48,6 +43,32 @@
   external: OPTIONAL,
   alias: Object.fromEntries(NAMES.map(name => [`@lagoonswitch/${name}`, join(ROOT, 'packages', name, 'src/index.ts')])),
   plugins: [RESULTS],
-  banner: { js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);" },
   logLevel: 'warning'
+}
+
+/** @returns the flags of Node.js with which the deploy file starts the process; V8 takes kept code only under the same ones */
+function readFlags () {
+  const run = /^run = "node (.*?) ?target\//m.exec(readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8'))
+  return (run?.[1] ?? '').split(' ').filter(flag => flag !== '')
+}
+
+/** Runs the process until it finds no settings, and keeps what was compiled until then. */
+function keepCode () {
+  const env = { LAGOONSWITCH_KEEP_CODE: '1', LAGOONSWITCH_CONFIG: join(TARGET, 'no-settings.ini') }
+  spawnSync(process.execPath, [...readFlags(), LOADER], { env, stdio: 'ignore' })
+  if (statSync(join(TARGET, 'lagoonswitch-program.code')).size === 0) throw new Error('no compiled code was kept; run the loader by hand')
+}
+
+rmSync(TARGET, { recursive: true, force: true })
+await build({
+  ...OPTIONS, format: 'cjs', entryPoints: { 'lagoonswitch-program': join(ROOT, 'platform/src/main.ts') }, outExtension: { '.js': '.cjs' }
+})
+await build({
+  ...OPTIONS,
+  format: 'esm',
+  entryPoints: { lagoonctl: join(ROOT, 'packages/lagoonctl/src/main.ts') },
+  outExtension: { '.js': '.mjs' },
+  banner: { js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);" }
 })
+copyFileSync(join(ROOT, 'scripts/load-bundle.cjs'), LOADER)
+keepCode()
--- /dev/null
+++ b/tests/Bundle.test.ts
@@ -0,0 +1,43 @@
+/**
+ * The bundled process, with the compiled code that is kept beside it and without.
+ */
+import { spawnSync } from 'node:child_process'
+import { existsSync, mkdtempSync, rmSync, statSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterAll, beforeAll, expect, test } from 'vitest'
+
+const EXIT_SETTINGS = 2
+/** A bundle without any compiled function would keep some hundred bytes. */
+const LEAST_CODE_BYTES = 100_000
+let folder = ''
+
+function runBundled (): { status: number | null, text: string } {
+  const { status, stderr } = spawnSync(process.execPath, [join(folder, 'lagoonswitch.cjs')], {
+    encoding: 'utf8', env: { LAGOONSWITCH_CONFIG: join(folder, 'missing.ini') }
+  })
+  return { status, text: stderr }
+}
+
+beforeAll(() => {
+  folder = mkdtempSync(join(tmpdir(), 'bundle-'))
+  spawnSync(process.execPath, ['scripts/bundle.mjs', folder], { stdio: 'inherit' })
+})
+
+afterAll(() => rmSync(folder, { recursive: true, force: true }))
+
+test('bundled process says which settings it lacks, with kept code, with damaged code and with none', () => {
+  const code = join(folder, 'lagoonswitch-program.code')
+  const expectRefusal = (): void => {
+    const { status, text } = runBundled()
+    expect(status).toBe(EXIT_SETTINGS)
+    expect(text).toContain('name a readable INI file')
+  }
+  expect(statSync(code).size).toBeGreaterThan(LEAST_CODE_BYTES)
+  expectRefusal()
+  writeFileSync(code, Buffer.alloc(LEAST_CODE_BYTES, 7))
+  expectRefusal()
+  rmSync(code)
+  expectRefusal()
+  expect(existsSync(code)).toBe(false)
+})
