A repeat is taken only while the services that its target calls have retry budget left

The process beside the target now refuses a repeat as not run (no-budget) while a service that its targets call has no budget left there; the entry may ask another target, at no charge.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -50,6 +50,8 @@
   private readonly _disposables = new DisposableStore()
   private readonly _links = new Map<string, PeerLink>()
   private readonly _budgets = new Map<string, RetryBudget>()
+  /** Services that targets of this VM call while they run others. */
+  private readonly _called = new Set<string>()
   private readonly _evidence: EvidenceCollector
   private readonly _calls: CallServer
   private readonly _peerServer: PeerServer
@@ -85,7 +87,8 @@
       log,
       metrics,
       endpoints: this.endpoints,
-      dialect
+      dialect,
+      canTakeRepeat: () => [...this._called].every(service => this._budgets.get(service)?.hasRoom() !== false)
     }))
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
@@ -148,6 +151,7 @@
       findOpener: address => this._findOpener(address),
       isRepeatRun: callId => this.targets.isRepeatRun(callId),
       reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
+      recordCalled: part => this._called.add(part.service),
       getBudget: part => this._getBudget(part),
       getRoutes: () => this._getRoutes(),
       getStop: () => this._stop,
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -10,7 +10,7 @@
 /** Calls after which the latency of a target is taken as its usual one. */
 const WARM_CALLS = 50
 /** Reasons for which the target itself is not to blame. */
-const NEUTRAL_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue', 'draining', 'cancelled', 'no-target', 'no-spare'])
+const NEUTRAL_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue', 'draining', 'cancelled', 'no-target', 'no-spare', 'no-budget'])
 /** Reasons that count against a target in the choice, but not against its version. */
 const LOAD_REASONS = new Set<FailureReason>(['target-busy', 'target-replaced', 'link-silent', 'link-lost', 'unreachable'])
 
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -32,6 +32,8 @@
   readonly isRepeatRun: (callId: string) => boolean
   /** Notes beside the target that a call which it makes found no budget for its repeat. */
   readonly reportRepeatDenied: (parentId: string) => void
+  /** Notes a service that targets of this VM call while they run others. */
+  readonly recordCalled: (part: IRoutePart) => void
   readonly getBudget: (part: IRoutePart) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
   /** Times of the planned stop that is under way; undefined while there is none. */
--- a/packages/node/src/calls/CallRepeats.ts
+++ b/packages/node/src/calls/CallRepeats.ts
@@ -14,7 +14,7 @@
 const FINAL_REASONS = new Set<FailureReason>(['deadline', 'cancelled'])
 /** Failures before the request reached the target, which cost it nothing. */
 const FREE_REASONS = new Set<FailureReason>([
-  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare'
+  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare', 'no-budget'
 ])
 /** Refusals by a queue after which another target may be asked. */
 const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue'])
@@ -51,6 +51,7 @@
 
   /** Notes the call itself, before its first attempt. */
   recordCall (): void {
+    if (this._head.parentId !== '' || this._head.depth > 0) this._context.recordCalled(this._part)
     if (!this._head.isOfRepeat) {
       this.budget.recordCall()
       return
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -71,7 +71,7 @@
 export type FailureReason =
   'queue-full' | 'shed' | 'deadline' | 'deadline-queue' | 'no-target' | 'draining' | 'unreachable' | 'link-lost' |
   'connect' | 'broken' | 'cancelled' | 'oversized' | 'bad-frame' | 'target-busy' | 'target-replaced' | 'crossed' |
-  'link-silent' | 'no-spare'
+  'link-silent' | 'no-spare' | 'no-budget'
 
 /** Receives what happens to one call; nothing follows after the end or a failure. */
 export interface ICallEvents {
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -39,6 +39,7 @@
   crossed: { status: 502, title: 'the target sent the answer to another call', remedy: 'check whether the request took effect' },
   'link-silent': { status: 502, title: 'the process beside the target fell silent', remedy: 'check whether the request took effect' },
   'no-spare': { status: 503, title: 'targets of other zones have no free slot', remedy: 'retry after the stated time' },
+  'no-budget': { status: 503, title: 'the services that the target calls bear no more repeats', remedy: 'retry after the stated time' },
   'not-ready': { status: 503, title: 'this process has no confirmed catalogue yet', remedy: 'retry; check the control VMs' },
   'no-route': { status: 404, title: 'no route matches', remedy: 'declare a route or correct the path and the method' },
   'too-deep': { status: 508, title: 'the chain of calls is too deep', remedy: 'look for a loop between services' },
--- a/packages/node/src/routing/RetryBudget.ts
+++ b/packages/node/src/routing/RetryBudget.ts
@@ -48,15 +48,19 @@
 
   /** @returns true when a repeat is allowed; it is spent then */
   spend (): boolean {
-    this._advance()
-    const { ratio, slack, countNodes } = this._bounds
-    const calls = sum(this._calls)
-    const allowed = USED_SHARE * (ratio * calls + slack / Math.max(1, countNodes()))
-    if (sum(this._repeats) + 1 > allowed) return false
+    if (!this.hasRoom()) return false
     this._add(this._repeats)
     return true
   }
 
+  /** @returns true when a repeat is allowed now */
+  hasRoom (): boolean {
+    this._advance()
+    const { ratio, slack, countNodes } = this._bounds
+    const allowed = USED_SHARE * (ratio * sum(this._calls) + slack / Math.max(1, countNodes()))
+    return sum(this._repeats) + 1 <= allowed
+  }
+
   /** @returns repeats in the window */
   countRepeats (): number {
     this._advance()
--- a/packages/node/src/targets/TargetSide.test.ts
+++ b/packages/node/src/targets/TargetSide.test.ts
@@ -24,7 +24,8 @@
     log: new NullLog(),
     metrics: new Metrics(),
     endpoints,
-    dialect: new LagoonDialect()
+    dialect: new LagoonDialect(),
+    canTakeRepeat: () => true
   })
 }
 
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -38,6 +38,8 @@
   readonly metrics: Metrics
   readonly endpoints: EndpointView
   readonly dialect: CallDialect
+  /** False while a service that the targets call has no retry budget left here for the calls of a repeated run. */
+  readonly canTakeRepeat: () => boolean
 }
 
 interface IHeldTarget {
@@ -144,6 +146,11 @@
       events.onFailure({ reason, isNotRun: true, retryAfterMs: 0 }, target?.gate.load)
       return ENDED_HANDLE
     }
+    if (request.isRepeat && !this._options.canTakeRepeat()) {
+      this._options.metrics.count('repeats_refused_total', 'no-budget')
+      events.onFailure({ reason: 'no-budget', isNotRun: true, retryAfterMs: 0 }, target.gate.load)
+      return ENDED_HANDLE
+    }
     target.applyLimits(request.slots, request.connections)
     this._running++
     let hasEnded = false
--- a/tests/RepeatBudget.test.ts
+++ b/tests/RepeatBudget.test.ts
@@ -13,6 +13,9 @@
 /** Calls after which the budgets of a service that refuses everything are used up. */
 const FIRST_CALLS = 20
 const INNER_CALLS = 2
+const MANY_INNER_CALLS = 6
+/** Runs that fail after their calls went well. */
+const FAILED_SHARE = 0.6
 const BATCHES = 20
 const BATCH_CALLS = 15
 const DEADLINE = { 'x-request-deadline': '2000' }
@@ -21,6 +24,8 @@
 let world: World
 let random: SeededRandom
 let refusedShare: number
+let failedShare: number
+let innerCalls: number
 /** Arrivals by the identity of the call; those of calls that a repeated run made are kept apart. */
 let arrivals: Map<string, number>
 let arrivalsOfRepeats: Map<string, number>
@@ -28,6 +33,8 @@
 beforeEach(async () => {
   random = new SeededRandom(19)
   refusedShare = REFUSED_SHARE
+  failedShare = 0
+  innerCalls = INNER_CALLS
   arrivals = new Map()
   arrivalsOfRepeats = new Map()
   world = await World.start(NODES, `[node]\nretry_slack = ${SLACK}\n`, new PlatformDialect())
@@ -53,10 +60,11 @@
     const run = countArrival(arrivals, id)
     void (async () => {
       let status = 200
-      for (let call = 0; call < INNER_CALLS && status === 200; call++) {
+      for (let call = 0; call < innerCalls && status === 200; call++) {
         status = (await world.call(node, 'GET', '/price', { ...DEADLINE, 'x-attempt-id': `${id}.${run}-${call}` })).status
       }
-      response.writeHead(status === 200 ? 200 : 500, { 'x-attempt-id': id }).end('desk')
+      const isFailed = status !== 200 || random.draw() < failedShare
+      response.writeHead(isFailed ? 500 : 200, { 'x-attempt-id': id }).end('desk')
     })()
   }
 }
@@ -75,16 +83,33 @@
   return count
 }
 
-test('repeated runs do not take their service\'s calls elsewhere beyond the retry budget there', async () => {
-  for (let batch = 0; batch < BATCHES; batch++) {
+async function callInBatches (batches: number): Promise<void> {
+  for (let batch = 0; batch < batches; batch++) {
     await Promise.all(Array.from({ length: BATCH_CALLS }, async (_, call) =>
-      await world.call('n1', 'GET', '/read', { ...DEADLINE, 'x-attempt-id': `a${batch}-${call}` })))
+      await world.call(NODES[call % NODES.length] ?? '', 'GET', '/read', { ...DEADLINE, 'x-attempt-id': `a${batch}-${call}` })))
   }
+}
+
+/** Compares what the called service sees with what it may see in one window. */
+function expectWithinBudget (): void {
   const ofFirstRuns = [...arrivals].filter(([id]) => id.includes('.')).map(([, count]) => count)
   const ofRepeats = [...arrivalsOfRepeats.values()].reduce((sum, count) => sum + count, 0)
   const repeats = ofFirstRuns.reduce((sum, count) => sum + count - 1, 0) + ofRepeats
-  expect(ofFirstRuns.length).toBeGreaterThan(BATCHES * BATCH_CALLS)
   expect(repeats).toBeLessThanOrEqual(RATIO * ofFirstRuns.length + SLACK)
+}
+
+test('repeated runs do not take their service\'s calls elsewhere beyond the retry budget there', async () => {
+  await callInBatches(BATCHES)
+  expect(arrivals.size).toBeGreaterThan(2 * BATCHES * BATCH_CALLS)
+  expectWithinBudget()
+})
+
+test('repeated runs with many calls stay within the retry budget of the called service though their own service fails by itself', async () => {
+  innerCalls = MANY_INNER_CALLS
+  failedShare = FAILED_SHARE
+  refusedShare = 0.1
+  await callInBatches(BATCHES / 4)
+  expectWithinBudget()
 })
 
 test('run that failed for want of budget at a called service is not repeated', async () => {
