A repeat that finds no budget is told when to come back; names follow the list of verbs

A call that was refused as not run beside each target for want of budget ended with 503 and no Retry-After; it is asked to come back after 1 s now. dismiss is redirectAll, trimPublication createSentPublication, keepCode writeCode.

--- a/packages/feed/src/CatalogueStore.ts
+++ b/packages/feed/src/CatalogueStore.ts
@@ -100,7 +100,7 @@
   restoreContent (content: ICatalogueContent): void {
     const next = createEmptyState()
     putRecords(next, content.records, content.moves)
-    putPublication(next, content.publication, trimPublication(content.publication))
+    putPublication(next, content.publication, createSentPublication(content.publication))
     next.version = content.version
     next.compactedVersion = content.compactedVersion
     this._swap(next)
@@ -118,7 +118,7 @@
   ): void {
     const next = copyState(this._state)
     putRecords(next, records, moves)
-    if (publication !== undefined) putPublication(next, publication, trimPublication(publication))
+    if (publication !== undefined) putPublication(next, publication, createSentPublication(publication))
     next.version = version
     dropTombstones(next)
     this._swap(next)
@@ -265,7 +265,7 @@
 }
 
 /** Only control VMs give a publication back as it was sent; its own digest covers what subscribers don't get. */
-function trimPublication (publication: Publication | undefined): Publication | undefined {
+function createSentPublication (publication: Publication | undefined): Publication | undefined {
   return publication === undefined ? undefined : { ...publication, annotation: '', order: [] }
 }
 
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -140,7 +140,7 @@
   }
 
   /** Sends the subscribers elsewhere, since this process has no source itself; they may come back. */
-  dismiss (): void {
+  redirectAll (): void {
     this._sendAway('orphaned')
   }
 
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -159,7 +159,7 @@
       getCallerLimits: () => this.store.view.publication?.callerLimits,
       getCatalogueVersion: () => this.store.version.version
     })
-    this._disposables.add(this.feed.onOrphaned(() => this.relay.dismiss()))
+    this._disposables.add(this.feed.onOrphaned(() => this.relay.redirectAll()))
     this._disposables.add(this.store.onChanged(() => {
       this._routes = undefined
       this._calls.applyLimits()
--- a/packages/node/src/targets/TargetSide.ts
+++ b/packages/node/src/targets/TargetSide.ts
@@ -19,6 +19,8 @@
   acknowledge: () => {}
 }
 
+/** Time after which a caller whose repeat found no budget may come back; a part of the window in which repeats are counted. */
+const NO_BUDGET_RETRY_MS = 1_000
 /** Withdrawals that are remembered, so that a late announcement brings no target back. */
 const MAX_WITHDRAWN = 256
 
@@ -148,7 +150,7 @@
     }
     if (request.isRepeat && !this._options.canTakeRepeat()) {
       this._options.metrics.count('repeats_refused_total', 'no-budget')
-      events.onFailure({ reason: 'no-budget', isNotRun: true, retryAfterMs: 0 }, target.gate.load)
+      events.onFailure({ reason: 'no-budget', isNotRun: true, retryAfterMs: NO_BUDGET_RETRY_MS }, target.gate.load)
       return ENDED_HANDLE
     }
     target.applyLimits(request.slots, request.connections)
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -53,7 +53,7 @@
 }
 
 /** Runs the process until it finds no settings, and keeps what was compiled until then. */
-function keepCode () {
+function writeCode () {
   const env = { LAGOONSWITCH_KEEP_CODE: '1', LAGOONSWITCH_CONFIG: join(TARGET, 'no-settings.ini') }
   spawnSync(process.execPath, [...readFlags(), LOADER], { env, stdio: 'ignore' })
   if (statSync(join(TARGET, 'lagoonswitch-program.code')).size === 0) throw new Error('no compiled code was kept; run the loader by hand')
@@ -71,4 +71,4 @@
   banner: { js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);" }
 })
 copyFileSync(join(ROOT, 'scripts/load-bundle.cjs'), LOADER)
-keepCode()
+writeCode()
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -99,7 +99,7 @@
   relayed.restoreContent(store.getContent())
   const upstream = startFeedClient(world, [cut.address], relayed, { feedAddress: 'none' })
   const relay = await startHub(world, 'relay', { store: relayed, isCurrent: () => upstream.level > 0 && upstream.isCurrent })
-  upstream.onOrphaned(() => relay.hub.dismiss())
+  upstream.onOrphaned(() => relay.hub.redirectAll())
   await waitFor('the source of the relay', () => upstream.isCurrent)
   const held = new CatalogueStore()
   const client = startFeedClient(world, [relay.address, control.address], held)
