--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -1,6 +1,6 @@
 /**
  * Loads a bundled program with the compiled code that was kept when it was bundled. V8 refuses code of another version or other
- * flags; the program is compiled as usual then. Usage: node load-bundle.cjs; it stands beside PROGRAM.cjs and PROGRAM.code.
+ * flags; the program is compiled as usual then. The bundler puts this file beside both, as target/lagoonswitch.cjs.
  */
 const { existsSync, readFileSync, writeFileSync } = require('node:fs')
 const Module = require('node:module')
