A relay that is not current does not pass on questions for a confirmed version

Found by reading: since nodes without a source ask all relays that they know at once, a loss of all control VMs would have each relay, itself without a source, ask every control VM again for each that asks it, 45 questions a relay and round at 118 nodes by count, just as these come back. It answers now that it is not current; nodes ask the control VMs themselves. The test sees one question passed on before and none now.

--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -328,6 +328,10 @@
 
   /** Callers that arrive while a confirmation runs share the next one, which begins after they came. */
   private async _confirmShared (): Promise<ConfirmReply> {
+    // A relay that isn't current would have to ask the control VMs, which the asking node does itself.
+    if (this._options.subscriberLevel === LEAF_LEVEL && !this._options.isCurrent()) {
+      return { confirmed: false, version: undefined, message: 'this relay is not current' }
+    }
     if (this._confirming === undefined) {
       const current = this._options.clock.sleep(COALESCE_MS).then(async () => {
         this._confirming = undefined
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -5,7 +5,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
 import { CatalogueStore, ControlDirectory, LEAF_LEVEL, type FeedClient } from '@lagoonswitch/feed'
-import type { ConfirmReply } from '@lagoonswitch/schema'
+import { FeedClient as FeedServiceClient, type ConfirmReply, type ConfirmRequest } from '@lagoonswitch/schema'
+import { sendUnary } from '@lagoonswitch/transport'
 import { startFeedClient, startHub, startStub } from './support/Feeds.js'
 import { DESK, World, waitFor } from './support/World.js'
 
@@ -113,6 +114,20 @@
   for (const { close } of [control, relay, cut]) close()
 })
 
+test('relay without a source does not pass questions for a confirmed version on', async () => {
+  world = await World.start([])
+  let asked = 0
+  const confirm = async (): Promise<ConfirmReply> => {
+    asked++
+    return { confirmed: true, version: undefined, message: '' }
+  }
+  const relay = await startHub(world, 'relay', { subscriberLevel: LEAF_LEVEL, isCurrent: () => false, confirm })
+  const client = world.channels.getClient(FeedServiceClient, relay.address)
+  const reply = await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, IN_FORCE_MS)
+  expect([reply.confirmed, asked]).toEqual([false, 0])
+  relay.close()
+})
+
 test('node that was moved to another relay stays there while the control VMs are full', async () => {
   world = await World.start([])
   await world.putEntry(DESK)
