--- a/tests/Floods.test.ts
+++ b/tests/Floods.test.ts
@@ -6,7 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
-import { afterEach, beforeEach, expect, test } from 'vitest'
+import { afterEach, beforeAll, beforeEach, expect, test } from 'vitest'
 import { FLOW_WINDOW_BYTES } from '@lagoonswitch/node'
 import { PlatformDialect } from '@lagoonswitch/platform'
 import { Flood, onRequestHead } from './support/Flood.js'
@@ -26,13 +26,23 @@
 let requests = 0
 let calls = 0
 
-beforeEach(async () => {
+async function startWorld (): Promise<void> {
   floods = []
   requests = 0
   world = await World.start(['n1', 'n2'], '', new PlatformDialect())
   await world.putEntry(DESK)
+}
+
+// A process that has just started compiles for some time after its first flood, which would count as kept busy.
+beforeAll(async () => {
+  await startWorld()
+  await addTarget('t0', (socket, id) => flood(socket, formatAnswer(id).slice(0, 1), 'a'))
+  for (let index = 0; index < 2; index++) await call('POST', '/once')
+  await world.stop()
 })
 
+beforeEach(startWorld)
+
 afterEach(async () => { await world.stop() })
 
 function formatAnswer (id: string, body = 'ok'): string {
