--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -24,10 +24,10 @@
 const WELCOME_MS = 1_000
 /** Time without a current source after which a node looks for another one. */
 const ORPHAN_MS = 1_500
-/** Time without a source after which those that are fed from here look for another one: a search that finds one takes less. */
-const ORPHANED_MS = 300
 /** Interval of looking for both. */
 const WATCH_MS = 250
+/** Time of a search without success after which those that are fed from here look for a source of their own. */
+const SEARCH_MS = 300
 /** Interval of evidence, a part of the time in which a move must be decided. */
 const EVIDENCE_MS = 250
 /** Time after which a source that isn't near is left for one that is; longer while calls depend on it. */
@@ -331,7 +331,7 @@
     this._stream = undefined
     this._reporter.close()
     this._orphanedMs = this._options.clock.readMonotonicMs()
-    this._orphanTimer = this._options.clock.schedule(ORPHANED_MS, () => this._onOrphaned.fire())
+    this._orphanTimer = this._options.clock.schedule(SEARCH_MS, () => this._onOrphaned.fire())
     this._address = ''
     this._level = 0
     this._source = ''
--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -1,8 +1,7 @@
-import { createServer, type AddressInfo, type Server } from 'node:net'
 import { afterEach, expect, test } from 'vitest'
 import { EndpointState } from '@lagoonswitch/schema'
 import { CatalogueStore, ControlDirectory } from '@lagoonswitch/feed'
-import { startFeedClient, startHub, startStub } from './support/Feeds.js'
+import { startFeedClient, startHub, startSilentServer, startStub } from './support/Feeds.js'
 import { DESK, World, findPorts, waitFor } from './support/World.js'
 
 const ONE_STREAM = 'source_streams = 1'
@@ -87,14 +86,8 @@
 test('sources that are down cost no time one after the other', async () => {
   world = await World.start([])
   await changeOwner('first')
-  const silent: Server[] = []
-  const addresses = [world.control.listStatus()[0]?.leaderAddress ?? '']
-  for (let index = 0; index < 4; index++) {
-    const server = createServer(() => {})
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    silent.push(server)
-    addresses.push(`127.0.0.1:${(server.address() as AddressInfo).port}`)
-  }
+  const silent = await Promise.all(Array.from({ length: 4 }, startSilentServer))
+  const addresses = [world.control.listStatus()[0]?.leaderAddress ?? '', ...silent.map(({ address }) => address)]
   for (let seed = 1; seed <= 4; seed++) {
     const client = startFeedClient(world, addresses, new CatalogueStore(), { seed })
     const startedMs = world.clock.readMonotonicMs()
@@ -102,7 +95,7 @@
     expect(world.clock.readMonotonicMs() - startedMs).toBeLessThan(2_500)
     client.dispose()
   }
-  for (const server of silent) server.close()
+  for (const { close } of silent) close()
 })
 
 test('silent source is left', async () => {
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -1,13 +1,12 @@
 /**
  * What nodes below relays do when their relay goes: how soon they are fed again, and that they stay where they are then.
  */
-import { createServer, type AddressInfo, type Server } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
 import { CatalogueStore, ControlDirectory, LEAF_LEVEL, type FeedClient } from '@lagoonswitch/feed'
 import { FeedClient as FeedServiceClient, type ConfirmReply, type ConfirmRequest } from '@lagoonswitch/schema'
 import { sendUnary } from '@lagoonswitch/transport'
-import { startFeedClient, startHub, startStub } from './support/Feeds.js'
+import { startFeedClient, startHub, startSilentServer, startStub } from './support/Feeds.js'
 import { DESK, World, waitFor } from './support/World.js'
 
 /** Time after its acknowledgement in which a change must be in force. */
@@ -24,23 +23,12 @@
 
 afterEach(async () => { await world.stop() })
 
-/** Takes connections and never answers, as a VM that has lost its power seems to do. */
-async function startSilentServer (): Promise<Server> {
-  const server = createServer(() => {})
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  return server
-}
-
-function getAddress (server: Server): string {
-  return `127.0.0.1:${(server.address() as AddressInfo).port}`
-}
-
 test('change is in force in time below a relay that stops, though other relays known there are dead', async () => {
   world = await World.start([], `source_streams = ${GHOSTS + 1}`)
   await world.putEntry(DESK)
   const silent = await Promise.all(Array.from({ length: GHOSTS }, startSilentServer))
   const source = world.control.listStatus()[0]?.leaderAddress ?? ''
-  const ghosts = silent.map(server => startFeedClient(world, [source], new CatalogueStore(), { feedAddress: getAddress(server) }))
+  const ghosts = silent.map(({ address }) => startFeedClient(world, [source], new CatalogueStore(), { feedAddress: address }))
   await waitFor('the relays that will die', () => ghosts.every(ghost => ghost.isReady))
   const relay = await world.startNode('relay')
   const leaf = await world.startNode('leaf')
@@ -62,7 +50,7 @@
   await waitFor('the change below', () => leaf.role.store.view.entries.get('desk')?.owner === 'second')
   expect(world.clock.readMonotonicMs() - acknowledgedMs).toBeLessThan(IN_FORCE_MS)
   await stopping
-  for (const server of silent) server.close()
+  for (const { close } of silent) close()
 })
 
 test('change is in force in time below a relay that falls silent, though a confirmation takes half a second', async () => {
--- a/tests/support/Feeds.ts
+++ b/tests/support/Feeds.ts
@@ -1,6 +1,7 @@
 /**
  * Both ends of the feed on their own, for tests that choose who feeds whom.
  */
+import { createServer, type AddressInfo } from 'node:net'
 import type { ServerDuplexStream } from '@grpc/grpc-js'
 import { Metrics, NullLog, SeededRandom } from '@lagoonswitch/common'
 import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub, RELAY_LEVEL, type IFeedHubOptions } from '@lagoonswitch/feed'
@@ -118,3 +119,10 @@
     }
   }
 }
+
+/** Takes connections and never answers, as a VM that has lost its power seems to do. */
+export async function startSilentServer (): Promise<{ address: string, close: () => void }> {
+  const server = createServer(() => {})
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return { address: `127.0.0.1:${(server.address() as AddressInfo).port}`, close: () => { server.close() } }
+}
