--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -9,9 +9,9 @@
 } from '@lagoonswitch/common'
 import { CatalogueStore, ControlDirectory, EndpointView, FeedHub, RELAY_LEVEL } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, ControlClient, ControlService, EndpointState, FeedClient as FeedStub,
+  CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, ControlService, EndpointState, FeedClient as FeedStub,
   FeedService, MoveStatus, RaftService,
-  type ConfirmReply, type ConfirmRequest, type Evidence, type EvidenceRecord, type ISettings,
+  type ConfirmReply, type ConfirmRequest, type Evidence, type ISettings,
   type ProposeReply, type ProposeRequest, type ReportReply
 } from '@lagoonswitch/schema'
 import { LeaderClient, createUnaryHandler, sendUnary, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
@@ -19,6 +19,7 @@
 import { ClaimsStateMachine } from './claims/ClaimsStateMachine.js'
 import { EndpointMesh } from './EndpointMesh.js'
 import { Publisher, type IPublicationDraft, type OrderOutcome } from './catalogue/Publisher.js'
+import { EvidenceRouter } from './moves/EvidenceRouter.js'
 import { MoveController } from './moves/MoveController.js'
 import { FileStorage } from './raft/FileStorage.js'
 import { GrpcTransport, createRaftHandlers } from './raft/GrpcTransport.js'
@@ -61,6 +62,7 @@
   private readonly _groups = new Map<string, RaftGroup>()
   private readonly _leaderClient: LeaderClient
   private readonly _moves: MoveController
+  private readonly _evidence: EvidenceRouter
   private readonly _hub: FeedHub
   private readonly _catalogueGroup: RaftGroup
   private readonly _stopping = new AbortController()
@@ -104,7 +106,7 @@
       isCurrent: () => this._catalogueGroup.isCurrent && this.store.version.epoch > 0,
       confirm: async () => await this._confirmCatalogue(),
       directory: this.directory,
-      onEvidence: records => this._handleEvidence(records)
+      onEvidence: records => this._evidence.forwardEvidence(records)
     }))
     this._moves = this._disposables.add(new MoveController({
       clock,
@@ -116,6 +118,7 @@
       isLeader: () => this._catalogueGroup.isReadyLeader,
       propose: async command => (await this._catalogueGroup.propose(command)).ok
     }))
+    this._evidence = new EvidenceRouter(this._catalogueGroup, this._moves, _options.channels, metrics)
   }
 
   get moves (): MoveController {
@@ -342,18 +345,6 @@
     }
   }
 
-  private _handleEvidence (records: readonly EvidenceRecord[]): void {
-    const { leaderAddress } = this._catalogueGroup.getStatus()
-    if (this._catalogueGroup.role === 'leader') {
-      this._moves.addEvidence(records)
-    } else if (leaderAddress !== '') {
-      const client = this._options.channels.getClient(ControlClient, leaderAddress)
-      client.report({ records: [...records] }, error => {
-        if (error !== null) this._options.metrics.count('evidence_dropped_total', 'leader-unreachable', records.length)
-      })
-    }
-  }
-
   private _createAutomaticMembership (): IAutomaticMembership | undefined {
     const { settings, peerAddress, seedAddresses } = this._options
     if (settings.control.seeds.length === 0) return undefined
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -1,22 +1,18 @@
 /**
  * Drives all open moves on the leader: raises the share of calls in steps, probes suspected versions and takes bad ones back.
  */
-import {
-  VersionComparison, parseDurationMs, type IClock, type IDisposable, type ILog, type IOutcomes, type Metrics
-} from '@lagoonswitch/common'
+import { parseDurationMs, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
 import type { CatalogueStore, EndpointView } from '@lagoonswitch/feed'
 import {
   CatalogueCommand, EndpointState, MoveStatus, type EvidenceRecord, type IEntry, type MoveCommand, type MoveRecord
 } from '@lagoonswitch/schema'
 import { isMoveOpen } from '../catalogue/CatalogueStateMachine.js'
 import { FULL_SHARE_PPM, planSteps, type IMoveStep } from './MoveSchedule.js'
+import { EVIDENCE_WINDOW_MS, OpenMove, type IProbe } from './OpenMove.js'
 import {
   ORDERED_LOW_SHARE_PPM, computeOrderDurationMs, planOrderTimes, planOrderedSteps, type IExposureLimit, type IOrderTimes
 } from './OrderedSchedule.js'
 
-const EVIDENCE_WINDOW_MS = 250
-/** Windows over which the call rate is averaged: one second. The first windows of a move lack calls without a response yet. */
-const CALL_RATE_WINDOWS = 4
 /** Probability, over the whole move, that a sound version is taken back for a fault. */
 const FAULT_FALSE_ALARM_RATE = 0.01
 /** A step may expose this many calls, plus this many times the calls that the new version has served without a fault so far. */
@@ -49,6 +45,7 @@
 /** Probability of a false alarm in each test of the old version; such an alarm only spares the new one. */
 const COMMON_REGRESSION_FALSE_ALARM_RATE = 0.2
 const DEFAULT_WATCH_MS = 600_000
+const MS_PER_SECOND = 1_000
 
 /** Dependencies of a {@link MoveController}. */
 export interface IMoveControllerOptions {
@@ -65,30 +62,6 @@
   readonly propose: (command: Uint8Array) => Promise<boolean>
 }
 
-interface IProbe {
-  readonly resumeSharePpm: number
-  readonly startedMs: number
-  /** Calls before the probe to the version that determines its length: the new one, or the old one in an ordered move. */
-  readonly callsBefore: number
-  /** True if another leader started the probe, with evidence that this leader does not have. */
-  readonly isInherited: boolean
-}
-
-interface IOpenMove {
-  /** Wall time of the start of the move; distinguishes it from other moves of the same service. */
-  readonly startedMs: number
-  readonly comparison: VersionComparison
-  newVersionOutcomes: IOutcomes[]
-  oldVersionOutcomes: IOutcomes[]
-  /** Wall time from which on this process has received evidence. */
-  readonly evidenceStartMs: number
-  /** Calls to the service in each of the latest windows. */
-  callsPerWindow: number[]
-  probe: IProbe | undefined
-  /** Probes that ended without a proved fault of the new version and without a regression of the old one. */
-  recurringRegressions: number
-}
-
 /** Progress of a move, for operators, in addition to its record. */
 export interface IMoveProgress {
   readonly newCalls: number
@@ -98,7 +71,7 @@
 
 /** Decides about every open move once per window while this process leads. */
 export class MoveController implements IDisposable {
-  private readonly _openMoves = new Map<string, IOpenMove>()
+  private readonly _openMoves = new Map<string, OpenMove>()
   private readonly _progress = new Map<string, IMoveProgress>()
   private readonly _stopping = new AbortController()
 
@@ -118,8 +91,8 @@
       const move = this._options.store.getMove(record.service)
       if (move === undefined || !isMoveOpen(move)) continue
       const openMove = this._getOpenMove(move)
-      if (record.version === move.to) openMove.newVersionOutcomes.push(toOutcomes(record))
-      else if (record.version === move.from || move.from === '') openMove.oldVersionOutcomes.push(toOutcomes(record))
+      const isNewVersion = record.version === move.to
+      if (isNewVersion || record.version === move.from || move.from === '') openMove.addEvidence(record, isNewVersion)
     }
   }
 
@@ -147,14 +120,10 @@
         continue
       }
       const openMove = this._getOpenMove(move)
-      openMove.comparison.addWindow(openMove.newVersionOutcomes, openMove.oldVersionOutcomes)
-      const calls = [...openMove.newVersionOutcomes, ...openMove.oldVersionOutcomes].reduce((sum, outcomes) => sum + outcomes.calls, 0)
-      openMove.callsPerWindow = [...openMove.callsPerWindow, calls].slice(-CALL_RATE_WINDOWS)
-      openMove.newVersionOutcomes = []
-      openMove.oldVersionOutcomes = []
+      openMove.endWindow()
       const { probe, recurringRegressions } = openMove
       const command = this._decideMove(move, openMove)
-      if (command === undefined || await this._propose(move, command)) continue
+      if (command === undefined || await this._propose(move, openMove, command)) continue
       // The command was not committed, so the state before it is restored and the decision is made again.
       openMove.probe = probe
       openMove.recurringRegressions = recurringRegressions
@@ -168,25 +137,23 @@
     }
   }
 
-  private _getOpenMove (move: MoveRecord): IOpenMove {
+  private _getOpenMove (move: MoveRecord): OpenMove {
     let openMove = this._openMoves.get(move.service)
     if (openMove === undefined || openMove.startedMs !== move.startedMs) {
-      openMove = {
-        startedMs: move.startedMs,
-        comparison: new VersionComparison(),
-        newVersionOutcomes: [],
-        oldVersionOutcomes: [],
-        evidenceStartMs: this._options.clock.readWallTime().getTime(),
-        callsPerWindow: [],
-        probe: undefined,
-        recurringRegressions: 0
-      }
+      openMove = new OpenMove(move, this._options.clock)
       this._openMoves.set(move.service, openMove)
+      this._options.log.info('move_opened', {
+        service: move.service,
+        to: move.to,
+        status: MoveStatus[move.status],
+        share: move.sharePpm,
+        since_ms: openMove.evidenceStartMs - move.startedMs
+      })
     }
     return openMove
   }
 
-  private _decideMove (move: MoveRecord, openMove: IOpenMove): MoveCommand | undefined {
+  private _decideMove (move: MoveRecord, openMove: OpenMove): MoveCommand | undefined {
     const fault = openMove.comparison.findFault(FAULT_FALSE_ALARM_RATE)
     if (fault !== undefined) {
       return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
@@ -218,7 +185,7 @@
     return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault was proved in the time of the order')
   }
 
-  private _decideWatch (move: MoveRecord, openMove: IOpenMove, nowMs: number): MoveCommand | undefined {
+  private _decideWatch (move: MoveRecord, openMove: OpenMove, nowMs: number): MoveCommand | undefined {
     const entry = this._options.store.view.entries.get(move.service)
     const watchMs = move.ordered ? move.watchMs : parseDurationMs(entry?.move?.watch ?? '') ?? DEFAULT_WATCH_MS
     const endMs = move.stepStartedMs + watchMs
@@ -229,7 +196,7 @@
     return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault in the watch time')
   }
 
-  private _startProbe (move: MoveRecord, openMove: IOpenMove, nowMs: number): MoveCommand {
+  private _startProbe (move: MoveRecord, openMove: OpenMove, nowMs: number): MoveCommand {
     openMove.probe = {
       resumeSharePpm: move.sharePpm, startedMs: nowMs, callsBefore: countProbeCalls(move, openMove), isInherited: false
     }
@@ -237,7 +204,7 @@
   }
 
   /** Ends a probe once it has enough evidence. A regression that the old version shows too is not a fault of the new one. */
-  private _decideProbe (move: MoveRecord, openMove: IOpenMove, probe: IProbe, nowMs: number): MoveCommand | undefined {
+  private _decideProbe (move: MoveRecord, openMove: OpenMove, probe: IProbe, nowMs: number): MoveCommand | undefined {
     const elapsedMs = nowMs - probe.startedMs
     const calls = countProbeCalls(move, openMove) - probe.callsBefore
     const moveDurationMs = move.byMs - move.startedMs
@@ -259,7 +226,7 @@
     return this._createCommand(move, move.status, probe.resumeSharePpm, 'both versions do alike')
   }
 
-  private _decideStep (move: MoveRecord, openMove: IOpenMove, nowMs: number): MoveCommand | undefined {
+  private _decideStep (move: MoveRecord, openMove: OpenMove, nowMs: number): MoveCommand | undefined {
     const entry = this._options.store.view.entries.get(move.service)
     const steps = this._planSteps(move, openMove, entry)
     const next = steps.find(step => step.sharePpm > move.sharePpm)
@@ -282,16 +249,16 @@
     return this._createCommand(move, status, next.sharePpm, isDone ? 'done, watching for late faults' : 'evidence is clean')
   }
 
-  private _planSteps (move: MoveRecord, openMove: IOpenMove, entry: IEntry | undefined): IMoveStep[] {
+  private _planSteps (move: MoveRecord, openMove: OpenMove, entry: IEntry | undefined): IMoveStep[] {
     if (!move.ordered) return planSteps(move.startedMs, move.byMs, entry?.move?.first_share ?? 0)
     const steps = planOrderedSteps(
-      move.startedMs, move.byMs, move.firstSharePpm, computeRecentCallsPerMs(openMove), this._options.exposure)
+      move.startedMs, move.byMs, move.firstSharePpm, openMove.computeRecentCallsPerMs(), this._options.exposure)
     // The call rate changes all the time; the share that was chosen from it does not.
     return move.sharePpm > ORDERED_LOW_SHARE_PPM ? steps.slice(-1) : steps
   }
 
   private _findObstacle (
-    move: MoveRecord, openMove: IOpenMove, steps: readonly IMoveStep[], isTimePreferred: boolean
+    move: MoveRecord, openMove: OpenMove, steps: readonly IMoveStep[], isTimePreferred: boolean
   ): string | undefined {
     const targets = this._options.endpoints.getRecords().filter(record => record.service === move.service &&
       record.version === move.to && record.state === EndpointState.ENDPOINT_STATE_READY)
@@ -304,22 +271,16 @@
   }
 
   /** Computes the calls that the new version must have served before the next step, in proportion to those that the step exposes. */
-  private _computeNeededCalls (move: MoveRecord, openMove: IOpenMove, steps: readonly IMoveStep[]): number {
+  private _computeNeededCalls (move: MoveRecord, openMove: OpenMove, steps: readonly IMoveStep[]): number {
     const index = steps.findIndex(step => step.sharePpm > move.sharePpm)
     const next = steps[index]
     const following = steps[index + 1]
     if (next === undefined || following === undefined) return MIN_NEW_VERSION_CALLS
     if (move.ordered) return 0
-    const exposedCalls = this._computeCallsPerMs(openMove) * Math.max(0, following.startMs - next.startMs) * next.sharePpm / FULL_SHARE_PPM
+    const exposedCalls = openMove.computeCallsPerMs() * Math.max(0, following.startMs - next.startMs) * next.sharePpm / FULL_SHARE_PPM
     return Math.ceil(Math.max(0, exposedCalls - MAX_EXPOSURE_FACTOR) / MAX_EXPOSURE_FACTOR)
   }
 
-  private _computeCallsPerMs (openMove: IOpenMove): number {
-    const nowMs = this._options.clock.readWallTime().getTime()
-    const calls = openMove.comparison.getNewCalls() + openMove.comparison.getOldCalls()
-    return calls / Math.max(EVIDENCE_WINDOW_MS, nowMs - openMove.evidenceStartMs)
-  }
-
   /** Marks the move as late, once, when an obstacle has held a step until the following one is due or the set time has passed. */
   private _createLateCommand (
     move: MoveRecord, steps: readonly IMoveStep[], nowMs: number, obstacle: string
@@ -334,19 +295,28 @@
     return { service: move.service, expectedVersion: move.version, status, sharePpm, reason, late: move.late }
   }
 
-  private async _propose (move: MoveRecord, command: MoveCommand): Promise<boolean> {
+  private async _propose (move: MoveRecord, openMove: OpenMove, command: MoveCommand): Promise<boolean> {
     const nowMs = this._options.clock.readWallTime().getTime()
     const isCommitted = await this._options.propose(
       CatalogueCommand.encode({ nowMs, command: { $case: 'move', value: command } }).finish())
     const status = MoveStatus[command.status]
     this._options.metrics.count('move_decisions_total', isCommitted ? status : 'not-committed')
     this._options.log.info('move_decided', {
-      service: move.service, to: move.to, status, share: command.sharePpm, reason: command.reason, committed: isCommitted
+      service: move.service,
+      to: move.to,
+      status,
+      share: command.sharePpm,
+      reason: command.reason,
+      committed: isCommitted,
+      new_calls: openMove.comparison.getNewCalls(),
+      old_calls: openMove.comparison.getOldCalls(),
+      calls_per_s: Math.round(openMove.computeRecentCallsPerMs() * MS_PER_SECOND),
+      evidence_ms: openMove.evidenceAgeMs
     })
     return isCommitted
   }
 
-  private _updateProgress (move: MoveRecord, openMove: IOpenMove, next: string): void {
+  private _updateProgress (move: MoveRecord, openMove: OpenMove, next: string): void {
     this._progress.set(move.service, {
       newCalls: openMove.comparison.getNewCalls(), oldCalls: openMove.comparison.getOldCalls(), next
     })
@@ -366,12 +336,7 @@
   return move.ordered ? ORDERED_LOW_SHARE_PPM : PROBE_SHARE_PPM
 }
 
-function computeRecentCallsPerMs (openMove: IOpenMove): number {
-  const calls = openMove.callsPerWindow.reduce((sum, count) => sum + count, 0)
-  return calls / (EVIDENCE_WINDOW_MS * Math.max(1, openMove.callsPerWindow.length))
-}
-
-function countProbeCalls (move: MoveRecord, openMove: IOpenMove): number {
+function countProbeCalls (move: MoveRecord, openMove: OpenMove): number {
   return move.ordered ? openMove.comparison.getOldCalls() : openMove.comparison.getNewCalls()
 }
 
@@ -383,11 +348,3 @@
 function formatShare (sharePpm: number): string {
   return `${(sharePpm * 100 / FULL_SHARE_PPM).toFixed(1)}%`
 }
-
-function toOutcomes (record: EvidenceRecord): IOutcomes {
-  const latency = new Map<number, number>()
-  for (const [index, bucket] of (record.latency?.buckets ?? []).entries()) {
-    latency.set(bucket, record.latency?.counts[index] ?? 0)
-  }
-  return { route: record.route, targetId: record.targetId, calls: record.calls, failures: record.failures, latency }
-}
--- /dev/null
+++ b/packages/control/src/moves/OpenMove.ts
@@ -0,0 +1,89 @@
+/**
+ * What the leader knows about one open move: the outcomes of calls since it first handled the move, and the probe in progress.
+ */
+import { VersionComparison, type IClock, type IOutcomes } from '@lagoonswitch/common'
+import type { EvidenceRecord, MoveRecord } from '@lagoonswitch/schema'
+
+/** Length of the windows in which outcomes are added up, in milliseconds. */
+export const EVIDENCE_WINDOW_MS = 250
+/** Windows over which the call rate is averaged: one second. The first windows of a move lack calls without a response yet. */
+const CALL_RATE_WINDOWS = 4
+
+/** A comparison of a suspected version with the old one at a small share. */
+export interface IProbe {
+  readonly resumeSharePpm: number
+  readonly startedMs: number
+  /** Calls before the probe to the version that determines its length: the new one, or the old one in an ordered move. */
+  readonly callsBefore: number
+  /** True if another leader started the probe, with evidence that this leader does not have. */
+  readonly isInherited: boolean
+}
+
+/** Evidence on a move, which only the leader that collected it has. */
+export class OpenMove {
+  readonly comparison = new VersionComparison()
+  /** Wall time of the start of the move; distinguishes it from other moves of the same service. */
+  readonly startedMs: number
+  /** Wall time from which on this process has received evidence. */
+  readonly evidenceStartMs: number
+  probe: IProbe | undefined
+  /** Probes that ended without a proved fault of the new version and without a regression of the old one. */
+  recurringRegressions = 0
+  private _newVersionOutcomes: IOutcomes[] = []
+  private _oldVersionOutcomes: IOutcomes[] = []
+  /** Calls to the service in each of the latest windows. */
+  private _callsPerWindow: number[] = []
+
+  /**
+   * @param move - record of the move
+   * @param _clock - of the leader
+   */
+  constructor (move: MoveRecord, private readonly _clock: IClock) {
+    this.startedMs = move.startedMs
+    this.evidenceStartMs = _clock.readWallTime().getTime()
+  }
+
+  /** @returns time since this leader first handled the move, in milliseconds */
+  get evidenceAgeMs (): number {
+    return this._clock.readWallTime().getTime() - this.evidenceStartMs
+  }
+
+  /**
+   * Adds outcomes to the current window.
+   * @param record - outcomes that a node has reported
+   * @param isNewVersion - true for calls to the version that the move leads to
+   */
+  addEvidence (record: EvidenceRecord, isNewVersion: boolean): void {
+    const outcomes = isNewVersion ? this._newVersionOutcomes : this._oldVersionOutcomes
+    outcomes.push(toOutcomes(record))
+  }
+
+  /** Ends the current window and compares the versions in it. */
+  endWindow (): void {
+    this.comparison.addWindow(this._newVersionOutcomes, this._oldVersionOutcomes)
+    const calls = [...this._newVersionOutcomes, ...this._oldVersionOutcomes].reduce((sum, outcomes) => sum + outcomes.calls, 0)
+    this._callsPerWindow = [...this._callsPerWindow, calls].slice(-CALL_RATE_WINDOWS)
+    this._newVersionOutcomes = []
+    this._oldVersionOutcomes = []
+  }
+
+  /** @returns calls to the service per millisecond since this leader first handled the move */
+  computeCallsPerMs (): number {
+    const calls = this.comparison.getNewCalls() + this.comparison.getOldCalls()
+    return calls / Math.max(EVIDENCE_WINDOW_MS, this.evidenceAgeMs)
+  }
+
+  /** @returns calls to the service per millisecond in the latest windows */
+  computeRecentCallsPerMs (): number {
+    const calls = this._callsPerWindow.reduce((sum, count) => sum + count, 0)
+    return calls / (EVIDENCE_WINDOW_MS * Math.max(1, this._callsPerWindow.length))
+  }
+}
+
+function toOutcomes (record: EvidenceRecord): IOutcomes {
+  const latency = new Map<number, number>()
+  for (const [index, bucket] of (record.latency?.buckets ?? []).entries()) {
+    latency.set(bucket, record.latency?.counts[index] ?? 0)
+  }
+  return { route: record.route, targetId: record.targetId, calls: record.calls, failures: record.failures, latency }
+}
