A new leader measures the call rate before it raises the share of an ordered move

Cause: the small share is computed from the calls of the latest windows. A new leader has seen one window, of which little or nothing has reached it; the lower the rate, the larger the share, and the share is kept once it is chosen. The same holds for a leader that is told of no calls at all.

--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -245,6 +245,22 @@
   expect(getMove().sharePpm).toBe(planOrderedSteps(0, ORDERED_MOVE_DURATION_S * 650, 160_000, 0.3, EXPOSURE_LIMIT)[1]?.sharePpm)
 })
 
+test.each([0.5, 1, 1.25])('new leader does not choose the small share from a rate that it has not measured, %d s after the order', async seconds => {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(seconds, undefined, 400)
+  expect(getMove().sharePpm).toBe(ORDERED_LOW_SHARE_PPM)
+  controller = createController()
+  await runOrdered(3, undefined, 400)
+  const planned = planOrderedSteps(0, ORDERED_MOVE_DURATION_S * 650, 160_000, 0.4, EXPOSURE_LIMIT)[1]?.sharePpm
+  expect(getMove().sharePpm).toBe(planned)
+})
+
+test('share stays low while a leader sees no calls', async () => {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.6, undefined, 0)
+  expect(getMove().sharePpm).toBe(ORDERED_LOW_SHARE_PPM)
+})
+
 test('targets that start late get a small share before the full one', async () => {
   startOrder(ORDERED_MOVE_DURATION_S, false)
   await runOrdered(ORDERED_MOVE_DURATION_S * 0.7)
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -252,7 +252,8 @@
   private _planSteps (move: MoveRecord, openMove: OpenMove, entry: IEntry | undefined): IMoveStep[] {
     if (!move.ordered) return planSteps(move.startedMs, move.byMs, entry?.move?.first_share ?? 0)
     const steps = planOrderedSteps(
-      move.startedMs, move.byMs, move.firstSharePpm, openMove.computeRecentCallsPerMs(), this._options.exposure)
+      move.startedMs, move.byMs, move.firstSharePpm, openMove.computeRecentCallsPerMs(), this._options.exposure,
+      Math.max(move.startedMs, openMove.firstWindowStartMs))
     // The call rate changes all the time; the share that was chosen from it does not.
     return move.sharePpm > ORDERED_LOW_SHARE_PPM ? steps.slice(-1) : steps
   }
--- a/packages/control/src/moves/OpenMove.ts
+++ b/packages/control/src/moves/OpenMove.ts
@@ -48,6 +48,11 @@
     return this._clock.readWallTime().getTime() - this.evidenceStartMs
   }
 
+  /** Wall time at which the first window of evidence began: a leader first handles a move when it ends a window. */
+  get firstWindowStartMs (): number {
+    return this.evidenceStartMs - EVIDENCE_WINDOW_MS
+  }
+
   /**
    * Adds outcomes to the current window.
    * @param record - outcomes that a node has reported
--- a/packages/control/src/moves/OrderedSchedule.ts
+++ b/packages/control/src/moves/OrderedSchedule.ts
@@ -74,18 +74,22 @@
  * @param startedMs - wall time of the order
  * @param fullShareMs - wall time of the full share
  * @param maxSharePpm - largest share before the full one, in parts per million
- * @param callsPerMs - call rate of the service
+ * @param callsPerMs - call rate of the service; at 0 the share is not raised before the full one
  * @param exposure - maximum calls that a bad version may get
+ * @param measuredSinceMs - wall time from which on the call rate is measured
  * @returns the steps in order; the last one is the full share
  */
 export function planOrderedSteps (
-  startedMs: number, fullShareMs: number, maxSharePpm: number, callsPerMs: number, exposure: IExposureLimit
+  startedMs: number, fullShareMs: number, maxSharePpm: number, callsPerMs: number, exposure: IExposureLimit,
+  measuredSinceMs = startedMs
 ): IMoveStep[] {
   const orderDurationMs = computeOrderDurationMs(startedMs, fullShareMs)
   const callsBeforeFullShare = exposure.slack + callsPerMs * (exposure.share * orderDurationMs - FAULT_DETECTION_MS)
   const sharePpm = Math.floor(Math.min(maxSharePpm, callsBeforeFullShare / (callsPerMs * (fullShareMs - startedMs)) * FULL_SHARE_PPM))
   const steps = [{ sharePpm: ORDERED_LOW_SHARE_PPM, startMs: startedMs }]
-  if (sharePpm > ORDERED_LOW_SHARE_PPM) steps.push({ sharePpm, startMs: startedMs + CALL_RATE_MEASUREMENT_MS })
+  if (callsPerMs > 0 && sharePpm > ORDERED_LOW_SHARE_PPM) {
+    steps.push({ sharePpm, startMs: measuredSinceMs + CALL_RATE_MEASUREMENT_MS })
+  }
   steps.push({ sharePpm: FULL_SHARE_PPM, startMs: fullShareMs })
   return steps
 }
