The times of an ordered move follow the monotonic clock of the leader

Callers would get a bad version whose watch was cut short: if the time of day jumps ahead on the leader, the small share of an order ends early, and a jump within the watch ends it as good. After a jump back, an order could not be done in time.

Cause: all steps of a move compared the time of day with the times in its record.

Now the leader places itself in the order once, when it first handles the move, and then follows its monotonic clock; a watch counts from when this leader first saw its step. Declared moves keep the wall time that their operator has set.

--- a/bench/moves.mjs
+++ b/bench/moves.mjs
@@ -123,7 +123,7 @@
     failed += failedByVersion
     calls += rate
     if (failedByVersion > 0) firstFaultAt ??= second
-    clock.stepWall(1000)
+    await clock.advance(1000)
     if (policy === 'lagoonswitch') {
       const toRecord = version => counts => ({
         service: 'desk',
--- a/bench/short-moves.mjs
+++ b/bench/short-moves.mjs
@@ -121,7 +121,7 @@
       result.total++
       if (drawn.isNew) result.exposed++
     }
-    clock.stepWall(WINDOW_MS)
+    await clock.advance(WINDOW_MS)
     const endMs = nowMs + WINDOW_MS
     const endedCalls = unfinishedCalls.filter(call => call.endMs <= endMs)
     unfinishedCalls = unfinishedCalls.filter(call => call.endMs > endMs)
--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -245,6 +245,34 @@
   expect(getMove().sharePpm).toBe(planOrderedSteps(0, ORDERED_MOVE_DURATION_S * 650, 160_000, 0.3, EXPOSURE_LIMIT)[1]?.sharePpm)
 })
 
+test('jump of the time of day does not end the small share of an ordered move early', async () => {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.5)
+  clock.stepWall(ORDERED_MOVE_DURATION_S * 300)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.1)
+  expect(getMove().sharePpm).toBeLessThan(FULL_SHARE_PPM)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.1)
+  expect(getMove().sharePpm).toBe(FULL_SHARE_PPM)
+})
+
+test.each([0.3, -0.3])('jump of the time of day by %d of the order does not hide a fault under load', async fraction => {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.66)
+  expect(getMove().sharePpm).toBe(FULL_SHARE_PPM)
+  clock.stepWall(ORDERED_MOVE_DURATION_S * 1_000 * fraction)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.28, share => ({ new: share >= 0.7 ? 0.5 : 0, old: 0 }))
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
+
+test('order that follows a jump back of the time of day is done in time', async () => {
+  clock.stepWall(5_000)
+  putEntry({})
+  clock.stepWall(-5_000)
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S - 1)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_DONE)
+})
+
 test.each([0.5, 1, 1.25])('new leader does not choose the small share from a rate that it has not measured, %d s after the order', async seconds => {
   startOrder(ORDERED_MOVE_DURATION_S)
   await runOrdered(seconds, undefined, 400)
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -120,10 +120,15 @@
         continue
       }
       const openMove = this._getOpenMove(move)
+      openMove.updateStep(move)
       openMove.endWindow()
       const { probe, recurringRegressions } = openMove
       const command = this._decideMove(move, openMove)
-      if (command === undefined || await this._propose(move, openMove, command)) continue
+      if (command === undefined) continue
+      if (await this._propose(move, openMove, command)) {
+        openMove.updateStep(this._options.store.getMove(move.service) ?? move)
+        continue
+      }
       // The command was not committed, so the state before it is restored and the decision is made again.
       openMove.probe = probe
       openMove.recurringRegressions = recurringRegressions
@@ -159,7 +164,7 @@
       return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
         `${fault.kind} ${fault.place}: ${fault.detail}`)
     }
-    const nowMs = this._options.clock.readWallTime().getTime()
+    const nowMs = openMove.readTimeMs()
     const isWatching = move.status === MoveStatus.MOVE_STATUS_WATCHING
     if (isWatching && move.sharePpm < FULL_SHARE_PPM) {
       // A leader elected during a probe continues it.
@@ -178,7 +183,9 @@
       }
       return this._startProbe(move, openMove, nowMs)
     }
-    return isWatching ? this._decideWatch(move, openMove, nowMs) : this._decideStep(move, openMove, nowMs)
+    if (isWatching) return this._decideWatch(move, openMove, nowMs)
+    // The time by which a declared move must be done is a wall time, which an operator has set.
+    return this._decideStep(move, openMove, move.ordered ? nowMs : this._options.clock.readWallTime().getTime())
   }
 
   private _finishOrderedMove (move: MoveRecord): MoveCommand {
@@ -188,7 +195,7 @@
   private _decideWatch (move: MoveRecord, openMove: OpenMove, nowMs: number): MoveCommand | undefined {
     const entry = this._options.store.view.entries.get(move.service)
     const watchMs = move.ordered ? move.watchMs : parseDurationMs(entry?.move?.watch ?? '') ?? DEFAULT_WATCH_MS
-    const endMs = move.stepStartedMs + watchMs
+    const endMs = openMove.stepStartMs + watchMs
     this._updateProgress(move, openMove, `final at ${new Date(endMs).toISOString()}`)
     if (nowMs < endMs) return undefined
     // Slow responses are reported late, so even a weak regression is probed before the old targets are stopped.
--- a/packages/control/src/moves/OpenMove.ts
+++ b/packages/control/src/moves/OpenMove.ts
@@ -12,6 +12,7 @@
 /** A comparison of a suspected version with the old one at a small share. */
 export interface IProbe {
   readonly resumeSharePpm: number
+  /** Time of its start, as the leader reads it from its {@link OpenMove}. */
   readonly startedMs: number
   /** Calls before the probe to the version that determines its length: the new one, or the old one in an ordered move. */
   readonly callsBefore: number
@@ -24,8 +25,11 @@
   readonly comparison = new VersionComparison()
   /** Wall time of the start of the move; distinguishes it from other moves of the same service. */
   readonly startedMs: number
-  /** Wall time from which on this process has received evidence. */
+  /** Time from which on this process has received evidence, on the scale of {@link readTimeMs}. */
   readonly evidenceStartMs: number
+  private readonly _createdMs: number
+  private _stepVersion = -1
+  private _stepStartMs = 0
   probe: IProbe | undefined
   /** Probes that ended without a proved fault of the new version and without a regression of the old one. */
   recurringRegressions = 0
@@ -40,19 +44,40 @@
    */
   constructor (move: MoveRecord, private readonly _clock: IClock) {
     this.startedMs = move.startedMs
-    this.evidenceStartMs = _clock.readWallTime().getTime()
+    this.evidenceStartMs = Math.max(move.startedMs, _clock.readWallTime().getTime())
+    this._createdMs = _clock.readMonotonicMs()
   }
 
   /** @returns time since this leader first handled the move, in milliseconds */
   get evidenceAgeMs (): number {
-    return this._clock.readWallTime().getTime() - this.evidenceStartMs
+    return this._clock.readMonotonicMs() - this._createdMs
   }
 
-  /** Wall time at which the first window of evidence began: a leader first handles a move when it ends a window. */
+  /** Time at which this leader first saw the current step of the move, on the scale of {@link readTimeMs}. */
+  get stepStartMs (): number {
+    return this._stepStartMs
+  }
+
+  /** @returns time on the scale of the move's start, in milliseconds, which does not follow jumps of the wall clock */
+  readTimeMs (): number {
+    return this.evidenceStartMs + this.evidenceAgeMs
+  }
+
+  /** Time at which the first window of evidence began: a leader first handles a move when it ends a window. */
   get firstWindowStartMs (): number {
     return this.evidenceStartMs - EVIDENCE_WINDOW_MS
   }
 
+  /**
+   * Takes note of the current step of the move. Its time counts from when this leader first saw it.
+   * @param move - present record of the move
+   */
+  updateStep (move: MoveRecord): void {
+    if (move.version === this._stepVersion) return
+    this._stepVersion = move.version
+    this._stepStartMs = this.readTimeMs()
+  }
+
   /**
    * Adds outcomes to the current window.
    * @param record - outcomes that a node has reported
