A leader calls a version good only on evidence of its own

Cause: outcomes of calls are kept by the leader that they were reported to. A leader elected while the new version has all calls has no rates of the old one and gets no calls to it, so it could find nothing, and the end of the watch took nothing found for no fault. A decision that its leader logs as not committed can be committed by the next one, which inherits such a watch the same way; and a decision that takes effect late leaves no time to see a fault before the order ends.

Now the record of an open move carries the old version's outcomes by route (at most 50 routes, not sent to nodes), so that a new leader finds a regression from its first calls. The watch begins anew with each leader. An order ends as done only after the full share has lasted as long as a fault takes to show; a leader that took over also needs 30 calls and the rates of the old version, before the full share and after it.

--- a/packages/common/src/evidence/Evidence.test.ts
+++ b/packages/common/src/evidence/Evidence.test.ts
@@ -97,6 +97,24 @@
   expect(comparison.hasRegressedAlone(0.05)).toBe(isNewAlone)
 })
 
+test.each([[0.5, 20, true], [0, 60, true], [0, 20, false]])(
+  'comparison with a baseline finds a regression without calls to the old version: %d fail, bucket %d', (rate, bucket, isFound) => {
+    const first = new VersionComparison()
+    for (let window = 0; window < 10; window++) first.addWindow([createOutcomes('n1', 5, 0)], [createOutcomes('o1', 50, 0)])
+    const second = new VersionComparison()
+    second.addBaseline(first.listBaseline())
+    expect(second.hasBaseline()).toBe(true)
+    for (let window = 0; window < 4; window++) second.addWindow([createOutcomes('n1', 15, 15 * rate, bucket)], [])
+    expect(second.hasRegressed(0.05)).toBe(isFound)
+  })
+
+test('baseline of many calls keeps its rates within 32 bits', () => {
+  const comparison = new VersionComparison()
+  comparison.addWindow([createOutcomes('n1', 1, 0)], [createOutcomes('o1', 8_000_000_000, 2_000_000_000)])
+  const calls = 1_000_000_000
+  expect(comparison.listBaseline()[0]).toMatchObject({ calls, failures: calls / 4, latency: new Map([[20, calls]]) })
+})
+
 test('finds a slower version, but no difference of less than a millisecond', () => {
   const compare = (oldMs: number, newMs: number): boolean => {
     const comparison = new VersionComparison()
--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -3,6 +3,7 @@
  * faulty version from a single faulty target.
  */
 import { computeBucket, computeBucketEndMs, LATENCY_BUCKETS } from './LatencyScale.js'
+import { OutcomeSums, countCalls, mergeOutcomes, type IOutcomes } from './OutcomeSums.js'
 import { SequentialTest } from './SequentialTest.js'
 
 /** Quantiles of the old version's latency that serve as thresholds above which a call is slow. */
@@ -13,21 +14,14 @@
 const TEST_INDEXES = [0, ...SLOW_QUANTILES.map((_, index) => index + 1)]
 /** Calls to the old version that are needed before its rates and latencies serve as a baseline. */
 const MIN_BASELINE_CALLS = 50
+/** Limits of a baseline that is handed on: calls of one route, which fit into 32 bits, and number of routes. */
+const MAX_BASELINE_CALLS = 1_000_000_000
+const MAX_BASELINE_ROUTES = 50
 /** Difference in latency that no caller notices. */
 const LATENCY_SLACK_MS = 1
 /** Key for all routes together, which gather evidence sooner than a single route. */
 const ALL_ROUTES = '*'
 
-/** Outcomes of one route on one target in one window. */
-export interface IOutcomes {
-  readonly route: string
-  readonly targetId: string
-  readonly calls: number
-  readonly failures: number
-  /** Calls by latency bucket. */
-  readonly latency: ReadonlyMap<number, number>
-}
-
 /** A fault of the new version. */
 export interface IVersionFault {
   /** Where the fault shows: on a route, or over all routes. */
@@ -107,6 +101,26 @@
   newFailures = 0
   oldFailures = 0
 
+  /** Counts calls to the old version that were made before this comparison began. */
+  addBaseline ({ calls, failures, latency }: IOutcomes): void {
+    this.oldCalls += calls
+    this.oldFailures += failures
+    this._addOldLatency(latency)
+  }
+
+  /** Sums up the calls to the old version that serve as its baseline, scaled down if there are very many. */
+  sumBaseline (route: string): IOutcomes {
+    const scale = Math.min(1, MAX_BASELINE_CALLS / Math.max(1, this.oldCalls))
+    const latency = [...this.oldLatencyCounts.entries()].filter(([, count]) => count > 0)
+    return {
+      route,
+      targetId: '',
+      calls: Math.round(this.oldCalls * scale),
+      failures: Math.round(this.oldFailures * scale),
+      latency: new Map(latency.map(([bucket, count]) => [bucket, Math.round(count * scale)]))
+    }
+  }
+
   /** A window with calls to one version only gives no comparison, so its calls are kept until the other version has some. */
   addWindow (newOutcomes: readonly IOutcomes[], oldOutcomes: readonly IOutcomes[]): void {
     this._addToRegressionTests(newOutcomes, oldOutcomes)
@@ -127,9 +141,11 @@
     this.newFailures += totals.failures
     this.oldCalls += oldTotals.calls
     this.oldFailures += oldTotals.failures
-    for (const { latency } of oldOutcomes) {
-      for (const [bucket, count] of latency) this.oldLatencyCounts[bucket] = (this.oldLatencyCounts[bucket] ?? 0) + count
-    }
+    for (const { latency } of oldOutcomes) this._addOldLatency(latency)
+  }
+
+  private _addOldLatency (latency: ReadonlyMap<number, number>): void {
+    for (const [bucket, count] of latency) this.oldLatencyCounts[bucket] = (this.oldLatencyCounts[bucket] ?? 0) + count
   }
 
   findFaultKind (failureAlpha: number, latencyAlpha: number): 'failures' | 'latency' | undefined {
@@ -223,6 +239,27 @@
     this._oldCalls += countCalls(oldOutcomes)
   }
 
+  /**
+   * Gives the comparison calls to the old version that were made before it began, so that it knows the usual rates from the start.
+   * @param outcomes - result of {@link listBaseline} of another comparison
+   */
+  addBaseline (outcomes: readonly IOutcomes[]): void {
+    for (const outcome of outcomes) this._getRoute(outcome.route).addBaseline(outcome)
+  }
+
+  /** @returns outcomes of the old version over all routes and on the busiest ones, each over all targets */
+  listBaseline (): IOutcomes[] {
+    return [...this._routes].map(([route, comparison]) => comparison.sumBaseline(route))
+      .filter(({ calls }) => calls > 0)
+      .sort((a, b) => b.calls - a.calls)
+      .slice(0, MAX_BASELINE_ROUTES)
+  }
+
+  /** @returns true once the rates of the old version are known, so that a regression of the new one can be found */
+  hasBaseline (): boolean {
+    return this._getRoute(ALL_ROUTES).oldCalls >= MIN_BASELINE_CALLS
+  }
+
   /** @returns calls to the new version since the start */
   getNewCalls (): number {
     return this._newCalls
@@ -322,10 +359,6 @@
   }
 }
 
-function countCalls (outcomes: readonly IOutcomes[]): number {
-  return outcomes.reduce((sum, { calls }) => sum + calls, 0)
-}
-
 function createTests (): SequentialTest[] {
   return TEST_INDEXES.map(() => new SequentialTest())
 }
@@ -344,40 +377,3 @@
   }
   return totals
 }
-
-interface IOutcomeSum {
-  readonly route: string
-  readonly targetId: string
-  calls: number
-  failures: number
-  readonly latency: Map<number, number>
-}
-
-/** Adds up outcomes by route and target, so that the memory needed does not grow with the number of windows. */
-class OutcomeSums {
-  private readonly _sums = new Map<string, IOutcomeSum>()
-
-  add (outcomes: readonly IOutcomes[]): void {
-    for (const { route, targetId, calls, failures, latency } of outcomes) {
-      const key = `${route}\n${targetId}`
-      let sum = this._sums.get(key)
-      if (sum === undefined) {
-        sum = { route, targetId, calls: 0, failures: 0, latency: new Map() }
-        this._sums.set(key, sum)
-      }
-      sum.calls += calls
-      sum.failures += failures
-      for (const [bucket, count] of latency) sum.latency.set(bucket, (sum.latency.get(bucket) ?? 0) + count)
-    }
-  }
-
-  list (): IOutcomes[] {
-    return [...this._sums.values()]
-  }
-}
-
-function mergeOutcomes (outcomes: readonly IOutcomes[]): IOutcomes[] {
-  const sums = new OutcomeSums()
-  sums.add(outcomes)
-  return sums.list()
-}
--- a/packages/control/src/catalogue/CatalogueStateMachine.test.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.test.ts
@@ -39,7 +39,7 @@
 function decideMove (status: MoveStatus, sharePpm: number, expectedVersion = store.getMove('desk')?.version ?? 0): ChangeReply {
   return ChangeReply.decode(machine.apply(CatalogueCommand.encode({
     nowMs: NOW_MS,
-    command: { $case: 'move', value: { service: 'desk', expectedVersion, status, sharePpm, reason: 'test', late: false } }
+    command: { $case: 'move', value: { service: 'desk', expectedVersion, status, sharePpm, reason: 'test', late: false, baseline: [] } }
   }).finish()))
 }
 
--- a/packages/control/src/catalogue/CatalogueStateMachine.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.ts
@@ -31,7 +31,16 @@
  * @returns true until the move is done or taken back
  */
 export function isMoveOpen (move: MoveRecord): boolean {
-  return move.status === MoveStatus.MOVE_STATUS_RUNNING || move.status === MoveStatus.MOVE_STATUS_WATCHING
+  return isStatusOpen(move.status)
+}
+
+/**
+ * Tells whether a move of a status still needs decisions.
+ * @param status - of a move
+ * @returns true until the move is done or taken back
+ */
+export function isStatusOpen (status: MoveStatus): boolean {
+  return status === MoveStatus.MOVE_STATUS_RUNNING || status === MoveStatus.MOVE_STATUS_WATCHING
 }
 
 /** State machine of the group `catalogue`. */
@@ -235,7 +244,8 @@
       late: false,
       ordered: false,
       watchMs: 0,
-      firstSharePpm: 0
+      firstSharePpm: 0,
+      baseline: []
     })
   }
 
@@ -244,11 +254,11 @@
     const open = this.store.getMove(service)
     if (open === undefined || !isMoveOpen(open)) return
     if (open.to === versionInUse) {
-      moves.push({ ...open, status: MoveStatus.MOVE_STATUS_DONE, reason: 'ended by an operator', version })
+      moves.push({ ...open, status: MoveStatus.MOVE_STATUS_DONE, reason: 'ended by an operator', version, baseline: [] })
       return
     }
     moves.push({
-      ...open, status: MoveStatus.MOVE_STATUS_TAKEN_BACK, sharePpm: 0, reason: 'withdrawn by an operator', version
+      ...open, status: MoveStatus.MOVE_STATUS_TAKEN_BACK, sharePpm: 0, reason: 'withdrawn by an operator', version, baseline: []
     })
   }
 
@@ -265,7 +275,8 @@
       reason: command.reason,
       late: command.late,
       stepStartedMs: this._nowMs,
-      version: version.version
+      version: version.version,
+      baseline: command.baseline
     }
     this.store.commitRecords(version, [], [next])
     return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, version, '')
@@ -303,7 +314,8 @@
       late: false,
       ordered: true,
       watchMs: times.watchMs,
-      firstSharePpm: ORDERED_FIRST_SHARE * FULL_SHARE_PPM
+      firstSharePpm: ORDERED_FIRST_SHARE * FULL_SHARE_PPM,
+      baseline: []
     }])
     return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, version, '')
   }
--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -2,7 +2,7 @@
 import { ManualClock, Metrics, NullLog } from '@lagoonswitch/common'
 import { CatalogueStore, EndpointView } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, ChangeCommand, EndpointRecord, EndpointState, MoveStatus, formatEntry, parseEntry, type EvidenceRecord,
+  CatalogueCommand, ChangeCommand, EndpointRecord, EndpointState, MoveCommand, MoveStatus, formatEntry, parseEntry, type EvidenceRecord,
   type MoveRecord
 } from '@lagoonswitch/schema'
 import { CatalogueStateMachine } from '../catalogue/CatalogueStateMachine.js'
@@ -20,6 +20,8 @@
 let endpoints: EndpointView
 let controller: MoveController
 let hasQuorum: boolean
+/** Latest command that was not committed. */
+let rejectedCommand: Uint8Array
 
 function createController (): MoveController {
   return new MoveController({
@@ -32,6 +34,7 @@
     isLeader: () => true,
     propose: async command => {
       if (hasQuorum) machine.apply(command)
+      else rejectedCommand = command
       return hasQuorum
     }
   })
@@ -245,6 +248,67 @@
   expect(getMove().sharePpm).toBe(planOrderedSteps(0, ORDERED_MOVE_DURATION_S * 650, 160_000, 0.3, EXPOSURE_LIMIT)[1]?.sharePpm)
 })
 
+test('new leader takes back a version with a fault under load that its predecessor gave all calls', async () => {
+  await startWatchedOrder()
+  controller = createController()
+  await runOrdered(2, failUnderLoad)
+  expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_TAKEN_BACK })
+})
+
+test('new leader takes back a version that got all calls by a decision of its predecessor that was committed late', async () => {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.64)
+  hasQuorum = false
+  await runOrdered(1)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_RUNNING)
+  machine.apply(rejectedCommand)
+  hasQuorum = true
+  expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_WATCHING, sharePpm: FULL_SHARE_PPM })
+  controller = createController()
+  await runOrdered(2, failUnderLoad)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
+
+test('good version is done although the leader changes in its watch', async () => {
+  await startWatchedOrder()
+  controller = createController()
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.27)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_DONE)
+})
+
+test('new leader that has no rates of the old version takes the new one back', async () => {
+  await startWatchedOrder()
+  apply({ $case: 'move', value: MoveCommand.fromPartial({ ...getMove(), expectedVersion: getMove().version, baseline: [] }) })
+  controller = createController()
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.3, failUnderLoad)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
+
+test('new leader that sees no calls takes the version back', async () => {
+  await startWatchedOrder()
+  controller = createController()
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.3, undefined, 0)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
+
+test('new leader that sees few calls at the small share does not give all calls to the new version', async () => {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.5)
+  controller = createController()
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.4, undefined, 20)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
+
+test('version that got all calls too late to show a fault is not done', async () => {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.6)
+  hasQuorum = false
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.3)
+  hasQuorum = true
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.1)
+  expect(getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
+
 test('jump of the time of day does not end the small share of an ordered move early', async () => {
   startOrder(ORDERED_MOVE_DURATION_S)
   await runOrdered(ORDERED_MOVE_DURATION_S * 0.5)
@@ -342,6 +406,17 @@
   await runOrdered(1.25, undefined, 0)
 }
 
+function failUnderLoad (share: number): { new: number, old: number } {
+  return { new: share >= 0.7 ? 0.5 : 0, old: 0 }
+}
+
+/** Orders a move to a version that shows no fault until it has all calls. */
+async function startWatchedOrder (): Promise<void> {
+  startOrder(ORDERED_MOVE_DURATION_S)
+  await runOrdered(ORDERED_MOVE_DURATION_S * 0.66)
+  expect(getMove()).toMatchObject({ status: MoveStatus.MOVE_STATUS_WATCHING, sharePpm: FULL_SHARE_PPM })
+}
+
 /** Orders a move from v1 to v2. */
 function startOrder (seconds: number, hasTarget = true): void {
   putEntry({})
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -6,9 +6,9 @@
 import {
   CatalogueCommand, EndpointState, MoveStatus, type EvidenceRecord, type IEntry, type MoveCommand, type MoveRecord
 } from '@lagoonswitch/schema'
-import { isMoveOpen } from '../catalogue/CatalogueStateMachine.js'
+import { isMoveOpen, isStatusOpen } from '../catalogue/CatalogueStateMachine.js'
 import { FULL_SHARE_PPM, planSteps, type IMoveStep } from './MoveSchedule.js'
-import { EVIDENCE_WINDOW_MS, OpenMove, type IProbe } from './OpenMove.js'
+import { EVIDENCE_WINDOW_MS, MIN_NEW_VERSION_CALLS, OpenMove, type IProbe } from './OpenMove.js'
 import {
   ORDERED_LOW_SHARE_PPM, computeOrderDurationMs, planOrderTimes, planOrderedSteps, type IExposureLimit, type IOrderTimes
 } from './OrderedSchedule.js'
@@ -17,8 +17,6 @@
 const FAULT_FALSE_ALARM_RATE = 0.01
 /** A step may expose this many calls, plus this many times the calls that the new version has served without a fault so far. */
 const MAX_EXPOSURE_FACTOR = 10
-/** Calls to the new version that must be seen before it gets the full share. */
-const MIN_NEW_VERSION_CALLS = 30
 /**
  * Share during a probe, which compares a suspected version with the old one. With a smaller share each failure of the
  * new version is stronger evidence and fewer callers are affected.
@@ -125,6 +123,7 @@
       const { probe, recurringRegressions } = openMove
       const command = this._decideMove(move, openMove)
       if (command === undefined) continue
+      if (isStatusOpen(command.status)) command.baseline = openMove.listBaseline(move)
       if (await this._propose(move, openMove, command)) {
         openMove.updateStep(this._options.store.getMove(move.service) ?? move)
         continue
@@ -173,7 +172,7 @@
       }
     }
     if (isWatching && openMove.probe === undefined && nowMs >= getEndMs(move)) {
-      return this._finishOrderedMove(move)
+      return this._finishOrderedMove(move, openMove)
     }
     if (openMove.probe !== undefined) return this._decideProbe(move, openMove, openMove.probe, nowMs)
     if (move.sharePpm > PROBE_SHARE_PPM && openMove.comparison.hasRegressed(PROBE_FALSE_ALARM_RATE)) {
@@ -188,7 +187,12 @@
     return this._decideStep(move, openMove, move.ordered ? nowMs : this._options.clock.readWallTime().getTime())
   }
 
-  private _finishOrderedMove (move: MoveRecord): MoveCommand {
+  /** Without evidence of the full share, a fault that shows under load only would reach all callers once the old targets have stopped. */
+  private _finishOrderedMove (move: MoveRecord, openMove: OpenMove): MoveCommand {
+    if (!openMove.hasEvidenceOfFullShare()) {
+      return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
+        `too few calls were seen while version ${move.to} had all of them`)
+    }
     return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault was proved in the time of the order')
   }
 
@@ -197,7 +201,7 @@
     const watchMs = move.ordered ? move.watchMs : parseDurationMs(entry?.move?.watch ?? '') ?? DEFAULT_WATCH_MS
     const endMs = openMove.stepStartMs + watchMs
     this._updateProgress(move, openMove, `final at ${new Date(endMs).toISOString()}`)
-    if (nowMs < endMs) return undefined
+    if (nowMs < endMs || (move.ordered && !openMove.hasEvidenceOfFullShare())) return undefined
     // Slow responses are reported late, so even a weak regression is probed before the old targets are stopped.
     if (move.ordered && openMove.comparison.hasRegressed(WEAK_REGRESSION_FALSE_ALARMS)) return this._startProbe(move, openMove, nowMs)
     return this._createCommand(move, MoveStatus.MOVE_STATUS_DONE, FULL_SHARE_PPM, 'no fault in the watch time')
@@ -225,7 +229,7 @@
       return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
         `faults of version ${move.to} came with its share of calls`)
     }
-    if (isOver) return this._finishOrderedMove(move)
+    if (isOver) return this._finishOrderedMove(move, openMove)
     const isCommonRegression = openMove.comparison.hasOldVersionRegressed(COMMON_REGRESSION_FALSE_ALARM_RATE)
     if (!isCommonRegression) openMove.recurringRegressions++
     openMove.probe = undefined
@@ -240,9 +244,11 @@
     if (next === undefined) return undefined
     const isSuspected = move.ordered && next.sharePpm === FULL_SHARE_PPM && openMove.comparison.isSuspected()
     const isLatestStartReached = move.ordered && nowMs >= getOrderTimes(move).latestFullShareMs
-    if (isSuspected && isLatestStartReached) {
-      return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0,
-        `version ${move.to} was still suspected at the last time for all calls`)
+    const isUnknown = openMove.isTakenOver && openMove.comparison.getNewCalls() < MIN_NEW_VERSION_CALLS
+    if (isLatestStartReached && (isSuspected || isUnknown)) {
+      return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0, isSuspected
+        ? `version ${move.to} was still suspected at the last time for all calls`
+        : `too few calls of version ${move.to} were seen since the change of leader`)
     }
     const obstacle = isSuspected
       ? `version ${move.to} is suspected of a fault; more calls decide`
@@ -300,7 +306,7 @@
   }
 
   private _createCommand (move: MoveRecord, status: MoveStatus, sharePpm: number, reason: string): MoveCommand {
-    return { service: move.service, expectedVersion: move.version, status, sharePpm, reason, late: move.late }
+    return { service: move.service, expectedVersion: move.version, status, sharePpm, reason, late: move.late, baseline: [] }
   }
 
   private async _propose (move: MoveRecord, openMove: OpenMove, command: MoveCommand): Promise<boolean> {
--- a/packages/control/src/moves/OpenMove.ts
+++ b/packages/control/src/moves/OpenMove.ts
@@ -3,12 +3,17 @@
  */
 import { VersionComparison, type IClock, type IOutcomes } from '@lagoonswitch/common'
 import type { EvidenceRecord, MoveRecord } from '@lagoonswitch/schema'
+import { FULL_SHARE_PPM } from './MoveSchedule.js'
+import { FAULT_DETECTION_MS } from './OrderedSchedule.js'
 
 /** Length of the windows in which outcomes are added up, in milliseconds. */
 export const EVIDENCE_WINDOW_MS = 250
 /** Windows over which the call rate is averaged: one second. The first windows of a move lack calls without a response yet. */
 const CALL_RATE_WINDOWS = 4
 
+/** Calls to the new version that must be seen before it gets the full share, and again before a new leader calls it good. */
+export const MIN_NEW_VERSION_CALLS = 30
+
 /** A comparison of a suspected version with the old one at a small share. */
 export interface IProbe {
   readonly resumeSharePpm: number
@@ -27,7 +32,11 @@
   readonly startedMs: number
   /** Time from which on this process has received evidence, on the scale of {@link readTimeMs}. */
   readonly evidenceStartMs: number
+  /** True if the new version had calls before this leader handled the move, whose outcomes this leader does not have. */
+  readonly isTakenOver: boolean
   private readonly _createdMs: number
+  /** Time at which this leader first saw the full share, and the calls to the new version until then. */
+  private _fullShareStart: { readonly atMs: number, readonly newCalls: number } | undefined
   private _stepVersion = -1
   private _stepStartMs = 0
   probe: IProbe | undefined
@@ -46,6 +55,8 @@
     this.startedMs = move.startedMs
     this.evidenceStartMs = Math.max(move.startedMs, _clock.readWallTime().getTime())
     this._createdMs = _clock.readMonotonicMs()
+    this.isTakenOver = move.sharePpm > 0
+    this.comparison.addBaseline(move.baseline.map(toOutcomes))
   }
 
   /** @returns time since this leader first handled the move, in milliseconds */
@@ -76,6 +87,30 @@
     if (move.version === this._stepVersion) return
     this._stepVersion = move.version
     this._stepStartMs = this.readTimeMs()
+    if (move.sharePpm < FULL_SHARE_PPM) return
+    this._fullShareStart ??= { atMs: this._stepStartMs, newCalls: this.comparison.getNewCalls() }
+  }
+
+  /** Tells whether a fault that shows only at the full share would have been found by this leader. */
+  hasEvidenceOfFullShare (): boolean {
+    if (this._fullShareStart === undefined) return false
+    const { atMs, newCalls } = this._fullShareStart
+    if (this.readTimeMs() - atMs < FAULT_DETECTION_MS) return false
+    if (!this.isTakenOver) return true
+    return this.comparison.hasBaseline() && this.comparison.getNewCalls() - newCalls >= MIN_NEW_VERSION_CALLS
+  }
+
+  /** @returns the old version's outcomes, which the next leader needs */
+  listBaseline (move: MoveRecord): EvidenceRecord[] {
+    return this.comparison.listBaseline().map(({ route, targetId, calls, failures, latency }) => ({
+      service: move.service,
+      version: move.from,
+      route,
+      targetId,
+      calls,
+      failures,
+      latency: { buckets: [...latency.keys()], counts: [...latency.values()] }
+    }))
   }
 
   /**
--- a/packages/control/src/moves/OrderedSchedule.ts
+++ b/packages/control/src/moves/OrderedSchedule.ts
@@ -11,7 +11,7 @@
  * Time from the full share until a fault that it causes is detected and the rollback is effective on all nodes: one response,
  * one evidence window each on the node and on the leader, and the commit.
  */
-const FAULT_DETECTION_MS = 1_200
+export const FAULT_DETECTION_MS = 1_200
 /**
  * Fractions of the order's duration: start of the full share, its latest start for a version under suspicion, length of the
  * watch that follows, and the end, which leaves time to inform the operator.
--- a/packages/feed/src/CatalogueStore.test.ts
+++ b/packages/feed/src/CatalogueStore.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, expect, test } from 'vitest'
 import fc from 'fast-check'
 import { compareVersions } from '@lagoonswitch/common'
-import { CatalogueDelta, Publication, formatEntry, parseEntry, type EntryRecord } from '@lagoonswitch/schema'
+import { CatalogueDelta, EvidenceRecord, MoveRecord, Publication, formatEntry, parseEntry, type EntryRecord } from '@lagoonswitch/schema'
 import { CatalogueStore } from './CatalogueStore.js'
 
 /** Size limit of a delta, in bytes: the control traffic of a node per second, see docs/CAPACITY.md. */
@@ -53,6 +53,16 @@
   expect(copy.digest).toEqual(source.digest)
 })
 
+test('delta carries a move without its baseline', () => {
+  const baseline = [EvidenceRecord.fromPartial({ service: 'a', route: 'r', calls: 1_000 })]
+  source.commitRecords({ epoch: 1, version: 2 }, [], [MoveRecord.fromPartial({ service: 'a', to: 'v2', version: 2, baseline })])
+  const delta = takeDelta()
+  expect(delta.moves).toMatchObject([{ to: 'v2', baseline: [] }])
+  expect(copy.applyDelta(CatalogueDelta.decode(CatalogueDelta.encode(delta).finish())).ok).toBe(true)
+  expect(copy.digest).toEqual(source.digest)
+  expect(source.getContent().moves).toMatchObject([{ baseline }])
+})
+
 test('delta of one entry among many is small, whatever the order of the publication', () => {
   const names = Array.from({ length: ENTRY_COUNT }, (_, index) => `entry-${index}`)
   const publish = (version: number, ...records: EntryRecord[]): void => source.commitRecords({ epoch: 1, version }, records, [],
--- a/packages/feed/src/CatalogueStore.ts
+++ b/packages/feed/src/CatalogueStore.ts
@@ -144,7 +144,7 @@
       full,
       entries: packedEntries.length > 0 ? [] : entries,
       packedEntries,
-      moves: [...moves.values()].filter(move => move.version > since),
+      moves: [...moves.values()].filter(move => move.version > since).map(createSentMove),
       digest,
       publication: sentPublication
     }
@@ -252,9 +252,9 @@
   }
   for (const move of moves) {
     const previous = state.moves.get(move.service)
-    if (previous !== undefined) updateDigest(state.digest, 'move', MoveRecord.encode(previous).finish())
+    if (previous !== undefined) updateDigest(state.digest, 'move', MoveRecord.encode(createSentMove(previous)).finish())
     state.moves.set(move.service, move)
-    updateDigest(state.digest, 'move', MoveRecord.encode(move).finish())
+    updateDigest(state.digest, 'move', MoveRecord.encode(createSentMove(move)).finish())
   }
   return Ok(undefined)
 }
@@ -274,6 +274,11 @@
   return publication === undefined ? undefined : { ...publication, annotation: '', order: [] }
 }
 
+/** Omits the baseline, which only control VMs need. */
+function createSentMove (move: MoveRecord): MoveRecord {
+  return { ...move, baseline: [] }
+}
+
 function parseDeclaration (declaration: string): Result<IEntry, FeedError> {
   try {
     const entry = parseEntry(JSON.parse(declaration))
