Refuse odd heartbeats, orders and configurations where they come in

It happens here: after a heartbeat with warmup-left-s 1e300 no target of its VM reached a control VM for the 15 s of the test, and max-concurrency 2^40 delayed the others from 1.1 to 4.4 s, since the record is announced to all processes and can't be encoded (invalid uint32), which ends the stream of the node each time. No process ended. Configurations with a time or a size beyond 32 bits, or nested 3,000 deep, were answered 500 (twice RangeError), so an operator sends them for ever; so was an order of 1e300 s.

Cause: values were accepted at the edge that a later encoder, timer or recursive function can't take. Class: input checked for its type, not for its range.

--- a/packages/common/src/Clock.ts
+++ b/packages/common/src/Clock.ts
@@ -3,6 +3,9 @@
  */
 import { toDisposable, type IDisposable } from './Disposable.js'
 
+/** Longest delay of a timer, in milliseconds; Node.js runs a timer with a longer one at once. */
+export const MAX_TIMER_MS = 2 ** 31 - 1
+
 /** Source of time and timers. */
 export interface IClock {
   /** @returns milliseconds since an arbitrary start; never decreases */
@@ -11,7 +14,7 @@
   readWallTime (): Date
   /**
    * Schedules a callback after a delay.
-   * @param delayMs - delay in milliseconds
+   * @param delayMs - delay in milliseconds; limited to {@link MAX_TIMER_MS}
    * @param callback - called at most once
    * @returns a disposable that cancels the callback
    */
@@ -72,7 +75,7 @@
   }
 
   schedule (delayMs: number, callback: () => void): IDisposable {
-    const timer = setTimeout(callback, delayMs)
+    const timer = setTimeout(callback, Math.min(delayMs, MAX_TIMER_MS))
     return toDisposable(() => clearTimeout(timer))
   }
 }
--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -2,6 +2,7 @@
  * Building blocks without I/O that are shared by all packages.
  */
 export * from './Backoff.js'
+export * from './BoundedJson.js'
 export * from './Bytes.js'
 export * from './Clock.js'
 export * from './Disposable.js'
--- a/packages/lagoonswitch/src/http/LocalController.ts
+++ b/packages/lagoonswitch/src/http/LocalController.ts
@@ -5,18 +5,16 @@
 import { z } from 'zod'
 import type { Metrics } from '@lagoonswitch/common'
 import type { NodeRole } from '@lagoonswitch/node'
+import { TARGET_ADDRESS, TARGET_NAME, TARGET_SLOTS } from '@lagoonswitch/schema'
 import { METRICS, NODE_ROLE } from './InjectionTokens.js'
 
-/** Highest number of slots, and of connections, that a target may announce. */
-const MAX_SLOTS = 10_000
-
 /** Announcement of a target, which the target repeats as a heartbeat. */
 const ANNOUNCEMENT = z.strictObject({
-  service: z.string().min(1).max(63),
-  version: z.string().min(1).max(63),
-  address: z.string().regex(/^(127\.\d+\.\d+\.\d+|\[::1\]|localhost|[0-9.]+):\d{1,5}$/, 'use IP:PORT'),
-  slots: z.number().int().min(1).max(MAX_SLOTS),
-  connections: z.number().int().min(1).max(MAX_SLOTS),
+  service: TARGET_NAME,
+  version: TARGET_NAME,
+  address: TARGET_ADDRESS,
+  slots: TARGET_SLOTS,
+  connections: TARGET_SLOTS,
   instance: z.string().max(128).default('')
 })
 
@@ -34,6 +32,7 @@
   /** Accepts an announcement or a heartbeat. */
   @Put(':id')
   announce (@Param('id') id: string, @Body() body: unknown): { accepted: true } {
+    if (!TARGET_NAME.safeParse(id).success) throw new BadRequestException('id: use 1 to 128 printable ASCII characters without spaces')
     const parsed = ANNOUNCEMENT.safeParse(body)
     if (!parsed.success) {
       throw new BadRequestException(parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; '))
--- a/packages/node/src/routing/RouteTable.test.ts
+++ b/packages/node/src/routing/RouteTable.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest'
+import { MAX_TIMER_MS } from '@lagoonswitch/common'
 import { MoveRecord, MoveStatus, parseEntry, type IEntry } from '@lagoonswitch/schema'
 import { RouteTable } from './RouteTable.js'
 
@@ -45,3 +46,11 @@
   expect(createTable([late]).findRoute('h', 'GET', '/late/x')).toBeUndefined()
   expect(createTable([late, DESK]).findRoute('h', 'GET', '/late/x')?.parts[0]?.service).toBe('desk')
 })
+
+test('time limits beyond a timer and 32 bits are shortened', () => {
+  const route = { name: 'r', path: '/long/', idempotency: 'safe', service: 'desk', objective: '5000000s' }
+  const limits = { slots: 1, connections: 1, deadline: '5000000s' }
+  const entry = parseEntry({ entry: 'long', owner: 'o', class: 'normal', limits, routes: [route] }).unwrap()
+  const compiled = createTable([DESK, entry]).findRoute('h', 'GET', '/long/x')
+  expect(compiled).toMatchObject({ deadlineMs: MAX_TIMER_MS, objectiveMs: MAX_TIMER_MS })
+})
--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -1,7 +1,7 @@
 /**
  * Finds the route of a call in one version of the catalogue.
  */
-import { parseDurationMs } from '@lagoonswitch/common'
+import { MAX_TIMER_MS, parseDurationMs } from '@lagoonswitch/common'
 import type { ICatalogueView } from '@lagoonswitch/feed'
 import { CALL_CLASSES, CallClass, MoveStatus, listWeightedServices, type IEntry, type IRoute, type MoveRecord } from '@lagoonswitch/schema'
 
@@ -162,9 +162,9 @@
       host: parseHost(entry.host ?? ANY_HOST),
       parts,
       totalWeight: parts.reduce((sum, part) => sum + part.weight, 0),
-      objectiveMs: parseDurationMs(route.objective ?? '') ?? 0,
+      objectiveMs: Math.min(MAX_TIMER_MS, parseDurationMs(route.objective ?? '') ?? 0),
       maxAttempts: route.attempts ?? DEFAULT_MAX_ATTEMPTS,
-      deadlineMs: parseDurationMs(route.deadline ?? entry.limits.deadline) ?? DEFAULT_DEADLINE_MS,
+      deadlineMs: Math.min(MAX_TIMER_MS, parseDurationMs(route.deadline ?? entry.limits.deadline) ?? DEFAULT_DEADLINE_MS),
       callClass: CLASS_NUMBERS[route.class ?? entry.class],
       isKeyed: route.idempotency === 'keyed',
       isRetryable: route.idempotency === 'safe' || route.idempotency === 'idempotent'
--- a/packages/schema/src/Schemas.test.ts
+++ b/packages/schema/src/Schemas.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { parseDeclarations, parseSettings } from './index.js'
+import { parseDeclarations, parseEntry, parseSettings } from './index.js'
 
 const SETTINGS = `[process]
 name = a
@@ -54,3 +54,9 @@
   expect(problems).toMatch(/desk\.yaml:5: desk\.limits\.slots: .*; correct the declaration/)
   expect(problems).toMatch(/desk\.yaml:9: desk\.routes\.0: .*colour/)
 })
+
+test.each([[1e9, true], [1e308, false]])('weight of a part is limited: %d', (weight, isValid) => {
+  const route = { name: 'r', path: '/', idempotency: 'safe', parts: [{ service: 'a', weight }, { service: 'b', weight }] }
+  const entry = { entry: 'a', owner: 'o', class: 'normal', limits: { slots: 1, connections: 1 }, routes: [route] }
+  expect(parseEntry(entry).ok).toBe(isValid)
+})
--- a/packages/schema/src/catalogue/EntrySchema.ts
+++ b/packages/schema/src/catalogue/EntrySchema.ts
@@ -14,7 +14,10 @@
 /** Priority classes, most important first. */
 export const CALL_CLASSES = ['first', 'high', 'normal', 'low'] as const
 
-const WEIGHTED_SERVICE = z.strictObject({ service: NAME, weight: z.number().min(0) })
+/** Largest weight of a part, so that sums of weights stay exact. */
+const MAX_WEIGHT = 1_000_000_000
+
+const WEIGHTED_SERVICE = z.strictObject({ service: NAME, weight: z.number().min(0).max(MAX_WEIGHT) })
 
 const ROUTE = z.strictObject({
   name: NAME,
--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -98,6 +98,53 @@
   expect(JSON.parse((await send(`${operatorUrl}/-/rollouts/desk`, 'GET')).text)).toEqual({ state: 'running', 'target-version': 'v2' })
 }, 30_000)
 
+const DEEP = `${'['.repeat(50_000)}${']'.repeat(50_000)}`
+
+test.each([
+  ['more slots than 32 bits', { info: { ...HEARTBEAT.info, 'max-concurrency': 2 ** 40 } }],
+  ['endless warm-up', { status: { ...HEARTBEAT.status, 'warmup-left-s': 1e300 } }],
+  ['sequence of 2^53 - 1', { status: { ...HEARTBEAT.status, sequence: Number.MAX_SAFE_INTEGER } }],
+  ['start in 2^53 - 1', { born: Number.MAX_SAFE_INTEGER }],
+  ['port out of range', { address: '127.0.0.1:99999' }],
+  ['address out of range', { address: '999.1.1.1:80' }],
+  ['line break in the version', { info: { ...HEARTBEAT.info, version: 'v1\r\nx: y' } }],
+  ['deep nesting', { extra: 'DEEP' }]
+])('odd heartbeat is refused, and others reach the control VM: %s', async (_name, change) => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
+  const odd = JSON.stringify({ ...HEARTBEAT, address: '127.0.0.1:10', ...change }).replace('"DEEP"', DEEP)
+  expect((await send(`${localUrl}/-/instances/odd`, 'PUT', odd)).status).toBe(400)
+  expect((await send(`${localUrl}/-/instances/t1`, 'PUT', HEARTBEAT)).status).toBe(200)
+  await waitFor('the target at the control VM', () => control.control?.endpoints.getRecord('t1') !== undefined)
+  expect(control.control?.endpoints.getRecord('odd')).toBeUndefined()
+  expect((await send(readyUrl, 'GET')).status).toBe(200)
+}, 30_000)
+
+test.each(['a%0d%0ab', 'a%20b', 'x'.repeat(99)])('heartbeat under an id that no header can carry, or up to the limit: %s', async id => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
+  expect((await send(`${localUrl}/-/instances/${id}`, 'PUT', HEARTBEAT)).status).toBe(id.includes('%') ? 400 : 200)
+}, 30_000)
+
+test.each([
+  ['deep nesting', { extra: 'DEEP' }, 400],
+  ['header time limit beyond 32 bits', { 'header-timeout-s': 1e300 }, 200],
+  ['idle time limit beyond a timer', { 'idle-timeout-s': 1e8 }, 200],
+  ['header size beyond 32 bits', { 'max-header-bytes': 2 ** 40 }, 200]
+])('odd configuration is decided, not failed: %s', async (_name, change, status) => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  const plain = { ...createConfiguration(5, 3) as { limits: object }, base: 3 }
+  const text = JSON.stringify({ ...plain, limits: { ...plain.limits, ...change } }).replace('"DEEP"', DEEP)
+  expect(await publish(text)).toBe(status)
+  expect(await publish(createConfiguration(7, status === 200 ? 5 : 3))).toBe(200)
+}, 30_000)
+
+test('order with a time beyond 32 bits is refused', async () => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  const order = { service: 'desk', 'target-version': 'v2', 'duration-s': 1e300 }
+  expect((await send(`${operatorUrl}/-/rollouts`, 'POST', order)).status).toBe(400)
+}, 30_000)
+
 test('each listener refuses invalid input with a message', async () => {
   await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
   await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
