--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -325,7 +325,7 @@
       new_calls: openMove.comparison.getNewCalls(),
       old_calls: openMove.comparison.getOldCalls(),
       calls_per_s: Math.round(openMove.computeRecentCallsPerMs() * MS_PER_SECOND),
-      evidence_ms: openMove.evidenceAgeMs
+      evidence_ms: Math.round(openMove.evidenceAgeMs)
     })
     return isCommitted
   }
