A connection with a refusal that names no call is not used again

With the id of the earlier call such a refusal was already told apart (502, outcome unknown). Without an id it happens here: the caller got 503 'not run' for a call that the target ran, and a read or a write would have been sent to a second target.

Evidence: the new case 'without an id' failed before (503 in place of 200), 'with the id' passed.

--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -31,6 +31,8 @@
   /** The target states that it has not run the request; the call fails once the response has ended. */
   private _isRefusing = false
   private _isMisdirected = false
+  /** The target sent a refusal without the id of the call; if it sends it again, the next call on the connection can't tell. */
+  private _isRefusalWithoutId = false
   private _body: Readable | undefined
   private _queuedBody: Buffer[] = []
   private _queuedBytes = 0
@@ -121,6 +123,7 @@
     if (metadata.isNotRun && status !== BAD_REQUEST && !isRefusalOfOtherCall) {
       this._isRefusing = true
       this._isMisdirected = status === MISDIRECTED_REQUEST
+      this._isRefusalWithoutId = metadata.callId === undefined
       return
     }
     if (isOtherCall && (metadata.callId !== undefined || status < FIRST_REDIRECTION_STATUS)) {
@@ -247,7 +250,7 @@
   }
 
   private _release (): void {
-    if (this._connection !== undefined) this._target.connections.release(this._connection)
+    if (this._connection !== undefined) this._target.connections.release(this._connection, !this._isRefusalWithoutId)
     // The ticket is undefined only when acquire refuses the call before it returns.
     this._ticket?.release()
   }
--- a/packages/node/src/targets/TargetConnections.ts
+++ b/packages/node/src/targets/TargetConnections.ts
@@ -166,10 +166,14 @@
     return this._idle.pop() ?? new TargetConnection(this._origin, this._onIdleOverrun)
   }
 
-  /** Returns a connection to the pool after its call. */
-  release (connection: TargetConnection): void {
+  /**
+   * Returns a connection to the pool after its call.
+   * @param connection - without a call now
+   * @param isReusable - false to close it
+   */
+  release (connection: TargetConnection, isReusable = true): void {
     connection.detachHandler()
-    if (this._isClosed) connection.close()
+    if (this._isClosed || !isReusable) connection.close()
     else this._idle.push(connection)
   }
 
--- a/tests/Answers.test.ts
+++ b/tests/Answers.test.ts
@@ -2,6 +2,7 @@
  * Responses of targets that violate the protocol, and refusals of targets that have not run the request.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { PlatformDialect } from '@lagoonswitch/platform'
 import { DESK, World, type IResponse } from './support/World.js'
@@ -120,6 +121,30 @@
   expect(reply !== 'cut' && JSON.parse(reply.body).run).toBe('unknown')
 })
 
+test.each([['with the id', true], ['without an id', false]])('refusal that is repeated on a kept connection does not refuse the next call: %s', async (_name, hasId) => {
+  const runs: string[] = []
+  const refusals = new Map<Socket, string>()
+  const refuseOnceAndRun = (request: IncomingMessage, response: ServerResponse): void => {
+    const id = String(request.headers['x-attempt-id'])
+    const earlier = refusals.get(request.socket)
+    if (refusals.size === 0) {
+      const idLine = hasId ? `X-Attempt-Id: ${id}\r\n` : ''
+      const refusal = `HTTP/1.1 503 No\r\n${idLine}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n`
+      refusals.set(request.socket, refusal)
+      request.socket.write(refusal)
+      return
+    }
+    runs.push(id)
+    if (earlier !== undefined) request.socket.write(earlier)
+    else setTimeout(() => response.writeHead(200, { 'x-attempt-id': id }).end('ran'), 50)
+  }
+  await world.addTarget('n2', 't1', 'v1', refuseOnceAndRun)
+  expect(await call('/once', 'POST')).toMatchObject({ status: 503 })
+  const reply = await call('/once', 'POST')
+  expect(runs.length).toBe(1)
+  expect(reply).toMatchObject(hasId ? { status: 502 } : { status: 200, body: 'ran' })
+})
+
 test('target at a reused address gets no calls until it announces itself', async () => {
   await world.addTarget('n2', 't1', 'v1', (_request, response) => { response.writeHead(421).end() })
   await world.addTarget('n2', 't2', 'v1', respondWith('ok'))
