Test that a response cut within its head is never passed on as whole

Other operators told of targets that stopped in the middle of a head and closed, after which callers got a 200 with an empty or short body. It was not found here: 23 cuts (in the status line, after it, in and after headers, before the last line feed, each also behind an informational response), ended and reset, on new and kept connections, for reads and writes: 184 of 184 calls got 502 or were cut. No code changes.

--- a/tests/Answers.test.ts
+++ b/tests/Answers.test.ts
@@ -175,3 +175,36 @@
   expect(replies.every(reply => reply !== 'cut' && [200, 503, 504].includes(reply.status))).toBe(true)
   expect(await call('/read')).toMatchObject({ status: 200 })
 })
+
+const BODY = 'whole body'
+const HEAD_PARTS = ['HTTP/1.1 2', '00', ' OK', '\r\n', 'X-Attempt-Id: ID', '\r\nConte', `nt-Length: ${BODY.length}`, '\r\n', 'Connection: close', '\r\n', '\r']
+const CUT_HEADS = HEAD_PARTS.map((_part, index) => HEAD_PARTS.slice(0, index + 1).join(''))
+const INFORMATION = 'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n'
+
+test.each([
+  ['GET', 'end', 'new'], ['GET', 'end', 'kept'], ['GET', 'reset', 'new'], ['GET', 'reset', 'kept'],
+  ['POST', 'end', 'new'], ['POST', 'end', 'kept'], ['POST', 'reset', 'new'], ['POST', 'reset', 'kept']
+])('response that ends within its head is not passed on as whole: %s, %s of a %s connection', async (method, ending, age) => {
+  let head = ''
+  let cuts = 0
+  await world.addRawTarget('n2', 't1', 'v1', socket => {
+    let isFirst = age === 'kept'
+    socket.on('data', data => {
+      const id = /x-attempt-id: (\S+)/i.exec(data.toString())?.[1] ?? ''
+      if (isFirst) {
+        isFirst = false
+        socket.write(formatResponse(id, `Content-Length: ${BODY.length}`, BODY))
+        return
+      }
+      cuts++
+      socket.write(head.replace('ID', id))
+      setTimeout(() => ending === 'end' ? socket.end() : socket.resetAndDestroy(), 5)
+    })
+  })
+  const heads = [...CUT_HEADS, ...CUT_HEADS.map(cutHead => INFORMATION + cutHead), INFORMATION]
+  for (head of heads) {
+    if (age === 'kept') expect(await call('/once', 'POST')).toMatchObject({ status: 200, body: BODY })
+    expect(isIncomplete(await call(method === 'GET' ? '/read' : '/once', method))).toBe(true)
+  }
+  expect(cuts).toBe(heads.length)
+})
