A process cuts a version that fails once it has all calls

While no leader decides, nodes keep the last share that they were told, also if that is all calls for a version that nobody watches; the process's own comparison could not find a fault then, since it needs calls to both versions at the same time, and a cut that had expired began without any rates.

Now a process compares the failures of a version that has all calls with the old version's rates that it has seen itself, at a probability of a false alarm of 0.001 as before, and keeps these rates when a cut expires.

--- a/packages/common/src/evidence/OutcomeSums.ts
+++ b/packages/common/src/evidence/OutcomeSums.ts
@@ -12,6 +12,16 @@
   readonly latency: ReadonlyMap<number, number>
 }
 
+/** Calls of one version, added up over routes and targets. */
+export interface ICallTotals {
+  calls: number
+  failures: number
+  /** Calls above each threshold of slowness. */
+  slow: number[]
+  /** Calls whose latency is known. */
+  timed: number
+}
+
 interface IOutcomeSum {
   readonly route: string
   readonly targetId: string
@@ -61,3 +71,24 @@
 export function countCalls (outcomes: readonly IOutcomes[]): number {
   return outcomes.reduce((sum, { calls }) => sum + calls, 0)
 }
+
+/**
+ * Adds up outcomes over routes and targets.
+ * @param outcomes - any outcomes
+ * @param thresholds - buckets above which a call is slow
+ * @returns the totals
+ */
+export function sumOutcomes (outcomes: readonly IOutcomes[], thresholds: readonly number[]): ICallTotals {
+  const totals: ICallTotals = { calls: 0, failures: 0, slow: thresholds.map(() => 0), timed: 0 }
+  for (const { calls, failures, latency } of outcomes) {
+    totals.calls += calls
+    totals.failures += failures
+    for (const count of latency.values()) totals.timed += count
+    for (const [index, threshold] of thresholds.entries()) {
+      for (const [bucket, count] of latency) {
+        if (bucket > threshold) totals.slow[index] = (totals.slow[index] ?? 0) + count
+      }
+    }
+  }
+  return totals
+}
--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -3,7 +3,7 @@
  * faulty version from a single faulty target.
  */
 import { computeBucket, computeBucketEndMs, LATENCY_BUCKETS } from './LatencyScale.js'
-import { OutcomeSums, countCalls, mergeOutcomes, type IOutcomes } from './OutcomeSums.js'
+import { OutcomeSums, countCalls, mergeOutcomes, sumOutcomes, type ICallTotals, type IOutcomes } from './OutcomeSums.js'
 import { SequentialTest } from './SequentialTest.js'
 
 /** Quantiles of the old version's latency that serve as thresholds above which a call is slow. */
@@ -30,16 +30,6 @@
   readonly detail: string
 }
 
-/** Calls of one version, added up over routes and targets. */
-interface ICallTotals {
-  calls: number
-  failures: number
-  /** Calls above each threshold of slowness. */
-  slow: number[]
-  /** Calls whose latency is known. */
-  timed: number
-}
-
 /** Runs each test of the new version once with all calls, and once for each target without the calls of that target. */
 class LeaveOneOutTests {
   private readonly _all = createTests()
@@ -162,6 +152,11 @@
     return TEST_INDEXES.some(index => this._regressionTests.isRejected(index, alpha))
   }
 
+  /** Tells the same of failures only. */
+  hasFailureRegressed (alpha: number): boolean {
+    return this._regressionTests.isRejected(0, alpha)
+  }
+
   /** Tells whether the new version does worse than the old one by all calls since the last reset, even if made at different times. */
   hasRegressedAlone (alpha: number): boolean {
     const thresholds = this._computeThresholds()
@@ -332,11 +327,23 @@
         ? `${comparison.newFailures} of ${comparison.newCalls} calls failed, ` +
           `${comparison.oldFailures} of ${comparison.oldCalls} on the old version`
         : `slower than the old version in ${comparison.newCalls} calls`
-      return { place: route === ALL_ROUTES ? 'over all routes' : `on route ${route}`, kind, detail }
+      return { place: formatPlace(route), kind, detail }
     }
     return undefined
   }
 
+  /**
+   * Finds a route on which the new version fails more often than the old one did before, which works while the old one gets no calls.
+   * @param alpha - accepted probability of a false alarm as long as the rate of failures that both versions have in common is steady
+   * @returns the fault, or undefined
+   */
+  findFailureRegression (alpha: number): IVersionFault | undefined {
+    const testAlpha = this._computeTestAlpha(alpha)
+    const route = [...this._routes].find(([, comparison]) => comparison.hasFailureRegressed(testAlpha))?.[0]
+    if (route === undefined) return undefined
+    return { place: formatPlace(route), kind: 'failures', detail: 'fails more often than the old version did before' }
+  }
+
   private _getRoute (route: string): RouteComparison {
     let comparison = this._routes.get(route)
     if (comparison === undefined) {
@@ -352,6 +359,10 @@
   }
 }
 
+function formatPlace (route: string): string {
+  return route === ALL_ROUTES ? 'over all routes' : `on route ${route}`
+}
+
 function addToTests (tests: readonly SequentialTest[], newTotals: ICallTotals, oldTotals: ICallTotals): void {
   tests[0]?.addWindow(newTotals.calls, newTotals.failures, oldTotals.calls, oldTotals.failures)
   for (const index of newTotals.slow.keys()) {
@@ -362,18 +373,3 @@
 function createTests (): SequentialTest[] {
   return TEST_INDEXES.map(() => new SequentialTest())
 }
-
-function sumOutcomes (outcomes: readonly IOutcomes[], thresholds: readonly number[]): ICallTotals {
-  const totals: ICallTotals = { calls: 0, failures: 0, slow: thresholds.map(() => 0), timed: 0 }
-  for (const { calls, failures, latency } of outcomes) {
-    totals.calls += calls
-    totals.failures += failures
-    for (const count of latency.values()) totals.timed += count
-    for (const [index, threshold] of thresholds.entries()) {
-      for (const [bucket, count] of latency) {
-        if (bucket > threshold) totals.slow[index] = (totals.slow[index] ?? 0) + count
-      }
-    }
-  }
-  return totals
-}
--- a/packages/node/src/moves/EvidenceCollector.test.ts
+++ b/packages/node/src/moves/EvidenceCollector.test.ts
@@ -63,6 +63,35 @@
   expect(collector.isVersionCut('desk')).toBe(true)
 })
 
+/** Gives the new version all calls, as after a small share without a fault. */
+function startFullShare (): void {
+  for (let window = 0; window < 20; window++) addWindow(0)
+  const status = MoveStatus.MOVE_STATUS_WATCHING
+  store.commitRecords({ epoch: 1, version: 3 }, [], [{ ...MOVE, status, sharePpm: 1_000_000, version: 3 }])
+}
+
+/** Adds a window with calls to the new version only. */
+function addFullShareWindow (failures: number): void {
+  for (let call = 0; call < 6; call++) collector.recordOutcome('desk', 'v2', 'r', `n${call % 2}`, call < failures, 5)
+  collector.endWindow()
+}
+
+test('version that fails once it has all calls is cut without a decision of the leader', async () => {
+  startFullShare()
+  for (let window = 0; window < 4; window++) addFullShareWindow(3)
+  expect(collector.isVersionCut('desk')).toBe(true)
+  await clock.advance(CUT_MS)
+  expect(collector.isVersionCut('desk')).toBe(false)
+  for (let window = 0; window < 4; window++) addFullShareWindow(3)
+  expect(collector.isVersionCut('desk')).toBe(true)
+})
+
+test.each([[0, 0], [1, 40]])('version that has all calls is not cut for %d failures in %d windows', (failures, period) => {
+  startFullShare()
+  for (let window = 0; window < 400; window++) addFullShareWindow(period > 0 && window % period === 0 ? failures : 0)
+  expect(collector.isVersionCut('desk')).toBe(false)
+})
+
 test('evidence is reported once and only for moves in progress', () => {
   addWindow(5)
   const records = collector.takeEvidence()
--- a/packages/node/src/moves/EvidenceCollector.ts
+++ b/packages/node/src/moves/EvidenceCollector.ts
@@ -7,6 +7,7 @@
 } from '@lagoonswitch/common'
 import type { CatalogueStore } from '@lagoonswitch/feed'
 import { MoveStatus, type EvidenceRecord, type MoveRecord } from '@lagoonswitch/schema'
+import { FULL_SHARE_PPM } from '../routing/RouteTable.js'
 
 const WINDOW_MS = 250
 /** Accepted probability that one process cuts a healthy version during one move. */
@@ -28,6 +29,8 @@
   readonly startedMs: number
   readonly comparison: VersionComparison
   cutUntilMs: number
+  /** The old version then gets no calls to compare with, and there may be no leader that takes the new one back. */
+  hasFullShare: boolean
 }
 
 /** Collects evidence on moves in progress from the calls that this process sends. */
@@ -130,13 +133,18 @@
     let monitor = this._monitors.get(move.service)
     const hasCutExpired = monitor !== undefined && monitor.cutUntilMs > 0 && !this.isVersionCut(move.service)
     if (monitor === undefined || monitor.startedMs !== move.startedMs || hasCutExpired) {
-      monitor = { startedMs: move.startedMs, comparison: new VersionComparison(), cutUntilMs: 0 }
+      const comparison = new VersionComparison()
+      if (monitor?.startedMs === move.startedMs) comparison.addBaseline(monitor.comparison.listBaseline())
+      monitor = { startedMs: move.startedMs, comparison, cutUntilMs: 0, hasFullShare: false }
       this._monitors.set(move.service, monitor)
     }
+    if (!monitor.hasFullShare && move.sharePpm === FULL_SHARE_PPM) monitor.comparison.resetRegressionTests()
+    monitor.hasFullShare = move.sharePpm === FULL_SHARE_PPM
     const isOldVersion = (version: string): boolean => move.from === '' ? version !== move.to : version === move.from
     const newOutcomes: IOutcomes[] = serviceCounts.filter(counts => counts.version === move.to)
     monitor.comparison.addWindow(newOutcomes, serviceCounts.filter(counts => isOldVersion(counts.version)))
-    const fault = monitor.comparison.findFault(MAX_FALSE_CUT_RATE)
+    const fault = monitor.comparison.findFault(MAX_FALSE_CUT_RATE) ??
+      (monitor.hasFullShare ? monitor.comparison.findFailureRegression(MAX_FALSE_CUT_RATE) : undefined)
     if (fault === undefined || this.isVersionCut(move.service)) return
     monitor.cutUntilMs = this._clock.readMonotonicMs() + CUT_MS
     this._metrics.count('versions_cut_total', fault.kind)
