--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -7,7 +7,7 @@
 import type { ITargetState } from '../routing/TargetPool.js'
 
 const MIN_SERVER_ERROR_STATUS = 500
-/** Calls after which the latency of a target counts as evidence for its version. */
+/** Calls after which a target counts as warm even before its warm-up time is over. */
 const WARMUP_CALLS = 50
 /** Failures that are not the fault of the target. */
 const NEUTRAL_REASONS = new Set<FailureReason>([
@@ -20,7 +20,7 @@
 export class Attempt implements ICallEvents {
   private readonly _startedMs: number
   private _isOutcomeRecorded = false
-  private _isTargetWarm = false
+  private _isTargetWarm: boolean
   private _hasEnded = false
   private _bodyBytes = 0
   /** Time in the slot of the target until the response head, and the time at which the head arrived. */
@@ -35,13 +35,14 @@
     private readonly _events: ICallEvents
   ) {
     this._startedMs = _context.clock.readMonotonicMs()
+    this._isTargetWarm = target.isWarm(this._startedMs)
     _context.pool.recordStart(target)
   }
 
   onHead (status: number, headers: readonly string[], load: ITargetLoad): void {
     if (this._hasEnded) return
     this._context.pool.recordLoad(this.target, load)
-    this._isTargetWarm = load.served > WARMUP_CALLS
+    this._isTargetWarm ||= load.served > WARMUP_CALLS
     this._serviceMs = load.serviceMs
     this._headReceivedMs = this._context.clock.readMonotonicMs()
     const isFailed = status >= MIN_SERVER_ERROR_STATUS
--- a/packages/node/src/routing/TargetState.ts
+++ b/packages/node/src/routing/TargetState.ts
@@ -61,6 +61,11 @@
     return this._failureRate
   }
 
+  /** Tells whether the target has passed the warm-up time that it states. */
+  isWarm (nowMs: number): boolean {
+    return nowMs >= this._warmAtMs
+  }
+
   /** Records whether a call failed because of the target. */
   recordOutcome (isFailure: boolean, nowMs: number): void {
     const rate = this.computeFailureRate(nowMs)
@@ -97,7 +102,7 @@
    */
   recordServiceTime (serviceMs: number, usualMs: number, nowMs: number): void {
     this._averageSlotMs += (serviceMs - this._averageSlotMs) * (this._averageSlotMs === 0 ? 1 : SLOT_TIME_WEIGHT)
-    if (nowMs < this._warmAtMs || usualMs <= 0) return
+    if (!this.isWarm(nowMs) || usualMs <= 0) return
     const slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, serviceMs / usualMs))
     this._slowness += (slowness - this._slowness) * SLOWNESS_WEIGHT
   }
@@ -143,7 +148,7 @@
    */
   computeServiceMs (usualMs: number, nowMs: number): number {
     const load = Math.min(1, this.countActive(nowMs) / Math.max(1, this.record.slots))
-    const coldFactor = nowMs < this._warmAtMs ? COLD_FACTOR : 1
+    const coldFactor = this.isWarm(nowMs) ? 1 : COLD_FACTOR
     const known = usualMs > 0 ? usualMs * this._slowness : this.latencyMs
     const base = known > 0 ? known : DEFAULT_SERVICE_MS
     return base * coldFactor * (1 + FULL_LOAD_SLOWDOWN * load)
