--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -165,6 +165,19 @@
   expect(world.getMove().sharePpm).toBe(planOrderedSteps(0, ORDERED_MOVE_DURATION_S * 650, 160_000, 0.3, EXPOSURE_LIMIT)[1]?.sharePpm)
 })
 
+test('small share is lowered when the call rate rises, and not raised when it falls', async () => {
+  const planShare = (callsPerMs: number): number | undefined =>
+    planOrderedSteps(0, ORDERED_MOVE_DURATION_S * 650, 160_000, callsPerMs, EXPOSURE_LIMIT)[1]?.sharePpm
+  world.startOrder(ORDERED_MOVE_DURATION_S)
+  await world.runOrdered(4, undefined, 80)
+  expect(world.getMove().sharePpm).toBe(planShare(0.08))
+  await world.runOrdered(3, undefined, 400)
+  expect(world.getMove().sharePpm).toBeLessThanOrEqual((planShare(0.4) ?? 0) * 1.5)
+  const lowered = world.getMove().sharePpm
+  await world.runOrdered(2, undefined, 80)
+  expect(world.getMove().sharePpm).toBe(lowered)
+})
+
 test('targets that start late get a small share before the full one', async () => {
   world.startOrder(ORDERED_MOVE_DURATION_S, false)
   await world.runOrdered(ORDERED_MOVE_DURATION_S * 0.7)
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -43,6 +43,8 @@
 /** Probability of a false alarm in each test of the old version; such an alarm only spares the new one. */
 const COMMON_REGRESSION_FALSE_ALARM_RATE = 0.2
 const DEFAULT_WATCH_MS = 600_000
+/** The small share of an ordered move is lowered once it is this many times the planned one, so that it does not follow each change. */
+const LOWERED_SHARE_RATIO = 1.5
 const MS_PER_SECOND = 1_000
 
 /** Dependencies of a {@link MoveController}. */
@@ -238,6 +240,8 @@
   }
 
   private _decideStep (move: MoveRecord, openMove: OpenMove, nowMs: number): MoveCommand | undefined {
+    const lowered = this._lowerShare(move, openMove)
+    if (lowered !== undefined) return lowered
     const entry = this._options.store.view.entries.get(move.service)
     const steps = this._planSteps(move, openMove, entry)
     const next = steps.find(step => step.sharePpm > move.sharePpm)
@@ -267,10 +271,20 @@
     const steps = planOrderedSteps(
       move.startedMs, move.byMs, move.firstSharePpm, openMove.computeRecentCallsPerMs(), this._options.exposure,
       Math.max(move.startedMs, openMove.firstWindowStartMs))
-    // The call rate changes all the time; the share that was chosen from it does not.
+    // The call rate changes all the time; the share that was chosen from it is not raised again.
     return move.sharePpm > ORDERED_LOW_SHARE_PPM ? steps.slice(-1) : steps
   }
 
+  /** Lowers the small share of an ordered move if it would expose too many calls at the present call rate. */
+  private _lowerShare (move: MoveRecord, openMove: OpenMove): MoveCommand | undefined {
+    if (!move.ordered || move.sharePpm <= ORDERED_LOW_SHARE_PPM) return undefined
+    const steps = planOrderedSteps(
+      move.startedMs, move.byMs, move.firstSharePpm, openMove.computeRecentCallsPerMs(), this._options.exposure)
+    const plannedPpm = steps.at(-2)?.sharePpm ?? ORDERED_LOW_SHARE_PPM
+    if (plannedPpm * LOWERED_SHARE_RATIO > move.sharePpm) return undefined
+    return this._createCommand(move, move.status, plannedPpm, 'the call rate has risen')
+  }
+
   private _findObstacle (
     move: MoveRecord, openMove: OpenMove, steps: readonly IMoveStep[], isTimePreferred: boolean
   ): string | undefined {
