--- a/bench/harness.mjs
+++ b/bench/harness.mjs
@@ -2,7 +2,7 @@
  * Contains the harness of the benchmarks and process tests: reserves free loopback ports, and starts and stops processes.
  */
 import { spawn } from 'node:child_process'
-import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdirSync, mkdtempSync, readFileSync, rmSync, rmdirSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
@@ -41,16 +41,36 @@
 function reservePort (port) {
   mkdirSync(RESERVATIONS_FOLDER, { recursive: true })
   const file = join(RESERVATIONS_FOLDER, String(port))
+  const isReserved = createReservation(file) || replaceReservation(file)
+  if (isReserved) reservationFiles.push(file)
+  return isReserved
+}
+
+function createReservation (file) {
   try {
     writeFileSync(file, String(process.pid), { flag: 'wx' })
+    return true
+  } catch {
+    return false
+  }
+}
+
+/** Takes over the reservation of an ended process, one process at a time: another one would delete the new reservation. */
+function replaceReservation (file) {
+  const lock = `${file}.lock`
+  try {
+    mkdirSync(lock)
   } catch {
+    return false
+  }
+  try {
     const ownerPid = readOwnerPid(file)
     if (ownerPid === undefined || isAlive(ownerPid)) return false
     rmSync(file, { force: true })
-    return reservePort(port)
+    return createReservation(file)
+  } finally {
+    rmdirSync(lock)
   }
-  reservationFiles.push(file)
-  return true
 }
 
 /** @returns id of the process that reserved a port; undefined while the file is being written */
