A call that passes its latency objective is evidence before it has ended

Cause: slow calls were seen only when they had ended. At the end of the small share they were all still running (34 new calls seen, 'evidence is clean'), and at the full share it took 1.75 and 2.5 s until enough of them had ended.

Change: each call is judged once, when its response arrives or when it passes the latency objective of its route, and both versions are compared by that as they are by failures; each of the two comparisons gets half of the probability of a false alarm. Calls on a cold target or on a route without an objective are not judged.

--- a/bench/short-moves.mjs
+++ b/bench/short-moves.mjs
@@ -26,6 +26,8 @@
 const MAX_ROLLBACK_DECISION_MS = 4_500
 const ROUTES = [{ name: 'browse', weight: 0.77, ms: 220, failure: 0.001 }, { name: 'reserve', weight: 0.23, ms: 290, failure: 0.004 }]
 const LOG_NORMAL_SIGMA = 0.8
+/** Latency objective of a route relative to its usual latency. */
+const OBJECTIVE_RATIO = 2.7
 
 const SCENARIOS = {
   good: () => ({}),
@@ -56,18 +58,47 @@
   const tookMs = route.ms * LATENCY_FACTOR *
     Math.exp(LOG_NORMAL_SIGMA * drawStandardNormal(random) - LOG_NORMAL_SIGMA ** 2 / 2) * (effect.slow ?? 1)
   const isFailed = effect.isFailed === true || random.draw() < route.failure
-  return { isNew, route: route.name, target, endMs: nowMs + tookMs, tookMs, isFailed, isBad: effect.isBad === true }
+  const objectiveMs = route.ms * OBJECTIVE_RATIO
+  return {
+    isNew,
+    route: route.name,
+    target,
+    endMs: nowMs + tookMs,
+    judgedMs: nowMs + Math.min(tookMs, objectiveMs),
+    isOverdue: tookMs > objectiveMs,
+    tookMs,
+    isFailed,
+    isBad: effect.isBad === true
+  }
 }
 
-function toRecords (calls) {
+function toRecords ({ endedCalls, judgedCalls }) {
   const records = new Map()
-  for (const { isNew, route, target, isFailed, tookMs } of calls) {
+  const ensureRecord = ({ isNew, route, target }) => {
     const targetId = `${isNew ? 'new' : 'old'}-${target}`
     const key = `${route} ${targetId}`
     const record = records.get(key) ?? {
-      service: 'desk', version: isNew ? 'v2' : 'v1', route, targetId, calls: 0, failures: 0, latency: { buckets: [], counts: [] }
+      service: 'desk',
+      version: isNew ? 'v2' : 'v1',
+      route,
+      targetId,
+      calls: 0,
+      failures: 0,
+      latency: { buckets: [], counts: [] },
+      judged: 0,
+      overdue: 0
     }
     records.set(key, record)
+    return record
+  }
+  for (const call of judgedCalls) {
+    const record = ensureRecord(call)
+    record.judged++
+    if (call.isOverdue) record.overdue++
+  }
+  for (const call of endedCalls) {
+    const { isFailed, tookMs } = call
+    const record = ensureRecord(call)
     record.calls++
     if (isFailed) record.failures++
     record.latency.buckets.push(computeBucket(tookMs))
@@ -110,6 +141,7 @@
   })
   const shares = []
   let unfinishedCalls = []
+  let unjudgedCalls = []
   const delayedEvidence = []
   const result = { exposed: 0, total: 0, bad: 0, afterFiftieth: undefined, doneAt: undefined, backAt: undefined }
   for (let window = 0; window * WINDOW_MS < MOVE_S * 1_000; window++) {
@@ -118,6 +150,7 @@
     for (let call = 0; call < CALLS_PER_S * WINDOW_MS / 1_000; call++) {
       const drawn = drawCall(random, scenario, nowMs + random.draw() * WINDOW_MS, share)
       unfinishedCalls.push(drawn)
+      unjudgedCalls.push(drawn)
       result.total++
       if (drawn.isNew) result.exposed++
     }
@@ -127,7 +160,9 @@
     unfinishedCalls = unfinishedCalls.filter(call => call.endMs > endMs)
     result.bad += endedCalls.filter(call => call.isBad).length
     if (result.bad >= 50) result.afterFiftieth ??= nowMs
-    delayedEvidence.push(endedCalls)
+    const judgedCalls = unjudgedCalls.filter(call => call.judgedMs <= endMs)
+    unjudgedCalls = unjudgedCalls.filter(call => call.judgedMs > endMs)
+    delayedEvidence.push({ endedCalls, judgedCalls })
     if (delayedEvidence.length > EVIDENCE_DELAY_WINDOWS) controller.addEvidence(toRecords(delayedEvidence.shift()))
     await controller.decide()
     const move = store.getMove('desk')
--- a/packages/common/src/evidence/Evidence.test.ts
+++ b/packages/common/src/evidence/Evidence.test.ts
@@ -1,7 +1,9 @@
 import { expect, test } from 'vitest'
 import { SeededRandom } from '../Random.js'
 import { SequentialTest } from './SequentialTest.js'
-import { VersionComparison, type IOutcomes } from './VersionComparison.js'
+import { MoveComparison } from './MoveComparison.js'
+import { type IOutcomes } from './OutcomeSums.js'
+import { VersionComparison } from './VersionComparison.js'
 import { computeBucket, computeBucketEndMs, LATENCY_BUCKETS } from './LatencyScale.js'
 
 const ALPHA = 0.05
@@ -108,6 +110,26 @@
     expect(second.hasRegressed(0.05)).toBe(isFound)
   })
 
+test.each([[0.5, true], [0.1, false]])('calls that pass the latency objective show a slow version before they end: %d of them', (rate, isFound) => {
+  const comparison = new MoveComparison()
+  for (let window = 0; window < 12; window++) {
+    const overdue = Math.round(10 * rate)
+    comparison.addWindow([{ ...createOutcomes('n1', 0, 0), judged: 10, overdue }], [{ ...createOutcomes('o1', 50, 0), judged: 50, overdue: 5 }])
+  }
+  expect(comparison.findFault(0.01)?.kind).toBe(isFound ? 'latency' : undefined)
+  expect(comparison.getNewCalls()).toBe(0)
+})
+
+test('baseline carries the calls that passed the latency objective', () => {
+  const first = new MoveComparison()
+  first.addWindow([{ ...createOutcomes('n1', 5, 0), judged: 5 }], [{ ...createOutcomes('o1', 400, 0), judged: 400, overdue: 40 }])
+  const second = new MoveComparison()
+  second.addBaseline(first.listBaseline())
+  expect(second.listBaseline()).toEqual(first.listBaseline())
+  for (let window = 0; window < 4; window++) second.addWindow([{ ...createOutcomes('n1', 1, 0), judged: 15, overdue: 8 }], [])
+  expect(second.hasRegressed(0.05)).toBe(true)
+})
+
 test('baseline of many calls keeps its rates within 32 bits', () => {
   const comparison = new VersionComparison()
   comparison.addWindow([createOutcomes('n1', 1, 0)], [createOutcomes('o1', 8_000_000_000, 2_000_000_000)])
--- a/packages/common/src/evidence/OutcomeSums.ts
+++ b/packages/common/src/evidence/OutcomeSums.ts
@@ -10,6 +10,10 @@
   readonly failures: number
   /** Calls by latency bucket. */
   readonly latency: ReadonlyMap<number, number>
+  /** Calls that have ended within the latency objective or have passed it; those that run on are not in `calls` yet. */
+  readonly judged?: number
+  /** Calls that have passed the latency objective. */
+  readonly overdue?: number
 }
 
 /** Calls of one version, added up over routes and targets. */
--- a/packages/common/src/evidence/VersionComparison.ts
+++ b/packages/common/src/evidence/VersionComparison.ts
@@ -218,6 +218,12 @@
   private _newCalls = 0
   private _oldCalls = 0
 
+  /**
+   * @param _eventKind - kind of fault that a failure is here
+   * @param _eventName - what a failed call has done
+   */
+  constructor (private readonly _eventKind: IVersionFault['kind'] = 'failures', private readonly _eventName = 'failed') {}
+
   /**
    * Adds the outcomes of one window.
    * @param newOutcomes - calls to the new version
@@ -324,10 +330,10 @@
       const kind = comparison.findFaultKind(route === ALL_ROUTES ? alpha / 2 : testAlpha, testAlpha)
       if (kind === undefined) continue
       const detail = kind === 'failures'
-        ? `${comparison.newFailures} of ${comparison.newCalls} calls failed, ` +
+        ? `${comparison.newFailures} of ${comparison.newCalls} calls ${this._eventName}, ` +
           `${comparison.oldFailures} of ${comparison.oldCalls} on the old version`
         : `slower than the old version in ${comparison.newCalls} calls`
-      return { place: formatPlace(route), kind, detail }
+      return { place: formatPlace(route), kind: kind === 'failures' ? this._eventKind : kind, detail }
     }
     return undefined
   }
--- a/packages/control/src/moves/OpenMove.ts
+++ b/packages/control/src/moves/OpenMove.ts
@@ -1,7 +1,7 @@
 /**
  * What the leader knows about one open move: the outcomes of calls since it first handled the move, and the probe in progress.
  */
-import { VersionComparison, type IClock, type IOutcomes } from '@lagoonswitch/common'
+import { MoveComparison, type IClock, type IOutcomes } from '@lagoonswitch/common'
 import type { EvidenceRecord, MoveRecord } from '@lagoonswitch/schema'
 import { FULL_SHARE_PPM } from './MoveSchedule.js'
 import { FAULT_DETECTION_MS } from './OrderedSchedule.js'
@@ -27,7 +27,7 @@
 
 /** Evidence on a move, which only the leader that collected it has. */
 export class OpenMove {
-  readonly comparison = new VersionComparison()
+  readonly comparison = new MoveComparison()
   /** Wall time of the start of the move; distinguishes it from other moves of the same service. */
   readonly startedMs: number
   /** Time from which on this process has received evidence, on the scale of {@link readTimeMs}. */
@@ -102,14 +102,16 @@
 
   /** @returns the old version's outcomes, which the next leader needs */
   listBaseline (move: MoveRecord): EvidenceRecord[] {
-    return this.comparison.listBaseline().map(({ route, targetId, calls, failures, latency }) => ({
+    return this.comparison.listBaseline().map(({ route, targetId, calls, failures, latency, judged = 0, overdue = 0 }) => ({
       service: move.service,
       version: move.from,
       route,
       targetId,
       calls,
       failures,
-      latency: { buckets: [...latency.keys()], counts: [...latency.values()] }
+      latency: { buckets: [...latency.keys()], counts: [...latency.values()] },
+      judged,
+      overdue
     }))
   }
 
@@ -150,5 +152,6 @@
   for (const [index, bucket] of (record.latency?.buckets ?? []).entries()) {
     latency.set(bucket, record.latency?.counts[index] ?? 0)
   }
-  return { route: record.route, targetId: record.targetId, calls: record.calls, failures: record.failures, latency }
+  const { route, targetId, calls, failures, judged, overdue } = record
+  return { route, targetId, calls, failures, latency, judged, overdue }
 }
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -3,6 +3,7 @@
  */
 import type { ICallContext } from './CallContext.js'
 import type { FailureReason, ICallEvents, ICallFailure, ICallHandle, ITargetLoad } from './CallTypes.js'
+import type { IAwaitedAttempt } from '../moves/EvidenceCollector.js'
 import type { ICompiledRoute } from '../routing/RouteTable.js'
 import type { ITargetState } from '../routing/TargetPool.js'
 
@@ -22,6 +23,8 @@
   private _isOutcomeRecorded = false
   private _isTargetWarm: boolean
   private _hasEnded = false
+  /** Set while the latency objective of the route can judge the attempt. */
+  private readonly _awaited: IAwaitedAttempt | undefined
   private _bodyBytes = 0
   /** Time in the slot of the target until the response head, and the time at which the head arrived. */
   private _serviceMs = 0
@@ -36,6 +39,9 @@
   ) {
     this._startedMs = _context.clock.readMonotonicMs()
     this._isTargetWarm = target.isWarm(this._startedMs)
+    if (this._isTargetWarm && _route.objectiveMs > 0) {
+      this._awaited = _context.evidence.awaitResponse(target.record, _route.key, this._startedMs + _route.objectiveMs)
+    }
     _context.pool.recordStart(target)
   }
 
@@ -100,7 +106,9 @@
     this._context.pool.recordEnd(this.target, outcome, latencyMs)
     this._context.metrics.getLatencyFamily('attempt_duration', 'target').record(this.target.record.targetId, latencyMs)
     this._context.metrics.count('attempts_total', outcome)
-    if (outcome === 'neutral' || !isVersionEvidence) return
+    const isEvidence = outcome !== 'neutral' && isVersionEvidence
+    if (this._awaited !== undefined) this._context.evidence.recordResponse(this._awaited, isEvidence)
+    if (!isEvidence) return
     const { service, version, targetId } = this.target.record
     this._context.evidence.recordOutcome(service, version, this._route.key, targetId, outcome === 'failed',
       this._isTargetWarm ? latencyMs : undefined)
--- a/packages/node/src/moves/EvidenceCollector.test.ts
+++ b/packages/node/src/moves/EvidenceCollector.test.ts
@@ -1,7 +1,7 @@
 import { beforeEach, expect, test } from 'vitest'
 import { ManualClock, Metrics, NullLog } from '@lagoonswitch/common'
 import { CatalogueStore } from '@lagoonswitch/feed'
-import { MoveRecord, MoveStatus } from '@lagoonswitch/schema'
+import { EndpointRecord, MoveRecord, MoveStatus } from '@lagoonswitch/schema'
 import { EvidenceCollector } from './EvidenceCollector.js'
 
 const CUT_MS = 15_000
@@ -92,6 +92,29 @@
   expect(collector.isVersionCut('desk')).toBe(false)
 })
 
+test('attempt that passes its latency objective is reported before it ends, and once', async () => {
+  const target = EndpointRecord.fromPartial({ service: 'desk', version: 'v2', targetId: 'n1' })
+  const slow = collector.awaitResponse(target, 'r', clock.readMonotonicMs() + 300)
+  const fast = collector.awaitResponse(target, 'r', clock.readMonotonicMs() + 300)
+  const cancelled = collector.awaitResponse(target, 'r', clock.readMonotonicMs() + 300)
+  await clock.advance(100)
+  if (fast !== undefined) collector.recordResponse(fast, true)
+  if (cancelled !== undefined) collector.recordResponse(cancelled, false)
+  collector.endWindow()
+  expect(collector.takeEvidence()).toMatchObject([{ version: 'v2', calls: 0, judged: 1, overdue: 0 }])
+  await clock.advance(200)
+  collector.endWindow()
+  expect(collector.takeEvidence()).toMatchObject([{ calls: 0, judged: 1, overdue: 1 }])
+  if (slow !== undefined) collector.recordResponse(slow, true)
+  expect(collector.takeEvidence()).toEqual([])
+})
+
+test('attempt is not judged while no move is open', () => {
+  store.commitRecords({ epoch: 1, version: 3 }, [], [{ ...MOVE, status: MoveStatus.MOVE_STATUS_DONE, version: 3 }])
+  const target = EndpointRecord.fromPartial({ service: 'desk', version: 'v2', targetId: 'n1' })
+  expect(collector.awaitResponse(target, 'r', 0)).toBeUndefined()
+})
+
 test('evidence is reported once and only for moves in progress', () => {
   addWindow(5)
   const records = collector.takeEvidence()
--- a/packages/node/src/moves/EvidenceCollector.ts
+++ b/packages/node/src/moves/EvidenceCollector.ts
@@ -3,10 +3,10 @@
  * VMs.
  */
 import {
-  VersionComparison, computeBucket, type IClock, type IDisposable, type ILog, type IOutcomes, type Metrics
+  MoveComparison, computeBucket, type IClock, type IDisposable, type ILog, type IOutcomes, type Metrics
 } from '@lagoonswitch/common'
 import type { CatalogueStore } from '@lagoonswitch/feed'
-import { MoveStatus, type EvidenceRecord, type MoveRecord } from '@lagoonswitch/schema'
+import { MoveStatus, type EndpointRecord, type EvidenceRecord, type MoveRecord } from '@lagoonswitch/schema'
 import { FULL_SHARE_PPM } from '../routing/RouteTable.js'
 
 const WINDOW_MS = 250
@@ -23,11 +23,23 @@
   calls: number
   failures: number
   latency: Map<number, number>
+  judged: number
+  overdue: number
+}
+
+/** An attempt whose response is awaited, and which its latency objective judges. */
+export interface IAwaitedAttempt {
+  readonly service: string
+  readonly version: string
+  readonly route: string
+  readonly targetId: string
+  /** Monotonic time at which it passes the objective. */
+  readonly overdueAtMs: number
 }
 
 interface IMoveMonitor {
   readonly startedMs: number
-  readonly comparison: VersionComparison
+  readonly comparison: MoveComparison
   cutUntilMs: number
   /** The old version then gets no calls to compare with, and there may be no leader that takes the new one back. */
   hasFullShare: boolean
@@ -37,6 +49,7 @@
 export class EvidenceCollector implements IDisposable {
   private _windowCounts = new Map<string, IOutcomeCounts>()
   private _unreported = new Map<string, IOutcomeCounts>()
+  private readonly _awaited = new Set<IAwaitedAttempt>()
   private readonly _monitors = new Map<string, IMoveMonitor>()
   private readonly _stopping = new AbortController()
 
@@ -65,20 +78,37 @@
     service: string, version: string, route: string, targetId: string, isFailure: boolean,
     latencyMs: number | undefined
   ): void {
-    if (!isMoveOpen(this._store.getMove(service))) return
-    const key = `${service}\n${version}\n${route}\n${targetId}`
     const bucket = latencyMs === undefined ? undefined : computeBucket(latencyMs)
-    // Outcomes are reported to the control VMs with the next report, independently of the local window.
-    for (const outcomes of [this._windowCounts, this._unreported]) {
-      let counts = outcomes.get(key)
-      if (counts === undefined) {
-        counts = { service, version, route, targetId, calls: 0, failures: 0, latency: new Map() }
-        outcomes.set(key, counts)
-      }
+    this._addToCounts({ service, version, route, targetId }, counts => {
       counts.calls++
       if (isFailure) counts.failures++
       if (bucket !== undefined) counts.latency.set(bucket, (counts.latency.get(bucket) ?? 0) + 1)
-    }
+    })
+  }
+
+  /**
+   * Takes note of an attempt, which is judged once it passes its latency objective or {@link recordResponse} is called.
+   * @param target - that the attempt was sent to
+   * @param route - key of the route
+   * @param overdueAtMs - monotonic time at which it passes the objective
+   * @returns the attempt, or undefined if no move of the service is open
+   */
+  awaitResponse ({ service, version, targetId }: EndpointRecord, route: string, overdueAtMs: number): IAwaitedAttempt | undefined {
+    if (!isMoveOpen(this._store.getMove(service))) return undefined
+    const attempt = { service, version, route, targetId, overdueAtMs }
+    this._awaited.add(attempt)
+    return attempt
+  }
+
+  /**
+   * Judges an attempt by its latency objective, unless it was judged before.
+   * @param attempt - whose response has arrived, or which has ended
+   * @param isJudged - false if it ended for a reason that says nothing about its target
+   */
+  recordResponse (attempt: IAwaitedAttempt, isJudged: boolean): void {
+    if (!this._awaited.delete(attempt)) return
+    const isOverdue = this._clock.readMonotonicMs() >= attempt.overdueAtMs
+    if (isJudged || isOverdue) this._judge(attempt, isOverdue)
   }
 
   /**
@@ -100,7 +130,9 @@
       targetId: counts.targetId,
       calls: counts.calls,
       failures: counts.failures,
-      latency: { buckets: [...counts.latency.keys()], counts: [...counts.latency.values()] }
+      latency: { buckets: [...counts.latency.keys()], counts: [...counts.latency.values()] },
+      judged: counts.judged,
+      overdue: counts.overdue
     }))
     this._unreported.clear()
     return records
@@ -108,6 +140,7 @@
 
   /** Evaluates the current window and starts a new one; called periodically, and directly by tests. */
   endWindow (): void {
+    this._judgeOverdue()
     const window = this._windowCounts
     this._windowCounts = new Map()
     for (const move of this._store.view.moves.values()) {
@@ -120,6 +153,39 @@
     this._stopping.abort()
   }
 
+  /** Judges the attempts that have passed their latency objective without a response. */
+  private _judgeOverdue (): void {
+    const nowMs = this._clock.readMonotonicMs()
+    for (const attempt of this._awaited) {
+      if (nowMs < attempt.overdueAtMs) continue
+      this._awaited.delete(attempt)
+      this._judge(attempt, true)
+    }
+  }
+
+  private _judge (attempt: IAwaitedAttempt, isOverdue: boolean): void {
+    this._addToCounts(attempt, counts => {
+      counts.judged++
+      if (isOverdue) counts.overdue++
+    })
+  }
+
+  /** Outcomes are reported to the control VMs with the next report, independently of the local window. */
+  private _addToCounts (
+    { service, version, route, targetId }: Omit<IAwaitedAttempt, 'overdueAtMs'>, add: (counts: IOutcomeCounts) => void
+  ): void {
+    if (!isMoveOpen(this._store.getMove(service))) return
+    const key = `${service}\n${version}\n${route}\n${targetId}`
+    for (const outcomes of [this._windowCounts, this._unreported]) {
+      let counts = outcomes.get(key)
+      if (counts === undefined) {
+        counts = { service, version, route, targetId, calls: 0, failures: 0, latency: new Map(), judged: 0, overdue: 0 }
+        outcomes.set(key, counts)
+      }
+      add(counts)
+    }
+  }
+
   private async _run (): Promise<void> {
     while (!this._stopping.signal.aborted) {
       await this._clock.waitTick(WINDOW_MS)
@@ -133,7 +199,7 @@
     let monitor = this._monitors.get(move.service)
     const hasCutExpired = monitor !== undefined && monitor.cutUntilMs > 0 && !this.isVersionCut(move.service)
     if (monitor === undefined || monitor.startedMs !== move.startedMs || hasCutExpired) {
-      const comparison = new VersionComparison()
+      const comparison = new MoveComparison()
       if (monitor?.startedMs === move.startedMs) comparison.addBaseline(monitor.comparison.listBaseline())
       monitor = { startedMs: move.startedMs, comparison, cutUntilMs: 0, hasFullShare: false }
       this._monitors.set(move.service, monitor)
