The small share is not lowered in a second without calls

Found on reading: without calls in the last second the planned share is the lowest one, so a pause of the callers, or of the evidence, would have lowered the share to 2% for the rest of the order. The extended test failed before (2.0% in place of 5.8%).

--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -174,7 +174,8 @@
   await world.runOrdered(3, undefined, 400)
   expect(world.getMove().sharePpm).toBeLessThanOrEqual((planShare(0.4) ?? 0) * 1.5)
   const lowered = world.getMove().sharePpm
-  await world.runOrdered(2, undefined, 80)
+  await world.runOrdered(1, undefined, 80)
+  await world.runOrdered(2, undefined, 0)
   expect(world.getMove().sharePpm).toBe(lowered)
 })
 
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -277,9 +277,9 @@
 
   /** Lowers the small share of an ordered move if it would expose too many calls at the present call rate. */
   private _lowerShare (move: MoveRecord, openMove: OpenMove): MoveCommand | undefined {
-    if (!move.ordered || move.sharePpm <= ORDERED_LOW_SHARE_PPM) return undefined
-    const steps = planOrderedSteps(
-      move.startedMs, move.byMs, move.firstSharePpm, openMove.computeRecentCallsPerMs(), this._options.exposure)
+    const callsPerMs = openMove.computeRecentCallsPerMs()
+    if (!move.ordered || move.sharePpm <= ORDERED_LOW_SHARE_PPM || callsPerMs === 0) return undefined
+    const steps = planOrderedSteps(move.startedMs, move.byMs, move.firstSharePpm, callsPerMs, this._options.exposure)
     const plannedPpm = steps.at(-2)?.sharePpm ?? ORDERED_LOW_SHARE_PPM
     if (plannedPpm * LOWERED_SHARE_RATIO > move.sharePpm) return undefined
     return this._createCommand(move, move.status, plannedPpm, 'the call rate has risen')
