A control VM that is not ready to lead collects no evidence

Found on reading: a leader that is not ready yet opened each move anew every 250 ms, since each decision forgets the moves of a process that does not lead, and would have logged move_opened as often. Such evidence is counted as dropped, with the reason not-ready.

--- a/packages/control/src/moves/LeaderChanges.test.ts
+++ b/packages/control/src/moves/LeaderChanges.test.ts
@@ -1,7 +1,7 @@
 /**
  * Orders whose leader changes, loses its quorum or reads another time of day.
  */
-import { beforeEach, expect, test } from 'vitest'
+import { beforeEach, expect, test, vi } from 'vitest'
 import { MoveCommand, MoveStatus } from '@lagoonswitch/schema'
 import { EXPOSURE_LIMIT, MoveHarness, ORDERED_MOVE_DURATION_S, type IFailureRates } from '../testing/MoveHarness.js'
 import { FULL_SHARE_PPM } from './MoveSchedule.js'
@@ -124,6 +124,17 @@
   expect(world.getMove().sharePpm).toBe(planned)
 })
 
+test('control VM that is not ready to lead opens no move', async () => {
+  const opened = vi.spyOn(world.log, 'info')
+  world.startOrder(ORDERED_MOVE_DURATION_S)
+  world.isLeader = false
+  await world.runOrdered(1)
+  expect(opened).not.toHaveBeenCalled()
+  world.isLeader = true
+  await world.runOrdered(1)
+  expect(opened.mock.calls.filter(([event]) => event === 'move_opened').length).toBe(1)
+})
+
 test('share stays low while a leader sees no calls', async () => {
   world.startOrder(ORDERED_MOVE_DURATION_S)
   await world.runOrdered(ORDERED_MOVE_DURATION_S * 0.6, undefined, 0)
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -83,10 +83,14 @@
   }
 
   /**
-   * Adds outcomes of calls to the current window.
+   * Adds outcomes of calls to the current window, if this process leads.
    * @param records - outcomes since the last report of each node
    */
   addEvidence (records: readonly EvidenceRecord[]): void {
+    if (!this._options.isLeader()) {
+      this._options.metrics.count('evidence_dropped_total', 'not-ready', records.length)
+      return
+    }
     for (const record of records) {
       const move = this._options.store.getMove(record.service)
       if (move === undefined || !isMoveOpen(move)) continue
--- a/packages/control/src/testing/MoveHarness.ts
+++ b/packages/control/src/testing/MoveHarness.ts
@@ -28,6 +28,8 @@
   readonly machine = new CatalogueStateMachine(this.store)
   readonly endpoints = new EndpointView()
   hasQuorum = true
+  isLeader = true
+  readonly log = new NullLog()
   /** Latest command that was not committed. */
   rejectedCommand: Uint8Array = new Uint8Array()
   controller = this._createController()
@@ -122,12 +124,12 @@
   private _createController (): MoveController {
     return new MoveController({
       clock: this.clock,
-      log: new NullLog(),
+      log: this.log,
       metrics: new Metrics(),
       store: this.store,
       endpoints: this.endpoints,
       exposure: EXPOSURE_LIMIT,
-      isLeader: () => true,
+      isLeader: () => this.isLeader,
       propose: async command => {
         if (this.hasQuorum) this.machine.apply(command)
         else this.rejectedCommand = command
