--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -58,6 +58,8 @@
   readonly isKeyed: boolean
   /** True if a call may be sent again although it may have run. */
   readonly isRetryable: boolean
+  /** True if responses are declared as large. */
+  readonly isBulk: boolean
 }
 
 /** Compiled routes by their declarations; most stay valid from one version to the next. */
@@ -167,7 +169,8 @@
       deadlineMs: Math.min(MAX_TIMER_MS, parseDurationMs(route.deadline ?? entry.limits.deadline) ?? DEFAULT_DEADLINE_MS),
       callClass: CLASS_NUMBERS[route.class ?? entry.class],
       isKeyed: route.idempotency === 'keyed',
-      isRetryable: route.idempotency === 'safe' || route.idempotency === 'idempotent'
+      isRetryable: route.idempotency === 'safe' || route.idempotency === 'idempotent',
+      isBulk: route.bulk === true
     }
     // Not cached if a part is missing because its service is not in the catalogue yet.
     if (parts.length === listWeightedServices(entry, route).filter(({ weight }) => weight > 0).length) COMPILED_ROUTES.set(route, compiled)
--- a/packages/schema/src/catalogue/EntrySchema.ts
+++ b/packages/schema/src/catalogue/EntrySchema.ts
@@ -29,6 +29,8 @@
    * single-try: runs at most once without a key, so it is never retried once it may have run.
    */
   idempotency: z.enum(['safe', 'idempotent', 'keyed', 'single-try']),
+  /** True if responses are large, such as downloads; their bytes yield to those of other calls on the links between processes. */
+  bulk: z.boolean().optional(),
   service: NAME.optional(),
   /** Services among which the calls are split by weight, instead of one service. */
   parts: z.array(WEIGHTED_SERVICE).min(1).optional(),
--- a/tests/Floods.test.ts
+++ b/tests/Floods.test.ts
@@ -4,12 +4,11 @@
 import { request, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { setFlagsFromString } from 'node:v8'
-import { runInNewContext } from 'node:vm'
 import { afterEach, beforeAll, beforeEach, expect, test } from 'vitest'
 import { FLOW_WINDOW_BYTES } from '@lagoonswitch/node'
 import { PlatformDialect } from '@lagoonswitch/platform'
 import { Flood, onRequestHead } from './support/Flood.js'
+import { measureHeldBytes } from './support/Memory.js'
 import { DESK, World, waitFor, type IResponse } from './support/World.js'
 
 const DEADLINE_MS = 2_000
@@ -256,21 +255,6 @@
   })
 }
 
-/** Measures memory in use without garbage; freed memory is deducted only some time after the collection. */
-async function measureHeldBytes (): Promise<number> {
-  setFlagsFromString('--expose-gc')
-  const collect = runInNewContext('gc') as () => void
-  let held = Infinity
-  for (let sample = 0; sample < 4; sample++) {
-    collect()
-    await sleep(100)
-    collect()
-    const { heapUsed, arrayBuffers } = process.memoryUsage()
-    held = Math.min(held, heapUsed + arrayBuffers)
-  }
-  return held
-}
-
 test.each(BODIES)('endless body is cut at the deadline for a fast reader: %s', async (_name, start, pattern) => {
   await addTarget('t1', (socket, id) => flood(socket, start.replace('ID', id), pattern))
   const reading = readResponse(false)
