Weighted routes and moves: balanced draws

A part of a route could be off by more than 0.03 of its weight in 300 calls, since each call was drawn by itself; so was the share of a move. Cause: independent random draws. Each node now follows a sequence that covers the interval evenly, from a random start.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -16,6 +16,7 @@
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { CallerWaitEstimator } from './routing/CallerWaitEstimator.js'
+import { BalancedDraws } from './routing/BalancedDraws.js'
 import { OwnerCallLimiter } from './routing/OwnerCallLimiter.js'
 import { RetryBudget } from './routing/RetryBudget.js'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
@@ -130,6 +131,7 @@
     this._callServer = new CallServer({
       clock,
       random,
+      draws: new BalancedDraws(random),
       log,
       metrics,
       settings,
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -5,6 +5,7 @@
 import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
+import type { BalancedDraws } from '../routing/BalancedDraws.js'
 import type { CallerWaitEstimator } from '../routing/CallerWaitEstimator.js'
 import type { OwnerCallLimiter } from '../routing/OwnerCallLimiter.js'
 import type { RetryBudget } from '../routing/RetryBudget.js'
@@ -18,6 +19,8 @@
 export interface ICallContext {
   readonly clock: IClock
   readonly random: IRandom
+  /** Split calls by weight. */
+  readonly draws: BalancedDraws
   readonly log: ILog
   readonly metrics: Metrics
   readonly settings: ISettings
--- a/packages/node/src/calls/TargetPicker.test.ts
+++ b/packages/node/src/calls/TargetPicker.test.ts
@@ -3,6 +3,7 @@
 import { EndpointView } from '@lagoonswitch/feed'
 import { CallClass, EndpointState, type EndpointRecord, type IEntry } from '@lagoonswitch/schema'
 import { TargetPool } from '../routing/TargetPool.js'
+import { BalancedDraws } from '../routing/BalancedDraws.js'
 import type { ICompiledRoute } from '../routing/RouteTable.js'
 import { TargetPicker, type IPickerContext } from './TargetPicker.js'
 
@@ -46,7 +47,7 @@
     metrics: new Metrics(),
     endpoints
   })
-  context = { pool, random: new SeededRandom(3), evidence: { isVersionCut: () => isVersionCut } as unknown as IPickerContext['evidence'] }
+  context = { pool, draws: new BalancedDraws(new SeededRandom(3)), evidence: { isVersionCut: () => isVersionCut } as unknown as IPickerContext['evidence'] }
 })
 
 /** Counts attempts by version over 1,000 calls that each try targets until none is left. */
@@ -76,3 +77,44 @@
   isVersionCut = true
   expect(countTriedVersions().size).toBe(0)
 })
+
+function createWeightedPicker (weights: Readonly<Record<string, number>>): TargetPicker {
+  const split = { from: '', to: '', sharePpm: 0, excluded: '' }
+  const parts = Object.entries(weights)
+    .map(([service, weight]) => ({ service, weight, serviceEntry: {} as IEntry, move: undefined, split }))
+  const totalWeight = parts.reduce((sum, { weight }) => sum + weight, 0)
+  const route = { key: 'r', parts, totalWeight } as unknown as ICompiledRoute
+  return new TargetPicker(context, { route, callClass: CallClass.CALL_CLASS_NORMAL })
+}
+
+function countParts (weights: Readonly<Record<string, number>>, calls: number): Record<string, number> {
+  const counts: Record<string, number> = {}
+  for (let call = 0; call < calls; call++) {
+    const { service } = createWeightedPicker(weights).part
+    counts[service] = (counts[service] ?? 0) + 1
+  }
+  return counts
+}
+
+test('parts of a route get their weights, also after these change between calls', () => {
+  const calls = 300
+  for (const weights of [{ s: 90, t: 10 }, { s: 20, t: 80 }, { s: 0.5, t: 0.5 }, { s: 1, t: 2, u: 3 }]) {
+    const total = Object.values(weights).reduce((sum, weight) => sum + weight, 0)
+    const counts = countParts(weights, calls)
+    for (const [service, weight] of Object.entries(weights)) {
+      expect(Math.abs((counts[service] ?? 0) / calls - weight / total)).toBeLessThan(0.03)
+    }
+  }
+})
+
+test('calls of a part without targets are not moved to another part', () => {
+  addTarget('a', 'v1')
+  let missed = 0
+  for (let call = 0; call < 300; call++) {
+    const picker = createWeightedPicker({ s: 1, t: 1 })
+    const target = picker.pickTarget(0, undefined)
+    expect(target === undefined).toBe(picker.part.service === 't')
+    missed += target === undefined ? 1 : 0
+  }
+  expect(missed).toBeGreaterThan(140)
+})
--- a/packages/node/src/calls/TargetPicker.ts
+++ b/packages/node/src/calls/TargetPicker.ts
@@ -8,7 +8,7 @@
 import type { IPickCriteria, ITargetState, IVersionChoice } from '../routing/TargetPool.js'
 
 /** The part of the call context that the picker uses. */
-export type IPickerContext = Pick<ICallContext, 'pool' | 'random' | 'evidence'>
+export type IPickerContext = Pick<ICallContext, 'pool' | 'draws' | 'evidence'>
 
 /** Picks targets for one call. Service and version are drawn once, so that retries change neither. */
 export class TargetPicker {
@@ -22,7 +22,8 @@
    */
   constructor (private readonly _context: IPickerContext, private readonly _head: Pick<ICallHead, 'route' | 'callClass'>) {
     this.part = this._drawPart()
-    this._versionDraw = _context.random.draw() * FULL_SHARE_PPM
+    const { service, split } = this.part
+    this._versionDraw = split.to === '' ? 0 : _context.draws.draw(`version:${service}`) * FULL_SHARE_PPM
   }
 
   /**
@@ -56,8 +57,8 @@
   }
 
   private _drawPart (): IRoutePart {
-    const { parts, totalWeight } = this._head.route
-    let draw = parts.length === 1 ? 0 : this._context.random.draw() * totalWeight
+    const { key, parts, totalWeight } = this._head.route
+    let draw = parts.length === 1 ? 0 : this._context.draws.draw(`part:${key}`) * totalWeight
     const last = parts[parts.length - 1] as IRoutePart
     return parts.find(part => {
       draw -= part.weight
