--- a/packages/schema/src/settings/SettingTypes.ts
+++ b/packages/schema/src/settings/SettingTypes.ts
@@ -4,7 +4,7 @@
 
 /** Schema of one key. */
 export interface IKeySchema {
-  readonly type: 'string' | 'integer' | 'duration' | 'address' | 'list' | 'enum' | 'members' | 'addresses' | 'flag' | 'ratio'
+  readonly type: 'string' | 'integer' | 'duration' | 'address' | 'list' | 'enum' | 'members' | 'addresses' | 'flag' | 'ratio' | 'quantity'
   readonly description: string
   readonly required?: boolean
   readonly default?: string
--- a/packages/schema/src/settings/SettingsReader.ts
+++ b/packages/schema/src/settings/SettingsReader.ts
@@ -144,6 +144,7 @@
     case 'addresses': return parseAddresses(text)
     case 'flag': return parseFlag(text)
     case 'ratio': return parseRatio(text)
+    case 'quantity': return parseQuantity(text, keySchema)
     case 'enum': return parseChoice(text, keySchema)
     case 'list': return parseList(text, keySchema)
   }
@@ -186,6 +187,15 @@
   return Err({ problem: `'${text}' is not a ratio`, remedy: 'use a number from 0 to 1' })
 }
 
+/** Parses a number that limits something and may be a fraction. A higher one than the maximum limits no more than the maximum does. */
+function parseQuantity (text: string, keySchema: IKeySchema): Result<number, IValueProblem> {
+  const value = Number(text)
+  const min = keySchema.min ?? 0
+  const max = keySchema.max ?? Number.MAX_SAFE_INTEGER
+  if (text !== '' && value >= min) return Ok(Math.min(value, max))
+  return Err({ problem: `'${text}' is not a number from ${min} on`, remedy: `use a number from ${min} to ${max}, such as 2.5` })
+}
+
 function parseFlag (text: string): Result<boolean, IValueProblem> {
   if (text === 'true' || text === 'false') return Ok(text === 'true')
   return Err({ problem: `'${text}' is not a flag`, remedy: 'use true or false' })
--- a/scripts/generate.mjs
+++ b/scripts/generate.mjs
@@ -42,6 +42,7 @@
   switch (keySchema.type) {
     case 'integer':
     case 'ratio':
+    case 'quantity':
     case 'duration': return 'number'
     case 'list': return `Array<${keySchema.values.map(value => `'${value}'`).join(' | ')}>`
     case 'enum': return keySchema.values.map(value => `'${value}'`).join(' | ')
