Storage: an append that is cut short fails

A control VM could acknowledge an entry of which its disk had stored only a part: a write to a disk that fills up stores what fits and reports its length, which was not read. Now the rest is written as well, or the append fails.

--- a/packages/control/src/raft/FileStorage.ts
+++ b/packages/control/src/raft/FileStorage.ts
@@ -51,7 +51,7 @@
     let end = this._recordEnds.at(-1) ?? 0
     const start = end
     const records = entries.map(entry => encodeRecord(LogEntry.encode(entry).finish()))
-    await handle.write(Buffer.concat(records), 0, undefined, start)
+    await writeFully(handle, Buffer.concat(records), start)
     await handle.datasync()
     for (const record of records) {
       end += record.length
@@ -203,6 +203,14 @@
   }
 }
 
+/** Writes all of the data; a single write stores only a part of it on a disk that fills up. */
+async function writeFully (handle: FileHandle, data: Buffer, start: number): Promise<void> {
+  for (let offset = 0; offset < data.length;) {
+    const { bytesWritten } = await handle.write(data, offset, data.length - offset, start + offset)
+    offset += bytesWritten
+  }
+}
+
 async function syncFolder (path: string): Promise<void> {
   const handle = await open(path, 'r')
   try {
