--- a/packages/control/src/raft/Membership.test.ts
+++ b/packages/control/src/raft/Membership.test.ts
@@ -151,3 +151,37 @@
   }
   expect(new Set(cluster.getVm(leader.name).stateMachine.commands).size).toBe(cluster.getVm(leader.name).stateMachine.commands.length)
 })
+
+/** Makes each write of a VM fail, as on a full disk. */
+function fillDisk (name: string): void {
+  cluster.getVm(name).storage.onWrite = async () => { throw new Error('no space left') }
+}
+
+function clearDisk (name: string): void {
+  cluster.getVm(name).storage.onWrite = async () => {}
+}
+
+test('group commits while two disks are full, the leader\'s among them, and both resume', async () => {
+  await cluster.waitFor('five voters', () => countVoters() === 5)
+  const leader = await cluster.waitLeader()
+  const full = [leader.name, listOthers(leader.name)[0] ?? '']
+  for (const name of full) fillDisk(name)
+  const isAcknowledged = await cluster.propose(leader, 'at the full leader')
+  await cluster.waitFor('another leader', () => cluster.findLeader() !== undefined && cluster.findLeader() !== leader)
+  for (let index = 0; index < 5; index++) await propose(`meanwhile ${index}`)
+  if (isAcknowledged) expect(cluster.findLeader()?.stateMachine.commands).toContain('at the full leader')
+  for (const name of full) clearDisk(name)
+  for (const name of full) await waitCommands(cluster.getVm(name), 'meanwhile 4')
+  expect(countVoters()).toBe(5)
+})
+
+test('nothing is acknowledged while most disks are full', async () => {
+  await cluster.waitFor('five voters', () => countVoters() === 5)
+  const leader = await cluster.waitLeader()
+  const full = listOthers(leader.name).slice(0, 3)
+  for (const name of full) fillDisk(name)
+  expect(await cluster.propose(leader, 'too few disks')).toBe(false)
+  for (const name of full) clearDisk(name)
+  await propose('after')
+  for (const name of full) await waitCommands(cluster.getVm(name), 'after')
+})
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -8,6 +8,8 @@
 
 /** After a snapshot the log keeps `snapshotEntries` divided by this, for followers that lag behind the snapshot. */
 const TRAILING_ENTRIES_DIVISOR = 4
+/** Bytes of applied entries after which a snapshot is taken even if they are few, which bounds the log on disk and in memory. */
+const MAX_SNAPSHOT_LOG_BYTES = 16 * 1_048_576
 
 /** Called with the result of a command once its entry is applied. */
 export type AppliedListener = (entry: LogEntry, result: Uint8Array) => void
@@ -32,6 +34,8 @@
   private _appliedIndex = 0
   private _snapshot: ISnapshot | undefined
   private _isSnapshotting = false
+  /** Bytes of the entries that were applied after the last snapshot. */
+  private _appliedBytes = 0
   private _hasFailed = false
 
   constructor (readonly options: IRaftOptions) {}
@@ -163,6 +167,7 @@
       const entry = this.log.getEntry(this._appliedIndex + 1)
       if (entry === undefined) return
       this._appliedIndex++
+      this._appliedBytes += entry.data.length
       const result = entry.kind === LogEntryKind.LOG_ENTRY_KIND_COMMAND
         ? this.options.stateMachine.apply(entry.data)
         : new Uint8Array()
@@ -188,12 +193,14 @@
     this.options.stateMachine.restoreSnapshot(snapshot.state)
     this._snapshot = snapshot
     this._appliedIndex = snapshot.header.lastIndex
+    this._appliedBytes = 0
     this.commitIndex = Math.max(this.commitIndex, this._appliedIndex)
   }
 
   private _startSnapshotIfDue (): void {
     const lastSnapshotIndex = this._snapshot?.header.lastIndex ?? 0
-    if (this._isSnapshotting || this._appliedIndex - lastSnapshotIndex < this.options.snapshotEntries) return
+    const isDue = this._appliedIndex - lastSnapshotIndex >= this.options.snapshotEntries || this._appliedBytes >= MAX_SNAPSHOT_LOG_BYTES
+    if (this._isSnapshotting || !isDue) return
     this._isSnapshotting = true
     this.lock.run(async () => { await this._takeSnapshot() })
       .catch(() => undefined)
@@ -208,15 +215,29 @@
       header: { lastIndex, lastTerm, members: { members: this._findMembersAt(lastIndex) } },
       state: toBuffer(this.options.stateMachine.takeSnapshot())
     }
-    const trailingEntries = Math.floor(this.options.snapshotEntries / TRAILING_ENTRIES_DIVISOR)
-    const baseIndex = Math.max(this.log.baseIndex, lastIndex - trailingEntries)
+    const coveredBytes = this._appliedBytes
+    const baseIndex = this._findTrailingBase(lastIndex)
     const baseTerm = this.log.getTerm(baseIndex) ?? lastTerm
     const kept = this.log.getRange(baseIndex + 1, this.syncedIndex)
     await this._awaitWrite(this.options.storage.saveSnapshot(snapshot, baseIndex, baseTerm, kept))
     this._snapshot = snapshot
+    this._appliedBytes -= coveredBytes
     this.log.compactTo(baseIndex)
   }
 
+  /** Finds the entry after which the log is kept when a snapshot covers it up to `lastIndex`. */
+  private _findTrailingBase (lastIndex: number): number {
+    const trailingEntries = Math.floor(this.options.snapshotEntries / TRAILING_ENTRIES_DIVISOR)
+    const lowest = Math.max(this.log.baseIndex, lastIndex - trailingEntries)
+    let bytes = 0
+    let base = lastIndex
+    for (; base > lowest; base--) {
+      bytes += this.log.getEntry(base)?.data.length ?? 0
+      if (bytes > MAX_SNAPSHOT_LOG_BYTES / TRAILING_ENTRIES_DIVISOR) break
+    }
+    return base
+  }
+
   private _findMembersAt (lastIndex: number): Member[] {
     for (let index = lastIndex; index > this.log.baseIndex; index--) {
       const entry = this.log.getEntry(index)
