--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -190,6 +190,15 @@
     this._options.log.warn('announcement_refused', { target: id, problem })
   }
 
+  /**
+   * Reports an announcement that came before this node had the catalogue; its sender must repeat it.
+   * @param id - ID of the target
+   */
+  reportEarlyAnnouncement (id: string): void {
+    this._options.metrics.count('announcements_ignored_total', 'not-ready')
+    this._options.log.info('announcement_deferred', { target: id, source: this.feed.source, level: this.feed.level })
+  }
+
   /**
    * Adds the gRPC services of this role.
    * @param listener - peer listener that is not listening yet
