Graceful stop: late calls are judged by the runs at all targets

Runs at other targets count now until a target has run 30 of the route, and few known runs raise the expected longest one. The new test failed before (502, the call had run), and gets 503 now; it has not started.

--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/node/src/routing/TargetPool.ts
@@ -23,6 +23,10 @@
 const SHORTEST_TIME_RATIO = 0.5
 /** Objective of a call that states none, in multiples of the usual time of its route. */
 const ASSUMED_OBJECTIVE_FACTOR = 4
+/** Runs of a route at one target from which its longest time there is known. */
+const MIN_OWN_RUNS = 30
+/** Runs may take longer than any of the few that are known, by this factor divided by their number. */
+const FEW_RUNS_FACTOR = 5
 /** Shape of the Weibull distribution that models how the times of calls vary around their mean. */
 const WEIBULL_SHAPE = 1.3
 /** Costs of a hop to another VM, and of leaving the zone or region, relative to the value of a response in time, which is 1. */
@@ -86,6 +90,7 @@
   usualMs: number
   responseBytes: number
   longestRunMs: number
+  runs: number
 }
 
 /** Chooses the target that is most likely to respond in time, and prefers those nearby. */
@@ -185,17 +190,23 @@
   recordRunTime (state: TargetState, route: string, durationMs: number): void {
     const history = this._getHistory(route)
     history.longestRunMs = computeDecayingMax(history.longestRunMs, durationMs)
+    history.runs++
     state.recordRunTime(route, durationMs)
   }
 
   /**
    * @param state - the target
    * @param route - key of the route
-   * @returns approximate longest time of recent runs in milliseconds, derived from other targets if this one is new; 0 if unknown
+   * @returns longest time that a run is expected to take in milliseconds, 0 if unknown; runs at other targets count until this one
+   * has run many
    */
   computeLongestRunMs (state: TargetState, route: string): number {
-    const knownMs = state.getLongestRunMs(route)
-    return knownMs > 0 ? knownMs : COLD_FACTOR * (this._routeHistories.get(route)?.longestRunMs ?? 0)
+    const history = this._routeHistories.get(route)
+    if (history === undefined || history.runs === 0) return 0
+    const own = state.getRunTimes(route)
+    const isOwnSufficient = own.count >= MIN_OWN_RUNS
+    const othersMs = isOwnSufficient ? 0 : history.longestRunMs * (own.count === 0 ? COLD_FACTOR : 1)
+    return Math.max(own.longestMs, othersMs) * (1 + FEW_RUNS_FACTOR / history.runs)
   }
 
   /**
@@ -350,7 +361,7 @@
   private _getHistory (route: string): IRouteHistory {
     let history = this._routeHistories.get(route)
     if (history === undefined) {
-      history = { usualMs: 0, responseBytes: 0, longestRunMs: 0 }
+      history = { usualMs: 0, responseBytes: 0, longestRunMs: 0, runs: 0 }
       this._routeHistories.set(route, history)
     }
     return history
--- a/packages/node/src/routing/TargetState.ts
+++ b/packages/node/src/routing/TargetState.ts
@@ -27,6 +27,15 @@
 /** Time for which a load report is used. */
 const LOAD_REPORT_LIFETIME_MS = 1_000
 
+/** Runs of the calls of one route. */
+export interface IRunTimes {
+  readonly count: number
+  /** Approximate longest time of recent ones in milliseconds, 0 if there were none. */
+  readonly longestMs: number
+}
+
+const NO_RUNS: IRunTimes = { count: 0, longestMs: 0 }
+
 /** One target as this process sees it. */
 export class TargetState {
   inFlight = 0
@@ -41,7 +50,8 @@
   private _loadReport: ITargetLoad | undefined
   private _loadReportedMs = 0
   private readonly _warmAtMs: number
-  private readonly _longestRunMs = new Map<string, number>()
+  /** By route. */
+  private readonly _runs = new Map<string, IRunTimes>()
 
   /**
    * @param record - newest record from the feed
@@ -113,15 +123,16 @@
    * @param durationMs - milliseconds
    */
   recordRunTime (route: string, durationMs: number): void {
-    this._longestRunMs.set(route, computeDecayingMax(this._longestRunMs.get(route) ?? 0, durationMs))
+    const { count, longestMs } = this.getRunTimes(route)
+    this._runs.set(route, { count: count + 1, longestMs: computeDecayingMax(longestMs, durationMs) })
   }
 
   /**
    * @param route - key of the route
-   * @returns approximate longest time of recent runs in milliseconds, 0 if unknown
+   * @returns the runs on that route so far
    */
-  getLongestRunMs (route: string): number {
-    return this._longestRunMs.get(route) ?? 0
+  getRunTimes (route: string): IRunTimes {
+    return this._runs.get(route) ?? NO_RUNS
   }
 
   get slowness (): number {
--- a/tests/GracefulStopAdmission.test.ts
+++ b/tests/GracefulStopAdmission.test.ts
@@ -119,3 +119,17 @@
   expect(reply).toMatchObject({ status: 500, body: 'own' })
   await stopping
 }, 30_000)
+
+test('call that took long at another target is not admitted so late that a graceful stop cuts it off', async () => {
+  for (const id of ['t1', 't2']) await addTarget(id)
+  for (let index = 0; index < 12; index++) await world.call('n1', 'POST', '/once', { 'x-work-ms': '20' })
+  await world.call('n1', 'POST', '/once', { 'x-work-ms': '1400' })
+  startedPaths.length = 0
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(LATE_CALL_DELAY_MS)
+  const reply = await callThrough({ 'x-work-ms': '1400' })
+  expect(reply).not.toBe('cut')
+  expect(reply).toMatchObject({ status: 503 })
+  expect(startedPaths).toEqual([])
+  await stopping
+}, 20_000)
