--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,7 +4,8 @@
  */
 import { build } from 'esbuild'
 import { spawnSync } from 'node:child_process'
-import { copyFileSync, readFileSync, readdirSync, rmSync, statSync } from 'node:fs'
+import { copyFileSync, readFileSync, readdirSync, rmSync, statSync, writeFileSync } from 'node:fs'
+import Module from 'node:module'
 import { dirname, join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
@@ -28,8 +29,25 @@
   }
 }
 
+/** Messages of zod are shown in English only. */
+const ZOD_LOCALES_PLUGIN = {
+  name: 'zod-locales',
+  setup ({ onLoad }) {
+    onLoad({ filter: /zod\/v4\/locales\/index\.c?js$/ }, () => ({ contents: "export { default as en } from './en.js'" }))
+  }
+}
+
+/** The platform's program has a surface of its own, so Nest and the product's HTTP interfaces are left out of it. */
+const NO_PRODUCT_SURFACE_PLUGIN = {
+  name: 'no-product-surface',
+  setup ({ onResolve }) {
+    onResolve({ filter: /\/ProductSurface\.js$/ }, ({ path }) => ({ path, external: true }))
+  }
+}
+
 const OUT_FOLDER = process.argv[2] === undefined ? join(ROOT, 'target') : resolve(process.argv[2])
 const LOADER_FILE = join(OUT_FOLDER, 'lagoonswitch.cjs')
+const PROGRAM_FILE = join(OUT_FOLDER, 'lagoonswitch-program.cjs')
 const BUILD_OPTIONS = {
   outdir: OUT_FOLDER,
   bundle: true,
@@ -42,7 +60,7 @@
   tsconfig: join(ROOT, 'tsconfig.base.json'),
   external: OPTIONAL_MODULES,
   alias: Object.fromEntries(PACKAGE_NAMES.map(name => [`@lagoonswitch/${name}`, join(ROOT, 'packages', name, 'src/index.ts')])),
-  plugins: [TS_RESULTS_PLUGIN],
+  plugins: [TS_RESULTS_PLUGIN, ZOD_LOCALES_PLUGIN],
   logLevel: 'warning'
 }
 
@@ -52,6 +70,13 @@
   return (runLine?.[1] ?? '').split(' ').filter(flag => flag !== '')
 }
 
+/** Wraps the program in the function that the loader calls, so that the loader needs no second copy of the source in memory. */
+function wrapProgram () {
+  const text = readFileSync(PROGRAM_FILE, 'utf8')
+  if (/[^\0-\x7f]/.test(text)) throw new Error(`${PROGRAM_FILE} is not ASCII, which the loader expects; keep the default charset of esbuild`)
+  writeFileSync(PROGRAM_FILE, Module.wrap(text))
+}
+
 /** Writes the code cache: runs the process, which exits as its settings file doesn't exist, and stores what was compiled until then. */
 function writeCodeCache () {
   const env = { LAGOONSWITCH_KEEP_CODE: '1', LAGOONSWITCH_CONFIG: join(OUT_FOLDER, 'no-settings.ini') }
@@ -61,7 +86,11 @@
 
 rmSync(OUT_FOLDER, { recursive: true, force: true })
 await build({
-  ...BUILD_OPTIONS, format: 'cjs', entryPoints: { 'lagoonswitch-program': join(ROOT, 'platform/src/main.ts') }, outExtension: { '.js': '.cjs' }
+  ...BUILD_OPTIONS,
+  format: 'cjs',
+  plugins: [...BUILD_OPTIONS.plugins, NO_PRODUCT_SURFACE_PLUGIN],
+  entryPoints: { 'lagoonswitch-program': join(ROOT, 'platform/src/main.ts') },
+  outExtension: { '.js': '.cjs' }
 })
 await build({
   ...BUILD_OPTIONS,
@@ -70,5 +99,6 @@
   outExtension: { '.js': '.mjs' },
   banner: { js: "import { createRequire as __createRequire } from 'node:module'; const require = __createRequire(import.meta.url);" }
 })
+wrapProgram()
 copyFileSync(join(ROOT, 'scripts/load-bundle.cjs'), LOADER_FILE)
 writeCodeCache()
--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -12,7 +12,8 @@
 /** Set by the bundler: the code cache is written when the program exits. */
 const IS_WRITING_CACHE = process.env.LAGOONSWITCH_KEEP_CODE === '1'
 
-const script = new Script(Module.wrap(readFileSync(PROGRAM_FILE, 'utf8')), {
+// The program is ASCII and wrapped in a function by the bundler; as one string it is not copied.
+const script = new Script(readFileSync(PROGRAM_FILE, 'latin1'), {
   filename: PROGRAM_FILE,
   cachedData: existsSync(CODE_CACHE_FILE) && !IS_WRITING_CACHE ? readFileSync(CODE_CACHE_FILE) : undefined
 })
--- a/tests/Bundle.test.ts
+++ b/tests/Bundle.test.ts
@@ -2,7 +2,7 @@
  * The bundled process, with and without the V8 code cache that is stored beside it.
  */
 import { spawnSync } from 'node:child_process'
-import { existsSync, mkdtempSync, rmSync, statSync, writeFileSync } from 'node:fs'
+import { existsSync, mkdtempSync, readFileSync, rmSync, statSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterAll, beforeAll, expect, test } from 'vitest'
@@ -41,3 +41,10 @@
   expectRefusal()
   expect(existsSync(codeCacheFile)).toBe(false)
 })
+
+test('bundled program is one ASCII string and holds only what a platform process runs', () => {
+  const program = readFileSync(join(folder, 'lagoonswitch-program.cjs'))
+  expect(program.toString('latin1')).toMatch(/^\(function \(exports, require, module, __filename, __dirname\)/)
+  expect(program.every(byte => byte < 0x80)).toBe(true)
+  expect(program.includes('NestFactory')).toBe(false)
+})
