Ordered moves: no step to all calls on too little evidence

Such a step stakes what the bound leaves on a fault that a few calls can't show. A version with fewer than 30 calls when all are due now gets what the bound bears until 80% of the time, and all calls only if the bound bears three seconds of them; otherwise it is taken back.

--- a/packages/control/src/moves/MoveController.test.ts
+++ b/packages/control/src/moves/MoveController.test.ts
@@ -231,3 +231,27 @@
   world.controller.addEvidence([createRecord('v2', 10, 3), createRecord('v1', 60, 0)])
   await world.runOrdered(1.25, undefined, 0)
 }
+
+test.each([60, 110, 300])('bad version whose calls were not seen before all are due stays within the limit, %d calls/s', async calls => {
+  world.startOrder(ORDERED_MOVE_DURATION_S, false)
+  await world.runOrdered(ORDERED_MOVE_DURATION_S * 0.66, undefined, calls)
+  world.putTarget()
+  const rates = (): { new: number, old: number } => ({ new: 0.12, old: 0 })
+  const { exposed } = await world.runOrdered(ORDERED_MOVE_DURATION_S * 0.34, rates, calls)
+  const { share, slack } = EXPOSURE_LIMIT
+  expect(world.getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+  expect(exposed).toBeLessThanOrEqual(slack + share * calls * ORDERED_MOVE_DURATION_S)
+})
+
+test('version without evidence is taken back rather than given all calls', async () => {
+  world.startOrder(ORDERED_MOVE_DURATION_S)
+  await world.runOrdered(3)
+  // From here on no outcome of the new version arrives.
+  for (let window = 0; window < 40; window++) {
+    world.controller.addEvidence([createRecord('v1', 25, 0)])
+    await world.clock.advance(250)
+    await world.controller.decide()
+  }
+  expect(world.getMove().sharePpm).not.toBe(FULL_SHARE_PPM)
+  expect(world.getMove().status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
+})
--- a/packages/control/src/moves/MoveController.ts
+++ b/packages/control/src/moves/MoveController.ts
@@ -7,10 +7,12 @@
   CatalogueCommand, EndpointState, MoveStatus, type EvidenceRecord, type IEntry, type MoveCommand, type MoveRecord
 } from '@lagoonswitch/schema'
 import { isMoveOpen, isStatusOpen } from '../catalogue/CatalogueStateMachine.js'
+import { formatNextStep, formatShare, type IMoveProgress } from './MoveProgress.js'
 import { FULL_SHARE_PPM, planSteps, type IMoveStep } from './MoveSchedule.js'
 import { EVIDENCE_WINDOW_MS, MIN_NEW_VERSION_CALLS, OpenMove, type IProbe } from './OpenMove.js'
 import {
-  ORDERED_LOW_SHARE_PPM, computeOrderDurationMs, planOrderTimes, planOrderedSteps, type IExposureLimit, type IOrderTimes
+  ORDERED_LOW_SHARE_PPM, canBearFullShare, computeOrderDurationMs, planBearableShare, planOrderTimes, planOrderedSteps,
+  type IExposureLimit, type IOrderTimes
 } from './OrderedSchedule.js'
 
 /** Probability, over the whole move, that a sound version is taken back for a fault. */
@@ -45,6 +47,8 @@
 const DEFAULT_WATCH_MS = 600_000
 /** The small share of an ordered move is lowered once it is this many times the planned one, so that it does not follow each change. */
 const LOWERED_SHARE_RATIO = 1.5
+/** It is raised for want of calls only to this many times the present share or more. */
+const RAISED_SHARE_RATIO = 1.5
 const MS_PER_SECOND = 1_000
 
 /** Dependencies of a {@link MoveController}. */
@@ -62,13 +66,6 @@
   readonly propose: (command: Uint8Array) => Promise<boolean>
 }
 
-/** Progress of a move, for operators, in addition to its record. */
-export interface IMoveProgress {
-  readonly newCalls: number
-  readonly oldCalls: number
-  readonly next: string
-}
-
 /** Decides about every open move once per window while this process leads. */
 export class MoveController implements IDisposable {
   private readonly _openMoves = new Map<string, OpenMove>()
@@ -252,12 +249,15 @@
     if (next === undefined) return undefined
     const isSuspected = move.ordered && next.sharePpm === FULL_SHARE_PPM && openMove.comparison.isSuspected()
     const isLatestStartReached = move.ordered && nowMs >= getOrderTimes(move).latestFullShareMs
-    const isUnknown = openMove.isTakenOver && openMove.comparison.getNewCalls() < MIN_NEW_VERSION_CALLS
+    const hasFewCalls = openMove.comparison.getNewCalls() < MIN_NEW_VERSION_CALLS
+    const isUnknown = hasFewCalls && (openMove.isTakenOver || !this._canBearFullShare(move, openMove))
     if (isLatestStartReached && (isSuspected || isUnknown)) {
       return this._createCommand(move, MoveStatus.MOVE_STATUS_TAKEN_BACK, 0, isSuspected
         ? `version ${move.to} was still suspected at the last time for all calls`
-        : `too few calls of version ${move.to} were seen since the change of leader`)
+        : `too few calls of version ${move.to} were seen before it was to get all calls`)
     }
+    const bearable = hasFewCalls && nowMs >= move.byMs ? this._raiseToBearableShare(move, openMove) : undefined
+    if (bearable !== undefined) return bearable
     const obstacle = isSuspected
       ? `version ${move.to} is suspected of a fault; more calls decide`
       : this._findObstacle(move, openMove, steps, isLatestStartReached || entry?.move?.prefer === 'time')
@@ -283,12 +283,35 @@
   private _lowerShare (move: MoveRecord, openMove: OpenMove): MoveCommand | undefined {
     const callsPerMs = openMove.computeRecentCallsPerMs()
     if (!move.ordered || move.sharePpm <= ORDERED_LOW_SHARE_PPM || callsPerMs === 0) return undefined
+    // Once all calls are due, the share has been chosen for the time that is left.
+    if (openMove.readTimeMs() >= move.byMs) return undefined
     const steps = planOrderedSteps(move.startedMs, move.byMs, move.firstSharePpm, callsPerMs, this._options.exposure)
     const plannedPpm = steps.at(-2)?.sharePpm ?? ORDERED_LOW_SHARE_PPM
     if (plannedPpm * LOWERED_SHARE_RATIO > move.sharePpm) return undefined
     return this._createCommand(move, move.status, plannedPpm, 'the call rate has risen')
   }
 
+  private _canBearFullShare (move: MoveRecord, openMove: OpenMove): boolean {
+    return !move.ordered || canBearFullShare(
+      computeOrderDurationMs(move.startedMs, move.byMs), openMove.comparison.getNewCalls(), openMove.computeRecentCallsPerMs(),
+      this._options.exposure)
+  }
+
+  /** Raises the small share of an ordered move when all calls are due and too few have been seen, as far as the exposure limit allows. */
+  private _raiseToBearableShare (move: MoveRecord, openMove: OpenMove): MoveCommand | undefined {
+    if (!move.ordered || move.sharePpm === 0) return undefined
+    const sharePpm = this._planBearableShare(move, openMove)
+    if (sharePpm < move.sharePpm * RAISED_SHARE_RATIO) return undefined
+    return this._createCommand(move, move.status, sharePpm, 'more calls are needed before all go there')
+  }
+
+  private _planBearableShare (move: MoveRecord, openMove: OpenMove): number {
+    const sharePpm = planBearableShare(
+      getOrderTimes(move).latestFullShareMs - openMove.readTimeMs(), computeOrderDurationMs(move.startedMs, move.byMs),
+      openMove.comparison.getNewCalls(), openMove.computeRecentCallsPerMs(), this._options.exposure)
+    return Math.max(ORDERED_LOW_SHARE_PPM, sharePpm)
+  }
+
   private _findObstacle (
     move: MoveRecord, openMove: OpenMove, steps: readonly IMoveStep[], isTimePreferred: boolean
   ): string | undefined {
@@ -371,12 +394,3 @@
 function countProbeCalls (move: MoveRecord, openMove: OpenMove): number {
   return move.ordered ? openMove.comparison.getOldCalls() : openMove.comparison.getNewCalls()
 }
-
-function formatNextStep (next: IMoveStep, obstacle: string | undefined): string {
-  const share = `${formatShare(next.sharePpm)} at ${new Date(next.startMs).toISOString()}`
-  return obstacle === undefined ? share : `${share}, held: ${obstacle}`
-}
-
-function formatShare (sharePpm: number): string {
-  return `${(sharePpm * 100 / FULL_SHARE_PPM).toFixed(1)}%`
-}
--- a/packages/control/src/moves/OrderedSchedule.ts
+++ b/packages/control/src/moves/OrderedSchedule.ts
@@ -12,6 +12,10 @@
  * one evidence window each on the node and on the leader, and the commit.
  */
 export const FAULT_DETECTION_MS = 1_200
+/** The same for a version of which too few calls were seen before, whose fault on one route shows only at the full share. */
+const UNPROVEN_FAULT_DETECTION_MS = 3_000
+/** Largest share of a version before enough of its calls have been seen. */
+const MAX_BEARABLE_SHARE_PPM = 500_000
 /**
  * Fractions of the order's duration: start of the full share, its latest start for a version under suspicion, length of the
  * watch that follows, and the end, which leaves time to inform the operator.
@@ -93,3 +97,39 @@
   steps.push({ sharePpm: FULL_SHARE_PPM, startMs: fullShareMs })
   return steps
 }
+
+/**
+ * Plans the share for a version of which too few calls have been seen when the full share is due: what the exposure limit leaves, spread
+ * over the time until the latest start of the full share.
+ * @param leftMs - time until that start
+ * @param orderDurationMs - duration of the order
+ * @param exposedCalls - calls that the version has had
+ * @param callsPerMs - call rate of the service
+ * @param exposure - maximum calls that a bad version may get
+ * @returns share in parts per million, at most {@link MAX_BEARABLE_SHARE_PPM}; 0 if nothing is left
+ */
+export function planBearableShare (
+  leftMs: number, orderDurationMs: number, exposedCalls: number, callsPerMs: number, exposure: IExposureLimit
+): number {
+  const leftCalls = computeLeftCalls(orderDurationMs, exposedCalls, callsPerMs, exposure) - callsPerMs * FAULT_DETECTION_MS
+  if (leftMs <= 0 || callsPerMs === 0 || leftCalls <= 0) return 0
+  return Math.floor(Math.min(MAX_BEARABLE_SHARE_PPM, leftCalls / (callsPerMs * leftMs) * FULL_SHARE_PPM))
+}
+
+/**
+ * Tells whether a version of which too few calls have been seen may get all calls, since a fault would be found within the limit.
+ * @param orderDurationMs - duration of the order
+ * @param exposedCalls - calls that the version has had
+ * @param callsPerMs - call rate of the service
+ * @param exposure - maximum calls that a bad version may get
+ * @returns true if the limit bears the calls until a fault is found
+ */
+export function canBearFullShare (
+  orderDurationMs: number, exposedCalls: number, callsPerMs: number, exposure: IExposureLimit
+): boolean {
+  return callsPerMs * UNPROVEN_FAULT_DETECTION_MS <= computeLeftCalls(orderDurationMs, exposedCalls, callsPerMs, exposure)
+}
+
+function computeLeftCalls (orderDurationMs: number, exposedCalls: number, callsPerMs: number, exposure: IExposureLimit): number {
+  return exposure.slack + exposure.share * callsPerMs * orderDurationMs - exposedCalls
+}
