--- a/packages/lagoonctl/src/Commands.ts
+++ b/packages/lagoonctl/src/Commands.ts
@@ -10,6 +10,7 @@
 import { readLogs } from './explain/LogFiles.js'
 import type { ILogLine } from './explain/LogLine.js'
 import { OperatorClient, formatProblem, type IControlResponse } from './OperatorClient.js'
+import { formatStatus, type IStatus } from './StatusText.js'
 
 /** Exit codes, documented in docs/OPERATIONS.md. */
 export const EXIT = { ok: 0, failed: 1, usage: 2, invalid: 3, conflict: 4, unreachable: 5, takenBack: 6, timeout: 7 } as const
@@ -123,12 +124,12 @@
     return EXIT.ok
   }
 
-  /** Prints the state of the system. */
-  async showStatus (): Promise<number> {
+  /** Prints the state of the system; each target on a line of its own if wanted. */
+  async showStatus (areTargetsListed: boolean): Promise<number> {
     const response = await this._client.send('GET', '/v1/status')
     if (response.err) return this._fail(response.val.message, EXIT.unreachable)
     if (response.val.status !== 200) return this._fail(formatProblem(response.val.body), EXIT.failed)
-    this._print(response.val.body, formatStatus(response.val.body as IStatus))
+    this._print(response.val.body, formatStatus(response.val.body as IStatus, areTargetsListed))
     return EXIT.ok
   }
 
@@ -248,49 +249,6 @@
   }
 }
 
-interface IGroupStatus {
-  group: string
-  role: string
-  term: number
-  leaderName: string
-  commitIndex: number
-  members: Array<{ name: string, voter: boolean }>
-}
-
-interface ITargetStatus {
-  targetId: string
-  service: string
-  version: string
-  node: string
-  availabilityZone: string
-  draining: boolean
-}
-
-interface IStatus {
-  version: { epoch: number, version: number }
-  streams: number
-  fleet: { nodes: number, lowest: { version: number } }
-  groups: IGroupStatus[]
-  targets: ITargetStatus[]
-}
-
-function formatStatus (status: IStatus): string {
-  const lines = [
-    `catalogue version ${status.version.version}, epoch ${status.version.epoch}`,
-    `nodes below this control VM: ${status.fleet.nodes}, lowest version ${status.fleet.lowest.version}`
-  ]
-  for (const group of status.groups) {
-    const members = group.members.map(member => member.voter ? member.name : `${member.name} (learner)`).join(', ')
-    lines.push(`group ${group.group}: ${group.role} here, leader ${group.leaderName || 'unknown'}, term ${group.term}, ` +
-      `committed ${group.commitIndex}, members ${members}`)
-  }
-  for (const target of status.targets) {
-    lines.push(`target ${target.targetId}: ${target.service} ${target.version} on ${target.node} in ` +
-      `${target.availabilityZone}${target.draining ? ', draining' : ''}`)
-  }
-  return lines.join('\n')
-}
-
 function formatMove (move: IRemoteMove): string {
   const share = `${(move.share * 100).toFixed(1)}%`
   const evidence = move.newCalls === undefined ? '' : `, ${move.newCalls} new and ${move.oldCalls} old calls`
--- a/packages/lagoonctl/src/main.ts
+++ b/packages/lagoonctl/src/main.ts
@@ -19,6 +19,7 @@
   prune?: boolean
   'request-id'?: string
   timeout?: string
+  targets?: boolean
 }
 
 async function createCommands (options: IOptions): Promise<Commands> {
@@ -70,7 +71,8 @@
 program.command('export', 'Print the whole catalogue as declarations')
   .action(async (options: IOptions) => await run(options, async commands => await commands.exportEntries()))
 program.command('status', 'Print the state of control VMs, nodes and targets')
-  .action(async (options: IOptions) => await run(options, async commands => await commands.showStatus()))
+  .option('--targets', 'List each target instead of counting them by service, version and availability zone')
+  .action(async (options: IOptions) => await run(options, async commands => await commands.showStatus(options.targets === true)))
 program.command('moves', 'Print all moves')
   .action(async (options: IOptions) => await run(options, async commands => await commands.showMoves()))
 program.command('move wait <service>', 'Wait until a move is done or taken back')
--- a/packages/lagoonswitch/src/http/OperatorController.ts
+++ b/packages/lagoonswitch/src/http/OperatorController.ts
@@ -8,7 +8,8 @@
 import { z } from 'zod'
 import type { ControlRole, IRaftStatus } from '@lagoonswitch/control'
 import {
-  ChangeOutcome, EndpointState, MoveStatus, formatEntry, parseEntry, type ChangeReply, type MoveRecord
+  ChangeOutcome, EndpointState, MoveStatus, formatEntry, parseEntry, type ChangeReply, type EndpointRecord,
+  type MoveRecord
 } from '@lagoonswitch/schema'
 import type { OperatorTokens } from './OperatorTokens.js'
 import { CONTROL_ROLE, OPERATOR_TOKENS } from './InjectionTokens.js'
@@ -101,12 +102,11 @@
     this._checkOperator(authorization)
     const { version } = this._control.store
     const fleet = this._control.hub.computeFleetStatus()
-    const targets = this._control.endpoints.getRecords()
-      .filter(record => record.state !== EndpointState.ENDPOINT_STATE_GONE)
-      .map(({ targetId, service, version, node, availabilityZone, state }) =>
-        ({ targetId, service, version, node, availabilityZone, draining: state === EndpointState.ENDPOINT_STATE_DRAINING }))
+    const records = this._control.endpoints.getRecords()
+    const targets = records.filter(({ state }) => state !== EndpointState.ENDPOINT_STATE_GONE).map(toTargetStatus)
+    const lost = records.filter(({ state, withdrawn }) => state === EndpointState.ENDPOINT_STATE_GONE && !withdrawn).map(toTargetStatus)
     const groups: IRaftStatus[] = this._control.listStatus()
-    return { version, streams: this._control.hub.getStreamCount(), fleet, groups, targets }
+    return { version, streams: this._control.hub.getStreamCount(), fleet, groups, targets, lost }
   }
 
   /** Adds or replaces a control VM in the groups that this process leads. */
@@ -177,3 +177,7 @@
 function createUnavailableError (message: string): HttpException {
   return new HttpException({ outcome: 'no-quorum', message }, 503)
 }
+
+function toTargetStatus ({ targetId, service, version, node, availabilityZone, state }: EndpointRecord): object {
+  return { targetId, service, version, node, availabilityZone, draining: state === EndpointState.ENDPOINT_STATE_DRAINING }
+}
