Withdrawals: a restarted node keeps those of targets that state an instance only

The record names the instance now, such a target stays withdrawn, and a node without a confirmed catalogue answers 503. The platform's path is unchanged: its targets state their start.

--- a/packages/control/src/raft/Membership.test.ts
+++ b/packages/control/src/raft/Membership.test.ts
@@ -161,7 +161,7 @@
   cluster.getVm(name).storage.onWrite = async () => {}
 }
 
-test('group commits while two disks are full, the leader\'s among them, and both resume', async () => {
+test('group commits while the disks of the leader and of another member are full, and both resume', async () => {
   await cluster.waitFor('five voters', () => countVoters() === 5)
   const leader = await cluster.waitLeader()
   const full = [leader.name, listOthers(leader.name)[0] ?? '']
--- a/packages/lagoonswitch/src/http/LocalController.ts
+++ b/packages/lagoonswitch/src/http/LocalController.ts
@@ -1,7 +1,9 @@
 /**
  * HTTP controllers for the targets on this VM, health checks and metrics.
  */
-import { BadRequestException, Body, Controller, Delete, Get, Header, Inject, NotFoundException, Param, Put } from '@nestjs/common'
+import {
+  BadRequestException, Body, Controller, Delete, Get, Header, Inject, NotFoundException, Param, Put, ServiceUnavailableException
+} from '@nestjs/common'
 import { z } from 'zod'
 import type { Metrics } from '@lagoonswitch/common'
 import type { NodeRole } from '@lagoonswitch/node'
@@ -37,6 +39,10 @@
     if (!parsed.success) {
       throw new BadRequestException(parsed.error.issues.map(issue => `${issue.path.join('.')}: ${issue.message}`).join('; '))
     }
+    if (!this._node.canAnnounce) {
+      this._node.reportEarlyAnnouncement(id)
+      throw new ServiceUnavailableException('this node has no confirmed catalogue yet; announce again')
+    }
     this._node.targets.announce({ id, ...parsed.data })
     return { accepted: true }
   }
--- a/packages/node/src/targets/LocalTargetRegistry.test.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.test.ts
@@ -99,6 +99,23 @@
   expect(getState()).toBe(DRAINING)
 })
 
+test('restarted node keeps the withdrawal of a target that states an instance only', async () => {
+  const announcement: ITargetAnnouncement = {
+    id: 't1', service: 'desk', version: 'v1', address: '127.0.0.1:1', slots: 4, connections: 9, instance: 'run-1'
+  }
+  registry.announce(announcement)
+  registry.withdraw('t1')
+  registry.dispose()
+  registry = createRegistry(20)
+  registry.announce(announcement)
+  expect(getState()).toBe(DRAINING)
+  await clock.advance(LEASE_MS / 2)
+  registry.announce(announcement)
+  expect(getState()).toBe(DRAINING)
+  registry.announce({ ...announcement, instance: 'run-2' })
+  expect(getState()).toBe(READY)
+})
+
 test('records of a restarted node whose wall clock was set back are accepted', () => {
   announce({ sequence: 3 })
   registry.dispose()
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -93,11 +93,14 @@
       this._refresh(registered, announcement)
       return 'taken'
     }
+    const isWithdrawn = registered === undefined && this._hasWithdrawnBefore(announcement)
     this._removeOthersAtAddress(announcement)
     registered?.leaseTimer.dispose()
     registered?.target.dispose()
+    const target = new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle'))
+    target.isDraining = isWithdrawn
     this._targets.set(announcement.id, {
-      target: new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle')),
+      target,
       leaseTimer: this._startLease(announcement.id),
       sequence: announcement.sequence ?? 0
     })
@@ -109,7 +112,8 @@
       sequence: announcement.sequence,
       warmup_ms: announcement.warmupMs
     })
-    if (!this._isDraining) this._publish(announcement, EndpointState.ENDPOINT_STATE_READY)
+    if (isWithdrawn) this._publish(announcement, EndpointState.ENDPOINT_STATE_DRAINING, true)
+    else if (!this._isDraining) this._publish(announcement, EndpointState.ENDPOINT_STATE_READY)
     return 'taken'
   }
 
@@ -234,6 +238,13 @@
     return record.withdrawn || (sequence ?? Infinity) < record.targetSequence
   }
 
+  /** Tells whether a target that states no time of its start withdrew under the same instance before this process was started. */
+  private _hasWithdrawnBefore ({ id, bornMs, instance }: ITargetAnnouncement): boolean {
+    const record = this._options.endpoints.getRecord(id)
+    return bornMs === undefined && instance !== '' && record !== undefined && record.withdrawn && record.instance === instance &&
+      record.incarnation < this._options.incarnation
+  }
+
   private _refresh (registered: IRegisteredTarget, announcement: ITargetAnnouncement): void {
     registered.leaseTimer.dispose()
     registered.leaseTimer = this._startLease(announcement.id)
@@ -305,7 +316,8 @@
       warmupMs: announcement.warmupMs ?? DEFAULT_WARMUP_MS,
       targetBorn: announcement.bornMs ?? 0,
       targetSequence: this._targets.get(announcement.id)?.sequence ?? announcement.sequence ?? 0,
-      withdrawn: isWithdrawn
+      withdrawn: isWithdrawn,
+      instance: announcement.instance
     }])
   }
 
