Graceful stop: a response that waits on a link counts as running

Since large bodies wait on their link, a node whose target had finished could have ended its stop while a part of the response waited, and the process would have exited before a slow network took it. A stop now lasts (within its timeout) until the links have taken everything.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -240,7 +240,7 @@
     this.relay.drain()
     this._callServer.applyStop()
     const isBusy = (): boolean => this._callServer.getRunningCount() > 0 || this._callServer.getUnsentResponseCount() > 0 ||
-      this.targets.getRunningCount() > 0
+      this.targets.getRunningCount() > 0 || this._peerServer.hasUnsentBytes
     const isServing = (): boolean => getElapsedMs() < READINESS_NOTICE_MS || isBusy() || this._callServer.getQuietMs() < QUIET_MS
     this._logStopStep('serving', 0)
     await waitWhile(isServing, stop.refuseAtMs)
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -34,6 +34,11 @@
     for (const link of this._links) link.drain()
   }
 
+  /** True while a part of a response waits on a link, although its target has finished. */
+  get hasUnsentBytes (): boolean {
+    return [...this._links].some(link => link.hasUnsentBytes)
+  }
+
   /** Closes all links; the calls on them have ended by then. */
   closeLinks (): void {
     for (const link of this._links) link.close()
@@ -49,6 +54,10 @@
     this._socket = new FrameSocket(socket, this)
   }
 
+  get hasUnsentBytes (): boolean {
+    return this._socket.hasUnsentBytes
+  }
+
   close (): void {
     this._socket.dispose()
   }
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -92,6 +92,11 @@
     this._updateWindow()
   }
 
+  /** True while frames or parts of bodies wait that the network has not taken. */
+  get hasUnsentBytes (): boolean {
+    return !this._isClosed && (!this._bulkQueue.isEmpty || this._outgoing.length > 0 || this._socket.writableLength > 0)
+  }
+
   /** Sends everything that waits and closes the connection. */
   dispose (): void {
     for (let next = this._bulkQueue.take(); next !== undefined; next = this._bulkQueue.take()) this._sendBulkChunk(next)
--- a/tests/Downloads.test.ts
+++ b/tests/Downloads.test.ts
@@ -83,13 +83,14 @@
   open: ({ path }, events) => new StandInResponse(events, path === '/download' ? DOWNLOAD_BYTES : SMALL_BYTES)
 }
 
+let server: PeerServer
 let listener: LinkListener
 let proxy: ShapedProxy
 let link: PeerLink
 
 beforeEach(async () => {
   const credentials = new PlainCredentials()
-  const server = new PeerServer(opener)
+  server = new PeerServer(opener)
   listener = new LinkListener(credentials, socket => server.serve(socket))
   proxy = new ShapedProxy(await listener.listen('127.0.0.1', 0), LINK_BYTES_PER_SECOND)
   link = new PeerLink(`127.0.0.1:${await proxy.listen()}`, {
@@ -150,3 +151,12 @@
   // The downloads use what the small calls leave.
   expect(downloadedBytes / elapsedMs * 1_000).toBeGreaterThan(0.8 * LINK_BYTES_PER_SECOND)
 }, 30_000)
+
+test('response whose target has finished counts as unsent until the link has taken it', async () => {
+  const downloads = Promise.all(Array.from({ length: DOWNLOADS_AT_ONCE }, async () => await call('/download', true)))
+  await sleep(300)
+  expect(server.hasUnsentBytes).toBe(true)
+  const received = await downloads
+  expect(received.every(({ bytes }) => bytes === DOWNLOAD_BYTES)).toBe(true)
+  expect(server.hasUnsentBytes).toBe(false)
+}, 30_000)
