--- a/tests/support/ShapedProxy.ts
+++ b/tests/support/ShapedProxy.ts
@@ -4,6 +4,8 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 
 const TICK_MS = 5
+/** Time whose bytes may pass at once after late ticks, as in the queue of a link. */
+const MAX_CREDIT_MS = 50
 const MS_PER_SECOND = 1_000
 
 /** Passes connections on to one port. */
@@ -23,7 +25,12 @@
       upstream.on('readable', () => undefined)
       this._add(downstream, upstream)
       this._add(upstream, downstream)
-      const timer = setInterval(() => this._passBytes(upstream, downstream), TICK_MS)
+      let lastMs = performance.now()
+      const timer = setInterval(() => {
+        const nowMs = performance.now()
+        this._passBytes(upstream, downstream, Math.min(MAX_CREDIT_MS, nowMs - lastMs))
+        lastMs = nowMs
+      }, TICK_MS)
       upstream.on('close', () => clearInterval(timer))
     })
   }
@@ -47,8 +54,8 @@
     })
   }
 
-  private _passBytes (upstream: Socket, downstream: Socket): void {
-    let leftBytes = Math.floor(this._bytesPerSecond * TICK_MS / MS_PER_SECOND)
+  private _passBytes (upstream: Socket, downstream: Socket, elapsedMs: number): void {
+    let leftBytes = Math.floor(this._bytesPerSecond * elapsedMs / MS_PER_SECOND)
     while (leftBytes > 0) {
       const chunk = upstream.read(Math.min(leftBytes, upstream.readableLength)) as Buffer | null
       if (chunk === null || chunk.length === 0) return
