Nodes: no 404 before the first declaration

It is not known which routes there will be, so such a node answers 503, not ready. Failed before: 404 instead of 503. The simulated platform of the tests now waits for the configuration at all nodes, as its comment says; before it waited for their readiness only.

--- a/bench/platform-world.mjs
+++ b/bench/platform-world.mjs
@@ -61,7 +61,8 @@
     for (let index = 1; index <= nodes; index++) await this.startNode(`n${index}`)
     const response = await this.operator.order('PUT', '/-/config', configuration)
     if (response.status !== 200) throw new Error(`the first configuration was refused: ${response.text}`)
-    await waitUntil('readiness of all nodes', () => [...this.processes.values()].every(({ node }) => node === undefined || node.isReady))
+    await waitUntil('the configuration at all nodes', () => [...this.processes.values()].every(({ node }) =>
+      node === undefined || (node.isReady && node.store.view.publication?.number === configuration.version)))
   }
 
   async startControl (name, isFirst = false) {
--- a/packages/feed/src/CatalogueStore.ts
+++ b/packages/feed/src/CatalogueStore.ts
@@ -12,6 +12,8 @@
 } from '@lagoonswitch/schema'
 
 const DIGEST_BYTES = 16
+/** Version of a catalogue that has only been bootstrapped. */
+const BOOTSTRAP_VERSION = 1
 /** Number of records of removed entries that are kept, so that a delta can report the removal. */
 const MAX_TOMBSTONES = 1_000
 /** Encoded size of the records above which a delta carries them compressed, in bytes. */
@@ -64,6 +66,11 @@
     return this._state.version
   }
 
+  /** True until the first change: the catalogue has been bootstrapped, but no operator has declared anything. */
+  get isInitial (): boolean {
+    return this._state.version.version <= BOOTSTRAP_VERSION
+  }
+
   get digest (): Buffer {
     return this._state.digest
   }
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -270,7 +270,8 @@
   }
 
   private _getRoutes (): RouteTable | undefined {
-    if (!this.feed.isReady) return undefined
+    // Without a declaration it is unknown which routes there will be, so calls are not refused for good.
+    if (!this.feed.isReady || this.store.isInitial) return undefined
     this._routes ??= new RouteTable(this.store.view)
     return this._routes
   }
--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -76,6 +76,13 @@
   stale.close()
 })
 
+test('node that has never held an entry refuses calls as not ready', async () => {
+  world = await World.start(['n1'])
+  expect(await world.call('n1', 'GET', '/read')).toMatchObject({ status: 503 })
+  await changeOwner('first')
+  expect((await world.call('n1', 'GET', '/elsewhere')).status).toBe(404)
+})
+
 test('node does not switch to a control VM in its own zone that is down', async () => {
   world = await World.start([])
   await changeOwner('first')
