--- a/packages/lagoonctl/src/StatusText.ts
+++ b/packages/lagoonctl/src/StatusText.ts
@@ -66,9 +66,9 @@
 
 /** One line for each version of a service, with the numbers of its targets by availability zone. */
 function formatTargetCounts (targets: readonly ITargetStatus[]): string[] {
-  const versions = groupBy(targets, ({ service, version }) => `${service} ${version}`)
+  const versions = collectBy(targets, ({ service, version }) => `${service} ${version}`)
   return [...versions].sort(([a], [b]) => a.localeCompare(b)).map(([name, ofVersion]) => {
-    const zones = [...groupBy(ofVersion, ({ availabilityZone }) => availabilityZone)].sort(([a], [b]) => a.localeCompare(b))
+    const zones = [...collectBy(ofVersion, ({ availabilityZone }) => availabilityZone)].sort(([a], [b]) => a.localeCompare(b))
     return `${name}: ${formatCount(ofVersion)} targets, in ${zones.map(([zone, ofZone]) => `${zone} ${formatCount(ofZone)}`).join(', ')}`
   })
 }
@@ -78,7 +78,7 @@
   return drainingCount === 0 ? String(targets.length) : `${targets.length} (${drainingCount} draining)`
 }
 
-function groupBy<T> (items: readonly T[], getKey: (item: T) => string): Map<string, T[]> {
+function collectBy<T> (items: readonly T[], getKey: (item: T) => string): Map<string, T[]> {
   const groups = new Map<string, T[]>()
   for (const item of items) {
     const key = getKey(item)
