--- a/review/4/main.mjs
+++ b/review/4/main.mjs
@@ -20,7 +20,7 @@
 
 async function play () {
   await deployment.plan(['desk'])
-  await deployment.startAll()
+  deployment.startAll()
   const accepted = await deployment.order('PUT', '/-/config', createConfiguration(1, 0, ['desk']))
   if (accepted?.status !== 200) throw new Error('the configuration was not accepted')
   await deployment.waitReady()
@@ -28,10 +28,10 @@
   for (const target of targets) await target.start()
   await sleep(4_000)
   const [leaving] = targets
-  let isPlaying = true
+  const traffic = { isOn: true }
   const answers = []
   const clients = deployment.nodes.map(async (node, index) => {
-    for (let count = 0; isPlaying; count++) {
+    for (let count = 0; traffic.isOn; count++) {
       const { id, status } = await send(deployment, node, { path: '/desk/safe/x', id: `s${index}-${count}`, deadlineMs: 2_000 })
       answers.push({ id, status })
       record.write(`client of ${node.name} ${id}: ${status}`)
@@ -62,7 +62,7 @@
   await sleep(Math.max(0, ackedMs + SERVES_ON_MS - performance.now()))
   await leaving.stop()
   record.write(`upstream ${leaving.id} ends`)
-  isPlaying = false
+  traffic.isOn = false
   await Promise.all(clients)
   for (const target of targets.slice(1)) await target.stop()
   // Twice contact-s after all processes are back, every machine is in touch.
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -17,6 +17,8 @@
 const BOUNDS = { graceS: 6, exposeShare: 0.1, exposeSlack: 50, retryRatio: 0.2, budgetWindowS: 10, budgetSlack: 62 }
 const HEARTBEAT_S = 1.5
 const ACK_TIMEOUT_MS = 1_000
+/** Fixed in the templates of platform/. */
+const METRICS_PORT = 9_464
 
 export { sleep }
 
@@ -46,15 +48,15 @@
   })
 }
 
-/** Finds a range of ports that is free on all hosts. */
+/** Finds a range of ports that is free on all hosts; undefined if there is none or the metrics port is in use. */
 async function findPorts (hosts, count) {
-  for (let attempt = 0; attempt < 200; attempt++) {
+  for (let attempt = 0; attempt < 10; attempt++) {
     const first = 12_000 + Math.floor(Math.random() * 15_000)
     const ports = Array.from({ length: count }, (_, index) => first + index)
-    const free = await Promise.all(hosts.flatMap(host => ports.map(async port => await isFree(host, port))))
+    const free = await Promise.all(hosts.flatMap(host => [...ports, METRICS_PORT].map(async port => await isFree(host, port))))
     if (free.every(Boolean)) return ports
   }
-  throw new Error('no free ports')
+  return undefined
 }
 
 /** Writes what was sent, answered and run to record.txt in the folder of the case. */
@@ -76,24 +78,45 @@
   constructor (record, { controls = 5, nodes = 3 } = {}) {
     this.record = record
     this.folder = mkdtempSync(join(tmpdir(), 'review-'))
-    const net = 100 + Math.floor(Math.random() * 100)
-    this.controls = Array.from({ length: controls }, (_, index) => ({ name: `core-${index + 1}`, kind: 'control', ip: `127.${net}.1.${index + 1}` }))
-    this.nodes = Array.from({ length: nodes }, (_, index) => ({ name: `sidecar-${index + 1}`, kind: 'node', ip: `127.${net}.2.${index + 1}` }))
+    this.controls = Array.from({ length: controls }, (_, index) => ({ name: `core-${index + 1}`, kind: 'control' }))
+    this.nodes = Array.from({ length: nodes }, (_, index) => ({ name: `sidecar-${index + 1}`, kind: 'node' }))
     this.children = new Map()
-    this.stopping = false
+    // Nothing that was started outlives the script, also when it is ended from outside.
+    process.on('exit', () => {
+      this.killAll()
+      rmSync(this.folder, { recursive: true, force: true })
+    })
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(2))
+  }
+
+  killAll () {
+    for (const child of this.children.values()) {
+      if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
+    }
   }
 
   async plan (services) {
-    const machines = [...this.controls, ...this.nodes]
-    const ports = await findPorts(machines.map(({ ip }) => ip), 8)
+    const ports = await this.findAddresses(8)
     const [peers, links, inbound, outbound, ready, control, app, metrics] = ports
     this.ports = { peers, links, inbound, outbound, ready, control, app, metrics }
     this.nodes.forEach((node, index) => { node.service = services[index % services.length] })
   }
 
+  /** Gives each machine an address of its own, at which the fixed metrics port is free, and finds ports that are free at all of them. */
+  async findAddresses (count) {
+    for (let attempt = 0; attempt < 50; attempt++) {
+      const net = 2 + Math.floor(Math.random() * 250)
+      this.controls.forEach((machine, index) => { machine.ip = `127.${net}.1.${index + 1}` })
+      this.nodes.forEach((machine, index) => { machine.ip = `127.${net}.2.${index + 1}` })
+      const ports = await findPorts([...this.controls, ...this.nodes].map(({ ip }) => ip), count)
+      if (ports !== undefined) return ports
+    }
+    throw new Error('no free addresses')
+  }
+
   /** Starts all processes for the first time. */
-  async startAll (isFirst = true) {
-    for (const machine of [...this.controls, ...this.nodes]) this.startProcess(machine, isFirst)
+  startAll () {
+    for (const machine of [...this.controls, ...this.nodes]) this.startProcess(machine, true)
   }
 
   startProcess (machine, isFirst = false) {
@@ -126,7 +149,6 @@
       }
     }
     const settings = join(folder, 'settings.ini')
-    // The metrics port of the templates is fixed; each machine has its own address, so it needs no change.
     writeFileSync(settings, renderTemplate(machine.kind === 'control' ? 'control.ini' : 'node.ini', fields))
     const log = openSync(join(folder, 'log.txt'), 'a')
     const [program, ...args] = readRunCommand(machine.kind)
@@ -206,12 +228,8 @@
   }
 
   async stop () {
-    this.stopping = true
-    for (const child of this.children.values()) {
-      if (child.exitCode === null && child.signalCode === null) child.kill('SIGKILL')
-    }
+    this.killAll()
     await Promise.all([...this.children.keys()].map(async name => await this.waitEnded(name)))
-    if (process.env.KEEP === undefined) rmSync(this.folder, { recursive: true, force: true })
   }
 }
 
