--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -216,6 +216,8 @@
       state: toBuffer(this.options.stateMachine.takeSnapshot())
     }
     const coveredBytes = this._appliedBytes
+    // While the own disk was slow, the others may have committed entries that are not in its log yet.
+    await this.syncEntries(this.log.getRange(this.syncedIndex + 1, lastIndex))
     const baseIndex = this._findTrailingBase(lastIndex)
     const baseTerm = this.log.getTerm(baseIndex) ?? lastTerm
     const kept = this.log.getRange(baseIndex + 1, this.syncedIndex)
