Raft: entries are written and read at their own index only

Change: Replica.syncEntries refuses entries that don't follow the last one on the disk, which stops the replica before anything wrong is stored; FileStorage refuses to load a log with an entry out of place, as it does for other damage.

--- a/packages/control/src/raft/FileStorage.test.ts
+++ b/packages/control/src/raft/FileStorage.test.ts
@@ -118,6 +118,15 @@
   }), { seed: 11, numRuns: 200 })
 })
 
+// A log that was written with entries at wrong indexes must not be read as if each entry were at the index of its position.
+test.each([[[1, 2, 2, 3]], [[1, 3]], [[2, 3]]])('log whose entries are not at their indexes is damaged: %j', async indexes => {
+  const storage = openStorage()
+  await storage.load()
+  await storage.append(indexes.map(index => createEntry(index)))
+  await storage.close()
+  await expect(countEntries()).rejects.toThrow(/in the place of another one.*replace this control VM/)
+})
+
 test('append continues after a removed tail', async () => {
   await writeEntries(3)
   const path = join(folder, 'g', 'log')
--- a/packages/control/src/raft/FileStorage.ts
+++ b/packages/control/src/raft/FileStorage.ts
@@ -126,6 +126,11 @@
       throw new StorageError(`${path} has no base record`,
         'move the data folder aside and replace this control VM with lagoonctl members replace')
     }
+    const misplaced = records.find((entry, offset) => entry.index !== base.index + offset + 1)
+    if (misplaced !== undefined) {
+      throw new StorageError(`${path} holds entry ${misplaced.index} in the place of another one`,
+        'move the data folder aside and replace this control VM with lagoonctl members replace')
+    }
     this._baseIndex = base.index
     this._recordEnds = scan.val.ends
     this._handle = await open(path, 'r+')
--- a/packages/control/src/raft/Replica.test.ts
+++ b/packages/control/src/raft/Replica.test.ts
@@ -1,14 +1,34 @@
 import { afterEach, expect, test } from 'vitest'
-import { FakeCluster, type FakeVm } from '../testing/FakeCluster.js'
+import { ManualClock, NullLog, SeededRandom } from '@lagoonswitch/common'
+import { LogEntryKind, type LogEntry } from '@lagoonswitch/schema'
+import { FakeCluster, ListStateMachine, type FakeVm } from '../testing/FakeCluster.js'
+import { MemoryStorage } from './MemoryStorage.js'
+import type { RaftTransport } from './RaftTransport.js'
+import { Replica } from './Replica.js'
 
 const NAMES = ['a', 'b', 'c']
 const SNAPSHOT_ENTRIES = 16
-let cluster: FakeCluster
+let cluster: FakeCluster | undefined
 
-async function startCluster (): Promise<FakeVm> {
-  cluster = new FakeCluster(NAMES, 1, SNAPSHOT_ENTRIES)
-  await cluster.startAll()
-  return await cluster.waitLeader()
+function createReplica (storage = new MemoryStorage('a')): Replica {
+  return new Replica({
+    group: 'g',
+    name: 'a',
+    initialMembers: [],
+    heartbeatMs: 100,
+    electionTimeoutMs: 1_000,
+    snapshotEntries: SNAPSHOT_ENTRIES,
+    clock: new ManualClock(),
+    random: new SeededRandom(1),
+    log: new NullLog(),
+    storage,
+    transport: {} as RaftTransport,
+    stateMachine: new ListStateMachine()
+  })
+}
+
+function createEntry (index: number): LogEntry {
+  return { index, term: 1, kind: LogEntryKind.LOG_ENTRY_KIND_COMMAND, data: Buffer.from(`c${index}`) }
 }
 
 /** Suspends the writes of a disk until the returned function is called. */
@@ -22,7 +42,7 @@
   }
 }
 
-async function proposeAll (leader: FakeVm, commands: readonly string[]): Promise<void> {
+async function proposeAll (cluster: FakeCluster, leader: FakeVm, commands: readonly string[]): Promise<void> {
   for (const command of commands) expect(await cluster.propose(leader, command)).toBe(true)
 }
 
@@ -36,27 +56,42 @@
   return { wanted: entries.map((_, offset) => baseIndex + offset + 1), stored: entries.map(entry => entry.index) }
 }
 
-afterEach(() => cluster.dispose())
+afterEach(() => {
+  cluster?.dispose()
+  cluster = undefined
+})
 
 // The other replicas commit entries that a leader with a stalled disk has not written, and a snapshot that is due covers them. Its log
 // then began after the last entry that counted as written, so later entries were stored under wrong indexes and twice.
 test.each([4, 17, 40])('log of a leader whose disk stalled for %s commits before a snapshot has each entry at its index', async count => {
-  const leader = await startCluster()
+  cluster = new FakeCluster(NAMES, 1, SNAPSHOT_ENTRIES)
+  await cluster.startAll()
+  const leader = await cluster.waitLeader()
   const before = createCommands('x', SNAPSHOT_ENTRIES - 2)
-  await proposeAll(leader, before)
+  await proposeAll(cluster, leader, before)
   const resume = stallDisk(leader)
   const during = createCommands('y', count)
-  await proposeAll(leader, during)
+  await proposeAll(cluster, leader, during)
   resume()
   const after = createCommands('z', 8)
-  await proposeAll(leader, after)
+  await proposeAll(cluster, leader, after)
   await cluster.clock.advance(500)
   const { wanted, stored } = await readIndexes(leader)
   expect(stored).toEqual(wanted)
   cluster.kill(leader.name)
   const next = await cluster.waitLeader()
   await cluster.start(leader.name)
-  await proposeAll(next, ['last'])
+  await proposeAll(cluster, next, ['last'])
   await cluster.clock.advance(2_000)
   expect(leader.stateMachine.commands).toEqual([...before, ...during, ...after, 'last'])
 })
+
+test('entry that does not follow the last one on the disk is refused and stops the replica', async () => {
+  const storage = new MemoryStorage('a')
+  const replica = createReplica(storage)
+  await replica.load()
+  await replica.syncEntries([createEntry(1)])
+  await expect(replica.syncEntries([createEntry(3)])).rejects.toThrow('entry 3 doesn\'t follow 1')
+  expect(replica.hasFailed).toBe(true)
+  expect((await storage.load()).entries.map(entry => entry.index)).toEqual([1])
+})
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -93,7 +93,11 @@
    * @param entries - the first one directly follows syncedIndex
    */
   async syncEntries (entries: readonly LogEntry[]): Promise<void> {
-    if (entries.length === 0) return
+    const [first] = entries
+    if (first === undefined) return
+    if (first.index !== this.syncedIndex + 1) {
+      throw await this._markFailed(new Error(`entry ${first.index} doesn't follow ${this.syncedIndex}, the last one on the disk`))
+    }
     await this._awaitWrite(this.options.storage.append(entries))
     this.syncedIndex += entries.length
   }
