--- a/packages/control/src/raft/Replica.test.ts
+++ b/packages/control/src/raft/Replica.test.ts
@@ -95,3 +95,29 @@
   expect(replica.hasFailed).toBe(true)
   expect((await storage.load()).entries.map(entry => entry.index)).toEqual([1])
 })
+
+// A process that is killed between the two files of an installed snapshot leaves the old log, which ends before the snapshot.
+test.each([0, 3, 12])('log of %s entries that lacks the last entry of the snapshot starts over after it', async count => {
+  const storage = new MemoryStorage('a')
+  const header = { lastIndex: 10, lastTerm: 2, members: { members: [] } }
+  const entries = Array.from({ length: count }, (_, offset) => createEntry(offset + 1))
+  await storage.saveSnapshot({ header, state: Buffer.from('["state"]') }, 0, 0, entries)
+  const replica = createReplica(storage)
+  await replica.load()
+  expect([replica.appliedIndex, replica.log.lastIndex, replica.log.lastTerm]).toEqual([10, 10, 2])
+  const entry = { ...createEntry(11), term: 2 }
+  replica.log.push(entry)
+  await replica.syncEntries([entry])
+  const stored = await storage.load()
+  expect([stored.baseIndex, stored.baseTerm, stored.entries.map(({ index }) => index)]).toEqual([10, 2, [11]])
+})
+
+test('log that holds the last entry of the snapshot is kept', async () => {
+  const storage = new MemoryStorage('a')
+  const entries = Array.from({ length: 12 }, (_, offset) => createEntry(offset + 1))
+  const header = { lastIndex: 10, lastTerm: 1, members: { members: [] } }
+  await storage.saveSnapshot({ header, state: Buffer.from('["state"]') }, 0, 0, entries)
+  const replica = createReplica(storage)
+  await replica.load()
+  expect([replica.log.baseIndex, replica.log.lastIndex]).toEqual([0, 12])
+})
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -73,7 +73,10 @@
     this.votedFor = durable.hardState.votedFor
     this.log = new RaftLog(durable.baseIndex, durable.baseTerm, durable.entries)
     this.syncedIndex = this.log.lastIndex
-    if (durable.snapshot !== undefined) this._restore(durable.snapshot)
+    if (durable.snapshot !== undefined) {
+      await this._dropLogWithout(durable.snapshot)
+      this._restore(durable.snapshot)
+    }
     this.updateMembers()
   }
 
@@ -185,12 +188,22 @@
    * @param snapshot - a snapshot beyond the commit index
    */
   async installSnapshot (snapshot: ISnapshot): Promise<void> {
+    await this._replaceLog(snapshot)
+    this._restore(snapshot)
+    this.updateMembers()
+  }
+
+  /** A log without the last entry of the snapshot is a remainder from before the snapshot was installed. */
+  private async _dropLogWithout (snapshot: ISnapshot): Promise<void> {
+    const { lastIndex, lastTerm } = snapshot.header
+    if (this.log.getTerm(lastIndex) !== lastTerm) await this._replaceLog(snapshot)
+  }
+
+  private async _replaceLog (snapshot: ISnapshot): Promise<void> {
     const { lastIndex, lastTerm } = snapshot.header
     await this._awaitWrite(this.options.storage.saveSnapshot(snapshot, lastIndex, lastTerm, []))
     this.log.resetTo(lastIndex, lastTerm)
     this.syncedIndex = lastIndex
-    this._restore(snapshot)
-    this.updateMembers()
   }
 
   private _restore (snapshot: ISnapshot): void {
