Targets: a withdrawal is recorded by the control VMs before it is acknowledged

Cause: a withdrawal was held in memory only, by the registry of its node and the endpoint records of nodes and control VMs. After a restart of all of them nobody knew it.

A confirmation of the catalogue carries the recorded withdrawals of the nodes that ask, so a node that starts knows them before it accepts announcements; hubs and relays collect the nodes of requests that share a confirmation. The product's own interface does the same, for targets that state an instance only as well.

Tests whose stand-ins answer confirmations by hand state the new field of the message (nodes, withdrawals); nothing else of them changed.

--- a/bench/feed-nodes.mjs
+++ b/bench/feed-nodes.mjs
@@ -33,7 +33,7 @@
     maxStreams: isPlain ? 0 : relayStreams,
     subscriberLevel: 2,
     isCurrent: () => feedRefs.client.level === 1 && feedRefs.client.isCurrent && feedRefs.client.isReady,
-    confirm: async () => await feedRefs.client.confirm(),
+    confirm: async nodes => await feedRefs.client.confirm(nodes),
     directory: feedRefs.directory,
     onEvidence: () => {}
   })
--- a/bench/stand-in-platform.mjs
+++ b/bench/stand-in-platform.mjs
@@ -88,6 +88,15 @@
     while (await this.beat().catch(() => 0) !== 200) await sleep(RETRY_PAUSE_MS)
   }
 
+  /**
+   * Withdraws the target once and stops its announcements; it serves on.
+   * @returns HTTP status
+   */
+  async withdraw () {
+    clearInterval(this._heartbeatTimer)
+    return (await fetch(`${this.options.beats}/-/instances/${this.options.id}`, { method: 'DELETE' })).status
+  }
+
   async stop () {
     clearInterval(this._heartbeatTimer)
     this._server.closeAllConnections()
--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -9,9 +9,9 @@
 } from '@lagoonswitch/common'
 import { CatalogueStore, ControlDirectory, EndpointView, FeedHub, RELAY_LEVEL } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, ControlService, EndpointState, FeedClient as FeedStub,
-  FeedService, MoveStatus, RaftService,
-  type ConfirmReply, type ConfirmRequest, type Evidence, type ISettings,
+  CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, ConfirmReply, ControlService, EndpointState,
+  FeedClient as FeedStub, FeedService, MoveStatus, RaftService,
+  type ConfirmRequest, type Evidence, type ISettings,
   type ProposeReply, type ProposeRequest, type ReportReply
 } from '@lagoonswitch/schema'
 import { LeaderClient, createUnaryHandler, sendUnary, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
@@ -70,6 +70,7 @@
   private readonly _evidence: EvidenceRouter
   private readonly _hub: FeedHub
   private readonly _catalogueGroup: RaftGroup
+  private readonly _catalogueMachine: CatalogueStateMachine
   private readonly _stopping = new AbortController()
   private readonly _onFailed = new Emitter<string>()
 
@@ -86,9 +87,9 @@
     const { settings, clock, random, log, metrics } = _options
     this.directory = new ControlDirectory(_options.seedAddresses)
     this._leaderClient = new LeaderClient(_options.channels, clock, () => this.directory.listAddresses())
-    const machine = new CatalogueStateMachine(this.store)
-    this._catalogueGroup = this._addGroup(CATALOGUE_GROUP, machine, CATALOGUE_SNAPSHOT_ENTRIES)
-    this._publisher = new Publisher({ clock, log, store: this.store, stateMachine: machine, group: this._catalogueGroup })
+    this._catalogueMachine = new CatalogueStateMachine(this.store)
+    this._catalogueGroup = this._addGroup(CATALOGUE_GROUP, this._catalogueMachine, CATALOGUE_SNAPSHOT_ENTRIES)
+    this._publisher = new Publisher({ clock, log, store: this.store, stateMachine: this._catalogueMachine, group: this._catalogueGroup })
     this._disposables.add(this._catalogueGroup.onMembersChanged(members => this.directory.setMembers(members)))
     for (let shard = 0; shard < settings.control.claimShards; shard++) {
       const machine = new ClaimsStateMachine({
@@ -109,7 +110,7 @@
       maxStreams: settings.control.sourceStreams,
       subscriberLevel: RELAY_LEVEL,
       isCurrent: () => this._catalogueGroup.isCurrent && this.store.version.epoch > 0,
-      confirm: async () => await this._confirmCatalogue(),
+      confirm: async nodes => await this._confirmCatalogue(nodes),
       directory: this.directory,
       onEvidence: records => this._evidence.forwardEvidence(records)
     }))
@@ -169,7 +170,7 @@
    * @returns nothing, or an error if no quorum answered
    */
   async refresh (): Promise<Result<void, NoQuorumError>> {
-    const reply = await this._confirmCatalogue()
+    const reply = await this._confirmCatalogue([])
     if (!reply.confirmed) return Err(new NoQuorumError(false))
     const deadlineMs = this._options.clock.readMonotonicMs() + CHANGE_TIMEOUT_MS
     while (this.store.version.version < (reply.version?.version ?? 0)) {
@@ -332,21 +333,22 @@
     return Buffer.concat([command, CatalogueCommand.encode({ nowMs, command: undefined }).finish()])
   }
 
-  private async _confirmCatalogue (): Promise<ConfirmReply> {
+  private async _confirmCatalogue (nodes: readonly string[]): Promise<ConfirmReply> {
     const barrier = await this._catalogueGroup.readBarrier()
-    if (barrier.ok) return { confirmed: true, version: { ...this.store.version }, message: '' }
-    if (barrier.val.kind !== 'not-leader') return { confirmed: false, version: undefined, message: barrier.val.message }
-    const address = barrier.val.leaderAddress
-    if (address === '') return { confirmed: false, version: undefined, message: barrier.val.message }
-    return await this._confirmAt(address)
+    if (barrier.ok) {
+      const withdrawals = this._catalogueMachine.withdrawals.listOf(nodes)
+      return { confirmed: true, version: { ...this.store.version }, message: '', withdrawals }
+    }
+    const leaderAddress = barrier.val.kind === 'not-leader' ? barrier.val.leaderAddress : ''
+    return leaderAddress === '' ? ConfirmReply.fromPartial({ message: barrier.val.message }) : await this._confirmAt(leaderAddress, nodes)
   }
 
-  private async _confirmAt (address: string): Promise<ConfirmReply> {
+  private async _confirmAt (address: string, nodes: readonly string[]): Promise<ConfirmReply> {
     const client = this._options.channels.getClient(FeedStub, address)
     try {
-      return await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, CONFIRM_TIMEOUT_MS)
+      return await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), { nodes: [...nodes] }, CONFIRM_TIMEOUT_MS)
     } catch (error) {
-      return { confirmed: false, version: undefined, message: formatError(error) }
+      return ConfirmReply.fromPartial({ message: formatError(error) })
     }
   }
 
--- a/packages/control/src/catalogue/CatalogueStateMachine.test.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.test.ts
@@ -64,6 +64,16 @@
   expect(again).toEqual({ ...first, repeated: true })
 })
 
+test('withdrawal is in the snapshot and does not change the version', () => {
+  const value = { targetId: 't1', node: 'n1', targetBorn: 7, instance: '', withdrawnMs: NOW_MS, recordedMs: 0 }
+  const { version } = store
+  machine.apply(CatalogueCommand.encode({ nowMs: NOW_MS, command: { $case: 'withdrawal', value } }).finish())
+  expect(store.version).toEqual(version)
+  const restored = new CatalogueStateMachine(new CatalogueStore())
+  restored.restoreSnapshot(machine.takeSnapshot())
+  expect(restored.withdrawals.listOf(['n1'])).toEqual([{ ...value, recordedMs: NOW_MS }])
+})
+
 test('repeated change gets the first reply after a snapshot', () => {
   const first = change([createEdit('desk', 0)], 'ann', 'request-same')
   const copy = new CatalogueStateMachine(new CatalogueStore())
--- a/packages/control/src/catalogue/CatalogueStateMachine.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.ts
@@ -8,11 +8,13 @@
 import {
   CatalogueCommand, CatalogueSnapshot, ChangeCommand, ChangeOutcome, ChangeReply, EntryEdits, MoveStatus,
   checkMoveTime, checkCatalogue, formatEntry, parseEntry,
-  type EntryEdit, type EntryRecord, type IEntry, type MoveCommand, type MoveOrder, type MoveRecord, type RequestRecord
+  type EntryEdit, type EntryRecord, type IEntry, type MoveCommand, type MoveOrder, type MoveRecord, type RequestRecord,
+  type WithdrawalRecord
 } from '@lagoonswitch/schema'
 import { FULL_SHARE_PPM } from '../moves/MoveSchedule.js'
 import { planOrderTimes } from '../moves/OrderedSchedule.js'
 import { StateMachine, decodeCommand } from '../raft/StateMachine.js'
+import { WithdrawalList } from './WithdrawalList.js'
 
 const MAX_REMEMBERED_REQUESTS = 10_000
 /** Maximum size of the inflated edits of one change; bounds what a few packed bytes can expand to. */
@@ -48,6 +50,8 @@
   private readonly _requests = new Map<string, RequestRecord>()
   private readonly _lastOperators = new Map<string, string>()
   private _nowMs = 0
+  /** Withdrawals of targets, which are not a part of the catalogue's version. */
+  readonly withdrawals = new WithdrawalList()
 
   /** @param store - holds the accepted state */
   constructor (readonly store: CatalogueStore) {
@@ -62,6 +66,7 @@
       case 'change': return ChangeReply.encode(this._applyChange(command.value)).finish()
       case 'move': return ChangeReply.encode(this._applyMove(command.value)).finish()
       case 'order': return ChangeReply.encode(this._applyOrder(command.value)).finish()
+      case 'withdrawal': return ChangeReply.encode(this._applyWithdrawal(command.value)).finish()
       case 'bootstrap': return ChangeReply.encode(this._applyBootstrap(command.value.epoch)).finish()
       default: return ChangeReply.encode(createReply(ChangeOutcome.CHANGE_OUTCOME_INVALID, this.store.version,
         'unknown command; update the control VMs')).finish()
@@ -78,7 +83,8 @@
       requests: [...this._requests.values()],
       compactedVersion,
       lastOperators: Object.fromEntries(this._lastOperators),
-      publication
+      publication,
+      withdrawals: this.withdrawals.getRecords()
     }).finish()
   }
 
@@ -87,6 +93,7 @@
     this._nowMs = snapshot.nowMs
     this._requests.clear()
     for (const request of snapshot.requests) this._requests.set(request.requestId, request)
+    this.withdrawals.restore(snapshot.withdrawals)
     this._lastOperators.clear()
     for (const [name, operator] of Object.entries(snapshot.lastOperators)) this._lastOperators.set(name, operator)
     this.store.restoreContent({
@@ -108,6 +115,11 @@
     return reply?.outcome === ChangeOutcome.CHANGE_OUTCOME_ACCEPTED ? reply : undefined
   }
 
+  private _applyWithdrawal (record: WithdrawalRecord): ChangeReply {
+    this.withdrawals.add(record, this._nowMs)
+    return createReply(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED, this.store.version, '')
+  }
+
   private _applyBootstrap (epoch: number): ChangeReply {
     if (this.store.version.epoch !== 0 || epoch === 0) {
       return createReply(ChangeOutcome.CHANGE_OUTCOME_CONFLICT, this.store.version, 'the epoch of a catalogue never changes')
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -7,7 +7,7 @@
 } from '@lagoonswitch/common'
 import {
   FeedClient as FeedService,
-  type ConfirmReply, type ControlMember, type EndpointRecord, type FeedDown
+  type ConfirmReply, type ControlMember, type EndpointRecord, type FeedDown, type WithdrawalRecord
 } from '@lagoonswitch/schema'
 import type { PeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
@@ -69,7 +69,7 @@
 export class FeedClient implements IDisposable {
   private readonly _disposables = new DisposableStore()
   private readonly _stopping = new AbortController()
-  private readonly _onReady = new Emitter<void>()
+  private readonly _onReady = new Emitter<readonly WithdrawalRecord[]>()
   private readonly _onOrphaned = new Emitter<void>()
   private readonly _backoff: Backoff
   private readonly _finder: SourceFinder
@@ -90,7 +90,7 @@
   private _orphanedSinceMs: number
   private _orphanTimer: IDisposable | undefined
 
-  /** Fires once, when the store holds a version that a quorum has confirmed. */
+  /** Fires once a quorum has confirmed the version in the store, with the withdrawals at this node that were recorded before. */
   readonly onReady = this._onReady.event
   /** Fires when the source was lost and no other one was found in time. */
   readonly onOrphaned = this._onOrphaned.event
@@ -135,14 +135,14 @@
 
   /**
    * Asks the source for a version that a quorum has confirmed after this call.
+   * @param nodes - nodes whose recorded withdrawals are wanted
    * @returns the reply; not confirmed when no source answers
    */
-  async confirm (): Promise<ConfirmReply> {
-    const sourceReply = this._sourceAddress === '' ? undefined : await this._finder.confirmAt(this._sourceAddress)
+  async confirm (nodes: readonly string[]): Promise<ConfirmReply> {
+    const sourceReply = this._sourceAddress === '' ? undefined : await this._finder.confirmAt(this._sourceAddress, nodes)
     if (sourceReply?.confirmed === true) return sourceReply
     // The others are asked in parallel, so that the timeouts of those that are down do not add up.
-    const others = this._listConfirmAddresses().filter(address => address !== this._sourceAddress)
-    return await this._finder.confirmAny(others)
+    return await this._finder.confirmAny(this._listConfirmAddresses().filter(address => address !== this._sourceAddress), nodes)
   }
 
   dispose (): void {
@@ -369,7 +369,7 @@
 
   private async _confirmCatalogue (): Promise<void> {
     if (this._isConfirmed || this._options.isMesh) return
-    const reply = await this.confirm()
+    const reply = await this.confirm([this._options.node])
     if (!reply.confirmed || this._isConfirmed) return
     this._minReadyVersion = reply.version ?? NO_VERSION
     const updateReadiness = (): void => {
@@ -378,7 +378,7 @@
       this._isConfirmed = true
       watch.dispose()
       this._options.log.info('catalogue_confirmed', { version: this._options.store.version.version })
-      this._onReady.fire()
+      this._onReady.fire(reply.withdrawals)
     }
     const watch = this._disposables.add(this._options.store.onChanged(updateReadiness))
     updateReadiness()
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -7,7 +7,7 @@
   type ICatalogueVersion, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
 import {
-  EndpointState, type ConfirmReply, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp, type Hello
+  EndpointState, type ConfirmReply, type ConfirmRequest, type EndpointRecord, type EvidenceRecord, type FeedDown, type FeedUp, type Hello
 } from '@lagoonswitch/schema'
 import { createUnaryHandler } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
@@ -52,8 +52,8 @@
   readonly subscriberLevel: number
   /** True while this process is known to hold the newest version. */
   readonly isCurrent: () => boolean
-  /** Returns a version that a quorum has confirmed after the call. */
-  readonly confirm: () => Promise<ConfirmReply>
+  /** Returns a version that a quorum has confirmed after the call, and the recorded withdrawals of targets beside some nodes. */
+  readonly confirm: (nodes: readonly string[]) => Promise<ConfirmReply>
   /** The control VMs, sent to subscribers so that they find others when this one fails. */
   readonly directory: ControlDirectory
   /** Receives the evidence that subscribers report. */
@@ -83,7 +83,7 @@
   private readonly _seenZones = new Set<string>()
   private readonly _stopping = new AbortController()
   private _admittedSinceBeat = 0
-  private _nextConfirmation: Promise<ConfirmReply> | undefined
+  private _nextConfirmation: { readonly nodes: Set<string>, readonly reply: Promise<ConfirmReply> } | undefined
   private _isDraining = false
 
   constructor (private readonly _options: IFeedHubOptions) {
@@ -100,7 +100,7 @@
   createHandlers (): UntypedServiceImplementation {
     return {
       subscribe: (stream: ServerDuplexStream<FeedUp, FeedDown>) => { void this._serve(stream) },
-      confirm: createUnaryHandler(async () => await this._confirmShared())
+      confirm: createUnaryHandler(async ({ nodes }: ConfirmRequest) => await this._confirmShared(nodes))
     }
   }
 
@@ -331,19 +331,24 @@
   }
 
   /** Requests share one confirmation, which begins after the last of them has arrived. */
-  private async _confirmShared (): Promise<ConfirmReply> {
+  private async _confirmShared (nodes: readonly string[]): Promise<ConfirmReply> {
     // A relay that is not current would have to ask the control VMs, which the requesting node does itself.
     if (this._options.subscriberLevel === LEAF_LEVEL && !this._options.isCurrent()) {
-      return { confirmed: false, version: undefined, message: 'this relay is not current' }
+      return { confirmed: false, version: undefined, message: 'this relay is not current', withdrawals: [] }
     }
-    if (this._nextConfirmation === undefined) {
-      const confirmation = this._options.clock.sleep(COALESCE_DELAY_MS).then(async () => {
-        this._nextConfirmation = undefined
-        return await this._options.confirm()
-      })
-      this._nextConfirmation = confirmation
-    }
-    return await this._nextConfirmation
+    this._nextConfirmation ??= this._scheduleConfirmation()
+    for (const node of nodes) this._nextConfirmation.nodes.add(node)
+    const reply = await this._nextConfirmation.reply
+    return { ...reply, withdrawals: reply.withdrawals.filter(({ node }) => nodes.includes(node)) }
+  }
+
+  private _scheduleConfirmation (): { nodes: Set<string>, reply: Promise<ConfirmReply> } {
+    const nodes = new Set<string>()
+    const reply = this._options.clock.sleep(COALESCE_DELAY_MS).then(async () => {
+      this._nextConfirmation = undefined
+      return await this._options.confirm([...nodes])
+    })
+    return { nodes, reply }
   }
 }
 
--- a/packages/feed/src/SourceFinder.ts
+++ b/packages/feed/src/SourceFinder.ts
@@ -80,12 +80,13 @@
   /**
    * Asks one source for a version that a quorum has confirmed after this call.
    * @param address - address of the source
+   * @param nodes - nodes whose recorded withdrawals are wanted
    * @returns the reply, or undefined when the source did not reply
    */
-  async confirmAt (address: string): Promise<ConfirmReply | undefined> {
+  async confirmAt (address: string, nodes: readonly string[] = []): Promise<ConfirmReply | undefined> {
     try {
       const client = this._options.channels.getClient(FeedService, address)
-      return await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, CONFIRM_TIMEOUT_MS)
+      return await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), { nodes: [...nodes] }, CONFIRM_TIMEOUT_MS)
     } catch (error) {
       this._options.metrics.count('feed_confirm_failures_total', isTimeout(error) ? 'timeout' : 'unreachable')
       this._options.log.warn('confirmation_failed', { address, error: formatError(error) })
@@ -96,11 +97,12 @@
   /**
    * Asks several sources in parallel.
    * @param addresses - addresses of the sources
+   * @param nodes - nodes whose recorded withdrawals are wanted
    * @returns the first confirmed reply; a reply that is not confirmed when there is none
    */
-  async confirmAny (addresses: readonly string[]): Promise<ConfirmReply> {
-    return await Promise.any(addresses.map(async address => await this._confirmCurrent(address)))
-      .catch(() => ({ confirmed: false, version: undefined, message: 'no source answered' }))
+  async confirmAny (addresses: readonly string[], nodes: readonly string[]): Promise<ConfirmReply> {
+    return await Promise.any(addresses.map(async address => await this._confirmCurrent(address, nodes)))
+      .catch(() => ({ confirmed: false, version: undefined, message: 'no source answered', withdrawals: [] }))
   }
 
   /**
@@ -138,8 +140,8 @@
     return { address, isConfirmed: reply?.confirmed === true }
   }
 
-  private async _confirmCurrent (address: string): Promise<ConfirmReply> {
-    const reply = await this.confirmAt(address)
+  private async _confirmCurrent (address: string, nodes: readonly string[]): Promise<ConfirmReply> {
+    const reply = await this.confirmAt(address, nodes)
     if (reply?.confirmed !== true) throw new FeedError(`${address} is not current`, 'ask another source')
     return reply
   }
--- a/packages/lagoonswitch/src/http/LocalController.ts
+++ b/packages/lagoonswitch/src/http/LocalController.ts
@@ -49,8 +49,10 @@
 
   /** Withdraws a target that is leaving; it gets no new calls. */
   @Delete(':id')
-  withdraw (@Param('id') id: string): { draining: true } {
-    if (!this._node.targets.withdraw(id)) throw new NotFoundException(`no target ${id} has announced itself here`)
+  async withdraw (@Param('id') id: string): Promise<{ draining: true }> {
+    if (this._node.targets.getAnnouncement(id) === undefined) throw new NotFoundException(`no target ${id} has announced itself here`)
+    const recorded = await this._node.withdrawals.withdraw(id)
+    if (recorded.err) throw new ServiceUnavailableException(recorded.val.message)
     return { draining: true }
   }
 }
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -22,6 +22,7 @@
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { TargetPool } from './routing/TargetPool.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
+import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
 
 const MAX_FORWARDED_RECORDS = 5_000
 /** Time within which callers notice that this process is no longer ready. */
@@ -66,6 +67,7 @@
   readonly store = new CatalogueStore()
   readonly endpoints = new EndpointView()
   readonly targets: LocalTargetRegistry
+  readonly withdrawals: WithdrawalRecorder
   readonly feed: FeedClient
   readonly relay: FeedHub
 
@@ -91,6 +93,8 @@
       dialect,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
+    const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
+    this.withdrawals = new WithdrawalRecorder({ node: name, targets: this.targets, leaderClient, clock, log, metrics })
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
     const isControl = settings.process.roles.includes('control')
@@ -124,7 +128,7 @@
       maxStreams: settings.node.relayStreams,
       subscriberLevel: LEAF_LEVEL,
       isCurrent: () => this.feed.level === RELAY_LEVEL && this.feed.isCurrent && this.feed.isReady,
-      confirm: async () => await this.feed.confirm(),
+      confirm: async nodes => await this.feed.confirm(nodes),
       directory: this.directory,
       onEvidence: records => this._forwardEvidence(records)
     }))
@@ -145,8 +149,7 @@
         endpoints: this.endpoints,
         isReachable: address => this._links.get(address)?.isReachable !== false
       }),
-      claims: new ClaimsClient(
-        new LeaderClient(channels, clock, () => this.directory.listAddresses()), settings.control.claimShards),
+      claims: new ClaimsClient(leaderClient, settings.control.claimShards),
       evidence: this._evidence,
       ownerCallLimiter: new OwnerCallLimiter(),
       callerWaitEstimator: new CallerWaitEstimator(clock),
@@ -161,6 +164,7 @@
       getCallerLimits: () => this.store.view.publication?.callerLimits,
       getCatalogueVersion: () => this.store.version.version
     })
+    this._disposables.add(this.feed.onReady(withdrawals => this.targets.restoreWithdrawals(withdrawals)))
     this._disposables.add(this.feed.onOrphaned(() => this.relay.redirectAll()))
     this._disposables.add(this.store.onChanged(() => {
       this._routes = undefined
@@ -175,7 +179,7 @@
     return this.feed.isReady && this._stop === undefined
   }
 
-  /** True once the feed has delivered the endpoints that announcements of targets are checked against. */
+  /** True once the endpoints and withdrawals that announcements of targets are checked against are known. */
   get canAnnounce (): boolean {
     return this.feed.isReady
   }
--- a/packages/node/src/targets/LocalTargetRegistry.test.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.test.ts
@@ -116,6 +116,35 @@
   expect(getState()).toBe(READY)
 })
 
+// After a restart of all processes no endpoint record of the target is left; only the recorded withdrawal is.
+test.each([[1_000, 1_001], [0, 5_001]])(
+  'late announcement of a target whose recorded withdrawal states the start %s is stale, that of a later start is not',
+  (targetBorn, laterBornMs) => {
+    registry.restoreWithdrawals([{ targetId: 't1', node: 'n1', targetBorn, instance: '', withdrawnMs: 5_000, recordedMs: 5_000 }])
+    expect(announce({ bornMs: 1_000, sequence: 9 })).toBe('stale')
+    expect(announce({ bornMs: laterBornMs, sequence: 1 })).toBe('taken')
+    expect(getState()).toBe(READY)
+  })
+
+test('target that states an instance only stays withdrawn by its recorded withdrawal', () => {
+  registry.restoreWithdrawals([
+    { targetId: 't1', node: 'n1', targetBorn: 0, instance: 'run-1', withdrawnMs: 5_000, recordedMs: 5_000 }
+  ])
+  const announcement: ITargetAnnouncement = {
+    id: 't1', service: 'desk', version: 'v1', address: '127.0.0.1:1', slots: 4, connections: 9, instance: 'run-1'
+  }
+  registry.announce(announcement)
+  expect(getState()).toBe(DRAINING)
+  registry.announce({ ...announcement, instance: 'run-2' })
+  expect(getState()).toBe(READY)
+})
+
+test('recorded withdrawal does not replace one that arrived since the start', () => {
+  registry.withdraw('t1', 2_000)
+  registry.restoreWithdrawals([{ targetId: 't1', node: 'n1', targetBorn: 1_000, instance: '', withdrawnMs: 5_000, recordedMs: 5_000 }])
+  expect(announce({ bornMs: 2_000 })).toBe('stale')
+})
+
 test('records of a restarted node whose wall clock was set back are accepted', () => {
   announce({ sequence: 3 })
   registry.dispose()
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -3,7 +3,7 @@
  */
 import { DisposableStore, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
 import type { EndpointView } from '@lagoonswitch/feed'
-import { EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
+import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
 import { DEFAULT_WARMUP_MS } from '../routing/TargetState.js'
@@ -62,6 +62,8 @@
 interface IWithdrawal {
   readonly bornMs: number | undefined
   readonly atMs: number
+  /** Instance that was withdrawn before this process was started; empty if there is none or it was not stated. */
+  readonly earlierInstance: string
 }
 
 /** The only component that opens connections to the targets of this VM and assigns their slots. */
@@ -128,10 +130,8 @@
     const registered = this._targets.get(id)
     const registeredBornMs = registered?.target.announcement.bornMs
     if (bornMs !== undefined && registeredBornMs !== undefined && bornMs < registeredBornMs) return true
-    this._withdrawals.delete(id)
-    this._withdrawals.set(id, { bornMs: bornMs ?? registeredBornMs, atMs: this._options.clock.readWallTime().getTime() })
-    const oldest = this._withdrawals.keys().next().value
-    if (this._withdrawals.size > MAX_WITHDRAWALS && oldest !== undefined) this._withdrawals.delete(oldest)
+    const atMs = this._options.clock.readWallTime().getTime()
+    this._rememberWithdrawal(id, { bornMs: bornMs ?? registeredBornMs, atMs, earlierInstance: '' })
     if (registered === undefined) return false
     registered.sequence = Math.max(registered.sequence, sequence ?? 0)
     if (registered.target.isDraining) {
@@ -146,6 +146,20 @@
     return true
   }
 
+  /**
+   * Restores withdrawals that were recorded before this process was started.
+   * @param records - withdrawals of targets of this VM
+   */
+  restoreWithdrawals (records: readonly WithdrawalRecord[]): void {
+    for (const { targetId, targetBorn, instance, withdrawnMs } of records) {
+      // One that arrived since the start is newer.
+      if (this._withdrawals.has(targetId)) continue
+      const bornMs = targetBorn === 0 ? undefined : targetBorn
+      this._rememberWithdrawal(targetId, { bornMs, atMs: withdrawnMs, earlierInstance: instance })
+    }
+    if (records.length > 0) this._options.log.info('withdrawals_restored', { count: records.length })
+  }
+
   open (request: ICallRequest, events: ICallEvents): ICallHandle {
     const target = this._targets.get(request.targetId)?.target
     const isServing = target !== undefined && !target.isDraining && !target.isLost && !this._isDraining &&
@@ -205,6 +219,14 @@
     if (run !== undefined) run.call.isRepeatDenied = true
   }
 
+  /**
+   * @param id - id of a target
+   * @returns its announcement, or undefined if no such target is registered
+   */
+  getAnnouncement (id: string): ITargetAnnouncement | undefined {
+    return this._targets.get(id)?.target.announcement
+  }
+
   /** @returns announcement and load of each target of this VM */
   listTargets (): Array<ITargetAnnouncement & { draining: boolean, inFlight: number, queued: number }> {
     return [...this._targets.values()].map(({ target }) => ({
@@ -223,6 +245,13 @@
     this._store.dispose()
   }
 
+  private _rememberWithdrawal (id: string, withdrawal: IWithdrawal): void {
+    this._withdrawals.delete(id)
+    this._withdrawals.set(id, withdrawal)
+    const oldest = this._withdrawals.keys().next().value
+    if (this._withdrawals.size > MAX_WITHDRAWALS && oldest !== undefined) this._withdrawals.delete(oldest)
+  }
+
   private _isStale ({ id, bornMs, sequence }: ITargetAnnouncement, registered: IRegisteredTarget | undefined): boolean {
     const withdrawal = this._withdrawals.get(id)
     if (withdrawal !== undefined && bornMs !== undefined && bornMs <= (withdrawal.bornMs ?? withdrawal.atMs)) return true
@@ -240,8 +269,10 @@
 
   /** Tells whether a target that states no time of its start withdrew under the same instance before this process was started. */
   private _hasWithdrawnBefore ({ id, bornMs, instance }: ITargetAnnouncement): boolean {
+    if (bornMs !== undefined || instance === '') return false
+    if (this._withdrawals.get(id)?.earlierInstance === instance) return true
     const record = this._options.endpoints.getRecord(id)
-    return bornMs === undefined && instance !== '' && record !== undefined && record.withdrawn && record.instance === instance &&
+    return record !== undefined && record.withdrawn && record.instance === instance &&
       record.incarnation < this._options.incarnation
   }
 
--- a/packages/transport/src/LeaderClient.ts
+++ b/packages/transport/src/LeaderClient.ts
@@ -32,15 +32,18 @@
    * @param group - name of the group
    * @param command - encoded command; the leader sets its time
    * @param timeoutMs - timeout over all attempts in milliseconds
+   * @param attemptTimeoutMs - timeout of one attempt in milliseconds
    * @returns the result of the state machine, or an error, which is indeterminate when the command may have taken effect
    */
-  async propose (group: string, command: Uint8Array, timeoutMs: number): Promise<Result<Uint8Array, NoQuorumError>> {
+  async propose (
+    group: string, command: Uint8Array, timeoutMs: number, attemptTimeoutMs = ATTEMPT_TIMEOUT_MS
+  ): Promise<Result<Uint8Array, NoQuorumError>> {
     const endMs = this._clock.readMonotonicMs() + timeoutMs
     let indeterminate = false
     for (;;) {
       const remainingMs = endMs - this._clock.readMonotonicMs()
       if (remainingMs <= 0) return Err(new NoQuorumError(indeterminate))
-      const reply = await this._sendOnce(group, command, Math.min(remainingMs, ATTEMPT_TIMEOUT_MS))
+      const reply = await this._sendOnce(group, command, Math.min(remainingMs, attemptTimeoutMs))
       if (reply?.committed === true) return Ok(reply.result)
       if (reply === undefined || reply.indeterminate) indeterminate = true
       await this._clock.sleep(Math.min(RETRY_DELAY_MS, remainingMs))
--- a/tests/Feed.test.ts
+++ b/tests/Feed.test.ts
@@ -67,7 +67,7 @@
 test('node is not ready with a version that no quorum has confirmed', async () => {
   world = await World.start([])
   await changeOwner('first')
-  const stale = await startHub(world, 'stale', { confirm: async () => ({ confirmed: false, version: undefined, message: 'no quorum' }) })
+  const stale = await startHub(world, 'stale', { confirm: async () => ({ confirmed: false, version: undefined, message: 'no quorum', withdrawals: [] }) })
   const store = new CatalogueStore()
   const client = startFeedClient(world, [stale.address], store)
   await waitFor('the stale version', () => store.version.epoch > 0)
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
 import { CatalogueStore, ControlDirectory, LEAF_LEVEL, type FeedClient } from '@lagoonswitch/feed'
-import { FeedClient as FeedServiceClient, type ConfirmReply, type ConfirmRequest } from '@lagoonswitch/schema'
+import { FeedClient as FeedServiceClient, WithdrawalRecord, type ConfirmReply, type ConfirmRequest } from '@lagoonswitch/schema'
 import { sendUnary } from '@lagoonswitch/transport'
 import { startFeedClient, startHub, startSilentServer, startStubSource } from './support/Feeds.js'
 import { DESK, World, waitFor } from './support/World.js'
@@ -61,7 +61,7 @@
   store.restoreContent(world.control.store.getContent())
   const confirm = async (): Promise<ConfirmReply> => {
     await sleep(SLOW_CONFIRM_MS)
-    return { confirmed: true, version: { ...store.version }, message: '' }
+    return { confirmed: true, version: { ...store.version }, message: '', withdrawals: [] }
   }
   const controls = [await startHub(world, 'one', { store, confirm }), await startHub(world, 'other', { store, confirm })]
   const silent = await startStubSource('silent', store)
@@ -108,15 +108,32 @@
   let confirmCalls = 0
   const confirm = async (): Promise<ConfirmReply> => {
     confirmCalls++
-    return { confirmed: true, version: undefined, message: '' }
+    return { confirmed: true, version: undefined, message: '', withdrawals: [] }
   }
   const relay = await startHub(world, 'relay', { subscriberLevel: LEAF_LEVEL, isCurrent: () => false, confirm })
   const client = world.channels.getClient(FeedServiceClient, relay.address)
-  const reply = await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, MAX_PROPAGATION_MS)
+  const reply = await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), { nodes: [] }, MAX_PROPAGATION_MS)
   expect([reply.confirmed, confirmCalls]).toEqual([false, 0])
   relay.close()
 })
 
+test('requests that share a confirmation get the withdrawals of their own nodes', async () => {
+  world = await World.start([])
+  const asked: Array<readonly string[]> = []
+  const confirm = async (nodes: readonly string[]): Promise<ConfirmReply> => {
+    asked.push(nodes)
+    const withdrawals = nodes.map(node => WithdrawalRecord.fromPartial({ targetId: `target of ${node}`, node }))
+    return { confirmed: true, version: undefined, message: '', withdrawals }
+  }
+  const hub = await startHub(world, 'hub', { confirm })
+  const client = world.channels.getClient(FeedServiceClient, hub.address)
+  const replies = await Promise.all([['n1'], ['n2'], []].map(async nodes =>
+    await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), { nodes }, MAX_PROPAGATION_MS)))
+  expect(asked.flat().sort()).toEqual(['n1', 'n2'])
+  expect(replies.map(reply => reply.withdrawals.map(({ targetId }) => targetId))).toEqual([['target of n1'], ['target of n2'], []])
+  hub.close()
+})
+
 test('node that was redirected to another relay stays there while the control VMs have no free streams', async () => {
   world = await World.start([])
   await world.putEntry(DESK)
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -127,13 +127,13 @@
   const server = new PeerListener(own)
   server.addService(FeedService, {
     subscribe: () => {},
-    confirm: createUnaryHandler(async () => ({ confirmed: true, version: undefined, message: '' }))
+    confirm: createUnaryHandler(async () => ({ confirmed: true, version: undefined, message: '', withdrawals: [] }))
   })
   const port = await server.listen('127.0.0.1', 0)
   const confirm = async (credentials: LinkCredentials): Promise<boolean> => {
     const channels = new PeerChannels(credentials)
     const client = channels.getClient(FeedClient, `127.0.0.1:${port}`)
-    const reply = await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), {}, 1_000)
+    const reply = await sendUnary<ConfirmRequest, ConfirmReply>(client.confirm.bind(client), { nodes: [] }, 1_000)
       .catch(() => undefined)
     channels.dispose()
     return reply?.confirmed === true
--- a/tests/support/Feeds.ts
+++ b/tests/support/Feeds.ts
@@ -64,7 +64,7 @@
     maxStreams: 10,
     subscriberLevel: RELAY_LEVEL,
     isCurrent: () => true,
-    confirm: async () => ({ confirmed: true, version: { ...store.version }, message: '' }),
+    confirm: async () => ({ confirmed: true, version: { ...store.version }, message: '', withdrawals: [] }),
     directory: new ControlDirectory([]),
     onEvidence: () => {},
     ...options
