Targets: a response that is held back no longer pauses the parser of undici

Change: TargetConnection holds back the reads of the socket instead, so the parser is never paused and the end comes after all bytes.

--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -100,7 +100,7 @@
 
   acknowledge (bytes: number): void {
     this._unacknowledgedBytes -= bytes
-    if (this._unacknowledgedBytes < FLOW_WINDOW_BYTES && this._controller?.paused === true) this._controller.resume()
+    if (this._unacknowledgedBytes < FLOW_WINDOW_BYTES) this._connection?.resume()
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -138,7 +138,7 @@
     })
   }
 
-  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData (_controller: Dispatcher.DispatchController, chunk: Buffer): void {
     if (this._hasEnded || this._isRefusing) return
     this._connection?.countBodyBytes(chunk.length)
     this._unacknowledgedBytes += chunk.length
@@ -148,7 +148,7 @@
       this._flushSmallChunks()
       this._events.onData(chunk)
     }
-    if (this._unacknowledgedBytes >= FLOW_WINDOW_BYTES) controller.pause()
+    if (this._unacknowledgedBytes >= FLOW_WINDOW_BYTES) this._connection?.pause()
   }
 
   onResponseEnd (): void {
--- a/packages/node/src/targets/TargetConnections.ts
+++ b/packages/node/src/targets/TargetConnections.ts
@@ -32,6 +32,7 @@
   private _wasReset = false
   private _hasReceivedEnd = false
   private _isOverrun = false
+  private _isPaused = false
   private _handler: IResponseHandler | undefined
   /** Bytes read from the socket that have been parsed and counted. */
   private _parsedBytes = 0
@@ -81,6 +82,22 @@
     this._client.dispatch(options, handler)
   }
 
+  /**
+   * Stops passing on what arrives, until {@link resume}. undici's own pause must not be used: it fails with an exception if the
+   * connection ends while its parser is paused. Here the end follows the bytes that wait before the parser.
+   */
+  pause (): void {
+    this._isPaused = true
+  }
+
+  /** Passes on what has arrived and what follows. */
+  resume (): void {
+    if (!this._isPaused) return
+    this._isPaused = false
+    // The parser may be running, since the handler of a response calls this.
+    process.nextTick(() => { if (!this._isPaused) this._socket?.emit('readable') })
+  }
+
   /** @param bytes - of a body, received by a call */
   countBodyBytes (bytes: number): void {
     this._bodyBytes += bytes
@@ -108,6 +125,7 @@
   /** Detaches the handler of a call that has ended. */
   detachHandler (): void {
     this._handler = undefined
+    this.resume()
   }
 
   close (): void {
@@ -119,8 +137,12 @@
     this._wasReset = false
     this._hasReceivedEnd = false
     this._isOverrun = false
+    this._isPaused = false
     this._parsedBytes = 0
     this._bodyBytes = 0
+    const read = socket.read.bind(socket)
+    // undici reads without a size, Node.js itself with 0.
+    socket.read = size => this._isPaused && size === undefined ? null : read(size)
     socket.prependListener('error', () => { this._wasReset = true })
     socket.prependListener('end', () => {
       this._hasReceivedEnd = true
