Targets: an endless head or trailer of short lines no longer blocks the process

Cause: undici goes on parsing what it has read after a head or trailer has exceeded its limit, and creates an error with a stack trace for each further line; one read is up to 64 kB.

Change: at most 4 kB are given to the parser at a time until the head of a response without trailers has been read, and none after the connection was destroyed. The whole buffer is read for bodies with a length or without framing.

--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -131,6 +131,7 @@
       return
     }
     this._isChunked = headers['transfer-encoding'] !== undefined
+    if (!this._isChunked) this._connection?.unlimitReads()
     this._isFramed = this._isChunked || headers['content-length'] !== undefined
     const serviceMs = this._clock.readMonotonicMs() - this._grantedAtMs
     this._events.onHead(status, copyResponseHeaders(headers), {
--- a/packages/node/src/targets/TargetConnections.ts
+++ b/packages/node/src/targets/TargetConnections.ts
@@ -19,6 +19,12 @@
 /** Bytes of chunk framing allowed for each byte of a body; the shortest chunk has five for its one byte. */
 const OVERHEAD_BYTES_PER_BODY_BYTE = 8
 
+/**
+ * Bytes parsed at a time where heads or trailers may come. undici parses what it has read to its end even after a head has exceeded the
+ * limit, and creates an error for each further line.
+ */
+const LIMITED_READ_BYTES = 4_096
+
 /** Receives the response to one call. */
 export interface IResponseHandler extends Dispatcher.DispatchHandler {
   /** True once nothing more of the response is expected. */
@@ -33,6 +39,7 @@
   private _hasReceivedEnd = false
   private _isOverrun = false
   private _isPaused = false
+  private _areReadsLimited = true
   private _handler: IResponseHandler | undefined
   /** Bytes read from the socket that have been parsed and counted. */
   private _parsedBytes = 0
@@ -78,6 +85,7 @@
   dispatch (options: Dispatcher.DispatchOptions, handler: IResponseHandler): void {
     this._handler = handler
     this._isOverrun = false
+    this._areReadsLimited = true
     this._overheadLeftBytes = MAX_OVERHEAD_BYTES
     this._client.dispatch(options, handler)
   }
@@ -98,6 +106,11 @@
     process.nextTick(() => { if (!this._isPaused) this._socket?.emit('readable') })
   }
 
+  /** Lifts the limit on reads for the rest of a response that has no trailers. */
+  unlimitReads (): void {
+    this._areReadsLimited = false
+  }
+
   /** @param bytes - of a body, received by a call */
   countBodyBytes (bytes: number): void {
     this._bodyBytes += bytes
@@ -142,7 +155,11 @@
     this._bodyBytes = 0
     const read = socket.read.bind(socket)
     // undici reads without a size, Node.js itself with 0.
-    socket.read = size => this._isPaused && size === undefined ? null : read(size)
+    socket.read = size => {
+      if (size !== undefined) return read(size)
+      if (this._isPaused || socket.destroyed) return null
+      return this._areReadsLimited && socket.readableLength > LIMITED_READ_BYTES ? read(LIMITED_READ_BYTES) : read()
+    }
     socket.prependListener('error', () => { this._wasReset = true })
     socket.prependListener('end', () => {
       this._hasReceivedEnd = true
