Calls: the rest of a body is read after an early response

Cause: the body is paused while the attempt takes no more, and only a drain of the attempt resumes it; the response ended the attempt, so nothing did. Node.js drops the rest of a body only if none of it was read.

Change: after a response CallBody reads and drops the rest until the deadline of the call, for 1 s at least; then it closes the connection.

--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -135,6 +135,7 @@
     this._claim.settleAnswered()
     this._finish('answered')
     if (!this._isCallerGone) this._response.end()
+    this._body.discard(this._context.clock, this._getRemainingMs())
   }
 
   onFailure (failure: ICallFailure): void {
--- a/packages/node/src/calls/CallBody.ts
+++ b/packages/node/src/calls/CallBody.ts
@@ -2,13 +2,17 @@
  * The request body of a call: buffered if it is small, so that a retry can send it again; streamed otherwise.
  */
 import type { IncomingMessage } from 'node:http'
+import type { IClock } from '@lagoonswitch/common'
 import type { ICallHandle } from './CallTypes.js'
 
+/** Time for the rest of a body after the response, even if the deadline of the call is nearer. */
+const MIN_DISCARD_MS = 1_000
 const NO_BYTES = Buffer.alloc(0)
 
 /** Reads the body of one request. */
 export class CallBody {
   private _isStreaming = false
+  private _isDiscarding = false
   /** The body, or its start if it is too large to buffer. */
   bytes: Buffer = NO_BYTES
   /** True once {@link bytes} holds the whole body. */
@@ -52,9 +56,22 @@
     if (this.isComplete || this._isStreaming) return
     this._isStreaming = true
     this._request.on('data', (chunk: Buffer) => {
-      if (getHandle()?.sendBody(chunk) === false) this._request.pause()
+      if (!this._isDiscarding && getHandle()?.sendBody(chunk) === false) this._request.pause()
     })
-    this._request.on('end', () => getHandle()?.endBody())
+    this._request.on('end', () => { if (!this._isDiscarding) getHandle()?.endBody() })
+    this._request.resume()
+  }
+
+  /**
+   * Reads and drops the rest of the body once the response is complete, since the next request on the connection follows it.
+   * @param clock - source of time
+   * @param remainingMs - time left for the call in milliseconds; the connection is closed if the body takes longer
+   */
+  discard (clock: IClock, remainingMs: number): void {
+    if (this.isComplete || this._request.readableEnded) return
+    this._isDiscarding = true
+    const timer = clock.schedule(Math.max(MIN_DISCARD_MS, remainingMs), () => this._request.socket.destroy())
+    this._request.on('close', () => timer.dispose())
     this._request.resume()
   }
 
