Raft: any majority of the initial members creates the group on the first start

Cause: only the first seed created the group, and only once all three answered.

Change: GroupCreation, moved out of GroupMembership. Each seed may create the group in its turn (1.5 s); after a turn a majority suffices with automatic membership, if all that answer were started on the first start and none is part of a group.

--- a/packages/control/src/raft/GroupMembership.ts
+++ b/packages/control/src/raft/GroupMembership.ts
@@ -1,10 +1,11 @@
 /**
- * Creation of a group, and changes of its members by operators or automatically.
+ * Changes of the members of a group, by operators or automatically.
  */
 import { Err, NoQuorumError, Ok, StorageError, waitAtMost, type Result } from '@lagoonswitch/common'
 import {
-  LogEntryKind, Members, type IdentifyReply, type JoinReply, type JoinRequest, type LogEntry, type Member
+  type IdentifyReply, type JoinReply, type JoinRequest, type LogEntry, type Member
 } from '@lagoonswitch/schema'
+import { GroupCreation } from './GroupCreation.js'
 import { MembershipPlanner } from './MembershipPlanner.js'
 import type { RaftError } from './RaftGroup.js'
 import type { RaftLeader } from './RaftLeader.js'
@@ -31,6 +32,7 @@
 /** Manages the members of a group until the signal is aborted. */
 export class GroupMembership {
   private readonly _planner: MembershipPlanner
+  private readonly _creation: GroupCreation
   private _nextAddressIndex = 0
 
   constructor (
@@ -38,17 +40,18 @@
     private readonly _stopping: AbortSignal
   ) {
     this._planner = new MembershipPlanner(_options.automatic?.desiredVoters ?? 1)
+    this._creation = new GroupCreation(_options, _replica, {
+      identify: async address => await this._identify(address),
+      getIdentity: () => this.handleIdentify(),
+      startElection: _host.startElection
+    }, _stopping)
   }
 
   /** Starts the tasks that create the group, join it and change its members. */
   start (): void {
-    const { automatic, initialMembers, name } = this._options
-    if (automatic === undefined) {
-      if (initialMembers[0]?.name === name) void this._runGroupCreation(initialMembers.map(member => member.address))
-      return
-    }
-    const [first] = automatic.initialMemberAddresses
-    if (automatic.isFirstStart && first === automatic.address) void this._runGroupCreation(automatic.initialMemberAddresses)
+    const { automatic } = this._options
+    this._creation.start()
+    if (automatic === undefined) return
     void this._runJoin(automatic)
     void this._runMemberChanges()
   }
@@ -58,7 +61,13 @@
     const { replicaId, members } = this._replica
     if (replicaId === '') throw new StorageError('this replica still reads its disk', 'ask again')
     const { name, automatic } = this._options
-    return { replicaId, name, initialized: members.length > 0, availabilityZone: automatic?.availabilityZone ?? '' }
+    return {
+      replicaId,
+      name,
+      initialized: members.length > 0,
+      availabilityZone: automatic?.availabilityZone ?? '',
+      firstStart: automatic?.isFirstStart === true
+    }
   }
 
   /** Records that another replica wants to join, or returns the address of the leader. */
@@ -190,46 +199,4 @@
       return ''
     }
   }
-
-  /**
-   * Creates a new group. Only the first member of the list does so, and only if every member
-   * answers and none has ever been part of a group, so that an old group is not created again after a disk was lost.
-   */
-  private async _runGroupCreation (addresses: readonly string[]): Promise<void> {
-    const { name, clock, automatic, log, group, initialMembers } = this._options
-    while (!this._stopping.aborted && this._replica.members.length === 0) {
-      const identities = await Promise.all(addresses.map(async (address, index) =>
-        address === automatic?.address || initialMembers[index]?.name === name ? this.handleIdentify() : await this._identify(address)))
-      if (identities.some(identity => identity?.initialized === true)) {
-        const remedy = automatic === undefined ? 'run lagoonctl members replace' : 'none needed; this replica joins automatically'
-        log.warn('waiting_for_replacement', { group, remedy })
-        return
-      }
-      if (identities.every(identity => identity !== undefined)) {
-        await this._writeInitialMembers(identities.map((identity, index): Member => ({
-          name: initialMembers[index]?.name ?? identity?.name ?? '',
-          address: addresses[index] ?? '',
-          replicaId: identity?.replicaId ?? '',
-          voter: true,
-          availabilityZone: identity?.availabilityZone ?? ''
-        })))
-        return
-      }
-      await clock.sleep(JOIN_INTERVAL_MS, this._stopping)
-    }
-  }
-
-  private async _writeInitialMembers (members: Member[]): Promise<void> {
-    const replica = this._replica
-    await replica.lock.run(async () => {
-      if (replica.members.length > 0 || replica.log.lastIndex > 0) return
-      await replica.saveTermAndVote(1, replica.replicaId)
-      const data = Members.encode({ members }).finish() as Buffer
-      const entry: LogEntry = { index: 1, term: 1, kind: LogEntryKind.LOG_ENTRY_KIND_MEMBERS, data }
-      replica.log.push(entry)
-      await replica.syncEntries([entry])
-      replica.updateMembers()
-      this._host.startElection()
-    })
-  }
 }
--- a/packages/control/src/raft/RaftTypes.ts
+++ b/packages/control/src/raft/RaftTypes.ts
@@ -34,7 +34,7 @@
   /** Peer address of this process. */
   readonly address: string
   readonly availabilityZone: string
-  /** Peer addresses of the initial members; the first one creates the group on the first start of the system. */
+  /** Peer addresses of the initial members, in the same order in all processes; they create the group on the first start of the system. */
   readonly initialMemberAddresses: readonly string[]
   readonly isFirstStart: boolean
   /** Number of voters that the group should have. */
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -126,14 +126,14 @@
     return vm
   }
 
-  async start (name: string): Promise<void> {
+  async start (name: string, isFirstStart = !this._isGroupCreated): Promise<void> {
     const vm = this.getVm(name)
     vm.stateMachine = new ListStateMachine()
     vm.group = new RaftGroup({
       group: 'test',
       name,
       initialMembers: this._initialMembers.length > 0 ? [] : this.names.map(member => ({ name: member, address: member })),
-      automatic: this._createAutomaticMembership(name),
+      automatic: this._createAutomaticMembership(name, isFirstStart),
       heartbeatMs: HEARTBEAT_MS,
       electionTimeoutMs: ELECTION_TIMEOUT_MS,
       snapshotEntries: this._snapshotEntries,
@@ -147,13 +147,13 @@
     await vm.group.start()
   }
 
-  private _createAutomaticMembership (name: string): IAutomaticMembership | undefined {
+  private _createAutomaticMembership (name: string, isFirstStart: boolean): IAutomaticMembership | undefined {
     if (this._initialMembers.length === 0) return undefined
     return {
       address: name,
       availabilityZone: 'z1',
       initialMemberAddresses: this._initialMembers,
-      isFirstStart: !this._isGroupCreated,
+      isFirstStart,
       desiredVoters: DESIRED_VOTERS,
       listAddresses: () => this._initialMembers
     }
