Moves: a change of a service's declaration no longer ends an ordered move

A configuration that changed the limits of a service, such as its connections, while an ordered move of it ran, took the move back as withdrawn by an operator, though neither named a move.

Change: a declaration without a move closes an open one only if the declaration before had one, or if the version in use changes.

Evidence: CatalogueStateMachine.test.ts, an ordered move and a change of connections: failed before (status 4 instead of 1), passes; 168 of 168 tests of packages/control and packages/lagoonswitch.

--- a/packages/control/src/catalogue/CatalogueStateMachine.test.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.test.ts
@@ -64,6 +64,17 @@
   expect(again).toEqual({ ...first, repeated: true })
 })
 
+// On a platform a service declares no version and no move; its limits may change while an ordered move runs.
+test('change of a declaration does not end an ordered move', () => {
+  change([createEdit('desk', 0, { version: undefined })])
+  machine.apply(CatalogueCommand.encode({
+    nowMs: NOW_MS, command: { $case: 'order', value: { service: 'desk', from: 'v1', to: 'v2', withinMs: 12_000 } }
+  }).finish())
+  const reply = change([createEdit('desk', 2, { version: undefined, limits: { slots: 9, connections: 99 } })])
+  expect(reply.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED)
+  expect(store.getMove('desk')).toMatchObject({ status: MoveStatus.MOVE_STATUS_RUNNING, to: 'v2' })
+})
+
 test('withdrawal is in the snapshot and does not change the version', () => {
   const value = { targetId: 't1', node: 'n1', targetBorn: 7, instance: '', withdrawnMs: NOW_MS, recordedMs: 0 }
   const { version } = store
--- a/packages/control/src/catalogue/CatalogueStateMachine.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.ts
@@ -239,7 +239,9 @@
       previous.move.to === move.to && previous.move.by === move.by
     if (isSame) return
     if (move === undefined) {
-      this._closeMove(entry.entry, entry.version, version, moves)
+      // A change that concerns neither move nor version leaves an ordered move open.
+      const isConcerned = previous?.move !== undefined || previous?.version !== entry.version
+      if (isConcerned) this._closeMove(entry.entry, entry.version, version, moves)
       return
     }
     moves.push({
