--- a/packages/lagoonswitch/src/SettingsWatcher.test.ts
+++ b/packages/lagoonswitch/src/SettingsWatcher.test.ts
@@ -40,6 +40,16 @@
   expect(changes.map(({ process, control }) => [process.service, control.seeds[0]?.host])).toEqual([['press', '10.0.0.9']])
 })
 
+// The file is empty for a moment while it is written again in place.
+test('change after a read of the empty file is applied', async () => {
+  const started = new SettingsWatcher(file, new ManualClock(), new NullLog(), settings => changes.push(settings))
+  await writeFile(file, '')
+  started.refresh()
+  await writeFile(file, formatSettings('press'))
+  started.refresh()
+  expect(changes.map(({ process }) => process.service)).toEqual(['press'])
+})
+
 test('invalid or missing file keeps the settings until a valid one appears', async () => {
   await writeFile(file, '[process]\nname = n\n')
   await watcher.refresh()
--- a/packages/lagoonswitch/src/SettingsWatcher.ts
+++ b/packages/lagoonswitch/src/SettingsWatcher.ts
@@ -11,7 +11,8 @@
 /** Reads the settings file periodically and reports changed settings. */
 export class SettingsWatcher {
   private readonly _abortController = new AbortController()
-  private _lastText = ''
+  /** Undefined until the first read. */
+  private _lastText: string | undefined
 
   /**
    * @param _file - path of the settings file
@@ -35,7 +36,7 @@
       // Synchronous: each of the four steps of an asynchronous read wakes two threads, every second in every process.
       const text = readFileSync(this._file, 'utf8')
       if (text === this._lastText) return
-      const isFirst = this._lastText === ''
+      const isFirst = this._lastText === undefined
       this._lastText = text
       if (isFirst) return
       const settings = parseSettings(text, this._file)
