Moves: evidence that the leader does not take within a second is dropped with its connection

Change: 1 s a report; after a timeout the next report opens another connection, as requests to the leader do elsewhere.

--- a/packages/control/src/moves/EvidenceRouter.ts
+++ b/packages/control/src/moves/EvidenceRouter.ts
@@ -2,11 +2,14 @@
  * Passes the evidence that nodes report to this control VM on to the leader, which decides about moves.
  */
 import type { Metrics } from '@lagoonswitch/common'
-import { ControlClient, type EvidenceRecord } from '@lagoonswitch/schema'
-import type { PeerChannels } from '@lagoonswitch/transport'
+import { ControlClient, type Evidence, type EvidenceRecord, type ReportReply } from '@lagoonswitch/schema'
+import { isTimeout, sendUnary, type PeerChannels } from '@lagoonswitch/transport'
 import type { MoveController } from './MoveController.js'
 import type { RaftGroup } from '../raft/RaftGroup.js'
 
+/** Time after which a connection to the leader counts as dead; several of the intervals at which evidence comes. */
+const REPORT_TIMEOUT_MS = 1_000
+
 /** Routes evidence by the current leader of the catalogue. */
 export class EvidenceRouter {
   /**
@@ -36,8 +39,16 @@
       this._metrics.count('evidence_dropped_total', 'no-leader', records.length)
       return
     }
-    this._channels.getClient(ControlClient, leaderAddress).report({ records: [...records] }, error => {
-      if (error !== null) this._metrics.count('evidence_dropped_total', 'leader-unreachable', records.length)
-    })
+    void this._report(leaderAddress, records)
+  }
+
+  private async _report (leaderAddress: string, records: readonly EvidenceRecord[]): Promise<void> {
+    const client = this._channels.getClient(ControlClient, leaderAddress)
+    try {
+      await sendUnary<Evidence, ReportReply>(client.report.bind(client), { records: [...records] }, REPORT_TIMEOUT_MS)
+    } catch (error) {
+      this._metrics.count('evidence_dropped_total', 'leader-unreachable', records.length)
+      if (isTimeout(error)) this._channels.closeClient(ControlClient, leaderAddress)
+    }
   }
 }
