Process: an exception in an event ends the process only after its running calls

Only rejected promises led to a graceful stop.

Change: uncaughtException is handled as unhandledRejection is: logged with its stack, then a graceful stop within the stop timeout and exit code 1.

--- a/packages/lagoonswitch/src/Runner.ts
+++ b/packages/lagoonswitch/src/Runner.ts
@@ -39,10 +39,13 @@
     })
   }
   process.on('SIGHUP', () => watcher.refresh())
-  process.on('unhandledRejection', error => {
-    log.error('unhandled_rejection', { error: formatError(error), stack: error instanceof Error ? error.stack : undefined })
+  const handleFault = (event: string, error: unknown): void => {
+    log.error(event, { error: formatError(error), stack: error instanceof Error ? error.stack : undefined })
     void stop(EXIT_FAILED)
-  })
+  }
+  process.on('unhandledRejection', error => handleFault('unhandled_rejection', error))
+  // The calls that run are answered first: the exception concerns one connection or timer, not their state.
+  process.on('uncaughtException', error => handleFault('uncaught_exception', error))
   instance.onFailed(group => {
     log.error('process_failed', { group, remedy: 'repair the disk and restart, or replace this control VM' })
     void stop(EXIT_FAILED)
