Bundle: a SIGHUP while the program is loaded does not end the process

The program takes some 0.4 s to load, and its handler was installed after that.

Change: the loader of the bundle installs a handler before it compiles the program. Until Node.js runs its first line, some 50 ms, nothing can.

Evidence: tests/Bundle.test.ts sends the signal just before the program runs; the process was ended by it before (status null), and goes on.

--- a/scripts/load-bundle.cjs
+++ b/scripts/load-bundle.cjs
@@ -7,6 +7,9 @@
 const { dirname, join } = require('node:path')
 const { Script } = require('node:vm')
 
+// A SIGHUP ends a process that has no handler; the program installs its own once it has read the settings.
+process.on('SIGHUP', () => {})
+
 const PROGRAM_FILE = join(__dirname, 'lagoonswitch-program.cjs')
 const CODE_CACHE_FILE = join(__dirname, 'lagoonswitch-program.code')
 /** Set by the bundler: the code cache is written when the program exits. */
--- a/tests/Bundle.test.ts
+++ b/tests/Bundle.test.ts
@@ -12,8 +12,8 @@
 const MIN_CODE_CACHE_BYTES = 100_000
 let folder = ''
 
-function runBundled (): { status: number | null, text: string } {
-  const { status, stderr } = spawnSync(process.execPath, [join(folder, 'lagoonswitch.cjs')], {
+function runBundled (...flags: string[]): { status: number | null, text: string } {
+  const { status, stderr } = spawnSync(process.execPath, [...flags, join(folder, 'lagoonswitch.cjs')], {
     encoding: 'utf8', env: { LAGOONSWITCH_CONFIG: join(folder, 'missing.ini') }
   })
   return { status, text: stderr }
@@ -42,6 +42,19 @@
   expect(existsSync(codeCacheFile)).toBe(false)
 })
 
+// The settings may change while a process starts; a SIGHUP without a handler ends it.
+test('bundled process that gets a SIGHUP before its program runs goes on', () => {
+  const file = join(folder, 'hangup.cjs')
+  writeFileSync(file, `const { Script } = require('node:vm')
+const { runInThisContext } = Script.prototype
+Script.prototype.runInThisContext = function (...args) {
+  process.kill(process.pid, 'SIGHUP')
+  return runInThisContext.apply(this, args)
+}
+`)
+  expect(runBundled('--require', file).status).toBe(EXIT_SETTINGS)
+})
+
 test('bundled program is one ASCII string and holds only what a platform process runs', () => {
   const program = readFileSync(join(folder, 'lagoonswitch-program.cjs'))
   expect(program.toString('latin1')).toMatch(/^\(function \(exports, require, module, __filename, __dirname\)/)
