--- a/bench/stand-in-platform.mjs
+++ b/bench/stand-in-platform.mjs
@@ -42,7 +42,8 @@
 /** A target with slots and a queue, which announces itself to the node on its VM. */
 export class StandInTarget {
   /**
-   * @param options - id, service, version, host, port, beats (URL of the node's listener for announcements), slots,
+   * @param options - id, service, version, host, port, announcedPort (of a proxy before the target, optional),
+   * beats (URL of the node's listener for announcements), slots,
    * queue (maximum length), workMs (mean time of a call), draw (returns random numbers), fault (a key of {@link FAULTS}, optional) and
    * share (probability of the fault)
    */
@@ -70,11 +71,11 @@
    * @returns HTTP status
    */
   async beat (sequence = ++this._sequence, state = this._state) {
-    const { id, service, version, host, port, slots, bornMs, beats } = this.options
+    const { id, service, version, host, port, announcedPort = port, slots, bornMs, beats } = this.options
     return (await fetch(`${beats}/-/instances/${id}`, {
       method: 'PUT',
       body: JSON.stringify({
-        address: `${host}:${port}`,
+        address: `${host}:${announcedPort}`,
         info: { service, version, zone: 'z', 'max-concurrency': slots },
         status: { state, sequence, 'warmup-left-s': 0 },
         born: bornMs
