Targets: a repeated withdrawal of an unknown target is recorded again

Found on reading the change: a withdrawal that states no start, of a target that isn't registered, holds for starts before its time. A repetition under the same id was taken for recorded, though another start may have come between.

--- a/packages/node/src/targets/WithdrawalRecorder.test.ts
+++ b/packages/node/src/targets/WithdrawalRecorder.test.ts
@@ -57,6 +57,14 @@
   expect(proposed).toHaveLength(1)
 })
 
+// It holds for starts before the withdrawal, so a later one covers more.
+test('repeated withdrawal of an unknown target is proposed again', async () => {
+  announced = undefined
+  await recorder.withdraw('t1')
+  await recorder.withdraw('t1')
+  expect(proposed).toHaveLength(2)
+})
+
 test('withdrawal of a later start is proposed again', async () => {
   await recorder.withdraw('t1', 7)
   await recorder.withdraw('t1', 8)
--- a/packages/node/src/targets/WithdrawalRecorder.ts
+++ b/packages/node/src/targets/WithdrawalRecorder.ts
@@ -66,7 +66,8 @@
     metrics.count('withdrawals_total', isRecorded ? 'recorded' : 'not-recorded')
     if (isRecorded) {
       log.info('withdrawal_recorded', { target: record.targetId, born: record.targetBorn })
-      this._remember(key)
+      // Without a start the record holds for starts before its time, so a later one covers more.
+      if (record.targetBorn !== 0 || record.instance !== '') this._remember(key)
       return Ok(undefined)
     }
     const error = proposed.err ? proposed.val : new NoQuorumError(false)
