Platform: a removal under an id that no target can have is refused

Found on reading the change: a removal is recorded by the control VMs now, so whatever is written as an id would enter their log.

--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -126,6 +126,15 @@
   expect((await send(`${localUrl}/-/instances/${id}`, 'PUT', HEARTBEAT)).status).toBe(id.includes('%') ? 400 : 200)
 }, 30_000)
 
+// Each withdrawal is recorded by the control VMs.
+test.each(['a%0d%0ab', 'a%20b', '%F0%9F%A6%80'])('removal under an id that no target can have is refused and not recorded: %s', async id => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
+  const last = control.control?.listStatus()[0]?.lastIndex
+  expect((await send(`${localUrl}/-/instances/${id}`, 'DELETE')).status).toBe(400)
+  expect(control.control?.listStatus()[0]?.lastIndex).toBe(last)
+}, 30_000)
+
 test.each([
   ['deep nesting', { extra: 'DEEP' }, 400],
   ['header time limit beyond 32 bits', { 'header-timeout-s': 1e300 }, 200],
