--- a/bench/soak/SoakFleet.mjs
+++ b/bench/soak/SoakFleet.mjs
@@ -35,8 +35,8 @@
   }
 
   async start () {
-    const [peers, operators, calls, local, ready, links, metrics, targets, proxies] = await findPorts(9)
-    this.ports = { peers, operators, calls, local, ready, links, metrics, targets, proxies }
+    const [peers, operators, calls, local, ready, links, metrics, targets, targetProxies, callerProxies] = await findPorts(10)
+    this.ports = { peers, operators, calls, local, ready, links, metrics, targets, targetProxies, callerProxies }
     for (const name of this.vms.keys()) this.startProcess(name, true)
   }
 
--- a/bench/soak/SoakRun.mjs
+++ b/bench/soak/SoakRun.mjs
@@ -86,7 +86,7 @@
 
   async _start () {
     await this._fleet.start()
-    const { operators, ready, calls, targets, proxies } = this._fleet.ports
+    const { operators, ready, calls, targets, targetProxies, callerProxies } = this._fleet.ports
     this._operator = new SoakOperator(this._fleet.controls.map(vm => `http://${vm.host}:${operators}`), this._random)
     await waitUntil('the first configuration', async () => {
       await this._operator.publishOnce()
@@ -94,12 +94,12 @@
     })
     await waitUntil('all nodes ready', async () => await this._areNodesReady(ready))
     for (const node of this._fleet.nodes) {
-      node.targetProxy = await this._createProxy(node.host, targets, proxies)
-      node.callerProxy = await this._createProxy(node.host, calls, proxies + 1)
+      node.targetProxy = await this._createProxy(node.host, targets, targetProxies)
+      node.callerProxy = await this._createProxy(node.host, calls, callerProxies)
       await this._startTarget(node)
       for (const isSafe of [true, false]) {
         const name = `${this.options.seed}-${node.name}-${isSafe ? 'safe' : 'unsafe'}`
-        this._clients.push(new SoakClient({ name, host: node.host, port: isSafe ? calls : proxies + 1, isSafe }))
+        this._clients.push(new SoakClient({ name, host: node.host, port: isSafe ? calls : callerProxies, isSafe }))
       }
     }
     this._loads = [
@@ -115,13 +115,13 @@
   }
 
   async _startTarget (node) {
-    const { local, targets, proxies } = this._fleet.ports
+    const { local, targets, targetProxies } = this._fleet.ports
     const target = new SoakTarget({
       id: `t${++this._targetCount}`,
       service: 'desk',
       host: node.host,
       port: targets,
-      announcedPort: proxies,
+      announcedPort: targetProxies,
       beats: `http://${node.host}:${local}`,
       workMs: WORK_MS
     })
