Soak: a control VM counts as lost until it has caught up

Trace (logs of the three control VMs): c3 lost its disk and was being replaced (voters c1, c2, c3, c3 at 21:17:24.596) when all processes were killed at 24.811; c1 lost its disk at 26.490, before c3 had started again at 27.274. So two of three disks were lost at once, where three control VMs bear the loss of one: c2 and the new c3 are two of four voters. The schedule had counted c3 as recovered 3 s after its start, whatever came between.

Change: a control VM stays lost until 6 s after its last start (catch-up-s of the larger sites). The check and its bound are as before.

--- a/bench/soak/SoakFleet.mjs
+++ b/bench/soak/SoakFleet.mjs
@@ -68,6 +68,11 @@
     return child !== undefined && child.exitCode === null && child.signalCode === null
   }
 
+  /** @returns time since the start of a process in milliseconds, 0 while it doesn't run */
+  getUptimeMs (name) {
+    return this.isRunning(name) ? performance.now() - this._children.get(name).startedMs : 0
+  }
+
   /** Sends SIGKILL and waits for the end. */
   async kill (name) {
     const child = this._children.get(name)
--- a/bench/soak/SoakRun.mjs
+++ b/bench/soak/SoakRun.mjs
@@ -22,6 +22,9 @@
 const DRAIN_MS = 2_000
 /** A process that was paused may send on late what it had read; its calls are not counted until so long after. */
 const CONTACT_MS = 3_000
+/** A control VM counts as lost until so long after its last start, since a new replica must become a voter first. */
+const CATCH_UP_MS = 6_000
+const POLL_MS = 100
 /** Time within which everything must work after the last fault. */
 const RECOVER_MS = 15_000
 /** Announcements that the target sent before its withdrawal arrive at such intervals. */
@@ -162,7 +165,8 @@
     if (this._disturbed.has(vm.name) || !mayBeLost) return
     this._disturbed.add(vm.name)
     await run()
-    if (vm.role === 'control') await sleep(CONTACT_MS)
+    // A kill of all processes interrupts the catch-up, so that the VM stays lost for longer.
+    while (vm.role === 'control' && this._fleet.getUptimeMs(vm.name) < CATCH_UP_MS) await sleep(POLL_MS)
     this._disturbed.delete(vm.name)
   }
 
