Raft: a failed write of the first entry does not end the process

Change: the creation logs the error and goes on once the replica has recovered; Replica handles the write that it doesn't await.

--- a/packages/control/src/raft/GroupCreation.test.ts
+++ b/packages/control/src/raft/GroupCreation.test.ts
@@ -58,6 +58,17 @@
   await expectJoined('a', ['x'])
 })
 
+// The failed write was a rejection that nobody handled, which ends a process.
+test.each(['hard-state', 'append'])('group is created although a write of its creator fails: %s', async kind => {
+  let isFull = true
+  cluster.getVm('a').storage.onWrite = async written => { if (isFull && written === kind) throw new Error('no space left on device') }
+  for (const name of INITIAL_MEMBERS) await cluster.start(name)
+  await cluster.clock.advance(1_000)
+  isFull = false
+  await cluster.waitLeader(CREATED_MS)
+  await propose('x')
+})
+
 test('replica that was restarted does not count for a creation without all initial members', async () => {
   await cluster.start('b')
   await cluster.start('c', false)
--- a/packages/control/src/raft/GroupCreation.ts
+++ b/packages/control/src/raft/GroupCreation.ts
@@ -1,6 +1,7 @@
 /**
  * Creation of a group on the first start of its initial members.
  */
+import { formatError } from '@lagoonswitch/common'
 import { LogEntryKind, Members, type IdentifyReply, type LogEntry, type Member } from '@lagoonswitch/schema'
 import type { IRaftOptions } from './RaftTypes.js'
 import type { Replica } from './Replica.js'
@@ -72,8 +73,9 @@
       }
       const hasWaited = clock.readMonotonicMs() - startedMs >= TURN_MS
       if (!isInitialized && this._isSufficient(identities, hasWaited)) {
+        // A replica whose disk rejects writes recovers on its own.
         await this._writeInitialMembers(this._createMembers(identities))
-        return
+          .catch(error => log.warn('group_not_created', { group, error: formatError(error) }))
       }
       await clock.sleep(ATTEMPT_INTERVAL_MS, this._stopping)
     }
@@ -102,7 +104,7 @@
   private async _writeInitialMembers (members: readonly Member[]): Promise<void> {
     const replica = this._replica
     await replica.lock.run(async () => {
-      if (replica.members.length > 0 || replica.log.lastIndex > 0) return
+      if (replica.hasFailed || replica.members.length > 0 || replica.log.lastIndex > 0) return
       // A vote in the election of another creator stays valid.
       if (replica.term < CREATION_TERM) await replica.saveTermAndVote(CREATION_TERM, replica.replicaId)
       const data = Members.encode({ members: [...members] }).finish() as Buffer
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -266,7 +266,11 @@
   }
 
   private async _awaitWrite (write: Promise<void>): Promise<void> {
-    if (this._hasFailed) throw new Error('the replica has failed')
+    if (this._hasFailed) {
+      // The write has begun; its failure adds nothing.
+      write.catch(() => undefined)
+      throw new Error('the replica has failed')
+    }
     try {
       await write
     } catch (error) {
