Processes: channels, services and the feed of a node can run on another transport

IPeerChannels and IServiceRegistry are what the modules use of gRPC; NodeFeed holds what NodeRole had on the subscription and the relay.

--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -14,7 +14,7 @@
   type ConfirmRequest, type Evidence, type ISettings,
   type ProposeReply, type ProposeRequest, type ReportReply
 } from '@lagoonswitch/schema'
-import { LeaderClient, createUnaryHandler, sendUnary, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
+import { LeaderClient, createUnaryHandler, sendUnary, type IPeerChannels, type IServiceRegistry } from '@lagoonswitch/transport'
 import { CatalogueStateMachine, isMoveOpen } from './catalogue/CatalogueStateMachine.js'
 import { ClaimsStateMachine } from './claims/ClaimsStateMachine.js'
 import { EndpointMesh } from './EndpointMesh.js'
@@ -56,7 +56,7 @@
   readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
-  readonly channels: PeerChannels
+  readonly channels: IPeerChannels
   /** Creates the storage of a group; by default files in the data folder. */
   readonly createStorage?: (group: string) => RaftStorage
 }
@@ -139,7 +139,7 @@
    * Adds the gRPC services of this role.
    * @param listener - listener that is not started yet
    */
-  addServices (listener: PeerListener): void {
+  addServices (listener: IServiceRegistry): void {
     listener.addService(RaftService, createRaftHandlers(this._groups))
     listener.addService(ControlService, this._createControlHandlers())
     listener.addService(FeedService, this._hub.createHandlers())
--- a/packages/control/src/EndpointMesh.ts
+++ b/packages/control/src/EndpointMesh.ts
@@ -4,7 +4,7 @@
 import { DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
 import { CatalogueStore, ControlDirectory, FeedClient, type EndpointView } from '@lagoonswitch/feed'
 import type { ISettings } from '@lagoonswitch/schema'
-import type { PeerChannels } from '@lagoonswitch/transport'
+import type { IPeerChannels } from '@lagoonswitch/transport'
 
 /** Configuration and dependencies of an {@link EndpointMesh}. */
 export interface IEndpointMeshOptions {
@@ -14,7 +14,7 @@
   readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
-  readonly channels: PeerChannels
+  readonly channels: IPeerChannels
 }
 
 /** Maintains one link to each other control VM. */
--- a/packages/control/src/moves/EvidenceRouter.ts
+++ b/packages/control/src/moves/EvidenceRouter.ts
@@ -3,7 +3,7 @@
  */
 import type { Metrics } from '@lagoonswitch/common'
 import { ControlClient, type Evidence, type EvidenceRecord, type ReportReply } from '@lagoonswitch/schema'
-import { isTimeout, sendUnary, type PeerChannels } from '@lagoonswitch/transport'
+import { isTimeout, sendUnary, type IPeerChannels } from '@lagoonswitch/transport'
 import type { MoveController } from './MoveController.js'
 import type { RaftGroup } from '../raft/RaftGroup.js'
 
@@ -21,7 +21,7 @@
   constructor (
     private readonly _group: RaftGroup,
     private readonly _moves: MoveController,
-    private readonly _channels: PeerChannels,
+    private readonly _channels: IPeerChannels,
     private readonly _metrics: Metrics
   ) {}
 
--- a/packages/control/src/raft/GrpcTransport.ts
+++ b/packages/control/src/raft/GrpcTransport.ts
@@ -6,7 +6,7 @@
   RaftClient, type AppendReply, type AppendRequest, type IdentifyReply, type IdentifyRequest,
   type InstallSnapshotReply, type InstallSnapshotRequest, type JoinReply, type JoinRequest, type VoteReply, type VoteRequest
 } from '@lagoonswitch/schema'
-import { createUnaryHandler, isTimeout, sendUnary, type PeerChannels, type UnaryMethod } from '@lagoonswitch/transport'
+import { createUnaryHandler, isTimeout, sendUnary, type IPeerChannels, type UnaryMethod } from '@lagoonswitch/transport'
 import type { RaftGroup } from './RaftGroup.js'
 import { RaftTransport } from './RaftTransport.js'
 
@@ -18,7 +18,7 @@
    * @param _channels - open channels
    * @param _timeoutMs - longest wait for a reply
    */
-  constructor (private readonly _channels: PeerChannels, private readonly _timeoutMs: number) {
+  constructor (private readonly _channels: IPeerChannels, private readonly _timeoutMs: number) {
     super()
   }
 
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -9,7 +9,7 @@
   FeedClient as FeedService,
   type ConfirmReply, type ControlMember, type EndpointRecord, type FeedDown, type WithdrawalRecord
 } from '@lagoonswitch/schema'
-import type { PeerChannels } from '@lagoonswitch/transport'
+import type { IPeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
 import type { ControlDirectory } from './ControlDirectory.js'
 import { FeedReporter, type FeedStream, type IFeedReporterOptions } from './FeedReporter.js'
@@ -53,7 +53,7 @@
   readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
-  readonly channels: PeerChannels
+  readonly channels: IPeerChannels
 }
 
 /** How a subscription ended, and which sources to try next. */
--- a/packages/feed/src/SourceFinder.ts
+++ b/packages/feed/src/SourceFinder.ts
@@ -3,7 +3,7 @@
  */
 import { FeedError, formatError, type IClock, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
 import { FeedClient as FeedService, type ConfirmReply, type ConfirmRequest } from '@lagoonswitch/schema'
-import { isTimeout, sendUnary, type PeerChannels } from '@lagoonswitch/transport'
+import { isTimeout, sendUnary, type IPeerChannels } from '@lagoonswitch/transport'
 import type { ControlDirectory } from './ControlDirectory.js'
 
 const CONFIRM_TIMEOUT_MS = 1_500
@@ -22,7 +22,7 @@
   readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
-  readonly channels: PeerChannels
+  readonly channels: IPeerChannels
 }
 
 /** Asks control VMs and relays. Stateless. */
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -4,9 +4,9 @@
 import {
   DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
-import { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub, LEAF_LEVEL, RELAY_LEVEL } from '@lagoonswitch/feed'
-import { FeedService, type EvidenceRecord, type ISettings } from '@lagoonswitch/schema'
-import { LeaderClient, LinkListener, type LinkCredentials, type PeerChannels, type PeerListener } from '@lagoonswitch/transport'
+import type { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
+import type { ISettings } from '@lagoonswitch/schema'
+import { LeaderClient, LinkListener, type IPeerChannels, type IServiceRegistry, type LinkCredentials } from '@lagoonswitch/transport'
 import { LagoonDialect, type CallDialect } from './calls/CallDialect.js'
 import { CallServer } from './calls/CallServer.js'
 import type { ICallOpener } from './calls/CallTypes.js'
@@ -15,6 +15,7 @@
 import { PeerLink } from './links/PeerLink.js'
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
+import { NodeFeed } from './NodeFeed.js'
 import { CallerWaitEstimator } from './routing/CallerWaitEstimator.js'
 import { BalancedDraws } from './routing/BalancedDraws.js'
 import { OwnerCallLimiter } from './routing/OwnerCallLimiter.js'
@@ -24,7 +25,6 @@
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
 
-const MAX_FORWARDED_RECORDS = 5_000
 /** Time within which callers notice that this process is no longer ready. */
 const READINESS_NOTICE_MS = 2_500
 /** Time without a new call after which callers are assumed to use other processes; while few are ready, some keep calling this one. */
@@ -41,7 +41,7 @@
   readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
-  readonly channels: PeerChannels
+  readonly channels: IPeerChannels
   readonly credentials: LinkCredentials
   /** Header conventions of callers and targets; those of lagoonswitch by default. */
   readonly dialect?: CallDialect
@@ -60,24 +60,29 @@
   private readonly _linkListener: LinkListener
   private readonly _linkAddress: string
   private _routes: RouteTable | undefined
-  private _forwardedEvidence: EvidenceRecord[] = []
+  private readonly _feed: NodeFeed
   private _stop: GracefulStop | undefined
 
   readonly directory: ControlDirectory
-  readonly store = new CatalogueStore()
-  readonly endpoints = new EndpointView()
+  readonly store: CatalogueStore
+  readonly endpoints: EndpointView
   readonly targets: LocalTargetRegistry
   readonly withdrawals: WithdrawalRecorder
   readonly feed: FeedClient
   readonly relay: FeedHub
 
   constructor (private readonly _options: INodeRoleOptions) {
-    const { settings, clock, random, log, metrics, channels, peerAddress } = _options
+    const { settings, clock, random, log, metrics, channels } = _options
     const { name, region, availabilityZone } = settings.process
     this._linkAddress = `${settings.listen.links.host}:${settings.listen.links.port}`
     const incarnation = clock.readWallTime().getTime()
     const dialect = _options.dialect ?? new LagoonDialect()
-    this.directory = new ControlDirectory(listSeedAddresses(settings))
+    this._feed = this._disposables.add(new NodeFeed({ ..._options, incarnation, takeEvidence: () => this._evidence.takeEvidence() }))
+    this.directory = this._feed.directory
+    this.store = this._feed.store
+    this.endpoints = this._feed.endpoints
+    this.feed = this._feed.client
+    this.relay = this._feed.relay
     this._evidence = this._disposables.add(new EvidenceCollector(this.store, clock, log, metrics))
     this.targets = this._disposables.add(new LocalTargetRegistry({
       node: name,
@@ -97,41 +102,6 @@
     this.withdrawals = new WithdrawalRecorder({ node: name, targets: this.targets, leaderClient, clock, log, metrics })
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
-    const isControl = settings.process.roles.includes('control')
-    this.feed = this._disposables.add(new FeedClient({
-      node: name,
-      region,
-      availabilityZone,
-      // A process with the control role serves the feed as a source, not as a relay.
-      feedAddress: isControl ? '' : peerAddress,
-      incarnation,
-      directory: this.directory,
-      isMesh: false,
-      clock,
-      random,
-      log,
-      metrics,
-      channels,
-      store: this.store,
-      endpoints: this.endpoints,
-      computeFleetStatus: () => this._computeFleetStatus(),
-      takeEvidence: () => this._takeEvidence()
-    }))
-    this.relay = this._disposables.add(new FeedHub({
-      name,
-      clock,
-      random,
-      log,
-      metrics,
-      store: this.store,
-      endpoints: this.endpoints,
-      maxStreams: settings.node.relayStreams,
-      subscriberLevel: LEAF_LEVEL,
-      isCurrent: () => this.feed.level === RELAY_LEVEL && this.feed.isCurrent && this.feed.isReady,
-      confirm: async nodes => await this.feed.confirm(nodes),
-      directory: this.directory,
-      onEvidence: records => this._forwardEvidence(records)
-    }))
     this._callServer = new CallServer({
       clock,
       random,
@@ -165,7 +135,6 @@
       getCatalogueVersion: () => this.store.version.version
     })
     this._disposables.add(this.feed.onReady(withdrawals => this.targets.restoreWithdrawals(withdrawals)))
-    this._disposables.add(this.feed.onOrphaned(() => this.relay.redirectAll()))
     this._disposables.add(this.store.onChanged(() => {
       this._routes = undefined
       this._callServer.applyLimits()
@@ -208,8 +177,8 @@
    * @param listener - peer listener that is not listening yet
    * @param isFeedServed - true when another role of this process already serves the feed
    */
-  addServices (listener: PeerListener, isFeedServed: boolean): void {
-    if (!isFeedServed) listener.addService(FeedService, this.relay.createHandlers())
+  addServices (listener: IServiceRegistry, isFeedServed: boolean): void {
+    if (!isFeedServed) this._feed.addServices(listener)
   }
 
   /**
@@ -300,32 +269,4 @@
     this._retryBudgets.set(service, budget)
     return budget
   }
-
-  private _computeFleetStatus (): ReturnType<FeedHub['computeFleetStatus']> {
-    const relayStatus = this.relay.computeFleetStatus()
-    const own = this.store.version
-    const isOwnLower = relayStatus.nodes === 0 || own.epoch < relayStatus.lowest.epoch || own.version < relayStatus.lowest.version
-    return { nodes: relayStatus.nodes + 1, lowest: isOwnLower ? own : relayStatus.lowest }
-  }
-
-  private _takeEvidence (): EvidenceRecord[] {
-    const records = [...this._evidence.takeEvidence(), ...this._forwardedEvidence]
-    this._forwardedEvidence = []
-    return records
-  }
-
-  private _forwardEvidence (records: readonly EvidenceRecord[]): void {
-    if (this._forwardedEvidence.length < MAX_FORWARDED_RECORDS) this._forwardedEvidence.push(...records)
-    else this._options.metrics.count('evidence_dropped_total', 'full', records.length)
-  }
-}
-
-/**
- * Lists the control VMs that are named in the settings.
- * @param settings - of this process
- * @returns peer addresses
- */
-export function listSeedAddresses ({ control, listen }: ISettings): string[] {
-  const seeds = control.seeds.map(({ host }) => `${host}:${listen.peers.port}`)
-  return [...control.members.map(member => member.address), ...seeds]
 }
--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Public interface of the node package, which routes calls between callers and targets.
  */
+export * from './NodeFeed.js'
 export * from './NodeRole.js'
 export * from './calls/CallDialect.js'
 export * from './calls/CallTypes.js'
--- a/packages/transport/src/LeaderClient.ts
+++ b/packages/transport/src/LeaderClient.ts
@@ -5,7 +5,7 @@
   Err, NoQuorumError, Ok, type IClock, type Result
 } from '@lagoonswitch/common'
 import { ControlClient, type ProposeReply, type ProposeRequest } from '@lagoonswitch/schema'
-import type { PeerChannels } from './PeerChannels.js'
+import type { IPeerChannels } from './PeerChannels.js'
 import { isTimeout, sendUnary } from './Unary.js'
 
 const ATTEMPT_TIMEOUT_MS = 2_000
@@ -22,7 +22,7 @@
    * @param _listAddresses - peer addresses of the control VMs
    */
   constructor (
-    private readonly _channels: PeerChannels,
+    private readonly _channels: IPeerChannels,
     private readonly _clock: IClock,
     private readonly _listAddresses: () => readonly string[]
   ) {}
--- a/packages/transport/src/PeerChannels.ts
+++ b/packages/transport/src/PeerChannels.ts
@@ -17,8 +17,25 @@
 export type ClientConstructor<C extends Client> =
   new (address: string, credentials: ChannelCredentials, options?: Partial<ChannelOptions>) => C
 
+/** Source of clients for other processes. */
+export interface IPeerChannels {
+  /**
+   * Returns the client for an address, creating it on first use.
+   * @param constructor - generated client class
+   * @param address - HOST:PORT
+   * @returns the client
+   */
+  getClient<C extends Client>(constructor: ClientConstructor<C>, address: string): C
+  /**
+   * Closes the client for an address, so that the next call opens another connection.
+   * @param constructor - generated client class
+   * @param address - HOST:PORT
+   */
+  closeClient<C extends Client>(constructor: ClientConstructor<C>, address: string): void
+}
+
 /** Creates clients and reuses them. */
-export class PeerChannels implements IDisposable {
+export class PeerChannels implements IPeerChannels, IDisposable {
   private readonly _clients = new Map<ClientConstructor<Client>, Map<string, Client>>()
 
   /** @param _credentials - keys for the links */
@@ -26,12 +43,6 @@
     _credentials.onChanged(() => this._closeAll())
   }
 
-  /**
-   * Returns the client for an address, creating it on first use.
-   * @param constructor - generated client class
-   * @param address - HOST:PORT
-   * @returns the client
-   */
   getClient<C extends Client>(constructor: ClientConstructor<C>, address: string): C {
     let byAddress = this._clients.get(constructor)
     if (byAddress === undefined) {
@@ -54,11 +65,6 @@
     return client as C
   }
 
-  /**
-   * Closes the client for an address, so that the next call opens another connection.
-   * @param constructor - generated client class
-   * @param address - HOST:PORT
-   */
   closeClient<C extends Client>(constructor: ClientConstructor<C>, address: string): void {
     const byAddress = this._clients.get(constructor)
     byAddress?.get(address)?.close()
--- a/packages/transport/src/PeerListener.ts
+++ b/packages/transport/src/PeerListener.ts
@@ -12,8 +12,18 @@
 /** Certificate files are replaced one after another; the keys are read again after this delay, when all are there. */
 const REBIND_DELAY_MS = 500
 
+/** Takes the services of a process. */
+export interface IServiceRegistry {
+  /**
+   * Adds a service; only before the process listens.
+   * @param definition - generated definition of the service
+   * @param implementation - handlers of its methods
+   */
+  addService (definition: ServiceDefinition, implementation: UntypedServiceImplementation): void
+}
+
 /** Accepts gRPC connections from other processes. */
-export class PeerListener {
+export class PeerListener implements IServiceRegistry {
   private readonly _server = new Server({
     'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
     'grpc.max_concurrent_streams': MAX_STREAMS,
@@ -26,11 +36,6 @@
   /** @param _credentials - keys for the links */
   constructor (private readonly _credentials: LinkCredentials) {}
 
-  /**
-   * Adds a service; only before {@link listen}.
-   * @param definition - generated definition of the service
-   * @param implementation - handlers of its methods
-   */
   addService (definition: ServiceDefinition, implementation: UntypedServiceImplementation): void {
     this._server.addService(definition, implementation)
   }
