--- /dev/null
+++ b/packages/fleet/src/FleetFailover.test.ts
@@ -0,0 +1,45 @@
+/**
+ * Time until a change is in force at all nodes of a large fleet while sources of the feed are lost.
+ */
+import { afterEach, expect, test } from 'vitest'
+import { Fleet } from './Fleet.js'
+import { LARGE_SITE } from './FleetSite.js'
+
+/** Maximum time from the acknowledgement of a change until it is in force on all nodes. */
+const MAX_PROPAGATION_MS = 2_000
+const PUBLICATION_INTERVAL_MS = 100
+const OBSERVATION_MS = 6_000
+/** Nodes of a new version, started beside those of the old one. */
+const ADDED_NODES = 117
+const SITE = { ...LARGE_SITE, routes: 100 }
+let fleet: Fleet
+
+afterEach(() => fleet.dispose())
+
+test.each([13, 14])('change is in force in time although the busiest relays fall silent (seed %i)', async seed => {
+  fleet = new Fleet(SITE, seed)
+  await fleet.start()
+  fleet.addNodes(ADDED_NODES)
+  await observe(() => {
+    for (const { feed, machine } of fleet.nodes) if (feed.relay.getStreamCount() > 1) machine.freeze()
+  })
+  expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
+}, 60_000)
+
+test.each([12, 13])('change is in force in time although a control VM falls silent while nodes join it (seed %i)', async seed => {
+  fleet = new Fleet(SITE, seed)
+  await fleet.start()
+  fleet.addNodes(ADDED_NODES)
+  await observe(() => fleet.getControl('d').machine.freeze())
+  expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
+}, 60_000)
+
+/** Publishes changes, and loses something shortly after the start. */
+async function observe (lose: () => void): Promise<void> {
+  const startMs = fleet.time.readMonotonicMs()
+  const publishing = fleet.operator.publishUntil(PUBLICATION_INTERVAL_MS, startMs + OBSERVATION_MS)
+  await fleet.time.runUntil(startMs + 500)
+  lose()
+  await fleet.runWhile(publishing)
+  await fleet.time.runUntil(fleet.time.readMonotonicMs() + MAX_PROPAGATION_MS)
+}
