Feed: a search for a source no longer waits for relays that do not respond (CONFIG)

What callers saw: 404 for an added route more than 2 s after its acknowledgement, at a node that had lost its source. Cause: a full control VM refuses a node and names relays; the node asked these and waited for the last of them, 1.5 s each time, before it went on with the other control VMs that had answered long before. Change: SourceSearch has one pool of candidates. FeedSubscription is the stream to one source.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -2,26 +2,23 @@
  * Receiving side of the feed: subscribes to a source and switches to another one when it fails.
  */
 import {
-  Backoff, DisposableStore, Emitter, FeedError, NO_VERSION, compareVersions, formatError, toDisposable,
+  Backoff, DisposableStore, Emitter, FeedError, NO_VERSION, compareVersions, toDisposable,
   type ICatalogueVersion, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
-import {
-  FeedClient as FeedService,
-  type ConfirmReply, type ControlMember, type EndpointRecord, type FeedDown, type WithdrawalRecord
-} from '@lagoonswitch/schema'
+import type { ConfirmReply, ControlMember, EndpointRecord, WithdrawalRecord } from '@lagoonswitch/schema'
 import type { IPeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
 import type { ControlDirectory } from './ControlDirectory.js'
-import { FeedReporter, type FeedStream, type IFeedReporterOptions } from './FeedReporter.js'
+import { FeedReporter, type IFeedReporterOptions } from './FeedReporter.js'
 import { LEAF_LEVEL, MESH_LEVEL, RELAY_LEVEL } from './FeedHub.js'
+import { FeedSubscription, type FeedFrame, type ISubscriptionEnd } from './FeedSubscription.js'
 import { SourceFinder } from './SourceFinder.js'
+import { SourceSearch } from './SourceSearch.js'
 
 /** Silence after which a source counts as failed: two of its beats, and half of the 2 s in which a change must be in force. */
 const STALL_TIMEOUT_MS = 1_000
 /** A subscription that lasted this long is replaced without a backoff, so that losing a source costs only the search. */
 const MIN_STABLE_MS = 1_000
-/** Maximum wait for the welcome of a source. */
-const WELCOME_TIMEOUT_MS = 1_000
 /** Time since the last beat of a current source after which another source is sought. */
 const NOT_CURRENT_TIMEOUT_MS = 1_500
 /** Interval of the checks for these timeouts. */
@@ -38,9 +35,6 @@
 const UNCONFIRMED_ENDPOINT_TIMEOUT_MS = 30_000
 /** Number of relays that are remembered; a search for a source may ask all of them. */
 const MAX_KNOWN_RELAYS = 8
-/** Result when no source accepted this node. */
-const NO_SUBSCRIPTION: ISubscriptionEnd = { wasWelcomed: false, wasStable: false, relays: [], retryAfterMs: 0 }
-
 /** Dependencies and identity of a subscriber. */
 export interface IFeedClientOptions extends IFeedReporterOptions {
   readonly region: string
@@ -56,15 +50,6 @@
   readonly channels: IPeerChannels
 }
 
-/** How a subscription ended, and which sources to try next. */
-interface ISubscriptionEnd {
-  readonly wasWelcomed: boolean
-  /** True when the subscription lasted long enough that its end cannot be a fault of this node. */
-  readonly wasStable: boolean
-  readonly relays: readonly string[]
-  readonly retryAfterMs: number
-}
-
 /** Subscribes to one source at a time. */
 export class FeedClient implements IDisposable {
   private readonly _disposables = new DisposableStore()
@@ -75,11 +60,8 @@
   private readonly _finder: SourceFinder
   private readonly _reporter: FeedReporter
   private _relays: string[] = []
-  private _stream: FeedStream | undefined
-  private _level = 0
-  private _source = ''
-  /** Address of the current source, empty for none. */
-  private _sourceAddress = ''
+  private _subscription: FeedSubscription | undefined
+  private _activeSearch: SourceSearch | undefined
   private _lastCurrentBeatMs = -Infinity
   private _isConfirmed = false
   private _minReadyVersion: ICatalogueVersion = NO_VERSION
@@ -102,8 +84,9 @@
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._disposables.add(toDisposable(() => {
       this._stopping.abort()
+      this._activeSearch?.cancel()
       this._orphanTimer?.dispose()
-      this._stream?.end()
+      this._subscription?.stream.end()
     }))
   }
 
@@ -114,12 +97,12 @@
 
   /** Level in the distribution tree: 1 below a control VM, 2 below a relay, 0 without a source. */
   get level (): number {
-    return this._level
+    return this._subscription?.level ?? 0
   }
 
   /** Name of the current source, empty for none. */
   get source (): string {
-    return this._source
+    return this._subscription?.source ?? ''
   }
 
   /** True while the source reports that it holds the newest version. */
@@ -130,6 +113,7 @@
   /** Starts the subscription and the reports to the source. */
   start (): void {
     void this._runSubscription()
+    void this._watchSource()
     void this._runReports()
   }
 
@@ -139,10 +123,11 @@
    * @returns the reply; not confirmed when no source answers
    */
   async confirm (nodes: readonly string[]): Promise<ConfirmReply> {
-    const sourceReply = this._sourceAddress === '' ? undefined : await this._finder.confirmAt(this._sourceAddress, nodes)
+    const sourceAddress = this._subscription?.address
+    const sourceReply = sourceAddress === undefined ? undefined : await this._finder.confirmAt(sourceAddress, nodes)
     if (sourceReply?.confirmed === true) return sourceReply
     // The others are asked in parallel, so that the timeouts of those that are down do not add up.
-    return await this._finder.confirmAny(this._listConfirmAddresses().filter(address => address !== this._sourceAddress), nodes)
+    return await this._finder.confirmAny(this._listConfirmAddresses().filter(address => address !== sourceAddress), nodes)
   }
 
   dispose (): void {
@@ -150,33 +135,70 @@
   }
 
   private async _runSubscription (): Promise<void> {
+    const { clock } = this._options
     while (!this._stopping.signal.aborted) {
-      const ended = await this._followNextSource()
-      if (ended.wasWelcomed) this._backoff.reset()
-      if (ended.wasStable) continue
-      await this._options.clock.sleep(this._backoff.computeNextMs(ended.retryAfterMs), this._stopping.signal)
+      const retryAfterMs = await this._search()
+      if (retryAfterMs === undefined && await this._followUntilEnd()) continue
+      await clock.sleep(this._backoff.computeNextMs(retryAfterMs), this._stopping.signal)
     }
   }
 
-  /** Tries sources until one accepts this node, and follows it until it ends. A source that is full names live relays. */
-  private async _followNextSource (): Promise<ISubscriptionEnd> {
-    let ended = NO_SUBSCRIPTION
-    for await (const address of this._finder.listSources(this._failedAddress, this._relays)) {
-      ended = await this._followFirstAvailable([address])
-      if (!ended.wasWelcomed && ended.relays.length > 0) ended = await this._followFirstAvailable(this._finder.listRelays(this._relays))
-      if (ended.wasWelcomed || this._stopping.signal.aborted) return ended
-    }
-    return ended
+  /** Follows the current source. @returns true when that lasted long enough for a search without a backoff */
+  private async _followUntilEnd (): Promise<boolean> {
+    const subscription = this._subscription
+    if (subscription === undefined) return false
+    this._backoff.reset()
+    await new Promise<void>(resolve => { subscription.onEnded(() => resolve()) })
+    return this._options.clock.readMonotonicMs() - subscription.startedMs >= MIN_STABLE_MS
+  }
+
+  private _createSearch (): SourceSearch {
+    const failedAddress = this._failedAddress
+    this._activeSearch = new SourceSearch({
+      clock: this._options.clock,
+      finder: this._finder,
+      open: address => this._openSubscription(address),
+      onFound: subscription => this._joinSource(subscription),
+      isExcluded: address => address === this._options.feedAddress || address === failedAddress
+    })
+    return this._activeSearch
   }
 
-  private async _followFirstAvailable (addresses: Iterable<string> | AsyncIterable<string>): Promise<ISubscriptionEnd> {
-    let ended = NO_SUBSCRIPTION
-    for await (const address of addresses) {
-      ended = await this._follow(address, this._pickLevel(address))
-      this._rememberRelays(ended.relays)
-      if (ended.wasWelcomed || this._stopping.signal.aborted) return ended
+  /**
+   * Asks all known sources after a failure, and tries a control VM without a question if none is current or there is no choice.
+   * @returns wait that a source which refused this node asked for, in milliseconds; undefined when a source was found
+   */
+  private async _search (): Promise<number | undefined> {
+    const failedAddress = this._failedAddress
+    const candidates = this._finder.listCandidates(this._relays).filter(({ address }) => address !== failedAddress)
+    if (failedAddress !== '' && candidates.length > 1) {
+      const search = this._createSearch()
+      if (await search.run(candidates)) return undefined
+      if (search.hasTried) return search.retryAfterMs
     }
-    return ended
+    const search = this._createSearch()
+    return await search.run([], this._finder.pickControl(failedAddress)) ? undefined : search.retryAfterMs
+  }
+
+  private _openSubscription (address: string): FeedSubscription {
+    const { node, incarnation, region, availabilityZone, feedAddress, store } = this._options
+    const level = this._pickLevel(address)
+    const subscription = new FeedSubscription({
+      ...this._options,
+      address,
+      level,
+      hello: { node, incarnation, region, availabilityZone, feedAddress, held: { ...store.version }, digest: store.digest, level },
+      onFrame: (sender, frame) => this._handleFrame(sender, frame)
+    })
+    subscription.onEnded(ended => this._handleEnd(subscription, ended))
+    return subscription
+  }
+
+  private _handleEnd (subscription: FeedSubscription, { relays }: ISubscriptionEnd): void {
+    this._rememberRelays(relays)
+    this._failedAddress = this._isSwitchingToOwnZone ? '' : subscription.address
+    this._isSwitchingToOwnZone = false
+    if (this._subscription === subscription) this._leaveSource()
   }
 
   private _pickLevel (address: string): number {
@@ -190,131 +212,78 @@
     this._relays = [...new Set(others)].slice(0, MAX_KNOWN_RELAYS)
   }
 
-  private async _follow (address: string, level: number): Promise<ISubscriptionEnd> {
-    const { channels, store, clock } = this._options
-    let isWelcomed = false
-    let redirect: { relays: readonly string[], retryAfterMs: number } = { relays: [], retryAfterMs: 0 }
-    const stream: FeedStream = channels.getClient(FeedService, address).subscribe()
-    stream.on('error', () => undefined)
-    stream.write({
-      frame: {
-        $case: 'hello',
-        value: {
-          node: this._options.node,
-          incarnation: this._options.incarnation,
-          region: this._options.region,
-          availabilityZone: this._options.availabilityZone,
-          feedAddress: this._options.feedAddress,
-          held: { ...store.version },
-          digest: store.digest,
-          level
-        }
-      }
-    })
-    const startedMs = clock.readMonotonicMs()
-    let lastHeardMs = startedMs
-    const watch = this._startStallWatch(stream, address, () => lastHeardMs)
-    try {
-      for await (const { frame } of stream as AsyncIterable<FeedDown>) {
-        switch (frame?.$case) {
-          case 'welcome':
-            lastHeardMs = clock.readMonotonicMs()
-            isWelcomed = true
-            this._joinSource(stream, address, level, frame.value.source, frame.value.relays)
-            break
-          case 'redirect':
-            redirect = frame.value
-            this._options.log.info(isWelcomed ? 'feed_left' : 'feed_refused', { source: address, reason: frame.value.reason })
-            break
-          case 'catalogue':
-            this._applyCatalogue(frame.value)
-            break
-          case 'endpoints':
-            this._options.endpoints.merge(frame.value.records, this)
-            if (frame.value.full) this._expireUnconfirmedEndpoints(frame.value.records)
-            break
-          case 'members':
-            this._learnMembers(stream, address, frame.value.members)
-            break
-          case 'beat':
-            this._checkSourceVersion(frame.value.version ?? NO_VERSION)
-            lastHeardMs = clock.readMonotonicMs()
-            if (frame.value.current) this._lastCurrentBeatMs = lastHeardMs
-        }
-        if (redirect.relays.length > 0 || redirect.retryAfterMs > 0) break
-      }
-    } catch (error) {
-      this._options.metrics.count('feed_source_left_total', error instanceof FeedError ? 'refused' : 'broken')
-      this._options.log.warn(isWelcomed ? 'feed_lost' : 'feed_not_joined', { source: address, error: formatError(error) })
+  private _handleFrame (subscription: FeedSubscription, frame: FeedFrame): void {
+    switch (frame.$case) {
+      case 'catalogue':
+        this._applyCatalogue(frame.value)
+        break
+      case 'endpoints':
+        this._options.endpoints.merge(frame.value.records, this)
+        if (frame.value.full) this._expireUnconfirmedEndpoints(frame.value.records)
+        break
+      case 'members':
+        this._learnMembers(subscription, frame.value.members)
+        break
+      case 'beat':
+        this._checkSourceVersion(frame.value.version ?? NO_VERSION)
+        if (frame.value.current) this._lastCurrentBeatMs = this._options.clock.readMonotonicMs()
     }
-    watch.dispose()
-    stream.cancel()
-    if (this._stream === stream) this._leaveSource()
-    this._failedAddress = this._isSwitchingToOwnZone ? '' : address
-    this._isSwitchingToOwnZone = false
-    return { ...redirect, wasWelcomed: isWelcomed, wasStable: isWelcomed && clock.readMonotonicMs() - startedMs >= MIN_STABLE_MS }
   }
 
   /** A link of the mesh belongs to one control VM and never switches to another. */
-  private _learnMembers (stream: FeedStream, address: string, members: readonly ControlMember[]): void {
+  private _learnMembers (subscription: FeedSubscription, members: readonly ControlMember[]): void {
     if (this._options.isMesh) return
     this._options.directory.setMembers(members)
-    this._scheduleSwitchToOwnZone(stream, address)
+    this._scheduleSwitchToOwnZone(subscription)
   }
 
   /**
    * Avoids control traffic between availability zones where the own one has a control VM. A node below a relay stays
    * there, since the control VMs that named the relay had no free stream.
    */
-  private _scheduleSwitchToOwnZone (stream: FeedStream, address: string): void {
+  private _scheduleSwitchToOwnZone (subscription: FeedSubscription): void {
     const { directory, clock } = this._options
+    const { address } = subscription
     if (!directory.hasAddress(address)) return
     const hasControlInOwnZone = directory.listAddresses().some(other => other !== this._failedAddress && this._finder.isInOwnZone(other))
     if (this._finder.isInOwnZone(address) || !hasControlInOwnZone) return
     const delayMs = this._isConfirmed ? OWN_ZONE_SWITCH_DELAY_MS : OWN_ZONE_SWITCH_DELAY_AT_START_MS
-    this._disposables.add(clock.schedule(delayMs, () => { void this._switchToOwnZone(stream) }))
+    this._disposables.add(clock.schedule(delayMs, () => { void this._switchToOwnZone(subscription) }))
   }
 
   /** Leaves the current source only after a control VM in the own availability zone has confirmed a version. */
-  private async _switchToOwnZone (stream: FeedStream): Promise<void> {
+  private async _switchToOwnZone (subscription: FeedSubscription): Promise<void> {
     const addressInOwnZone = this._finder.pickInOwnZone()
     const reply = addressInOwnZone === undefined ? undefined : await this._finder.confirmAt(addressInOwnZone)
-    if (this._stream !== stream) return
+    if (this._subscription !== subscription) return
     if (reply?.confirmed !== true) {
-      this._disposables.add(this._options.clock.schedule(OWN_ZONE_SWITCH_DELAY_MS, () => { void this._switchToOwnZone(stream) }))
+      this._disposables.add(this._options.clock.schedule(OWN_ZONE_SWITCH_DELAY_MS, () => { void this._switchToOwnZone(subscription) }))
       return
     }
     this._isSwitchingToOwnZone = true
-    stream.cancel()
+    subscription.dispose()
   }
 
-  private _startStallWatch (stream: FeedStream, address: string, getLastHeardMs: () => number): IDisposable {
+  private async _watchSource (): Promise<void> {
     const { clock, metrics } = this._options
-    const watchAbort = new AbortController()
-    void (async () => {
-      while (!watchAbort.signal.aborted) {
-        await clock.waitTick(WATCH_INTERVAL_MS)
-        if (watchAbort.signal.aborted) return
-        const nowMs = clock.readMonotonicMs()
-        const isStalled = nowMs - getLastHeardMs() >= (this._stream === stream ? STALL_TIMEOUT_MS : WELCOME_TIMEOUT_MS)
-        const isNotCurrent = this._stream === stream && nowMs - this._lastCurrentBeatMs >= NOT_CURRENT_TIMEOUT_MS
-        if (!isStalled && !isNotCurrent) continue
-        metrics.count('feed_source_left_total', isStalled ? 'stalled' : 'not-current')
-        stream.cancel()
-        // The connection may be dead, so the next attempt must open another one.
-        if (isStalled) this._options.channels.closeClient(FeedService, address)
-        return
+    while (!this._stopping.signal.aborted) {
+      await clock.waitTick(WATCH_INTERVAL_MS)
+      const subscription = this._subscription
+      if (subscription === undefined) continue
+      const nowMs = clock.readMonotonicMs()
+      if (nowMs - subscription.lastHeardMs >= STALL_TIMEOUT_MS) {
+        subscription.abandon()
+      } else if (nowMs - this._lastCurrentBeatMs >= NOT_CURRENT_TIMEOUT_MS) {
+        metrics.count('feed_source_left_total', 'not-current')
+        subscription.dispose()
       }
-    })()
-    return toDisposable(() => watchAbort.abort())
+    }
   }
 
-  private _joinSource (stream: FeedStream, address: string, level: number, source: string, relays: readonly string[]): void {
-    this._stream = stream
+  private _joinSource (subscription: FeedSubscription): void {
+    const { source, level, relays } = subscription
+    this._subscription = subscription
     this._orphanTimer?.dispose()
-    this._sourceAddress = address
-    this._level = level
-    this._source = source
     this._lastCurrentBeatMs = this._options.clock.readMonotonicMs()
     this._rememberRelays(relays)
     this._options.log.info('feed_joined', {
@@ -323,18 +292,15 @@
       orphaned_ms: Math.round(this._lastCurrentBeatMs - this._orphanedSinceMs),
       held: this._options.store.version.version
     })
-    this._reporter.open(stream, this._options.isMesh || level === RELAY_LEVEL)
+    this._reporter.open(subscription.stream, this._options.isMesh || level === RELAY_LEVEL)
     void this._confirmCatalogue()
   }
 
   private _leaveSource (): void {
-    this._stream = undefined
+    this._subscription = undefined
     this._reporter.close()
     this._orphanedSinceMs = this._options.clock.readMonotonicMs()
     this._orphanTimer = this._options.clock.schedule(ORPHAN_DELAY_MS, () => this._onOrphaned.fire())
-    this._sourceAddress = ''
-    this._level = 0
-    this._source = ''
   }
 
   private _applyCatalogue (delta: Parameters<CatalogueStore['applyDelta']>[0]): void {
@@ -388,12 +354,12 @@
     while (!this._stopping.signal.aborted) {
       await this._options.clock.waitTick(EVIDENCE_INTERVAL_MS)
       this._reporter.sendDueReports()
-      if (this._stream !== undefined && !this._isConfirmed) void this._confirmCatalogue()
+      if (this._subscription !== undefined && !this._isConfirmed) void this._confirmCatalogue()
     }
   }
 
   private _listConfirmAddresses (): string[] {
     const controlAddresses = this._finder.shuffle(this._options.directory.listAddresses())
-    return this._level === LEAF_LEVEL ? [...this._relays.slice(0, 2), ...controlAddresses] : controlAddresses
+    return this.level === LEAF_LEVEL ? [...this._relays.slice(0, 2), ...controlAddresses] : controlAddresses
   }
 }
--- a/packages/feed/src/SourceFinder.ts
+++ b/packages/feed/src/SourceFinder.ts
@@ -1,7 +1,7 @@
 /**
  * Finds sources to subscribe to, and asks sources for confirmed versions.
  */
-import { FeedError, formatError, type IClock, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
+import { FeedError, formatError, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
 import { FeedClient as FeedService, type ConfirmReply, type ConfirmRequest } from '@lagoonswitch/schema'
 import { isTimeout, sendUnary, type IPeerChannels } from '@lagoonswitch/transport'
 import type { ControlDirectory } from './ControlDirectory.js'
@@ -14,11 +14,17 @@
 /** Head start of each relay over the next one in the list, which is not nearer. */
 const RELAY_HEAD_START_MS = 15
 
+/** A source that may be asked whether it is current. */
+export interface ICandidate {
+  readonly address: string
+  /** Wait before the question, in milliseconds. */
+  readonly delayMs: number
+}
+
 /** Dependencies of a finder. */
 export interface ISourceFinderOptions {
   readonly availabilityZone: string
   readonly directory: ControlDirectory
-  readonly clock: IClock
   readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
@@ -30,38 +36,34 @@
   constructor (private readonly _options: ISourceFinderOptions) {}
 
   /**
-   * Lists sources to subscribe to, control VMs before relays and those in the own availability zone first. After a failure
-   * all are asked in parallel, so that the timeouts of those that are down or cut off do not add up.
-   * @param failedAddress - the source that failed last, empty for none; chosen only if there is no other
+   * Lists sources to ask after a failure, control VMs before relays and those in the own availability zone first.
    * @param relays - known relays, which may be gone
-   * @returns one address at first and if there is no choice; after a failure the current sources in the order of their replies,
-   *   or one control VM if no source is current
+   * @returns the sources, each with its delay
    */
-  async * listSources (failedAddress: string, relays: readonly string[]): AsyncGenerator<string> {
-    const controlAddresses = this.shuffle(this._options.directory.listAddresses().filter(address => address !== failedAddress))
-    const fallback = controlAddresses.find(address => this.isInOwnZone(address)) ?? controlAddresses[0] ?? failedAddress
-    const otherRelays = relays.filter(address => address !== failedAddress)
-    if (failedAddress === '' || controlAddresses.length + otherRelays.length < 2) {
-      yield fallback
-      return
-    }
-    let hasCurrent = false
-    const delays = new Map(otherRelays.map((address, index) => [address, CONTROL_HEAD_START_MS + index * RELAY_HEAD_START_MS]))
-    for (const address of controlAddresses) delays.set(address, this.isInOwnZone(address) ? 0 : OWN_ZONE_HEAD_START_MS)
-    for await (const address of this._confirmStaggered(delays)) {
-      hasCurrent = true
-      yield address
-    }
-    if (!hasCurrent) yield fallback
+  listCandidates (relays: readonly string[]): ICandidate[] {
+    const controls = this.shuffle(this._options.directory.listAddresses())
+      .map(address => ({ address, delayMs: this.isInOwnZone(address) ? 0 : OWN_ZONE_HEAD_START_MS }))
+    const others = this.listRelays(relays).map(({ address, delayMs }) => ({ address, delayMs: CONTROL_HEAD_START_MS + delayMs }))
+    return [...controls, ...others]
   }
 
   /**
-   * Asks relays in parallel.
+   * Lists relays to ask at once.
    * @param relays - addresses, the nearest first
-   * @returns addresses of those that are current, in the order of their replies
+   * @returns the relays, each with its delay
+   */
+  listRelays (relays: readonly string[]): ICandidate[] {
+    return relays.map((address, index) => ({ address, delayMs: index * RELAY_HEAD_START_MS }))
+  }
+
+  /**
+   * Picks a control VM to subscribe to without a question.
+   * @param failedAddress - the source that failed last, empty for none; picked only if there is no other
+   * @returns peer address; one in the own availability zone if there is any
    */
-  listRelays (relays: readonly string[]): AsyncGenerator<string> {
-    return this._confirmStaggered(new Map(relays.map((address, index) => [address, index * RELAY_HEAD_START_MS])))
+  pickControl (failedAddress: string): string {
+    const addresses = this.shuffle(this._options.directory.listAddresses().filter(address => address !== failedAddress))
+    return addresses.find(address => this.isInOwnZone(address)) ?? addresses[0] ?? failedAddress
   }
 
   /** @returns a random control VM of the own availability zone, if it has any */
@@ -120,26 +122,6 @@
     return items
   }
 
-  /**
-   * Asks each address after its delay.
-   * @param delays - delay of each address in milliseconds
-   * @returns addresses of current sources, in the order of their replies
-   */
-  private async * _confirmStaggered (delays: ReadonlyMap<string, number>): AsyncGenerator<string> {
-    const pending = new Map([...delays].map(([address, delayMs]) => [address, this._confirmAfterDelay(address, delayMs)]))
-    while (pending.size > 0) {
-      const { address, isConfirmed } = await Promise.race(pending.values())
-      pending.delete(address)
-      if (isConfirmed) yield address
-    }
-  }
-
-  private async _confirmAfterDelay (address: string, delayMs: number): Promise<{ address: string, isConfirmed: boolean }> {
-    if (delayMs > 0) await this._options.clock.sleep(delayMs)
-    const reply = await this.confirmAt(address)
-    return { address, isConfirmed: reply?.confirmed === true }
-  }
-
   private async _confirmCurrent (address: string, nodes: readonly string[]): Promise<ConfirmReply> {
     const reply = await this.confirmAt(address, nodes)
     if (reply?.confirmed !== true) throw new FeedError(`${address} is not current`, 'ask another source')
