Feed: a node keeps its source until another one has accepted it (CONFIG)

What callers saw: a node that changes to the control VM of its zone had no source meanwhile, up to 3.0 s in the model when that control VM had just fallen silent or named relays that had. Cause: it cancelled its stream once that control VM had confirmed a version, not once it had admitted the node; the search that followed had no choice but this one, with a backoff before and after. Also, a relay that moved below another relay kept its subscribers for 1.5 s without a current source. Change: the next source is joined first; a relay that has subscribers stays at its level, and one that changes takes no new ones. Evidence: both new tests of FleetFailover failed before (tens of nodes without a source; 2.75 s) and pass; 151 of 151 in feed, node, fleet, tests/Feed*.

--- a/packages/control/src/EndpointMesh.ts
+++ b/packages/control/src/EndpointMesh.ts
@@ -74,7 +74,8 @@
       store: new CatalogueStore(),
       endpoints: this._endpoints,
       computeFleetStatus: () => ({ nodes: 0, lowest: { epoch: 0, version: 0 } }),
-      takeEvidence: () => []
+      takeEvidence: () => [],
+      isServing: () => false
     })
     link.start()
     return link
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -48,6 +48,8 @@
   readonly log: ILog
   readonly metrics: Metrics
   readonly channels: IPeerChannels
+  /** True while this process is the source of others. */
+  readonly isServing: () => boolean
 }
 
 /** Subscribes to one source at a time. */
@@ -55,7 +57,7 @@
   private readonly _disposables = new DisposableStore()
   private readonly _stopping = new AbortController()
   private readonly _onReady = new Emitter<readonly WithdrawalRecord[]>()
-  private readonly _onOrphaned = new Emitter<void>()
+  private readonly _onCannotRelay = new Emitter<void>()
   private readonly _backoff: Backoff
   private readonly _finder: SourceFinder
   private readonly _reporter: FeedReporter
@@ -67,15 +69,16 @@
   private _minReadyVersion: ICatalogueVersion = NO_VERSION
   /** Address of the source that failed last, which is tried again only as the last choice. */
   private _failedAddress = ''
-  private _isSwitchingToOwnZone = false
+  private _isSwitching = false
+  private _isSwitchDue = false
   /** Monotonic time since which there is no source, in milliseconds. */
   private _orphanedSinceMs: number
   private _orphanTimer: IDisposable | undefined
 
   /** Fires once a quorum has confirmed the version in the store, with the withdrawals at this node that were recorded before. */
   readonly onReady = this._onReady.event
-  /** Fires when the source was lost and no other one was found in time. */
-  readonly onOrphaned = this._onOrphaned.event
+  /** Fires when the source was lost and no other one was found in time, or when the new one is a relay: subscribers need other sources. */
+  readonly onCannotRelay = this._onCannotRelay.event
 
   constructor (private readonly _options: IFeedClientOptions) {
     this._finder = new SourceFinder(_options)
@@ -84,7 +87,7 @@
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._disposables.add(toDisposable(() => {
       this._stopping.abort()
-      this._activeSearch?.cancel()
+      this._activeSearch?.dispose()
       this._orphanTimer?.dispose()
       this._subscription?.stream.end()
     }))
@@ -105,6 +108,11 @@
     return this._subscription?.source ?? ''
   }
 
+  /** True while this node is about to change to a source in its own availability zone, and may become a subscriber of a relay. */
+  get isSwitching (): boolean {
+    return this._isSwitchDue || this._isSwitching
+  }
+
   /** True while the source reports that it holds the newest version. */
   get isCurrent (): boolean {
     return this._options.clock.readMonotonicMs() - this._lastCurrentBeatMs < NOT_CURRENT_TIMEOUT_MS
@@ -143,25 +151,23 @@
     }
   }
 
-  /** Follows the current source. @returns true when that lasted long enough for a search without a backoff */
+  /** Follows the current source and those that replace it. @returns true when that lasted long enough for a search without a backoff */
   private async _followUntilEnd (): Promise<boolean> {
-    const subscription = this._subscription
-    if (subscription === undefined) return false
+    const { clock } = this._options
+    const startedMs = clock.readMonotonicMs()
     this._backoff.reset()
-    await new Promise<void>(resolve => { subscription.onEnded(() => resolve()) })
-    return this._options.clock.readMonotonicMs() - subscription.startedMs >= MIN_STABLE_MS
+    for (let followed = this._subscription; followed !== undefined; followed = this._subscription) await followed.waitEnd()
+    return clock.readMonotonicMs() - startedMs >= MIN_STABLE_MS
   }
 
-  private _createSearch (): SourceSearch {
-    const failedAddress = this._failedAddress
-    this._activeSearch = new SourceSearch({
+  private _createSearch (isExcluded: (address: string) => boolean): SourceSearch {
+    return new SourceSearch({
       clock: this._options.clock,
       finder: this._finder,
       open: address => this._openSubscription(address),
       onFound: subscription => this._joinSource(subscription),
-      isExcluded: address => address === this._options.feedAddress || address === failedAddress
+      isExcluded: address => address === this._options.feedAddress || isExcluded(address)
     })
-    return this._activeSearch
   }
 
   /**
@@ -172,12 +178,12 @@
     const failedAddress = this._failedAddress
     const candidates = this._finder.listCandidates(this._relays).filter(({ address }) => address !== failedAddress)
     if (failedAddress !== '' && candidates.length > 1) {
-      const search = this._createSearch()
-      if (await search.run(candidates)) return undefined
-      if (search.hasTried) return search.retryAfterMs
+      this._activeSearch = this._createSearch(address => address === failedAddress)
+      if (await this._activeSearch.run(candidates)) return undefined
+      if (this._activeSearch.hasTried) return this._activeSearch.retryAfterMs
     }
-    const search = this._createSearch()
-    return await search.run([], this._finder.pickControl(failedAddress)) ? undefined : search.retryAfterMs
+    this._activeSearch = this._createSearch(() => false)
+    return await this._activeSearch.run([], this._finder.pickControl(failedAddress)) ? undefined : this._activeSearch.retryAfterMs
   }
 
   private _openSubscription (address: string): FeedSubscription {
@@ -196,9 +202,10 @@
 
   private _handleEnd (subscription: FeedSubscription, { relays }: ISubscriptionEnd): void {
     this._rememberRelays(relays)
-    this._failedAddress = this._isSwitchingToOwnZone ? '' : subscription.address
-    this._isSwitchingToOwnZone = false
-    if (this._subscription === subscription) this._leaveSource()
+    const isFollowed = this._subscription === subscription
+    // While another source is followed, this one was replaced or was tried as a replacement.
+    if (this._subscription === undefined || isFollowed) this._failedAddress = subscription.address
+    if (isFollowed) this._leaveSource()
   }
 
   private _pickLevel (address: string): number {
@@ -248,20 +255,23 @@
     const hasControlInOwnZone = directory.listAddresses().some(other => other !== this._failedAddress && this._finder.isInOwnZone(other))
     if (this._finder.isInOwnZone(address) || !hasControlInOwnZone) return
     const delayMs = this._isConfirmed ? OWN_ZONE_SWITCH_DELAY_MS : OWN_ZONE_SWITCH_DELAY_AT_START_MS
+    if (!this._isConfirmed) this._isSwitchDue = true
     this._disposables.add(clock.schedule(delayMs, () => { void this._switchToOwnZone(subscription) }))
   }
 
-  /** Leaves the current source only after a control VM in the own availability zone has confirmed a version. */
+  /** Keeps the current source until a control VM in the own availability zone, or a relay that it names, has accepted this node. */
   private async _switchToOwnZone (subscription: FeedSubscription): Promise<void> {
     const addressInOwnZone = this._finder.pickInOwnZone()
-    const reply = addressInOwnZone === undefined ? undefined : await this._finder.confirmAt(addressInOwnZone)
-    if (this._subscription !== subscription) return
-    if (reply?.confirmed !== true) {
-      this._disposables.add(this._options.clock.schedule(OWN_ZONE_SWITCH_DELAY_MS, () => { void this._switchToOwnZone(subscription) }))
-      return
-    }
-    this._isSwitchingToOwnZone = true
-    subscription.dispose()
+    this._isSwitchDue = false
+    if (this._subscription !== subscription || this._isSwitching) return
+    this._isSwitching = true
+    const search = this._disposables.add(this._createSearch(address =>
+      // A node that serves others stays at its level.
+      address === subscription.address || (this._options.isServing() && !this._options.directory.hasAddress(address))))
+    const isFound = addressInOwnZone !== undefined && await search.run([{ address: addressInOwnZone, delayMs: 0 }])
+    this._isSwitching = false
+    if (isFound || this._subscription !== subscription) return
+    this._disposables.add(this._options.clock.schedule(OWN_ZONE_SWITCH_DELAY_MS, () => { void this._switchToOwnZone(subscription) }))
   }
 
   private async _watchSource (): Promise<void> {
@@ -282,17 +292,20 @@
 
   private _joinSource (subscription: FeedSubscription): void {
     const { source, level, relays } = subscription
+    const replaced = this._subscription
     this._subscription = subscription
+    replaced?.dispose()
     this._orphanTimer?.dispose()
     this._lastCurrentBeatMs = this._options.clock.readMonotonicMs()
     this._rememberRelays(relays)
     this._options.log.info('feed_joined', {
       source,
       feed_level: level,
-      orphaned_ms: Math.round(this._lastCurrentBeatMs - this._orphanedSinceMs),
+      orphaned_ms: replaced === undefined ? Math.round(this._lastCurrentBeatMs - this._orphanedSinceMs) : 0,
       held: this._options.store.version.version
     })
     this._reporter.open(subscription.stream, this._options.isMesh || level === RELAY_LEVEL)
+    if (level === LEAF_LEVEL) this._onCannotRelay.fire()
     void this._confirmCatalogue()
   }
 
@@ -300,10 +313,12 @@
     this._subscription = undefined
     this._reporter.close()
     this._orphanedSinceMs = this._options.clock.readMonotonicMs()
-    this._orphanTimer = this._options.clock.schedule(ORPHAN_DELAY_MS, () => this._onOrphaned.fire())
+    this._orphanTimer = this._options.clock.schedule(ORPHAN_DELAY_MS, () => this._onCannotRelay.fire())
   }
 
   private _applyCatalogue (delta: Parameters<CatalogueStore['applyDelta']>[0]): void {
+    // The source that was followed until now may have delivered this version already.
+    if (compareVersions(delta.version ?? NO_VERSION, this._options.store.version) <= 0) return
     const applied = this._options.store.applyDelta(delta)
     if (applied.ok) {
       this._reporter.sendBeat()
--- a/packages/feed/src/FeedSubscription.ts
+++ b/packages/feed/src/FeedSubscription.ts
@@ -43,6 +43,7 @@
   private _source = ''
   private _relays: readonly string[] = []
   private _isWelcomed = false
+  private _isEnded = false
   private _redirect: { readonly relays: readonly string[], readonly retryAfterMs: number } = { relays: [], retryAfterMs: 0 }
   private _lastHeardMs: number
 
@@ -87,6 +88,12 @@
     return this._lastHeardMs
   }
 
+  /** Waits until the stream has ended. */
+  async waitEnd (): Promise<void> {
+    if (this._isEnded) return
+    await new Promise<void>(resolve => { this.onEnded(() => resolve()) })
+  }
+
   /** Ends the subscription, and closes the connection, which may be dead. */
   abandon (): void {
     this._options.metrics.count('feed_source_left_total', 'stalled')
@@ -124,6 +131,7 @@
     }
     this._welcomeTimer.dispose()
     this.dispose()
+    this._isEnded = true
     this._onEnded.fire({ ...this._redirect, wasWelcomed: this._isWelcomed })
   }
 }
--- a/packages/feed/src/SourceSearch.ts
+++ b/packages/feed/src/SourceSearch.ts
@@ -24,7 +24,7 @@
  * Finds one source. Nothing is waited for in turn: a candidate that does not answer delays no other one, whether it was known
  * before or is a relay that a full source has named.
  */
-export class SourceSearch {
+export class SourceSearch implements IDisposable {
   private readonly _timers = new DisposableStore()
   private _isEnded = false
   private readonly _asked = new Set<string>()
@@ -63,8 +63,7 @@
     })
   }
 
-  /** Ends the search without a result. */
-  cancel (): void {
+  dispose (): void {
     this._end(undefined)
   }
 
--- a/packages/fleet/src/FleetFailover.test.ts
+++ b/packages/fleet/src/FleetFailover.test.ts
@@ -9,6 +9,7 @@
 const MAX_PROPAGATION_MS = 2_000
 const PUBLICATION_INTERVAL_MS = 100
 const OBSERVATION_MS = 6_000
+const SAMPLE_MS = 5
 /** Nodes of a new version, started beside those of the old one. */
 const ADDED_NODES = 117
 const SITE = { ...LARGE_SITE, routes: 100 }
@@ -34,11 +35,32 @@
   expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
 }, 60_000)
 
+test('node keeps its source until the control VM of its zone has accepted it', async () => {
+  fleet = new Fleet(SITE, 1)
+  await fleet.start()
+  const added = fleet.addNodes(ADDED_NODES)
+  const endMs = fleet.time.readMonotonicMs() + OBSERVATION_MS
+  const withoutSource = new Set<string>()
+  while (fleet.time.readMonotonicMs() < endMs) {
+    await fleet.time.runUntil(fleet.time.readMonotonicMs() + SAMPLE_MS)
+    for (const { feed, machine } of added) if (feed.client.isReady && feed.client.source === '') withoutSource.add(machine.name)
+  }
+  expect([...withoutSource]).toEqual([])
+}, 60_000)
+
+test('node stays with its source while the control VM of its zone does not respond', async () => {
+  fleet = new Fleet(SITE, 11)
+  await fleet.start()
+  fleet.addNodes(ADDED_NODES)
+  await observe(() => fleet.getControl('a').machine.freeze(), 307)
+  expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
+}, 60_000)
+
 /** Publishes changes, and loses something shortly after the start. */
-async function observe (lose: () => void): Promise<void> {
+async function observe (lose: () => void, loseAfterMs = 500): Promise<void> {
   const startMs = fleet.time.readMonotonicMs()
   const publishing = fleet.operator.publishUntil(PUBLICATION_INTERVAL_MS, startMs + OBSERVATION_MS)
-  await fleet.time.runUntil(startMs + 500)
+  await fleet.time.runUntil(startMs + loseAfterMs)
   lose()
   await fleet.runWhile(publishing)
   await fleet.time.runUntil(fleet.time.readMonotonicMs() + MAX_PROPAGATION_MS)
--- a/packages/node/src/NodeFeed.ts
+++ b/packages/node/src/NodeFeed.ts
@@ -55,7 +55,8 @@
       store: this.store,
       endpoints: this.endpoints,
       computeFleetStatus: () => this._computeFleetStatus(),
-      takeEvidence: () => this._takeEvidence()
+      takeEvidence: () => this._takeEvidence(),
+      isServing: () => this.relay.getStreamCount() > 0
     }))
     this.relay = this._disposables.add(new FeedHub({
       name,
@@ -67,12 +68,12 @@
       endpoints: this.endpoints,
       maxStreams: settings.node.relayStreams,
       subscriberLevel: LEAF_LEVEL,
-      isCurrent: () => this.client.level === RELAY_LEVEL && this.client.isCurrent && this.client.isReady,
+      isCurrent: () => this.client.level === RELAY_LEVEL && this.client.isCurrent && this.client.isReady && !this.client.isSwitching,
       confirm: async nodes => await this.client.confirm(nodes),
       directory: this.directory,
       onEvidence: records => this._forwardEvidence(records)
     }))
-    this._disposables.add(this.client.onOrphaned(() => this.relay.redirectAll()))
+    this._disposables.add(this.client.onCannotRelay(() => this.relay.redirectAll()))
   }
 
   /**
--- a/tests/support/Feeds.ts
+++ b/tests/support/Feeds.ts
@@ -42,7 +42,8 @@
     store,
     endpoints: new EndpointView(),
     computeFleetStatus: () => ({ nodes: 1, lowest: store.version }),
-    takeEvidence: () => []
+    takeEvidence: () => [],
+    isServing: () => false
   })
   client.start()
   return client
