--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -52,6 +52,18 @@
   readonly isServing: () => boolean
 }
 
+/** What a process knows of its source. */
+export interface IFeedStatus {
+  /** Name of the source, empty for none. */
+  readonly source: string
+  /** Level in the distribution tree; 0 without a source. */
+  readonly level: number
+  /** Time since the source was joined, or since the last one was lost, in milliseconds. */
+  readonly sourceMs: number
+  /** Time since the catalogue in the store was last known to be the newest, in milliseconds; infinite before the first time. */
+  readonly currentMs: number
+}
+
 /** Subscribes to one source at a time. */
 export class FeedClient implements IDisposable {
   private readonly _disposables = new DisposableStore()
@@ -115,7 +127,14 @@
 
   /** True while the source reports that it holds the newest version. */
   get isCurrent (): boolean {
-    return this._options.clock.readMonotonicMs() - this._lastCurrentBeatMs < NOT_CURRENT_TIMEOUT_MS
+    return this.getStatus().currentMs < NOT_CURRENT_TIMEOUT_MS
+  }
+
+  /** @returns what is known of the source now */
+  getStatus (): IFeedStatus {
+    const nowMs = this._options.clock.readMonotonicMs()
+    const sourceMs = nowMs - (this._subscription?.startedMs ?? this._orphanedSinceMs)
+    return { source: this.source, level: this.level, sourceMs, currentMs: nowMs - this._lastCurrentBeatMs }
   }
 
   /** Starts the subscription and the reports to the source. */
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -60,6 +60,7 @@
   private readonly _linkListener: LinkListener
   private readonly _linkAddress: string
   private _routes: RouteTable | undefined
+  private _catalogueChangedMs = 0
   private readonly _feed: NodeFeed
   private _stop: GracefulStop | undefined
 
@@ -132,14 +133,20 @@
       getStop: () => this._stop,
       dialect,
       getCallerLimits: () => this.store.view.publication?.callerLimits,
-      getCatalogueVersion: () => this.store.version.version
+      getCatalogueVersion: () => this.store.version.version,
+      getCatalogueAgeMs: () => clock.readMonotonicMs() - this._catalogueChangedMs,
+      getFeedStatus: () => this.feed.getStatus(),
+      isCatalogueCurrent: () => this.feed.isCurrent
     })
     this._disposables.add(this.feed.onReady(withdrawals => this.targets.restoreWithdrawals(withdrawals)))
     this._disposables.add(this.store.onChanged(() => {
       this._routes = undefined
+      this._catalogueChangedMs = clock.readMonotonicMs()
       this._callServer.applyLimits()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
+    metrics.addGauge('feed_level', () => this.feed.level)
+    metrics.addGauge('feed_current_age_ms', () => this.feed.getStatus().currentMs)
     metrics.addGauge('catalogue_version', () => this.store.version.version)
   }
 
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -2,6 +2,7 @@
  * State and services shared by all calls of a process.
  */
 import type { IClock, ILog, IRandom, Metrics } from '@lagoonswitch/common'
+import type { IFeedStatus } from '@lagoonswitch/feed'
 import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
@@ -43,6 +44,11 @@
   readonly getStop: () => GracefulStop | undefined
   /** Version of the catalogue in use, for logs. */
   readonly getCatalogueVersion: () => number
+  /** Time since this version was put in place, in milliseconds, for logs. */
+  readonly getCatalogueAgeMs: () => number
+  readonly getFeedStatus: () => IFeedStatus
+  /** False while a newer catalogue than the one in use may be in force elsewhere. */
+  readonly isCatalogueCurrent: () => boolean
   readonly dialect: CallDialect
   /** Limits on requests of callers in the catalogue in use. */
   readonly getCallerLimits: () => CallerLimits | undefined
--- a/packages/node/src/calls/CallReport.ts
+++ b/packages/node/src/calls/CallReport.ts
@@ -1,6 +1,7 @@
 /**
  * Log events and metrics of one call.
  */
+import type { ILogFields } from '@lagoonswitch/common'
 import type { ITargetState } from '../routing/TargetPool.js'
 import type { ICallContext } from './CallContext.js'
 import type { CallRetries } from './CallRetries.js'
@@ -9,6 +10,8 @@
 const MIN_SERVER_ERROR_STATUS = 500
 /** Route label of calls that matched no route. */
 const NO_ROUTE_LABEL = 'none'
+/** Refusals that depend on how new the catalogue of this process is. */
+const ROUTE_REFUSALS: ReadonlySet<string> = new Set(['no-route', 'not-current'])
 
 /** How a call ended. */
 export interface ICallEnd {
@@ -88,7 +91,19 @@
       runs: this.retries?.runs ?? 0,
       took_ms: Math.round(tookMs),
       left_ms: leftMs,
-      catalogue: this._context.getCatalogueVersion()
+      catalogue: this._context.getCatalogueVersion(),
+      ...(ROUTE_REFUSALS.has(reason) ? this._describeFeed() : {})
     })
   }
+
+  private _describeFeed (): ILogFields {
+    const { source, level, sourceMs, currentMs } = this._context.getFeedStatus()
+    return {
+      catalogue_ms: Math.round(this._context.getCatalogueAgeMs()),
+      source,
+      feed_level: level,
+      source_ms: Math.round(sourceMs),
+      current_ms: Math.round(currentMs)
+    }
+  }
 }
