Calls: an unknown route is refused with 503 while a newer catalogue may be in force (CONFIG)

What callers saw: 404, which ends a request for good, for a route that exists, at a node that had no current source. Cause: a node that had lost its source refused as certainly as one that had just been told. Class of fault: an answer that claims more than the process knows. Change: not-current, 503 with Retry-After 500 ms, run not-run; calls on known routes are served as before.

--- a/packages/lagoonctl/src/explain/CallExplanation.ts
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -23,6 +23,7 @@
   'process-draining': 'the process was stopping',
   draining: 'the target got no new calls: it or its node was stopping, or it was lost or now serves another service or version',
   'no-target': 'no target of the version in use was announced',
+  'not-current': 'no route matched, but a newer catalogue may be in force: the process had no current source; see its feed_lost and feed_joined',
   'no-route': 'no route matched in the catalogue of that version',
   unreachable: 'the node of the target could not be reached',
   connect: 'the target accepted no connection',
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -14,6 +14,8 @@
 /** Separator after a header name (`: `) and line break after its value. */
 const SEPARATOR_BYTES = 2
 const RETRY_AFTER_MS = 1_000
+/** Time in which a node that has lost its source usually has another one. */
+const NOT_CURRENT_RETRY_AFTER_MS = 500
 /** Reported for an objective that has passed, since 0 means that there is no objective. */
 const MIN_OBJECTIVE_LEFT_MS = 1
 
@@ -50,7 +52,7 @@
   const routes = context.getRoutes()
   if (routes === undefined) return refuse('not-ready', RETRY_AFTER_MS)
   const route = routes.findRoute(headers.host ?? '', method ?? '', url ?? '/')
-  if (route === undefined) return refuse('no-route')
+  if (route === undefined) return context.isCatalogueCurrent() ? refuse('no-route') : refuse('not-current', NOT_CURRENT_RETRY_AFTER_MS)
   const limits = context.getCallerLimits()
   const oversizeReason = limits === undefined ? undefined : findOversizeReason(request, limits)
   if (oversizeReason !== undefined) return refuse(oversizeReason)
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -8,7 +8,7 @@
 
 /** Why a call was refused; the label of the refusal counter. */
 export type RefusalReason = FailureReason |
-  'not-ready' | 'no-route' | 'too-deep' | 'bad-header' | 'key-missing' | 'key-mismatch' | 'key-in-progress' |
+  'not-ready' | 'not-current' | 'no-route' | 'too-deep' | 'bad-header' | 'key-missing' | 'key-mismatch' | 'key-in-progress' |
   'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'head-too-large' | 'owner-limit' | 'process-draining'
 
 /** Whether the target ran the request, as far as is known. */
@@ -41,6 +41,7 @@
   'no-spare': { status: 503, title: 'targets of other zones have no free slot', remedy: 'retry after the stated time' },
   'no-budget': { status: 503, title: 'the services that the target calls bear no more repeats', remedy: 'retry after the stated time' },
   'not-ready': { status: 503, title: 'this process has no confirmed catalogue yet', remedy: 'retry; check the control VMs' },
+  'not-current': { status: 503, title: 'no route matches, but this process may not have the newest catalogue', remedy: 'retry; check its source' },
   'no-route': { status: 404, title: 'no route matches', remedy: 'declare a route or correct the path and the method' },
   'too-deep': { status: 508, title: 'the chain of calls is too deep', remedy: 'look for a loop between services' },
   'bad-header': { status: 400, title: 'a header can\'t be used', remedy: 'correct the header' },
