Feed: a search goes on while no source is current, and asks again (CONFIG)

What callers saw: 404 for a route acknowledged by a new leader about a second after a control VM had fallen silent, at a node of that control VM's zone: the users' record (sent 1.912 s, acknowledged 2.957, refused 5.009). Cause: nodes notice the loss while the control VMs still elect a leader. Each source was asked once; those that answered 'no leader' were not asked again, and the node waited 1.5 s for the silent one, then tried that one without a question for 1 s, then waited for its backoff. Change: sources that are not current, do not respond or refuse are asked again after 150 ms until one accepts; the one that failed is asked 0.5 s after the others; a control VM is tried without a question each 1.5 s.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -14,6 +14,7 @@
 import { FeedSubscription, type FeedFrame, type ISubscriptionEnd } from './FeedSubscription.js'
 import { SourceFinder } from './SourceFinder.js'
 import { SourceSearch } from './SourceSearch.js'
+import { ZoneSwitch } from './ZoneSwitch.js'
 
 /** Silence after which a source counts as failed: two of its beats, and half of the 2 s in which a change must be in force. */
 const STALL_TIMEOUT_MS = 1_000
@@ -27,9 +28,6 @@
 const ORPHAN_DELAY_MS = 300
 /** Interval at which evidence is reported, a fraction of the time in which a move must be decided. */
 const EVIDENCE_INTERVAL_MS = 250
-/** Wait before a switch to a control VM in the own availability zone; longer once calls depend on the feed. */
-const OWN_ZONE_SWITCH_DELAY_AT_START_MS = 100
-const OWN_ZONE_SWITCH_DELAY_MS = 2_000
 const BACKOFF_BASE_MS = 100
 const BACKOFF_MAX_MS = 500
 const UNCONFIRMED_ENDPOINT_TIMEOUT_MS = 30_000
@@ -73,6 +71,7 @@
   private readonly _backoff: Backoff
   private readonly _finder: SourceFinder
   private readonly _reporter: FeedReporter
+  private readonly _zoneSwitch: ZoneSwitch
   private _relays: string[] = []
   private _subscription: FeedSubscription | undefined
   private _activeSearch: SourceSearch | undefined
@@ -81,8 +80,6 @@
   private _minReadyVersion: ICatalogueVersion = NO_VERSION
   /** Address of the source that failed last, which is tried again only as the last choice. */
   private _failedAddress = ''
-  private _isSwitching = false
-  private _isSwitchDue = false
   /** Monotonic time since which there is no source, in milliseconds. */
   private _orphanedSinceMs: number
   private _orphanTimer: IDisposable | undefined
@@ -95,6 +92,14 @@
   constructor (private readonly _options: IFeedClientOptions) {
     this._finder = new SourceFinder(_options)
     this._reporter = this._disposables.add(new FeedReporter(_options, this))
+    this._zoneSwitch = this._disposables.add(new ZoneSwitch({
+      clock: _options.clock,
+      finder: this._finder,
+      getSubscription: () => this._subscription,
+      createSearch: isExcluded => this._createSearch(false, isExcluded),
+      isControl: address => _options.directory.hasAddress(address),
+      isServing: _options.isServing
+    }))
     this._orphanedSinceMs = _options.clock.readMonotonicMs()
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._disposables.add(toDisposable(() => {
@@ -122,7 +127,7 @@
 
   /** True while this node is about to change to a source in its own availability zone, and may become a subscriber of a relay. */
   get isSwitching (): boolean {
-    return this._isSwitchDue || this._isSwitching
+    return this._zoneSwitch.isPending
   }
 
   /** True while the source reports that it holds the newest version. */
@@ -179,30 +184,29 @@
     return clock.readMonotonicMs() - startedMs >= MIN_STABLE_MS
   }
 
-  private _createSearch (isExcluded: (address: string) => boolean): SourceSearch {
+  private _createSearch (isPersistent: boolean, isExcluded: (address: string) => boolean): SourceSearch {
     return new SourceSearch({
       clock: this._options.clock,
       finder: this._finder,
       open: address => this._openSubscription(address),
       onFound: subscription => this._joinSource(subscription),
-      isExcluded: address => address === this._options.feedAddress || isExcluded(address)
+      isExcluded: address => address === this._options.feedAddress || isExcluded(address),
+      isPersistent
     })
   }
 
   /**
-   * Asks all known sources after a failure, and tries a control VM without a question if none is current or there is no choice.
+   * Asks all known sources after a failure until one accepts this node; tries a control VM without a question if there is no choice.
    * @returns wait that a source which refused this node asked for, in milliseconds; undefined when a source was found
    */
   private async _search (): Promise<number | undefined> {
     const failedAddress = this._failedAddress
-    const candidates = this._finder.listCandidates(this._relays).filter(({ address }) => address !== failedAddress)
-    if (failedAddress !== '' && candidates.length > 1) {
-      this._activeSearch = this._createSearch(address => address === failedAddress)
-      if (await this._activeSearch.run(candidates)) return undefined
-      if (this._activeSearch.hasTried) return this._activeSearch.retryAfterMs
-    }
-    this._activeSearch = this._createSearch(() => false)
-    return await this._activeSearch.run([], this._finder.pickControl(failedAddress)) ? undefined : this._activeSearch.retryAfterMs
+    const candidates = this._finder.listCandidates(failedAddress, this._relays)
+    const hasChoice = failedAddress !== '' && candidates.some(({ address }) => address !== failedAddress)
+    const search = this._createSearch(hasChoice, () => false)
+    this._activeSearch = search
+    const isFound = await (hasChoice ? search.run(candidates) : search.run([], this._finder.pickControl(failedAddress)))
+    return isFound ? undefined : search.retryAfterMs
   }
 
   private _openSubscription (address: string): FeedSubscription {
@@ -260,37 +264,7 @@
   private _learnMembers (subscription: FeedSubscription, members: readonly ControlMember[]): void {
     if (this._options.isMesh) return
     this._options.directory.setMembers(members)
-    this._scheduleSwitchToOwnZone(subscription)
-  }
-
-  /**
-   * Avoids control traffic between availability zones where the own one has a control VM. A node below a relay stays
-   * there, since the control VMs that named the relay had no free stream.
-   */
-  private _scheduleSwitchToOwnZone (subscription: FeedSubscription): void {
-    const { directory, clock } = this._options
-    const { address } = subscription
-    if (!directory.hasAddress(address)) return
-    const hasControlInOwnZone = directory.listAddresses().some(other => other !== this._failedAddress && this._finder.isInOwnZone(other))
-    if (this._finder.isInOwnZone(address) || !hasControlInOwnZone) return
-    const delayMs = this._isConfirmed ? OWN_ZONE_SWITCH_DELAY_MS : OWN_ZONE_SWITCH_DELAY_AT_START_MS
-    if (!this._isConfirmed) this._isSwitchDue = true
-    this._disposables.add(clock.schedule(delayMs, () => { void this._switchToOwnZone(subscription) }))
-  }
-
-  /** Keeps the current source until a control VM in the own availability zone, or a relay that it names, has accepted this node. */
-  private async _switchToOwnZone (subscription: FeedSubscription): Promise<void> {
-    const addressInOwnZone = this._finder.pickInOwnZone()
-    this._isSwitchDue = false
-    if (this._subscription !== subscription || this._isSwitching) return
-    this._isSwitching = true
-    const search = this._disposables.add(this._createSearch(address =>
-      // A node that serves others stays at its level.
-      address === subscription.address || (this._options.isServing() && !this._options.directory.hasAddress(address))))
-    const isFound = addressInOwnZone !== undefined && await search.run([{ address: addressInOwnZone, delayMs: 0 }])
-    this._isSwitching = false
-    if (isFound || this._subscription !== subscription) return
-    this._disposables.add(this._options.clock.schedule(OWN_ZONE_SWITCH_DELAY_MS, () => { void this._switchToOwnZone(subscription) }))
+    this._zoneSwitch.scheduleSwitch(subscription, !this._isConfirmed, this._failedAddress)
   }
 
   private async _watchSource (): Promise<void> {
--- a/packages/feed/src/SourceFinder.ts
+++ b/packages/feed/src/SourceFinder.ts
@@ -11,6 +11,8 @@
 const OWN_ZONE_HEAD_START_MS = 60
 /** Head start of control VMs over the known relays, since a control VM that replies names live relays. */
 const CONTROL_HEAD_START_MS = 200
+/** Head start of all others over the source that failed last; more than a search usually takes. */
+const FAILED_HEAD_START_MS = 500
 /** Head start of each relay over the next one in the list, which is not nearer. */
 const RELAY_HEAD_START_MS = 15
 
@@ -37,14 +39,16 @@
 
   /**
    * Lists sources to ask after a failure, control VMs before relays and those in the own availability zone first.
+   * @param failedAddress - the source that failed last, which is asked after the others
    * @param relays - known relays, which may be gone
    * @returns the sources, each with its delay
    */
-  listCandidates (relays: readonly string[]): ICandidate[] {
+  listCandidates (failedAddress: string, relays: readonly string[]): ICandidate[] {
     const controls = this.shuffle(this._options.directory.listAddresses())
       .map(address => ({ address, delayMs: this.isInOwnZone(address) ? 0 : OWN_ZONE_HEAD_START_MS }))
     const others = this.listRelays(relays).map(({ address, delayMs }) => ({ address, delayMs: CONTROL_HEAD_START_MS + delayMs }))
-    return [...controls, ...others]
+    return [...controls, ...others].map(candidate =>
+      candidate.address === failedAddress ? { ...candidate, delayMs: FAILED_HEAD_START_MS } : candidate)
   }
 
   /**
@@ -71,6 +75,14 @@
     return this.shuffle(this._options.directory.listAddresses().filter(address => this.isInOwnZone(address)))[0]
   }
 
+  /**
+   * @param failedAddress - control VM that does not count, empty for none
+   * @returns true when the own availability zone has a control VM
+   */
+  hasControlInOwnZone (failedAddress: string): boolean {
+    return this._options.directory.listAddresses().some(address => address !== failedAddress && this.isInOwnZone(address))
+  }
+
   /**
    * @param address - peer address of a control VM
    * @returns true when it is known to be in the own availability zone
--- a/packages/feed/src/SourceSearch.ts
+++ b/packages/feed/src/SourceSearch.ts
@@ -1,13 +1,18 @@
 /**
  * One search for a source: candidates are asked at once, and those that are current are tried in the order of their replies.
  */
-import { DisposableStore, type IClock, type IDisposable } from '@lagoonswitch/common'
+import type { IClock, IDisposable } from '@lagoonswitch/common'
 import type { FeedSubscription } from './FeedSubscription.js'
 import type { ICandidate, SourceFinder } from './SourceFinder.js'
 
 /** Wait for the welcome of one source before the next one is tried as well; several round trips between regions. */
 const JOIN_HEAD_START_MS = 150
 
+/** Wait before a source that was not current, did not respond or refused this node is asked again; a fraction of an election. */
+const REPEAT_DELAY_MS = 150
+/** Time without a current source after which a control VM is tried without a question, as confirmations may be slow. */
+const UNTESTED_DELAY_MS = 1_500
+
 /** Dependencies of a {@link SourceSearch}. */
 export interface ISourceSearchOptions {
   readonly clock: IClock
@@ -18,6 +23,8 @@
   readonly onFound: (subscription: FeedSubscription) => void
   /** Returns true for an address that must not be tried. */
   readonly isExcluded: (address: string) => boolean
+  /** True to ask again until a source is found; false to ask each candidate once. */
+  readonly isPersistent: boolean
 }
 
 /**
@@ -25,7 +32,7 @@
  * before or is a relay that a full source has named.
  */
 export class SourceSearch implements IDisposable {
-  private readonly _timers = new DisposableStore()
+  private readonly _timers = new Set<IDisposable>()
   private _isEnded = false
   private readonly _asked = new Set<string>()
   private readonly _current: string[] = []
@@ -34,7 +41,6 @@
   private _joinTimer: IDisposable | undefined
   private _resolve: (isFound: boolean) => void = () => {}
   private _retryAfterMs = 0
-  private _hasTried = false
 
   constructor (private readonly _options: ISourceSearchOptions) {}
 
@@ -43,11 +49,6 @@
     return this._retryAfterMs
   }
 
-  /** True when at least one source was current. */
-  get hasTried (): boolean {
-    return this._hasTried
-  }
-
   /**
    * Runs the search.
    * @param candidates - sources to ask, each after its delay
@@ -59,6 +60,7 @@
       this._resolve = resolve
       if (untested !== '') this._current.push(untested)
       for (const candidate of candidates) void this._ask(candidate)
+      if (this._options.isPersistent) this._scheduleUntested()
       this._joinNext()
     })
   }
@@ -71,13 +73,35 @@
     if (this._asked.has(address) || this._options.isExcluded(address)) return
     this._asked.add(address)
     this._askedCount++
-    if (delayMs > 0) await new Promise<void>(resolve => this._timers.add(this._options.clock.schedule(delayMs, resolve)))
-    const reply = await this._options.finder.confirmAt(address)
+    let isConfirmed = false
+    let waitMs = delayMs
+    do {
+      if (waitMs > 0) await new Promise<void>(resolve => this._schedule(waitMs, resolve))
+      const reply = await this._options.finder.confirmAt(address)
+      isConfirmed = reply?.confirmed === true
+      waitMs = REPEAT_DELAY_MS
+    } while (!isConfirmed && this._options.isPersistent && !this._isEnded)
     this._askedCount--
-    if (reply?.confirmed === true) this._current.push(address)
+    if (isConfirmed) this._current.push(address)
     this._joinNext()
   }
 
+  private _scheduleUntested (): void {
+    this._schedule(UNTESTED_DELAY_MS, () => {
+      this._current.push(this._options.finder.pickControl(''))
+      this._joinNext()
+      this._scheduleUntested()
+    })
+  }
+
+  private _schedule (delayMs: number, callback: () => void): void {
+    const timer = this._options.clock.schedule(delayMs, () => {
+      this._timers.delete(timer)
+      callback()
+    })
+    this._timers.add(timer)
+  }
+
   private _joinNext (): void {
     if (this._isEnded || this._joinTimer !== undefined) return
     const address = this._current.shift()
@@ -85,13 +109,13 @@
       if (this._askedCount === 0 && this._joining.size === 0) this._end(undefined)
       return
     }
-    this._hasTried = true
     const subscription = this._options.open(address)
     this._joining.add(subscription)
     subscription.onWelcomed(() => this._end(subscription))
     subscription.onEnded(({ relays, retryAfterMs }) => {
       if (!this._joining.delete(subscription) || this._isEnded) return
       this._retryAfterMs = retryAfterMs
+      if (this._options.isPersistent && this._asked.delete(address)) void this._ask({ address, delayMs: retryAfterMs + REPEAT_DELAY_MS })
       for (const candidate of this._options.finder.listRelays(relays)) void this._ask(candidate)
       this._joinTimer?.dispose()
       this._joinTimer = undefined
@@ -106,7 +130,7 @@
   private _end (found: FeedSubscription | undefined): void {
     if (this._isEnded) return
     this._isEnded = true
-    this._timers.dispose()
+    for (const timer of this._timers) timer.dispose()
     this._joinTimer?.dispose()
     for (const subscription of this._joining) {
       if (subscription !== found) subscription.dispose()
--- a/packages/fleet/src/FleetFailover.test.ts
+++ b/packages/fleet/src/FleetFailover.test.ts
@@ -56,6 +56,14 @@
   expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
 }, 60_000)
 
+test('change is in force in time although the leader falls silent and no control VM is current for a while', async () => {
+  fleet = new Fleet(SITE, 12)
+  await fleet.start()
+  fleet.addNodes(ADDED_NODES)
+  await observe(() => fleet.findLeader()?.machine.freeze(), 444)
+  expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
+}, 60_000)
+
 /** Publishes changes, and loses something shortly after the start. */
 async function observe (lose: () => void, loseAfterMs = 500): Promise<void> {
   const startMs = fleet.time.readMonotonicMs()
