--- a/packages/fleet/src/FleetOperator.ts
+++ b/packages/fleet/src/FleetOperator.ts
@@ -16,7 +16,7 @@
   readonly role: ControlRole
 }
 
-/** Each publication adds one route to those before it. */
+/** Each publication adds routes to those before it. */
 export class FleetOperator {
   private _number = 0
   /** Time of the acknowledgement of each publication by its number, in milliseconds from the start. */
@@ -29,12 +29,16 @@
    * @param _random - chooses the control VM that is asked first
    */
   constructor (
-    private readonly _controls: readonly IFleetControl[], private readonly _routes: number,
+    private readonly _controls: readonly IFleetControl[], private _routes: number,
     private readonly _clock: IClock, private readonly _random: IRandom
   ) {}
 
-  /** Publishes the next configuration; resolves once it has been acknowledged. */
-  async publish (): Promise<void> {
+  /**
+   * Publishes the next configuration; resolves once it has been acknowledged.
+   * @param addedRoutes - routes that it adds
+   */
+  async publish (addedRoutes = 1): Promise<void> {
+    this._routes += addedRoutes
     const draft = this._createDraft()
     let control = this._pickControl()
     for (;;) {
@@ -91,7 +95,7 @@
       },
       annotation: '{}'
     }
-    const entries = Array.from({ length: this._routes + number - 1 }, (_, index) => createRoute(`route-${index}`))
+    const entries = Array.from({ length: this._routes }, (_, index) => createRoute(`route-${index}`))
     return {
       number,
       baseNumber: this._number,
