Feed: beats state the age of the catalogue, and a source is kept until another one is found (CONFIG)

What callers saw, in the model: below a control VM that is cut off from the others a change was in force 2.5 s after its acknowledgement. Cause: staleness added up. A cut-off control VM calls itself current for 0.8 s, a node below it for 1.5 s after its last beat, and a node below that one for 1.5 s more. Change: a beat, now each 250 ms and sent after the changes that it covers, states the time since the version was known to be the newest on the whole path. A node whose catalogue is 1 s old seeks another source; the current one is kept until another one accepts the node, and the search ends if it recovers. Any frame is a sign of life; a connection is closed after 2 s of silence (1 s if there is no other source). Beats of older processes state no age, which counts as 0.

--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -110,6 +110,7 @@
       maxStreams: settings.control.sourceStreams,
       subscriberLevel: RELAY_LEVEL,
       isCurrent: () => this._catalogueGroup.isCurrent && this.store.version.epoch > 0,
+      getAgeMs: () => this._catalogueGroup.contactAgeMs,
       confirm: async nodes => await this._confirmCatalogue(nodes),
       directory: this.directory,
       onEvidence: records => this._evidence.forwardEvidence(records)
--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -86,8 +86,13 @@
 
   /** True while this replica is in contact with a leader, or leads a quorum itself. */
   get isCurrent (): boolean {
-    if (this._leader !== undefined) return this._leader.isReady && this._leader.hasQuorumContact()
-    return this._options.clock.readMonotonicMs() - this._lastLeaderContactMs < this._options.electionTimeoutMs
+    return this.contactAgeMs < this._options.electionTimeoutMs
+  }
+
+  /** Time since the last contact with the leader, or with a quorum if this replica leads, in milliseconds. */
+  get contactAgeMs (): number {
+    if (this._leader !== undefined) return this._leader.isReady ? this._leader.getQuorumContactAgeMs() : Infinity
+    return this._options.clock.readMonotonicMs() - this._lastLeaderContactMs
   }
 
   /** Loads the durable state and starts to take part; rejects when the state is damaged. */
--- a/packages/control/src/raft/RaftLeader.ts
+++ b/packages/control/src/raft/RaftLeader.ts
@@ -92,9 +92,13 @@
 
   /** @returns true while a quorum answered within the election timeout */
   hasQuorumContact (): boolean {
-    const { clock, electionTimeoutMs } = this._replica.options
+    return this.getQuorumContactAgeMs() < this._replica.options.electionTimeoutMs
+  }
+
+  /** @returns time since the last request to which a quorum has answered, in milliseconds */
+  getQuorumContactAgeMs (): number {
     const quorumAckMs = Math.max(this._computeQuorumAckMs(), this._startedMs)
-    return clock.readMonotonicMs() - quorumAckMs < electionTimeoutMs
+    return Math.max(0, this._replica.options.clock.readMonotonicMs() - quorumAckMs)
   }
 
   /**
--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -2,10 +2,10 @@
  * Receiving side of the feed: subscribes to a source and switches to another one when it fails.
  */
 import {
-  Backoff, DisposableStore, Emitter, FeedError, NO_VERSION, compareVersions, toDisposable,
+  Backoff, DisposableStore, Emitter, NO_VERSION, compareVersions, toDisposable,
   type ICatalogueVersion, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
-import type { ConfirmReply, ControlMember, EndpointRecord, WithdrawalRecord } from '@lagoonswitch/schema'
+import type { ConfirmReply, ControlMember, EndpointRecord, SourceBeat, WithdrawalRecord } from '@lagoonswitch/schema'
 import type { IPeerChannels } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
 import type { ControlDirectory } from './ControlDirectory.js'
@@ -16,14 +16,15 @@
 import { SourceSearch } from './SourceSearch.js'
 import { ZoneSwitch } from './ZoneSwitch.js'
 
-/** Silence after which a source counts as failed: two of its beats, and half of the 2 s in which a change must be in force. */
-const STALL_TIMEOUT_MS = 1_000
+/** Age of the catalogue from which on another source is sought: half of the 2 s in which a change must be in force. */
+const MAX_AGE_MS = 1_000
+/** Silence after which the connection to a source is closed, while another source is sought, and if there is no other one. */
+const SILENCE_TIMEOUT_MS = 2_000
+const LONE_SILENCE_TIMEOUT_MS = 1_000
 /** A subscription that lasted this long is replaced without a backoff, so that losing a source costs only the search. */
 const MIN_STABLE_MS = 1_000
-/** Time since the last beat of a current source after which another source is sought. */
-const NOT_CURRENT_TIMEOUT_MS = 1_500
-/** Interval of the checks for these timeouts. */
-const WATCH_INTERVAL_MS = 250
+/** Interval of the checks for these limits. */
+const WATCH_INTERVAL_MS = 100
 /** Time without a source after which the subscribers of this process are redirected to other sources. */
 const ORPHAN_DELAY_MS = 300
 /** Interval at which evidence is reported, a fraction of the time in which a move must be decided. */
@@ -75,7 +76,11 @@
   private _relays: string[] = []
   private _subscription: FeedSubscription | undefined
   private _activeSearch: SourceSearch | undefined
-  private _lastCurrentBeatMs = -Infinity
+  /** Monotonic time at which the catalogue in the store was last known to be the newest one, in milliseconds. */
+  private _currentAtMs = -Infinity
+  private _joinedAtMs = -Infinity
+  /** Search for a source that replaces the current one. */
+  private _replacement: SourceSearch | undefined
   private _isConfirmed = false
   private _minReadyVersion: ICatalogueVersion = NO_VERSION
   /** Address of the source that failed last, which is tried again only as the last choice. */
@@ -105,6 +110,7 @@
     this._disposables.add(toDisposable(() => {
       this._stopping.abort()
       this._activeSearch?.dispose()
+      this._endReplacement()
       this._orphanTimer?.dispose()
       this._subscription?.stream.end()
     }))
@@ -130,16 +136,16 @@
     return this._zoneSwitch.isPending
   }
 
-  /** True while the source reports that it holds the newest version. */
+  /** True while the catalogue in the store is known to be the newest one, or was so a moment ago. */
   get isCurrent (): boolean {
-    return this.getStatus().currentMs < NOT_CURRENT_TIMEOUT_MS
+    return this.getStatus().currentMs < MAX_AGE_MS
   }
 
   /** @returns what is known of the source now */
   getStatus (): IFeedStatus {
     const nowMs = this._options.clock.readMonotonicMs()
     const sourceMs = nowMs - (this._subscription?.startedMs ?? this._orphanedSinceMs)
-    return { source: this.source, level: this.level, sourceMs, currentMs: nowMs - this._lastCurrentBeatMs }
+    return { source: this.source, level: this.level, sourceMs, currentMs: nowMs - this._currentAtMs }
   }
 
   /** Starts the subscription and the reports to the source. */
@@ -211,7 +217,7 @@
 
   private _openSubscription (address: string): FeedSubscription {
     const { node, incarnation, region, availabilityZone, feedAddress, store } = this._options
-    const level = this._pickLevel(address)
+    const level = this._options.isMesh ? MESH_LEVEL : this._options.directory.hasAddress(address) ? RELAY_LEVEL : LEAF_LEVEL
     const subscription = new FeedSubscription({
       ...this._options,
       address,
@@ -231,11 +237,6 @@
     if (isFollowed) this._leaveSource()
   }
 
-  private _pickLevel (address: string): number {
-    if (this._options.isMesh) return MESH_LEVEL
-    return this._options.directory.hasAddress(address) ? RELAY_LEVEL : LEAF_LEVEL
-  }
-
   private _rememberRelays (relays: readonly string[]): void {
     if (this._options.isMesh) return
     const others = [...relays, ...this._relays].filter(address => address !== this._options.feedAddress)
@@ -255,8 +256,7 @@
         this._learnMembers(subscription, frame.value.members)
         break
       case 'beat':
-        this._checkSourceVersion(frame.value.version ?? NO_VERSION)
-        if (frame.value.current) this._lastCurrentBeatMs = this._options.clock.readMonotonicMs()
+        this._handleBeat(frame.value)
     }
   }
 
@@ -267,34 +267,59 @@
     this._zoneSwitch.scheduleSwitch(subscription, !this._isConfirmed, this._failedAddress)
   }
 
+  private _handleBeat ({ version, current, ageMs }: SourceBeat): void {
+    const isHeld = this._options.isMesh || compareVersions(version ?? NO_VERSION, this._options.store.version) === 0
+    if (current && isHeld) this._currentAtMs = Math.max(this._currentAtMs, this._options.clock.readMonotonicMs() - ageMs)
+  }
+
   private async _watchSource (): Promise<void> {
-    const { clock, metrics } = this._options
+    const { clock } = this._options
     while (!this._stopping.signal.aborted) {
       await clock.waitTick(WATCH_INTERVAL_MS)
-      const subscription = this._subscription
-      if (subscription === undefined) continue
-      const nowMs = clock.readMonotonicMs()
-      if (nowMs - subscription.lastHeardMs >= STALL_TIMEOUT_MS) {
-        subscription.abandon()
-      } else if (nowMs - this._lastCurrentBeatMs >= NOT_CURRENT_TIMEOUT_MS) {
-        metrics.count('feed_source_left_total', 'not-current')
-        subscription.dispose()
-      }
+      if (this._subscription !== undefined) this._checkSource(this._subscription)
     }
   }
 
+  /** Seeks another source once the catalogue is old, and keeps the current one until it is found or this one recovers. */
+  private _checkSource (subscription: FeedSubscription): void {
+    const nowMs = this._options.clock.readMonotonicMs()
+    const ageMs = nowMs - Math.max(this._currentAtMs, this._joinedAtMs)
+    const silenceMs = nowMs - subscription.lastHeardMs
+    const isOld = ageMs >= MAX_AGE_MS
+    if (!isOld) this._endReplacement()
+    if (!isOld && silenceMs < LONE_SILENCE_TIMEOUT_MS) return
+    const hasChoice = this._finder.listCandidates('', this._relays).some(({ address }) => address !== subscription.address)
+    if (silenceMs >= (hasChoice ? SILENCE_TIMEOUT_MS : LONE_SILENCE_TIMEOUT_MS)) subscription.abandon()
+    else if (isOld && hasChoice && this._replacement === undefined) this._seekReplacement(subscription)
+  }
+
+  private _seekReplacement (subscription: FeedSubscription): void {
+    const { log } = this._options
+    const { sourceMs, currentMs } = this.getStatus()
+    log.info('feed_outdated', { source: subscription.address, source_ms: Math.round(sourceMs), current_ms: Math.round(currentMs) })
+    this._replacement = this._createSearch(true, address => address === subscription.address)
+    void this._replacement.run(this._finder.listCandidates('', this._relays))
+  }
+
+  private _endReplacement (): void {
+    this._replacement?.dispose()
+    this._replacement = undefined
+  }
+
   private _joinSource (subscription: FeedSubscription): void {
     const { source, level, relays } = subscription
+    const nowMs = this._options.clock.readMonotonicMs()
     const replaced = this._subscription
     this._subscription = subscription
-    replaced?.dispose()
+    this._endReplacement()
+    if (replaced !== undefined) this._leaveReplaced(replaced, nowMs)
     this._orphanTimer?.dispose()
-    this._lastCurrentBeatMs = this._options.clock.readMonotonicMs()
+    this._joinedAtMs = nowMs
     this._rememberRelays(relays)
     this._options.log.info('feed_joined', {
       source,
       feed_level: level,
-      orphaned_ms: replaced === undefined ? Math.round(this._lastCurrentBeatMs - this._orphanedSinceMs) : 0,
+      orphaned_ms: replaced === undefined ? Math.round(nowMs - this._orphanedSinceMs) : 0,
       held: this._options.store.version.version
     })
     this._reporter.open(subscription.stream, this._options.isMesh || level === RELAY_LEVEL)
@@ -302,7 +327,14 @@
     void this._confirmCatalogue()
   }
 
+  /** A connection that has been silent may be dead, so that later calls need another one. */
+  private _leaveReplaced (replaced: FeedSubscription, nowMs: number): void {
+    if (nowMs - replaced.lastHeardMs >= MAX_AGE_MS) replaced.abandon()
+    else replaced.dispose()
+  }
+
   private _leaveSource (): void {
+    this._endReplacement()
     this._subscription = undefined
     this._reporter.close()
     this._orphanedSinceMs = this._options.clock.readMonotonicMs()
@@ -325,11 +357,6 @@
     throw applied.val
   }
 
-  private _checkSourceVersion (version: ICatalogueVersion): void {
-    if (compareVersions(version, this._options.store.version) >= 0) return
-    throw new FeedError('the source holds an older version', 'choose another source')
-  }
-
   /** Removes records that the source does not know unless they are updated in time. */
   private _expireUnconfirmedEndpoints (records: readonly EndpointRecord[]): void {
     const { endpoints, clock } = this._options
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -14,7 +14,8 @@
 import type { ControlDirectory } from './ControlDirectory.js'
 import type { EndpointView } from './EndpointView.js'
 
-const BEAT_INTERVAL_MS = 500
+/** Interval of the beats; with one level of relays the age of a catalogue stays below half of the 1 s after which it counts as old. */
+const BEAT_INTERVAL_MS = 250
 const HELLO_TIMEOUT_MS = 3_000
 /** Time in which changes are collected for one message, and requests for one confirmation. */
 const COALESCE_DELAY_MS = 20
@@ -26,8 +27,8 @@
 const NOT_CURRENT_RETRY_MS = 20
 const MAX_LISTED_RELAYS = 8
 const MIN_RELAYS_PER_ZONE = 2
-/** Limit of the admissions from one beat to the next, not per second: there are two beats in a second. */
-const MAX_ADMISSIONS_PER_BEAT = 200
+/** Limit of the admissions from one beat to the next, not per second: there are four beats in a second. */
+const MAX_ADMISSIONS_PER_BEAT = 100
 
 /** Level of a link of the mesh between control VMs, which carries endpoints only. */
 export const MESH_LEVEL = 0
@@ -36,6 +37,9 @@
 /** Level of a subscriber of a relay. */
 export const LEAF_LEVEL = 2
 
+/** Largest age that a beat states, in milliseconds. */
+const MAX_AGE_MS = 2 ** 31
+
 type DownFrame = FeedDown['frame']
 
 /** Dependencies and limits of a hub. */
@@ -52,6 +56,8 @@
   readonly subscriberLevel: number
   /** True while this process is known to hold the newest version. */
   readonly isCurrent: () => boolean
+  /** Returns the time since the version in the store was known to be the newest, in milliseconds. */
+  readonly getAgeMs: () => number
   /** Returns a version that a quorum has confirmed after the call, and the recorded withdrawals of targets beside some nodes. */
   readonly confirm: (nodes: readonly string[]) => Promise<ConfirmReply>
   /** The control VMs, sent to subscribers so that they find others when this one fails. */
@@ -220,7 +226,7 @@
       value: { source: this._options.name, level: hello.level, relays: this.listRelays(hello) }
     })
     this._sendMembers(subscriber)
-    this._sendCatalogue(subscriber)
+    this._sendBeat(subscriber)
     this._send(subscriber, {
       $case: 'endpoints',
       // A node also gets its own targets that were marked as gone, so that it can announce them again.
@@ -325,11 +331,18 @@
     while (!this._stopping.signal.aborted) {
       await this._options.clock.waitTick(BEAT_INTERVAL_MS)
       this._admittedSinceBeat = 0
-      const value = { version: { ...this._options.store.version }, current: this._options.isCurrent() }
-      for (const subscriber of this._subscribers) this._send(subscriber, { $case: 'beat', value })
+      for (const subscriber of this._subscribers) this._sendBeat(subscriber)
     }
   }
 
+  /** Sends what the beat states to be the newest version first. */
+  private _sendBeat (subscriber: ISubscriber): void {
+    this._sendCatalogue(subscriber)
+    const { store, isCurrent, getAgeMs } = this._options
+    const ageMs = Math.min(MAX_AGE_MS, Math.ceil(getAgeMs()))
+    this._send(subscriber, { $case: 'beat', value: { version: { ...store.version }, current: isCurrent(), ageMs } })
+  }
+
   /** Requests share one confirmation, which begins after the last of them has arrived. */
   private async _confirmShared (nodes: readonly string[]): Promise<ConfirmReply> {
     // A relay that is not current would have to ask the control VMs, which the requesting node does itself.
--- a/packages/feed/src/FeedSubscription.ts
+++ b/packages/feed/src/FeedSubscription.ts
@@ -110,7 +110,7 @@
     try {
       for await (const { frame } of this.stream as AsyncIterable<FeedDown>) {
         if (frame === undefined) continue
-        if (frame.$case === 'welcome' || frame.$case === 'beat') this._lastHeardMs = clock.readMonotonicMs()
+        this._lastHeardMs = clock.readMonotonicMs()
         if (frame.$case === 'redirect') {
           this._redirect = frame.value
           log.info(this._isWelcomed ? 'feed_left' : 'feed_refused', { source: address, reason: frame.value.reason })
--- a/packages/feed/src/SourceSearch.ts
+++ b/packages/feed/src/SourceSearch.ts
@@ -88,7 +88,8 @@
 
   private _scheduleUntested (): void {
     this._schedule(UNTESTED_DELAY_MS, () => {
-      this._current.push(this._options.finder.pickControl(''))
+      const address = this._options.finder.pickControl('')
+      if (!this._options.isExcluded(address)) this._current.push(address)
       this._joinNext()
       this._scheduleUntested()
     })
--- a/packages/fleet/src/FleetFailover.test.ts
+++ b/packages/fleet/src/FleetFailover.test.ts
@@ -64,6 +64,20 @@
   expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
 }, 60_000)
 
+test('change is in force in time below a control VM that is cut off from the others', async () => {
+  fleet = new Fleet(SITE, 41)
+  await fleet.start()
+  fleet.addNodes(ADDED_NODES)
+  const { machine } = fleet.getControl('b')
+  await observe(() => {
+    for (const other of fleet.controls) {
+      fleet.network.cut(machine, other.machine)
+      fleet.network.cut(other.machine, machine)
+    }
+  })
+  expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
+}, 60_000)
+
 /** Publishes changes, and loses something shortly after the start. */
 async function observe (lose: () => void, loseAfterMs = 500): Promise<void> {
   const startMs = fleet.time.readMonotonicMs()
--- a/packages/node/src/NodeFeed.ts
+++ b/packages/node/src/NodeFeed.ts
@@ -69,6 +69,7 @@
       maxStreams: settings.node.relayStreams,
       subscriberLevel: LEAF_LEVEL,
       isCurrent: () => this.client.level === RELAY_LEVEL && this.client.isCurrent && this.client.isReady && !this.client.isSwitching,
+      getAgeMs: () => this.client.getStatus().currentMs,
       confirm: async nodes => await this.client.confirm(nodes),
       directory: this.directory,
       onEvidence: records => this._forwardEvidence(records)
--- a/tests/FeedFailover.test.ts
+++ b/tests/FeedFailover.test.ts
@@ -88,7 +88,7 @@
   const relayed = new CatalogueStore()
   relayed.restoreContent(store.getContent())
   const upstream = startFeedClient(world, [cutOffSource.address], relayed, { feedAddress: 'none' })
-  const relay = await startHub(world, 'relay', { store: relayed, isCurrent: () => upstream.level > 0 && upstream.isCurrent })
+  const relay = await startHub(world, 'relay', { store: relayed, isCurrent: () => upstream.level > 0 && upstream.isCurrent, getAgeMs: () => upstream.getStatus().currentMs })
   upstream.onCannotRelay(() => relay.hub.redirectAll())
   await waitFor('the source of the relay', () => upstream.isCurrent)
   const received = new CatalogueStore()
--- a/tests/support/Feeds.ts
+++ b/tests/support/Feeds.ts
@@ -65,6 +65,7 @@
     maxStreams: 10,
     subscriberLevel: RELAY_LEVEL,
     isCurrent: () => true,
+    getAgeMs: () => 0,
     confirm: async () => ({ confirmed: true, version: { ...store.version }, message: '', withdrawals: [] }),
     directory: new ControlDirectory([]),
     onEvidence: () => {},
@@ -109,7 +110,7 @@
   await listener.listen('127.0.0.1', port ?? 0)
   const beats = setInterval(() => {
     if (isSilent) return
-    for (const stream of streams) stream.write({ frame: { $case: 'beat', value: { version: { ...store.version }, current: true } } })
+    for (const stream of streams) stream.write({ frame: { $case: 'beat', value: { version: { ...store.version }, current: true, ageMs: 0 } } })
   }, STUB_BEAT_INTERVAL_MS)
   return {
     address: `127.0.0.1:${port}`,
