Feed: nodes keep a source that still sends while another leader is elected

Cause: the age of the catalogue alone can't tell a source that is lost from an election, and a source told its recovery with its next beat only. Change: a source that still sends is replaced from 1.25 s on, a silent one from 1.0 s; before a replacement is joined the own source is asked once more; a source that is current again sends a beat within 50 ms. SourceWatch holds these checks. The second source of a search is tried after 400 ms, as each that accepts the node sends all endpoints.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -14,17 +14,11 @@
 import { FeedSubscription, type FeedFrame, type ISubscriptionEnd } from './FeedSubscription.js'
 import { SourceFinder } from './SourceFinder.js'
 import { SourceSearch } from './SourceSearch.js'
+import { MAX_AGE_MS, SourceWatch } from './SourceWatch.js'
 import { ZoneSwitch } from './ZoneSwitch.js'
 
-/** Age of the catalogue from which on another source is sought: half of the 2 s in which a change must be in force. */
-const MAX_AGE_MS = 1_000
-/** Silence after which the connection to a source is closed, while another source is sought, and if there is no other one. */
-const SILENCE_TIMEOUT_MS = 2_000
-const LONE_SILENCE_TIMEOUT_MS = 1_000
 /** A subscription that lasted this long is replaced without a backoff, so that losing a source costs only the search. */
 const MIN_STABLE_MS = 1_000
-/** Interval of the checks for these limits. */
-const WATCH_INTERVAL_MS = 100
 /** Time without a source after which the subscribers of this process are redirected to other sources. */
 const ORPHAN_DELAY_MS = 300
 /** Interval at which evidence is reported, a fraction of the time in which a move must be decided. */
@@ -73,14 +67,13 @@
   private readonly _finder: SourceFinder
   private readonly _reporter: FeedReporter
   private readonly _zoneSwitch: ZoneSwitch
+  private readonly _watch: SourceWatch
   private _relays: string[] = []
   private _subscription: FeedSubscription | undefined
   private _activeSearch: SourceSearch | undefined
   /** Monotonic time at which the catalogue in the store was last known to be the newest one, in milliseconds. */
   private _currentAtMs = -Infinity
   private _joinedAtMs = -Infinity
-  /** Search for a source that replaces the current one. */
-  private _replacement: SourceSearch | undefined
   private _isConfirmed = false
   private _minReadyVersion: ICatalogueVersion = NO_VERSION
   /** Address of the source that failed last, which is tried again only as the last choice. */
@@ -105,12 +98,20 @@
       isControl: address => _options.directory.hasAddress(address),
       isServing: _options.isServing
     }))
+    this._watch = this._disposables.add(new SourceWatch({
+      clock: _options.clock,
+      log: _options.log,
+      finder: this._finder,
+      getSubscription: () => this._subscription,
+      getCurrentAtMs: () => Math.max(this._currentAtMs, this._joinedAtMs),
+      getRelays: () => this._relays,
+      createSearch: (isExcluded, isNeeded) => this._createSearch(true, isExcluded, isNeeded)
+    }))
     this._orphanedSinceMs = _options.clock.readMonotonicMs()
     this._backoff = new Backoff(BACKOFF_BASE_MS, BACKOFF_MAX_MS, _options.random)
     this._disposables.add(toDisposable(() => {
       this._stopping.abort()
       this._activeSearch?.dispose()
-      this._endReplacement()
       this._orphanTimer?.dispose()
       this._subscription?.stream.end()
     }))
@@ -151,7 +152,7 @@
   /** Starts the subscription and the reports to the source. */
   start (): void {
     void this._runSubscription()
-    void this._watchSource()
+    this._watch.start()
     void this._runReports()
   }
 
@@ -190,14 +191,17 @@
     return clock.readMonotonicMs() - startedMs >= MIN_STABLE_MS
   }
 
-  private _createSearch (isPersistent: boolean, isExcluded: (address: string) => boolean): SourceSearch {
+  private _createSearch (
+    isPersistent: boolean, isExcluded: (address: string) => boolean, isNeeded?: () => Promise<boolean>
+  ): SourceSearch {
     return new SourceSearch({
       clock: this._options.clock,
       finder: this._finder,
       open: address => this._openSubscription(address),
       onFound: subscription => this._joinSource(subscription),
       isExcluded: address => address === this._options.feedAddress || isExcluded(address),
-      isPersistent
+      isPersistent,
+      isNeeded
     })
   }
 
@@ -272,46 +276,12 @@
     if (current && isHeld) this._currentAtMs = Math.max(this._currentAtMs, this._options.clock.readMonotonicMs() - ageMs)
   }
 
-  private async _watchSource (): Promise<void> {
-    const { clock } = this._options
-    while (!this._stopping.signal.aborted) {
-      await clock.waitTick(WATCH_INTERVAL_MS)
-      if (this._subscription !== undefined) this._checkSource(this._subscription)
-    }
-  }
-
-  /** Seeks another source once the catalogue is old, and keeps the current one until it is found or this one recovers. */
-  private _checkSource (subscription: FeedSubscription): void {
-    const nowMs = this._options.clock.readMonotonicMs()
-    const ageMs = nowMs - Math.max(this._currentAtMs, this._joinedAtMs)
-    const silenceMs = nowMs - subscription.lastHeardMs
-    const isOld = ageMs >= MAX_AGE_MS
-    if (!isOld) this._endReplacement()
-    if (!isOld && silenceMs < LONE_SILENCE_TIMEOUT_MS) return
-    const hasChoice = this._finder.listCandidates('', this._relays).some(({ address }) => address !== subscription.address)
-    if (silenceMs >= (hasChoice ? SILENCE_TIMEOUT_MS : LONE_SILENCE_TIMEOUT_MS)) subscription.abandon()
-    else if (isOld && hasChoice && this._replacement === undefined) this._seekReplacement(subscription)
-  }
-
-  private _seekReplacement (subscription: FeedSubscription): void {
-    const { log } = this._options
-    const { sourceMs, currentMs } = this.getStatus()
-    log.info('feed_outdated', { source: subscription.address, source_ms: Math.round(sourceMs), current_ms: Math.round(currentMs) })
-    this._replacement = this._createSearch(true, address => address === subscription.address)
-    void this._replacement.run(this._finder.listCandidates('', this._relays))
-  }
-
-  private _endReplacement (): void {
-    this._replacement?.dispose()
-    this._replacement = undefined
-  }
-
   private _joinSource (subscription: FeedSubscription): void {
     const { source, level, relays } = subscription
     const nowMs = this._options.clock.readMonotonicMs()
     const replaced = this._subscription
     this._subscription = subscription
-    this._endReplacement()
+    this._watch.endReplacement()
     if (replaced !== undefined) this._leaveReplaced(replaced, nowMs)
     this._orphanTimer?.dispose()
     this._joinedAtMs = nowMs
@@ -334,7 +304,7 @@
   }
 
   private _leaveSource (): void {
-    this._endReplacement()
+    this._watch.endReplacement()
     this._subscription = undefined
     this._reporter.close()
     this._orphanedSinceMs = this._options.clock.readMonotonicMs()
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -16,6 +16,8 @@
 
 /** Interval of the beats; with one level of relays the age of a catalogue stays below half of the 1 s after which it counts as old. */
 const BEAT_INTERVAL_MS = 250
+/** Interval at which a source that is not current checks whether it is again. */
+const RECOVERY_CHECK_INTERVAL_MS = 50
 const HELLO_TIMEOUT_MS = 3_000
 /** Time in which changes are collected for one message, and requests for one confirmation. */
 const COALESCE_DELAY_MS = 20
@@ -328,13 +330,24 @@
   }
 
   private async _runBeats (): Promise<void> {
+    const { clock, isCurrent } = this._options
     while (!this._stopping.signal.aborted) {
-      await this._options.clock.waitTick(BEAT_INTERVAL_MS)
+      await clock.waitTick(BEAT_INTERVAL_MS)
       this._admittedSinceBeat = 0
       for (const subscriber of this._subscribers) this._sendBeat(subscriber)
+      if (!isCurrent()) await this._sendBeatsOnRecovery()
     }
   }
 
+  /** Tells subscribers at once when this process is current again, so that they do not seek other sources. */
+  private async _sendBeatsOnRecovery (): Promise<void> {
+    const { clock, isCurrent } = this._options
+    const endMs = clock.readMonotonicMs() + BEAT_INTERVAL_MS - RECOVERY_CHECK_INTERVAL_MS
+    while (!isCurrent() && clock.readMonotonicMs() < endMs) await clock.waitTick(RECOVERY_CHECK_INTERVAL_MS)
+    if (!isCurrent()) return
+    for (const subscriber of this._subscribers) this._sendBeat(subscriber)
+  }
+
   /** Sends what the beat states to be the newest version first. */
   private _sendBeat (subscriber: ISubscriber): void {
     this._sendCatalogue(subscriber)
--- a/packages/feed/src/SourceSearch.ts
+++ b/packages/feed/src/SourceSearch.ts
@@ -5,8 +5,8 @@
 import type { FeedSubscription } from './FeedSubscription.js'
 import type { ICandidate, SourceFinder } from './SourceFinder.js'
 
-/** Wait for the welcome of one source before the next one is tried as well; several round trips between regions. */
-const JOIN_HEAD_START_MS = 150
+/** Wait for the welcome of one source before the next one is tried as well; each that accepts this node sends all endpoints. */
+const JOIN_HEAD_START_MS = 400
 
 /** Wait before a source that was not current, did not respond or refused this node is asked again; a fraction of an election. */
 const REPEAT_DELAY_MS = 150
@@ -25,6 +25,8 @@
   readonly isExcluded: (address: string) => boolean
   /** True to ask again until a source is found; false to ask each candidate once. */
   readonly isPersistent: boolean
+  /** Called when a source is current, before it is joined; false ends the search. */
+  readonly isNeeded?: () => Promise<boolean>
 }
 
 /**
@@ -83,6 +85,7 @@
     } while (!isConfirmed && this._options.isPersistent && !this._isEnded)
     this._askedCount--
     if (isConfirmed) this._current.push(address)
+    if (isConfirmed && await this._options.isNeeded?.() === false) this.dispose()
     this._joinNext()
   }
 
--- a/packages/fleet/src/FleetFailover.test.ts
+++ b/packages/fleet/src/FleetFailover.test.ts
@@ -78,6 +78,18 @@
   expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
 }, 60_000)
 
+test('node keeps a source that still sends while another leader is elected', async () => {
+  fleet = new Fleet(SITE, 5)
+  await fleet.start()
+  await fleet.time.runUntil(fleet.time.readMonotonicMs() + OBSERVATION_MS)
+  const leader = fleet.findLeader()
+  const sourcesBefore = new Map(fleet.nodes.map(node => [node, node.feed.client.source]))
+  const unaffected = fleet.nodes.filter(({ feed }) => feed.client.level === 1 && feed.client.source !== leader?.machine.name)
+  leader?.machine.freeze()
+  await fleet.time.runUntil(fleet.time.readMonotonicMs() + OBSERVATION_MS / 2)
+  expect(unaffected.filter(node => node.feed.client.source !== sourcesBefore.get(node)).map(({ machine }) => machine.name)).toEqual([])
+}, 60_000)
+
 /** Publishes changes, and loses something shortly after the start. */
 async function observe (lose: () => void, loseAfterMs = 500): Promise<void> {
   const startMs = fleet.time.readMonotonicMs()
