Feed: a relay that waits for the control VM of its zone stays current

Cause: any attempt to change the zone counted, while only the one at the start of a node is to keep subscribers away. Also: a source that is found is joined only after the own one has been asked; sources are asked each 400 ms, not 150, while the own one still sends; a node without subscribers does not check for its recovery.

--- a/packages/feed/src/FeedClient.ts
+++ b/packages/feed/src/FeedClient.ts
@@ -73,6 +73,7 @@
   private _activeSearch: SourceSearch | undefined
   /** Monotonic time at which the catalogue in the store was last known to be the newest one, in milliseconds. */
   private _currentAtMs = -Infinity
+  /** Monotonic time at which the current source was joined, in milliseconds. */
   private _joinedAtMs = -Infinity
   private _isConfirmed = false
   private _minReadyVersion: ICatalogueVersion = NO_VERSION
@@ -132,7 +133,7 @@
     return this._subscription?.source ?? ''
   }
 
-  /** True while this node is about to change to a source in its own availability zone, and may become a subscriber of a relay. */
+  /** True until this node has tried to change to a source in its own availability zone, below which it may be no relay. */
   get isSwitching (): boolean {
     return this._zoneSwitch.isPending
   }
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -335,7 +335,7 @@
       await clock.waitTick(BEAT_INTERVAL_MS)
       this._admittedSinceBeat = 0
       for (const subscriber of this._subscribers) this._sendBeat(subscriber)
-      if (!isCurrent()) await this._sendBeatsOnRecovery()
+      if (this._subscribers.size > 0 && !isCurrent()) await this._sendBeatsOnRecovery()
     }
   }
 
--- a/packages/feed/src/SourceSearch.ts
+++ b/packages/feed/src/SourceSearch.ts
@@ -10,6 +10,8 @@
 
 /** Wait before a source that was not current, did not respond or refused this node is asked again; a fraction of an election. */
 const REPEAT_DELAY_MS = 150
+/** The same while the current source still sends, since all nodes may seek another one at the same time, and it tells them its recovery. */
+const REPLACEMENT_REPEAT_DELAY_MS = 400
 /** Time without a current source after which a control VM is tried without a question, as confirmations may be slow. */
 const UNTESTED_DELAY_MS = 1_500
 
@@ -35,17 +37,24 @@
  */
 export class SourceSearch implements IDisposable {
   private readonly _timers = new Set<IDisposable>()
-  private _isEnded = false
+  /** Candidates that have been asked, or wait to be. */
   private readonly _asked = new Set<string>()
+  /** Number of those whose reply is awaited. */
+  private _askedCount = 0
+  /** Candidates that are current, in the order of their replies. */
   private readonly _current: string[] = []
   private readonly _joining = new Set<FeedSubscription>()
-  private _askedCount = 0
+  private _isEnded = false
   private _joinTimer: IDisposable | undefined
   private _resolve: (isFound: boolean) => void = () => {}
   private _retryAfterMs = 0
 
   constructor (private readonly _options: ISourceSearchOptions) {}
 
+  private get _repeatDelayMs (): number {
+    return this._options.isNeeded === undefined ? REPEAT_DELAY_MS : REPLACEMENT_REPEAT_DELAY_MS
+  }
+
   /** Wait that the last source that refused this node has asked for, in milliseconds; 0 for none. */
   get retryAfterMs (): number {
     return this._retryAfterMs
@@ -81,11 +90,12 @@
       if (waitMs > 0) await new Promise<void>(resolve => this._schedule(waitMs, resolve))
       const reply = await this._options.finder.confirmAt(address)
       isConfirmed = reply?.confirmed === true
-      waitMs = REPEAT_DELAY_MS
+      waitMs = this._repeatDelayMs
     } while (!isConfirmed && this._options.isPersistent && !this._isEnded)
+    const isNeeded = !isConfirmed || await this._options.isNeeded?.() !== false
     this._askedCount--
+    if (!isNeeded) this.dispose()
     if (isConfirmed) this._current.push(address)
-    if (isConfirmed && await this._options.isNeeded?.() === false) this.dispose()
     this._joinNext()
   }
 
@@ -119,7 +129,8 @@
     subscription.onEnded(({ relays, retryAfterMs }) => {
       if (!this._joining.delete(subscription) || this._isEnded) return
       this._retryAfterMs = retryAfterMs
-      if (this._options.isPersistent && this._asked.delete(address)) void this._ask({ address, delayMs: retryAfterMs + REPEAT_DELAY_MS })
+      const isAskedAgain = this._options.isPersistent && this._asked.delete(address)
+      if (isAskedAgain) void this._ask({ address, delayMs: retryAfterMs + this._repeatDelayMs })
       for (const candidate of this._options.finder.listRelays(relays)) void this._ask(candidate)
       this._joinTimer?.dispose()
       this._joinTimer = undefined
--- a/packages/feed/src/ZoneSwitch.ts
+++ b/packages/feed/src/ZoneSwitch.ts
@@ -39,9 +39,9 @@
     }))
   }
 
-  /** True while this node is about to leave its source for another one, below which it may be no relay. */
+  /** True until the switch at the start of this node, after which it may be no relay, has been tried. */
   get isPending (): boolean {
-    return this._isDue || this._isSearching
+    return this._isDue
   }
 
   /**
@@ -70,14 +70,18 @@
 
   private async _run (subscription: FeedSubscription): Promise<void> {
     const { finder, getSubscription, createSearch, isControl, isServing } = this._options
-    this._isDue = false
     const address = finder.pickInOwnZone()
-    if (address === undefined || getSubscription() !== subscription || this._isSearching) return
+    if (this._isSearching) return
+    if (address === undefined || getSubscription() !== subscription) {
+      this._isDue = false
+      return
+    }
     this._isSearching = true
     // A node that serves others stays at its level.
     this._search = createSearch(other => other === subscription.address || (isServing() && !isControl(other)))
     const isFound = await this._search.run([{ address, delayMs: 0 }])
     this._isSearching = false
+    this._isDue = false
     if (!isFound && getSubscription() === subscription) this._schedule(DELAY_MS, subscription)
   }
 }
--- a/packages/fleet/src/FleetFailover.test.ts
+++ b/packages/fleet/src/FleetFailover.test.ts
@@ -90,6 +90,21 @@
   expect(unaffected.filter(node => node.feed.client.source !== sourcesBefore.get(node)).map(({ machine }) => machine.name)).toEqual([])
 }, 60_000)
 
+test('relay of another zone stays current while the control VM of its own zone does not respond', async () => {
+  fleet = new Fleet(SITE, 5)
+  await fleet.start()
+  await fleet.time.runUntil(fleet.time.readMonotonicMs() + OBSERVATION_MS)
+  fleet.getControl('b').machine.freeze()
+  const endMs = fleet.time.readMonotonicMs() + 3 * OBSERVATION_MS
+  await fleet.time.runUntil(fleet.time.readMonotonicMs() + OBSERVATION_MS / 2)
+  const outdated = new Set<string>()
+  while (fleet.time.readMonotonicMs() < endMs) {
+    await fleet.time.runUntil(fleet.time.readMonotonicMs() + PUBLICATION_INTERVAL_MS)
+    for (const { feed, machine } of fleet.nodes) if (!feed.client.isCurrent) outdated.add(machine.name)
+  }
+  expect([...outdated]).toEqual([])
+}, 60_000)
+
 /** Publishes changes, and loses something shortly after the start. */
 async function observe (lose: () => void, loseAfterMs = 500): Promise<void> {
   const startMs = fleet.time.readMonotonicMs()
