--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -14,7 +14,7 @@
 import type { ControlDirectory } from './ControlDirectory.js'
 import type { EndpointView } from './EndpointView.js'
 
-/** Interval of the beats; with one level of relays the age of a catalogue stays below half of the 1 s after which it counts as old. */
+/** Interval of the beats; below one level of relays the age of a catalogue stays under the 1 s from which on it counts as old. */
 const BEAT_INTERVAL_MS = 250
 /** Interval at which a source that is not current checks whether it is again. */
 const RECOVERY_CHECK_INTERVAL_MS = 50
