Feed: a change of the zone is not tried again after the node was disposed

Found on reading. What operators would see: a process that stops while it seeks a source of its own zone may open a subscription again after 2 s. Cause: the search ends when it is disposed, and its end scheduled the next attempt. The new test failed before and passes; 165 of 165 tests of feed, fleet, node and tests/Feed*.

--- a/packages/feed/src/ZoneSwitch.ts
+++ b/packages/feed/src/ZoneSwitch.ts
@@ -1,7 +1,7 @@
 /**
  * Moves a node to a source in its own availability zone, which avoids control traffic between zones.
  */
-import { toDisposable, DisposableStore, type IClock, type IDisposable } from '@lagoonswitch/common'
+import type { IClock, IDisposable } from '@lagoonswitch/common'
 import type { FeedSubscription } from './FeedSubscription.js'
 import type { SourceFinder } from './SourceFinder.js'
 import type { SourceSearch } from './SourceSearch.js'
@@ -26,18 +26,13 @@
 
 /** Keeps the current source until a control VM in the own availability zone, or a relay that it names, has accepted this node. */
 export class ZoneSwitch implements IDisposable {
-  private readonly _disposables = new DisposableStore()
   private _search: SourceSearch | undefined
   private _timer: IDisposable | undefined
   private _isDue = false
   private _isSearching = false
+  private _isDisposed = false
 
-  constructor (private readonly _options: IZoneSwitchOptions) {
-    this._disposables.add(toDisposable(() => {
-      this._timer?.dispose()
-      this._search?.dispose()
-    }))
-  }
+  constructor (private readonly _options: IZoneSwitchOptions) {}
 
   /** True until the switch at the start of this node, after which it may be no relay, has been tried. */
   get isPending (): boolean {
@@ -60,7 +55,9 @@
   }
 
   dispose (): void {
-    this._disposables.dispose()
+    this._isDisposed = true
+    this._timer?.dispose()
+    this._search?.dispose()
   }
 
   private _schedule (delayMs: number, subscription: FeedSubscription): void {
@@ -82,6 +79,6 @@
     const isFound = await this._search.run([{ address, delayMs: 0 }])
     this._isSearching = false
     this._isDue = false
-    if (!isFound && getSubscription() === subscription) this._schedule(DELAY_MS, subscription)
+    if (!isFound && !this._isDisposed && getSubscription() === subscription) this._schedule(DELAY_MS, subscription)
   }
 }
