Feed: a source that was replaced is not logged as lost

Found on reading. What operators saw: feed_lost with 'the call was cancelled' for a source that a node had left for another one, and a source that lost a race within a search as feed_not_joined; both counted as broken. Cause: the end of a stream was reported alike, whoever ended it. Change: feed_left reason=replaced, counted by that reason.

--- a/packages/feed/src/FeedSubscription.ts
+++ b/packages/feed/src/FeedSubscription.ts
@@ -44,6 +44,7 @@
   private _relays: readonly string[] = []
   private _isWelcomed = false
   private _isEnded = false
+  private _isDisposed = false
   private _redirect: { readonly relays: readonly string[], readonly retryAfterMs: number } = { relays: [], retryAfterMs: 0 }
   private _lastHeardMs: number
 
@@ -97,11 +98,12 @@
   /** Ends the subscription, and closes the connection, which may be dead. */
   abandon (): void {
     this._options.metrics.count('feed_source_left_total', 'stalled')
-    this.dispose()
+    this.stream.cancel()
     this._options.channels.closeClient(FeedService, this.address)
   }
 
   dispose (): void {
+    this._isDisposed = true
     this.stream.cancel()
   }
 
@@ -126,12 +128,23 @@
         }
       }
     } catch (error) {
-      metrics.count('feed_source_left_total', error instanceof FeedError ? 'refused' : 'broken')
-      log.warn(this._isWelcomed ? 'feed_lost' : 'feed_not_joined', { source: address, error: formatError(error) })
+      if (this._isDisposed) {
+        this._reportReplaced()
+      } else {
+        metrics.count('feed_source_left_total', error instanceof FeedError ? 'refused' : 'broken')
+        log.warn(this._isWelcomed ? 'feed_lost' : 'feed_not_joined', { source: address, error: formatError(error) })
+      }
     }
     this._welcomeTimer.dispose()
     this.dispose()
     this._isEnded = true
     this._onEnded.fire({ ...this._redirect, wasWelcomed: this._isWelcomed })
   }
+
+  /** Reports that this node has left the source for another one; a source that another one preceded in a search is not reported. */
+  private _reportReplaced (): void {
+    if (!this._isWelcomed) return
+    this._options.metrics.count('feed_source_left_total', 'replaced')
+    this._options.log.info('feed_left', { source: this.address, reason: 'replaced' })
+  }
 }
--- a/packages/fleet/src/FleetFailover.test.ts
+++ b/packages/fleet/src/FleetFailover.test.ts
@@ -9,6 +9,7 @@
 const MAX_PROPAGATION_MS = 2_000
 const PUBLICATION_INTERVAL_MS = 100
 const OBSERVATION_MS = 6_000
+const LOSE_AFTER_MS = 500
 const SAMPLE_MS = 5
 /** Nodes of a new version, started beside those of the old one. */
 const ADDED_NODES = 117
@@ -52,7 +53,7 @@
   fleet = new Fleet(SITE, 11)
   await fleet.start()
   fleet.addNodes(ADDED_NODES)
-  await observe(() => fleet.getControl('a').machine.freeze(), 307)
+  await observe(() => fleet.getControl('a').machine.freeze(), { loseAfterMs: 307 })
   expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
 }, 60_000)
 
@@ -60,7 +61,7 @@
   fleet = new Fleet(SITE, 12)
   await fleet.start()
   fleet.addNodes(ADDED_NODES)
-  await observe(() => fleet.findLeader()?.machine.freeze(), 444)
+  await observe(() => fleet.findLeader()?.machine.freeze(), { loseAfterMs: 444 })
   expect(fleet.listLate(MAX_PROPAGATION_MS)).toEqual([])
 }, 60_000)
 
@@ -105,8 +106,16 @@
   expect([...outdated]).toEqual([])
 }, 60_000)
 
+test('source that a node has replaced is not logged as lost', async () => {
+  fleet = new Fleet(SITE, 1)
+  await fleet.start()
+  const lines = fleet.nodes.flatMap(({ log }) => log.listLines())
+  expect(lines.filter(line => line.includes('feed_left') && line.includes('reason=replaced')).length).toBeGreaterThan(0)
+  expect(lines.filter(line => line.includes('feed_lost'))).toEqual([])
+}, 60_000)
+
 /** Publishes changes, and loses something shortly after the start. */
-async function observe (lose: () => void, loseAfterMs = 500): Promise<void> {
+async function observe (lose: () => void, { loseAfterMs = LOSE_AFTER_MS } = {}): Promise<void> {
   const startMs = fleet.time.readMonotonicMs()
   const publishing = fleet.operator.publishUntil(PUBLICATION_INTERVAL_MS, startMs + OBSERVATION_MS)
   await fleet.time.runUntil(startMs + loseAfterMs)
