Stop: wait for the storage of the control VM's groups

A process that reports its stop could still write its term, its vote or the first entry of a group, and a stopped replica still voted.

Cause: RaftGroup.dispose closed the storage without anyone waiting for it, and only the log's file refused later writes. Sections that came after it ran, among them votes, appends and the creation of the group.

Change: the mutex of a replica is closed with it, so nothing begins after the close; ControlRole.close waits for the storage of all groups, and the stop of the process for that, within stop_timeout. A disk that hangs is logged as storage_not_closed.

--- a/packages/common/src/Mutex.ts
+++ b/packages/common/src/Mutex.ts
@@ -5,17 +5,25 @@
 /** Runs asynchronous sections one at a time, in the order of the calls. */
 export class Mutex {
   private _tail: Promise<unknown> = Promise.resolve()
+  private _isClosed = false
 
   /**
    * Runs a section after all earlier ones have ended, also if they failed.
    * @param section - the exclusive work
-   * @returns the result of the section
+   * @returns the result of the section; rejects if the mutex was closed before
    */
   async run<T>(section: () => Promise<T>): Promise<T> {
+    if (this._isClosed) throw new Error('the mutex is closed')
     const result = this._tail.then(section)
     this._tail = result.catch(() => undefined)
     return await result
   }
+
+  /** Rejects later sections and waits until the earlier ones have ended. */
+  async close (): Promise<void> {
+    this._isClosed = true
+    await this._tail
+  }
 }
 
 /** Wakes up one waiting task; a notification without a waiting task is kept for the next one. */
--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -268,6 +268,12 @@
     for (const group of this._groups.values()) group.dispose()
   }
 
+  /** Disposes this role and waits until the storage of all groups is closed. */
+  async close (): Promise<void> {
+    this.dispose()
+    await Promise.all([...this._groups.values()].map(async group => { await group.close() }))
+  }
+
   private async _changeGroups (change: (group: RaftGroup) => Promise<Result<void, Error>>): Promise<string[]> {
     const lines: string[] = []
     for (const group of this._groups.values()) {
--- a/packages/control/src/raft/GroupCreation.ts
+++ b/packages/control/src/raft/GroupCreation.ts
@@ -72,7 +72,7 @@
         return
       }
       const hasWaited = clock.readMonotonicMs() - startedMs >= TURN_MS
-      if (!isInitialized && this._isSufficient(identities, hasWaited)) {
+      if (!this._stopping.aborted && !isInitialized && this._isSufficient(identities, hasWaited)) {
         // A replica whose disk rejects writes recovers on its own.
         await this._writeInitialMembers(this._createMembers(identities))
           .catch(error => log.warn('group_not_created', { group, error: formatError(error) }))
--- a/packages/control/src/raft/RaftGroup.test.ts
+++ b/packages/control/src/raft/RaftGroup.test.ts
@@ -228,3 +228,34 @@
   expect(await cluster.propose(next, 'z')).toBe(true)
   expect(next.stateMachine.commands[0]).toBe('x')
 })
+
+test('stopped replica refuses votes and leaves its storage alone', async () => {
+  await startCluster()
+  const { group, storage } = cluster.getVm('a')
+  if (group === undefined) throw new Error('the replica is not started')
+  const { replicaId, term } = group.getStatus()
+  group.dispose()
+  const writes: string[] = []
+  storage.onWrite = async kind => { writes.push(kind) }
+  await cluster.clock.advance(5_000)
+  const request = { group: 'test', toReplica: replicaId, term: term + 1, candidate: 'c', lastIndex: 100, lastTerm: term, preVote: false }
+  const reply = await group.handleVote(request).catch(() => 'refused')
+  expect(writes).toEqual([])
+  expect(reply).toBe('refused')
+})
+
+test('replica is closed only after the write that has begun', async () => {
+  await startCluster(['a'])
+  const { group, storage } = cluster.getVm('a')
+  if (group === undefined) throw new Error('the replica is not started')
+  let endWrite = (): void => {}
+  storage.onWrite = async () => { await new Promise<void>(resolve => { endWrite = resolve }) }
+  void group.propose(Buffer.from('x'))
+  await cluster.clock.advance(100)
+  let isClosed = false
+  const closed = group.close().then(() => { isClosed = true })
+  await cluster.clock.advance(100)
+  expect(isClosed).toBe(false)
+  endWrite()
+  await closed
+})
--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -48,6 +48,7 @@
   private _hasHeardLeader = false
   private _electionDueMs = 0
   private _snapshotChunks: Uint8Array[] = []
+  private _closed: Promise<void> | undefined
 
   /** Fires when the role changes. */
   readonly onRoleChanged = this._onRoleChanged.event
@@ -216,10 +217,21 @@
 
   /** Stops this replica; pending proposals end with an indeterminate {@link NoQuorumError}. */
   dispose (): void {
+    void this.close().catch(() => undefined)
+  }
+
+  /** Disposes this replica and waits until its writes have ended and its storage is closed. */
+  async close (): Promise<void> {
+    this._closed ??= this._close()
+    await this._closed
+  }
+
+  private async _close (): Promise<void> {
     this._stopping.abort()
     this._becomeFollower()
     this._disposables.dispose()
-    void this._replica.lock.run(async () => { await this._options.storage.close() }).catch(() => undefined)
+    await this._replica.lock.close()
+    await this._options.storage.close()
   }
 
   /** With automatic membership, a replica with a damaged disk starts over with a new replica id. */
@@ -308,7 +320,7 @@
     this._setRole('candidate')
     this._resetElectionTimer()
     const preTerm = this._replica.term + 1
-    if (!await this._collectVotes(preTerm, true)) return
+    if (!await this._collectVotes(preTerm, true) || this._stopping.signal.aborted) return
     const term = await this._replica.lock.run(async () => {
       if (this._hasLeaderContact() || this._role !== 'candidate' || this._replica.term !== preTerm - 1) return undefined
       this._replica.dropUnsynced()
@@ -410,6 +422,7 @@
     log.error('replica_suspended', { group: this.group, error: formatError(cause), remedy: 'free disk space or repair the disk' })
     while (!this._stopping.signal.aborted) {
       await clock.sleep(RECOVERY_INTERVAL_MS, this._stopping.signal)
+      if (this._stopping.signal.aborted) return
       const isRecovered = await this._replica.lock.run(async () => await this._replica.recover())
       if (!isRecovered) continue
       log.info('replica_resumed', { group: this.group, last_index: this._replica.log.lastIndex })
--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -2,7 +2,7 @@
  * A lagoonswitch process: its roles, listeners and graceful stop.
  */
 import {
-  Emitter, Err, Metrics, Ok, SystemClock, SystemRandom, formatError,
+  Emitter, Err, Metrics, Ok, SystemClock, SystemRandom, formatError, waitAtMost,
   type ILog, type LagoonswitchError, type Result
 } from '@lagoonswitch/common'
 import { ControlRole } from '@lagoonswitch/control'
@@ -112,9 +112,20 @@
     this.control?.dispose()
     await this._peerListener.stop(Math.min(PEER_LISTENER_STOP_TIMEOUT_MS, getRemainingMs()))
     this._channels.dispose()
+    await this._closeStorage(getRemainingMs())
     this._log.info('process_stopped', { name })
   }
 
+  /** A disk that hangs does not keep the process from stopping. */
+  private async _closeStorage (timeoutMs: number): Promise<void> {
+    if (this.control === undefined) return
+    try {
+      await waitAtMost(this._clock, timeoutMs, this.control.close())
+    } catch (error) {
+      this._log.warn('storage_not_closed', { error: formatError(error), remedy: 'check the disk of the data folder' })
+    }
+  }
+
   /** Without TLS, anyone who can reach the peer and link listeners can act as a lagoonswitch process. */
   private _warnOfLinksWithoutTls (): void {
     const { listen, tls } = this._settings
