--- a/packages/fleet/src/Fleet.ts
+++ b/packages/fleet/src/Fleet.ts
@@ -1,12 +1,11 @@
 /**
  * A fleet of the model: control VMs and nodes with the modules of the product.
  */
-import { Metrics, SeededRandom, type IRandom } from '@lagoonswitch/common'
-import { ControlRole, MemoryStorage } from '@lagoonswitch/control'
+import { SeededRandom, type IRandom } from '@lagoonswitch/common'
 import { parseSettings, type ISettings } from '@lagoonswitch/schema'
-import { EventLog } from './EventLog.js'
+import { FleetControl } from './FleetControl.js'
 import { FleetNode } from './FleetNode.js'
-import { FleetOperator, type IFleetControl } from './FleetOperator.js'
+import { FleetOperator } from './FleetOperator.js'
 import type { IFleetSite } from './FleetSite.js'
 import { ModelMachine, type IMachineSize } from './ModelMachine.js'
 import { ModelNetwork } from './ModelNetwork.js'
@@ -31,7 +30,7 @@
 export class Fleet {
   readonly time = new VirtualTime()
   readonly network: ModelNetwork
-  readonly controls: IFleetControl[] = []
+  readonly controls: FleetControl[] = []
   readonly nodes: FleetNode[] = []
   readonly operator: FleetOperator
   private readonly _random: IRandom
@@ -47,12 +46,12 @@
     this.network = new ModelNetwork(this.time, _site.delays)
     this._seeds = _site.controlZones.slice(0, SEEDS).map(zone => this._formatHost(zone, 0))
     for (const zone of _site.controlZones) this.controls.push(this._createControl(zone))
-    this.operator = new FleetOperator(this.controls, _site.routes, this.time, this._random)
+    this.operator = new FleetOperator(this.controls, _site.routes, this.time, this._random, _site.lostAcknowledgements)
   }
 
   /** Starts all processes, waits until they have found each other, and publishes the first configuration. */
   async start (): Promise<void> {
-    for (const { role } of this.controls) this.time.schedule(this._random.draw() * START_SPREAD_MS, () => { void role.start() })
+    for (const control of this.controls) this.time.schedule(this._random.draw() * START_SPREAD_MS, () => control.start())
     this.addNodes(this._site.nodes)
     await this.time.runUntil(SETTLE_MS)
     await this.runWhile(this.operator.publish())
@@ -86,14 +85,14 @@
    * @param zone - availability zone
    * @returns its control VM
    */
-  getControl (zone: string): IFleetControl {
+  getControl (zone: string): FleetControl {
     const control = this.controls.find(({ machine }) => machine.availabilityZone === zone)
     if (control === undefined) throw new Error(`zone ${zone} has no control VM; add it to controlZones`)
     return control
   }
 
   /** @returns the control VM that leads, if any that runs does */
-  findLeader (): IFleetControl | undefined {
+  findLeader (): FleetControl | undefined {
     return this.controls.find(({ machine, role }) => machine.state === 'running' && role.leaderAddress === machine.address)
   }
 
@@ -119,26 +118,14 @@
 
   dispose (): void {
     for (const node of this.nodes) node.dispose()
-    for (const { role } of this.controls) role.dispose()
+    for (const control of this.controls) control.dispose()
   }
 
-  private _createControl (zone: string): IFleetControl {
+  private _createControl (zone: string): FleetControl {
     const name = `control-${zone}`
     const machine = this._createMachine(name, zone, this._formatHost(zone, 0), this._site.controlSize)
     const settings = this._parseSettings(name, zone, 'control', machine)
-    const role = new ControlRole({
-      settings,
-      peerAddress: machine.address,
-      seedAddresses: settings.control.seeds.map(({ host }) => `${host}:${PEER_PORT}`),
-      clock: machine.clock,
-      random: new SeededRandom(Math.floor(this._random.draw() * 2 ** 31)),
-      log: new EventLog(machine.clock),
-      metrics: new Metrics(),
-      channels: this.network.createChannels(machine),
-      createStorage: () => this._createStorage(machine)
-    })
-    role.addServices(machine)
-    return { machine, role }
+    return new FleetControl(machine, this.network, settings, this._site.syncMs, this._random)
   }
 
   private _createNode (): FleetNode {
@@ -157,12 +144,6 @@
     return machine
   }
 
-  private _createStorage (machine: ModelMachine): MemoryStorage {
-    const storage = new MemoryStorage(`disk of ${machine.name}`)
-    storage.onWrite = async () => { await machine.clock.sleep(this._site.syncMs) }
-    return storage
-  }
-
   private _formatHost (zone: string, index: number): string {
     return `10.${this._site.zones.indexOf(zone) + 1}.${index >> 8}.${index & 255}`
   }
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -12,56 +12,97 @@
 
 /** The process of one node. */
 export class FleetNode {
-  readonly feed: NodeFeed
   readonly log: EventLog
   readonly metrics = new Metrics()
-  /** Time at which each publication was in place here, by its number, in milliseconds from the start. */
+  /** Time at which each publication was in place in this process, by its number, in milliseconds from the start. */
   readonly appliedMs = new Map<number, number>()
+  /** Time at which this process became ready, in milliseconds from the start. */
   readyMs = Infinity
+  /** Latest publication in place. */
+  number = 0
+  private _feed: NodeFeed
 
   /**
    * @param machine - VM that it runs on
-   * @param network - connects the VMs
-   * @param settings - of the process
-   * @param random - source of its seed
+   * @param _network - connects the VMs
+   * @param _settings - of the process
+   * @param _random - source of its seeds
    */
-  constructor (readonly machine: ModelMachine, network: ModelNetwork, settings: ISettings, random: IRandom) {
-    const { clock, address } = machine
-    this.log = new EventLog(clock)
-    this.feed = new NodeFeed({
-      settings,
+  constructor (
+    readonly machine: ModelMachine, private readonly _network: ModelNetwork, private readonly _settings: ISettings,
+    private readonly _random: IRandom
+  ) {
+    this.log = new EventLog(machine.clock)
+    this._feed = this._createFeed()
+  }
+
+  get feed (): NodeFeed {
+    return this._feed
+  }
+
+  /** Starts to look for a source. */
+  start (): void {
+    this._feed.client.start()
+  }
+
+  /** Sends its subscribers to other sources, as a planned stop does first. */
+  drain (): void {
+    this._feed.relay.drain()
+  }
+
+  /** Ends the process; the VM resets its connections. */
+  end (): void {
+    this.machine.lose()
+    this._network.reset(this.machine)
+    this._feed.dispose()
+  }
+
+  /** Starts another process on this VM. */
+  restart (): void {
+    this.machine.restart()
+    this._network.reset(this.machine)
+    this.appliedMs.clear()
+    this.readyMs = Infinity
+    this.number = 0
+    this._feed.dispose()
+    this._feed = this._createFeed()
+    this.start()
+  }
+
+  dispose (): void {
+    this._feed.dispose()
+  }
+
+  private _createFeed (): NodeFeed {
+    const { clock, address } = this.machine
+    const feed = new NodeFeed({
+      settings: this._settings,
       peerAddress: address,
       clock,
-      random: new SeededRandom(Math.floor(random.draw() * SEED_RANGE)),
+      random: new SeededRandom(Math.floor(this._random.draw() * SEED_RANGE)),
       log: this.log,
       metrics: this.metrics,
-      channels: network.createChannels(machine),
+      channels: this._network.createChannels(this.machine),
       incarnation: clock.readWallTime().getTime(),
       takeEvidence: () => []
     })
-    this.feed.addServices(machine)
-    this.feed.store.onChanged(({ publication }) => {
-      if (publication === undefined || this.appliedMs.has(publication.number)) return
-      this.appliedMs.set(publication.number, clock.readMonotonicMs())
+    feed.addServices(this.machine)
+    feed.store.onChanged(({ publication }) => {
+      if (publication === undefined || feed !== this._feed) return
+      this.number = publication.number
+      if (!this.appliedMs.has(publication.number)) this.appliedMs.set(publication.number, clock.readMonotonicMs())
     })
-    this.feed.client.onReady(() => {
+    feed.client.onReady(() => {
       this.readyMs = clock.readMonotonicMs()
-      this._announceTarget(settings)
+      this._announceTarget(feed)
     })
+    return feed
   }
 
-  /** Starts to look for a source. */
-  start (): void {
-    this.feed.client.start()
-  }
-
-  dispose (): void {
-    this.feed.dispose()
-  }
-
-  private _announceTarget ({ process }: ISettings): void {
+  private _announceTarget (feed: NodeFeed): void {
+    const { process } = this._settings
     const incarnation = this.machine.clock.readWallTime().getTime()
-    this.feed.endpoints.merge([EndpointRecord.fromPartial({
+    feed.endpoints.merge([EndpointRecord.fromPartial({
       targetId: `i-${this.machine.name}`,
       incarnation,
       sequence: 1,
--- a/packages/fleet/src/FleetOperator.ts
+++ b/packages/fleet/src/FleetOperator.ts
@@ -3,19 +3,13 @@
  */
 import { waitAtMost, type IClock, type IRandom } from '@lagoonswitch/common'
 import type { ControlRole, IPublicationDraft } from '@lagoonswitch/control'
-import type { ModelMachine } from './ModelMachine.js'
+import type { FleetControl } from './FleetControl.js'
 
 /** Time after which the operator tries another control VM. */
 const REPLY_TIMEOUT_MS = 1_000
 const RETRY_DELAY_MS = 100
 const OWNER = 'model'
 
-/** A control VM and the process on it. */
-export interface IFleetControl {
-  readonly machine: ModelMachine
-  readonly role: ControlRole
-}
-
 /** Each publication adds routes to those before it. */
 export class FleetOperator {
   private _number = 0
@@ -27,10 +21,11 @@
    * @param _routes - routes of the first publication
    * @param _clock - source of time
    * @param _random - chooses the control VM that is asked first
+   * @param _lostAcknowledgements - share of the acknowledgements that don't arrive
    */
   constructor (
-    private readonly _controls: readonly IFleetControl[], private _routes: number,
-    private readonly _clock: IClock, private readonly _random: IRandom
+    private readonly _controls: readonly FleetControl[], private _routes: number,
+    private readonly _clock: IClock, private readonly _random: IRandom, private readonly _lostAcknowledgements = 0
   ) {}
 
   /**
@@ -65,7 +60,7 @@
     }
   }
 
-  private async _send ({ machine, role }: IFleetControl, draft: IPublicationDraft): ReturnType<FleetOperator['_sendNow']> {
+  private async _send ({ machine, role }: FleetControl, draft: IPublicationDraft): ReturnType<FleetOperator['_sendNow']> {
     if (machine.state === 'running') return await this._sendNow(role, draft)
     await this._clock.sleep(REPLY_TIMEOUT_MS)
     return undefined
@@ -73,10 +68,13 @@
 
   private async _sendNow (role: ControlRole, draft: IPublicationDraft) {
     const result = await waitAtMost(this._clock, REPLY_TIMEOUT_MS, role.publish(draft)).catch(() => undefined)
-    return result?.ok === true ? result.val : undefined
+    if (result?.ok !== true) return undefined
+    if (this._lostAcknowledgements === 0 || this._random.draw() >= this._lostAcknowledgements) return result.val
+    await this._clock.sleep(REPLY_TIMEOUT_MS)
+    return undefined
   }
 
-  private _pickControl (): IFleetControl {
+  private _pickControl (): FleetControl {
     const control = this._controls[Math.floor(this._random.draw() * this._controls.length)]
     if (control === undefined) throw new Error('the fleet has no control VM; add one to controlZones')
     return control
--- a/packages/fleet/src/ModelMachine.ts
+++ b/packages/fleet/src/ModelMachine.ts
@@ -44,8 +44,9 @@
 
   schedule (delayMs: number, callback: () => void): IDisposable {
     let isCancelled = false
+    const { processNumber } = this._machine
     const timer = this._time.schedule(delayMs, () => {
-      this._machine.run(() => { if (!isCancelled) callback() })
+      if (this._machine.processNumber === processNumber) this._machine.run(() => { if (!isCancelled) callback() })
     })
     return toDisposable(() => {
       isCancelled = true
@@ -62,9 +63,16 @@
   private _sendFreeMs = 0
   private _receiveFreeMs = 0
   private _processorFreeMs = 0
+  private _speed = 1
+  private _processNumber = 1
+  private _disturbances = 0
+  private _undisturbedSinceMs = 0
+  private _changedMs = -Infinity
   readonly clock: Clock
   sentBytes = 0
   receivedBytes = 0
+  /** Processor time used for messages, in milliseconds of a whole core. */
+  processorMs = 0
   /** Longest time that a message waited for the link, in milliseconds. */
   maxLinkWaitMs = 0
 
@@ -86,6 +94,21 @@
     return this._state
   }
 
+  /** Number of the process that runs here, from 1. */
+  get processNumber (): number {
+    return this._processNumber
+  }
+
+  /** Time of the end of the last disturbance, in milliseconds from the start; infinite during one. */
+  get undisturbedSinceMs (): number {
+    return this._disturbances > 0 ? Infinity : this._undisturbedSinceMs
+  }
+
+  /** Time at which a disturbance last began or ended, in milliseconds from the start. */
+  get changedMs (): number {
+    return this._changedMs
+  }
+
   addService (definition: ServiceDefinition, implementation: UntypedServiceImplementation): void {
     for (const [name, method] of Object.entries(definition)) {
       this._methods.set(method.path, { definition: method, handle: implementation[name] as never })
@@ -109,6 +132,20 @@
     else if (this._state === 'frozen') this._heldBack.push(work)
   }
 
+  /**
+   * Marks this VM as disturbed.
+   * @returns ends the mark
+   */
+  disturb (): IDisposable {
+    this._disturbances++
+    this._changedMs = this._time.readMonotonicMs()
+    return toDisposable(() => {
+      this._disturbances--
+      this._changedMs = this._time.readMonotonicMs()
+      this._undisturbedSinceMs = this._changedMs
+    })
+  }
+
   /** Stops the process without closing its connections. */
   freeze (): void {
     this._state = 'frozen'
@@ -128,6 +165,23 @@
     this._heldBack = []
   }
 
+  /** Starts another process, which serves nothing yet. */
+  restart (): void {
+    this._state = 'running'
+    this._heldBack = []
+    this._methods.clear()
+    this._processNumber++
+    this._processorFreeMs = this._time.readMonotonicMs()
+  }
+
+  /**
+   * Changes the speed of the processor.
+   * @param speed - as a share of the usual one, greater than 0
+   */
+  setSpeed (speed: number): void {
+    this._speed = speed
+  }
+
   /**
    * Sends bytes over the link, behind those that wait.
    * @param bytes - size of the message
@@ -151,8 +205,9 @@
     const nowMs = this._time.readMonotonicMs()
     this._receiveFreeMs = Math.max(nowMs, this._receiveFreeMs) + bytes / this._size.bytesPerMs
     this.receivedBytes += bytes
-    const workMs = (HANDLING_MS + bytes * HANDLING_MS_PER_BYTE) / this._size.cpuShare
-    this._processorFreeMs = Math.max(this._receiveFreeMs, this._processorFreeMs) + workMs
+    const workMs = HANDLING_MS + bytes * HANDLING_MS_PER_BYTE
+    this.processorMs += workMs
+    this._processorFreeMs = Math.max(this._receiveFreeMs, this._processorFreeMs) + workMs / (this._size.cpuShare * this._speed)
     this._time.schedule(this._processorFreeMs - nowMs, () => this.run(handle))
   }
 }
--- a/packages/fleet/src/ModelNetwork.ts
+++ b/packages/fleet/src/ModelNetwork.ts
@@ -3,6 +3,7 @@
  */
 import { Duplex } from 'node:stream'
 import { status, type Client, type ServiceDefinition } from '@grpc/grpc-js'
+import { toDisposable, type IDisposable } from '@lagoonswitch/common'
 import type { ClientConstructor, IPeerChannels } from '@lagoonswitch/transport'
 import type { ModelMachine } from './ModelMachine.js'
 import type { VirtualTime } from './VirtualTime.js'
@@ -79,8 +80,11 @@
 /** Connects VMs. */
 export class ModelNetwork {
   private readonly _machines = new Map<string, ModelMachine>()
+  private readonly _clients = new Set<ModelClient>()
   private readonly _cuts = new Set<string>()
   private _undelivered: Array<() => void> = []
+  /** Bytes sent between zones. */
+  crossZoneBytes = 0
 
   /**
    * @param time - source of time
@@ -102,14 +106,54 @@
     this._cuts.add(`${from.address}>${to.address}`)
   }
 
+  /**
+   * Ends the cut of a direction.
+   * @param from - sender
+   * @param to - receiver
+   */
+  join (from: ModelMachine, to: ModelMachine): void {
+    this._cuts.delete(`${from.address}>${to.address}`)
+    this._sendUndelivered()
+  }
+
   /** Ends all cuts. */
   heal (): void {
     this._cuts.clear()
+    this._sendUndelivered()
+  }
+
+  private _sendUndelivered (): void {
     const undelivered = this._undelivered
     this._undelivered = []
     for (const deliver of undelivered) deliver()
   }
 
+  /**
+   * Resets all connections of a VM; the other ends notice after the delay.
+   * @param machine - VM whose process has ended, or whose connections are lost
+   */
+  reset (machine: ModelMachine): void {
+    for (const client of this._clients) client.reset(machine)
+  }
+
+  /**
+   * @param client - connection that is subject to resets
+   * @returns removes it
+   */
+  addClient (client: ModelClient): IDisposable {
+    this._clients.add(client)
+    return toDisposable(() => this._clients.delete(client))
+  }
+
+  /**
+   * @param from - sender
+   * @param to - receiver
+   * @returns one-way delay in milliseconds
+   */
+  getDelayMs (from: ModelMachine, to: ModelMachine): number {
+    return from.availabilityZone === to.availabilityZone ? this._delays.inZoneMs : this._delays.crossZoneMs
+  }
+
   /**
    * Creates the channels of a process.
    * @param machine - VM that it runs on
@@ -136,13 +180,13 @@
    */
   send (from: ModelMachine, to: ModelMachine, bytes: number, handle: () => void): void {
     if (from.state === 'lost') return
-    const delayMs = from.availabilityZone === to.availabilityZone ? this._delays.inZoneMs : this._delays.crossZoneMs
     const size = bytes + MESSAGE_OVERHEAD_BYTES
-    this.time.schedule(from.sendBytes(size) - this.time.readMonotonicMs() + delayMs, () => {
-      const deliver = (): void => to.receiveBytes(size, handle)
+    if (from.availabilityZone !== to.availabilityZone) this.crossZoneBytes += size
+    const deliver = (): void => {
       if (this._cuts.has(`${from.address}>${to.address}`)) this._undelivered.push(deliver)
-      else deliver()
-    })
+      else to.receiveBytes(size, handle)
+    }
+    this.time.schedule(from.sendBytes(size) - this.time.readMonotonicMs() + this.getDelayMs(from, to), deliver)
   }
 }
 
@@ -180,15 +224,38 @@
 /** A connection to one service of another process. */
 class ModelClient {
   private readonly _streams = new Set<StreamEnd>()
+  /** The other ends of the streams. */
+  private readonly _remoteEnds = new Set<StreamEnd>()
   private readonly _failCalls = new Set<(error: Error) => void>()
+  private readonly _registration: IDisposable
   private _isConnected = false
   private _waiting: Array<() => void> | undefined
 
   constructor (
     private readonly _network: ModelNetwork, private readonly _machine: ModelMachine, private readonly _address: string
-  ) {}
+  ) {
+    this._registration = _network.addClient(this)
+  }
+
+  /** Ends everything that is open if one of the two VMs is the given one. */
+  reset (machine: ModelMachine): void {
+    const target = this._network.findMachine(this._address)
+    if (target === undefined || (machine !== this._machine && machine !== target)) return
+    this._isConnected = false
+    this._waiting = undefined
+    const error = new ModelCallError(status.UNAVAILABLE, 'connection reset')
+    const [streams, remoteEnds, failCalls] = [[...this._streams], [...this._remoteEnds], [...this._failCalls]]
+    this._network.time.schedule(this._network.getDelayMs(this._machine, target), () => {
+      this._machine.run(() => {
+        for (const stream of streams) stream.close(error.message)
+        for (const fail of failCalls) fail(error)
+      })
+      target.run(() => { for (const end of remoteEnds) end.close(error.message) })
+    })
+  }
 
   close (): void {
+    this._registration.dispose()
     for (const stream of this._streams) stream.cancel()
     for (const fail of this._failCalls) fail(new ModelCallError(status.CANCELLED, 'the channel was closed'))
   }
@@ -227,7 +294,7 @@
     const queue: Array<() => void> = []
     const sendUp = (bytes: number, handle: (end: StreamEnd) => void): void => {
       const send = (): void => {
-        if (target !== undefined) this._send(target, bytes, () => { if (remote !== undefined) handle(remote) })
+        if (target !== undefined) this._send(target, bytes, () => { if (remote?.destroyed === false) handle(remote) })
       }
       if (target === undefined) queue.push(send)
       else send()
@@ -255,7 +322,10 @@
             if (isCancelled) local.close('cancelled by the server')
             else if (!local.destroyed) local.push(null)
           }))
-        remote.on('error', () => undefined)
+        const end = remote
+        this._remoteEnds.add(end)
+        end.on('error', () => undefined)
+        end.on('close', () => this._remoteEnds.delete(end))
         const handle = served?.handle as undefined | ((stream: StreamEnd) => void)
         handle?.(remote)
       })
