--- a/packages/fleet/src/ReportText.ts
+++ b/packages/fleet/src/ReportText.ts
@@ -13,9 +13,10 @@
 export function formatReport ({ seed, nodes, faults, violations, propagationMs, ...figures }: IRunReport): string {
   const { publications, maxWithoutSourceMs, maxLinkWaitMs, crossZoneRate, controlProcessorMs } = figures
   const planned = faults.map(({ kind, atMs, durationMs }) => `${kind} at ${formatSeconds(atMs)} for ${formatSeconds(durationMs)}`)
-  return `seed ${seed}, ${nodes} nodes: ${violations.length} violations; p50 ${propagationMs.p50} ms, p99 ${propagationMs.p99} ms, ` +
-    `max ${propagationMs.max} ms; ${publications} publications; ${Math.round(maxWithoutSourceMs)} ms without a source; ` +
-    `${Math.round(maxLinkWaitMs)} ms for the link; ${crossZoneRate.toFixed(1)} kB/s between zones a node; ` +
+  const { p50, p99, max } = propagationMs
+  const times = max === 0 ? 'no node was undisturbed' : `p50 ${p50} ms, p99 ${p99} ms, max ${max} ms`
+  return `seed ${seed}, ${nodes} nodes: ${violations.length} violations; ${times}; ` +
+    `${publications} publications; ${Math.round(maxWithoutSourceMs)} ms without a source; ${Math.round(maxLinkWaitMs)} ms for the link; ${crossZoneRate.toFixed(1)} kB/s between zones a node; ` +
     `${Math.round(controlProcessorMs)} ms/s of a control VM; ${planned.join(', ') || 'no fault'}`
 }
 
