--- a/packages/lagoonswitch/src/LagoonProcess.test.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.test.ts
@@ -22,7 +22,9 @@
 data_folder = ${dataFolder}
 [listen]
 peers = 127.0.0.1:0
+local = 127.0.0.1:0
 metrics = 127.0.0.1:0
+operators = 127.0.0.1:0
 [control]
 members = a=127.0.0.1:1
 claim_shards = 8
