Traffic: decisions under load get a package of their own; schemas of client accounts

Cause: admission, queueing, placement and retries stood between sockets and links in packages/node, and the catalogue had no client accounts; a configuration with an upload route was refused. Change: packages/traffic holds these decisions without I/O; accounts are records of the catalogue beside entries, with digests of keys only; routes state large bodies and anonymous calls; a call carries its account to the queue of its target. No decision is changed.

--- a/packages/feed/src/CatalogueStore.ts
+++ b/packages/feed/src/CatalogueStore.ts
@@ -5,10 +5,11 @@
 import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import {
   Emitter, Err, FeedError, NO_VERSION, Ok, compareVersions, formatVersion,
-  type ICatalogueVersion, type Result
+  type DeclarationError, type ICatalogueVersion, type Result
 } from '@lagoonswitch/common'
 import {
-  EntryRecord, EntryRecords, MoveRecord, Publication, checkCatalogue, parseEntry, type CatalogueDelta, type IEntry
+  ACCOUNT_RECORD_PREFIX, EntryRecord, EntryRecords, MoveRecord, Publication, checkAccounts, checkCatalogue, parseAccount, parseEntry,
+  type CatalogueDelta, type IAccount, type IEntry
 } from '@lagoonswitch/schema'
 
 const DIGEST_BYTES = 16
@@ -25,6 +26,8 @@
 export interface ICatalogueView {
   readonly version: ICatalogueVersion
   readonly entries: ReadonlyMap<string, IEntry>
+  /** Client accounts by name; empty if calls need no key. */
+  readonly accounts: ReadonlyMap<string, IAccount>
   readonly moves: ReadonlyMap<string, MoveRecord>
   /** The latest publication; undefined when entries were only edited one by one so far. */
   readonly publication: Publication | undefined
@@ -46,6 +49,7 @@
   records: Map<string, EntryRecord>
   moves: Map<string, MoveRecord>
   entries: Map<string, IEntry>
+  accounts: Map<string, IAccount>
   publication: Publication | undefined
   /** The publication in the form that is sent to subscribers; the digest covers this form. */
   sentPublication: Publication | undefined
@@ -57,7 +61,9 @@
   private readonly _onChanged = new Emitter<ICatalogueView>()
   private _state: IState = createEmptyState()
   private _packed: { version: ICatalogueVersion, since: number, bytes: Buffer } | undefined
-  private _view: ICatalogueView = { version: NO_VERSION, entries: new Map(), moves: new Map(), publication: undefined }
+  private _view: ICatalogueView = {
+    version: NO_VERSION, entries: new Map(), accounts: new Map(), moves: new Map(), publication: undefined
+  }
 
   /** Fires after a new version is in place. */
   readonly onChanged = this._onChanged.event
@@ -182,7 +188,7 @@
     next.version = { epoch: version.epoch, version: version.version }
     if (delta.full) next.compactedVersion = version.version
     dropTombstones(next)
-    const catalogueError = checkCatalogue(next.entries)[0]
+    const catalogueError = checkCatalogue(next.entries)[0] ?? checkAccounts(next.accounts)[0]
     if (catalogueError !== undefined) return Err(new FeedError(catalogueError.message, 'correct the catalogue'))
     if (!next.digest.equals(delta.digest)) {
       return Err(new FeedError('the digest differs after the delta', 'fetch the whole catalogue'))
@@ -203,7 +209,7 @@
   private _replaceState (next: IState): void {
     this._state = next
     this._view = {
-      version: next.version, entries: next.entries, moves: next.moves, publication: next.publication
+      version: next.version, entries: next.entries, accounts: next.accounts, moves: next.moves, publication: next.publication
     }
     this._onChanged.fire(this._view)
   }
@@ -225,6 +231,7 @@
     records: new Map(),
     moves: new Map(),
     entries: new Map(),
+    accounts: new Map(),
     publication: undefined,
     sentPublication: undefined,
     digest: Buffer.alloc(DIGEST_BYTES)
@@ -237,6 +244,7 @@
     records: new Map(state.records),
     moves: new Map(state.moves),
     entries: new Map(state.entries),
+    accounts: new Map(state.accounts),
     digest: Buffer.from(state.digest)
   }
 }
@@ -249,12 +257,12 @@
     if (previous !== undefined && !previous.removed) updateDigest(state.digest, 'entry', EntryRecord.encode(previous).finish())
     state.records.set(record.name, record)
     if (record.removed) {
-      state.entries.delete(record.name)
+      if (record.name.startsWith(ACCOUNT_RECORD_PREFIX)) state.accounts.delete(record.name.slice(ACCOUNT_RECORD_PREFIX.length))
+      else state.entries.delete(record.name)
       continue
     }
-    const entry = parseDeclaration(record.declaration)
-    if (entry.err) return entry
-    state.entries.set(record.name, entry.val)
+    const put = putDeclaration(state, record)
+    if (put.err) return put
     updateDigest(state.digest, 'entry', EntryRecord.encode(record).finish())
   }
   for (const move of moves) {
@@ -286,11 +294,24 @@
   return { ...move, baseline: [] }
 }
 
-function parseDeclaration (declaration: string): Result<IEntry, FeedError> {
+function putDeclaration (state: IState, { name, declaration }: EntryRecord): Result<void, FeedError> {
+  if (name.startsWith(ACCOUNT_RECORD_PREFIX)) {
+    const account = parseDeclaration(declaration, parseAccount)
+    if (account.err) return account
+    state.accounts.set(name.slice(ACCOUNT_RECORD_PREFIX.length), account.val)
+    return Ok(undefined)
+  }
+  const entry = parseDeclaration(declaration, parseEntry)
+  if (entry.err) return entry
+  state.entries.set(name, entry.val)
+  return Ok(undefined)
+}
+
+function parseDeclaration<T> (declaration: string, parse: (value: unknown) => Result<T, DeclarationError[]>): Result<T, FeedError> {
   try {
-    const entry = parseEntry(JSON.parse(declaration))
-    if (entry.ok) return entry
-    return Err(new FeedError(entry.val[0]?.message ?? 'invalid entry', 'correct the entry'))
+    const parsed = parse(JSON.parse(declaration))
+    if (parsed.ok) return parsed
+    return Err(new FeedError(parsed.val[0]?.message ?? 'invalid declaration', 'correct the declaration'))
   } catch {
     return Err(new FeedError('a declaration is no JSON', 'leave this source'))
   }
--- a/packages/node/src/calls/Attempt.test.ts
+++ b/packages/node/src/calls/Attempt.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { ManualClock, Metrics } from '@lagoonswitch/common'
 import { EndpointRecord } from '@lagoonswitch/schema'
-import { TargetState } from '../routing/TargetState.js'
+import { TargetState } from '@lagoonswitch/traffic'
 import { Attempt } from './Attempt.js'
 import type { ICallContext } from './CallContext.js'
 import type { ICallEvents } from './CallTypes.js'
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -5,7 +5,7 @@
 import type { FailureReason, ICallEvents, ICallFailure, ICallHandle, ITargetLoad } from './CallTypes.js'
 import type { IAwaitedAttempt } from '../moves/EvidenceCollector.js'
 import type { ICompiledRoute } from '../routing/RouteTable.js'
-import type { ITargetState } from '../routing/TargetPool.js'
+import type { ITargetState } from '@lagoonswitch/traffic'
 
 const MIN_SERVER_ERROR_STATUS = 500
 /** Calls after which a target counts as warm even before its warm-up time is over. */
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -6,7 +6,7 @@
 import type { IDisposable } from '@lagoonswitch/common'
 import type { RecordedAnswer } from '@lagoonswitch/schema'
 import { CallClaim } from '../claims/CallClaim.js'
-import type { ITargetState } from '../routing/TargetPool.js'
+import type { ITargetState } from '@lagoonswitch/traffic'
 import { Attempt } from './Attempt.js'
 import { CallBody } from './CallBody.js'
 import type { ICallContext } from './CallContext.js'
@@ -303,6 +303,7 @@
       isRepeat: this._retries.isRepeat,
       isBulk: this._head.route.isBulk,
       owner,
+      account: this._head.account,
       body: this._body.bytes,
       isBodyComplete: this._body.isComplete,
       slots: limits.slots,
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -39,6 +39,8 @@
   readonly headers: readonly string[]
   /** Idempotency key; empty on routes that use none. */
   readonly key: string
+  /** Name of the client account; empty for a call without one. */
+  readonly account: string
 }
 
 /**
@@ -80,7 +82,8 @@
     parentId: metadata.parentId,
     isOfRepeat: metadata.isOfRepeat || context.isRepeatRun(metadata.parentId),
     headers: forwardedHeaders,
-    key: route.isKeyed ? metadata.key : ''
+    key: route.isKeyed ? metadata.key : '',
+    account: ''
   })
 }
 
--- a/packages/node/src/calls/CallReport.ts
+++ b/packages/node/src/calls/CallReport.ts
@@ -2,7 +2,7 @@
  * Log events and metrics of one call.
  */
 import type { ILogFields } from '@lagoonswitch/common'
-import type { ITargetState } from '../routing/TargetPool.js'
+import type { ITargetState } from '@lagoonswitch/traffic'
 import type { ICallContext } from './CallContext.js'
 import type { CallRetries } from './CallRetries.js'
 import { isSampled } from './CallSampling.js'
--- a/packages/node/src/calls/CallRetries.ts
+++ b/packages/node/src/calls/CallRetries.ts
@@ -2,7 +2,7 @@
  * Retry policy of one call: limits on attempts, and the retry budget of its service.
  */
 import { CallClass } from '@lagoonswitch/schema'
-import type { RetryBudget } from '../routing/RetryBudget.js'
+import type { RetryBudget } from '@lagoonswitch/traffic'
 import type { IRoutePart } from '../routing/RouteTable.js'
 import type { ICallContext } from './CallContext.js'
 import type { ICallHead } from './CallHead.js'
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -2,6 +2,9 @@
  * Types and limits shared by the components that handle calls.
  */
 import type { CallClass } from '@lagoonswitch/schema'
+import type { FailureReason, ITargetLoad } from '@lagoonswitch/traffic'
+
+export type { FailureReason, ITargetLoad } from '@lagoonswitch/traffic'
 
 /** Flow control window: bytes of a request or response body that may be in transit before the receiver acknowledges some. */
 export const FLOW_WINDOW_BYTES = 262_144
@@ -39,6 +42,8 @@
   /** True when the response is declared as large; it yields to other frames on the link. */
   readonly isBulk: boolean
   readonly owner: string
+  /** Name of the client account; empty for a call without one. */
+  readonly account: string
   /** The body, or its start. */
   readonly body: Buffer
   readonly isBodyComplete: boolean
@@ -48,19 +53,6 @@
   readonly queue: number
 }
 
-/** Load of a target as seen by its node, and the state of the call that it is sent with. */
-export interface ITargetLoad {
-  readonly inFlight: number
-  readonly slots: number
-  readonly queued: number
-  /** Calls that the target has accepted since it announced itself. */
-  readonly served: number
-  /** Time that the call has held its slot, in milliseconds; 0 when it held none. */
-  readonly serviceMs: number
-  /** True when a nested call of this run was denied a retry by its retry budget, which a retry of the whole run would bypass. */
-  readonly isRepeatDenied: boolean
-}
-
 /** Failure of a call that ended without a complete response. */
 export interface ICallFailure {
   readonly reason: FailureReason
@@ -69,12 +61,6 @@
   readonly retryAfterMs: number
 }
 
-/** Why a call got no complete response; also the label of a counter. */
-export type FailureReason =
-  'queue-full' | 'shed' | 'deadline' | 'deadline-queue' | 'no-target' | 'draining' | 'unreachable' | 'link-lost' |
-  'connect' | 'broken' | 'cancelled' | 'oversized' | 'bad-frame' | 'target-busy' | 'target-replaced' | 'crossed' |
-  'link-silent' | 'no-spare' | 'no-budget'
-
 /** Receives the events of one call; none follows the end or a failure. */
 export interface ICallEvents {
   onHead (status: number, headers: readonly string[], load: ITargetLoad): void
--- a/packages/node/src/calls/TargetPicker.ts
+++ b/packages/node/src/calls/TargetPicker.ts
@@ -5,7 +5,7 @@
 import type { FailureReason } from './CallTypes.js'
 import type { ICallHead } from './CallHead.js'
 import { FULL_SHARE_PPM, type IRoutePart } from '../routing/RouteTable.js'
-import type { IPickCriteria, ITargetState, IVersionChoice } from '../routing/TargetPool.js'
+import type { IPickCriteria, ITargetState, IVersionChoice } from '@lagoonswitch/traffic'
 
 /** The part of the call context that the picker uses. */
 export type IPickerContext = Pick<ICallContext, 'pool' | 'draws' | 'evidence'>
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -276,6 +276,7 @@
         remainingMs,
         class: request.callClass,
         owner: request.owner,
+        account: request.account,
         body: request.body,
         bodyComplete: request.isBodyComplete,
         slots: request.slots,
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -108,6 +108,7 @@
       remainingMs: Math.min(open.remainingMs, MAX_REMAINING_MS),
       callClass: open.class,
       owner: open.owner,
+      account: open.account,
       body: open.body,
       isBodyComplete: open.bodyComplete,
       slots: open.slots,
--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -60,6 +60,10 @@
   readonly isRetryable: boolean
   /** True if responses are declared as large. */
   readonly isBulk: boolean
+  /** True if request bodies are declared as large. */
+  readonly isBulkBody: boolean
+  /** True if calls need no key although the catalogue has client accounts. */
+  readonly isAnonymous: boolean
 }
 
 /** Compiled routes by their declarations; most stay valid from one version to the next. */
@@ -170,7 +174,9 @@
       callClass: CLASS_NUMBERS[route.class ?? entry.class],
       isKeyed: route.idempotency === 'keyed',
       isRetryable: route.idempotency === 'safe' || route.idempotency === 'idempotent',
-      isBulk: route.bulk === true
+      isBulk: route.bulk === true,
+      isBulkBody: route.bulk_body === true,
+      isAnonymous: route.anonymous === true
     }
     // Not cached if a part is missing because its service is not in the catalogue yet.
     if (parts.length === listWeightedServices(entry, route).filter(({ weight }) => weight > 0).length) COMPILED_ROUTES.set(route, compiled)
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -2,7 +2,7 @@
  * A target on this VM: its announcement, slots and connections.
  */
 import type { IClock, IDisposable } from '@lagoonswitch/common'
-import { SlotLimiter } from './SlotLimiter.js'
+import { SlotLimiter } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
 /** What a target announces about itself. */
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,7 @@
 import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { DEFAULT_WARMUP_MS } from '../routing/TargetState.js'
+import { DEFAULT_WARMUP_MS } from '@lagoonswitch/traffic'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import { TargetCall } from './TargetCall.js'
 
--- a/packages/node/src/targets/TargetCall.test.ts
+++ b/packages/node/src/targets/TargetCall.test.ts
@@ -31,6 +31,7 @@
   isRepeat: false,
   isBulk: false,
   owner: 'o',
+  account: '',
   body: Buffer.alloc(0),
   isBodyComplete: true,
   slots: 1,
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -10,7 +10,7 @@
 import { copyResponseHeaders } from '../calls/Headers.js'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { LocalTarget } from './LocalTarget.js'
-import type { ISlotTicket } from './SlotLimiter.js'
+import type { ISlotTicket } from '@lagoonswitch/traffic'
 import type { IResponseHandler, TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
@@ -60,6 +60,7 @@
     this._deadlineTimer = _clock.schedule(_request.remainingMs + DEADLINE_GRACE_MS, () => this._fail('deadline'))
     this._ticket = _target.slotLimiter.acquire({
       callClass: _request.callClass,
+      account: _request.account,
       remainingMs: _request.remainingMs,
       objectiveMs: _request.objectiveMs,
       expectedMs: _request.expectedMs,
--- a/packages/schema/src/catalogue/EntrySchema.ts
+++ b/packages/schema/src/catalogue/EntrySchema.ts
@@ -31,6 +31,10 @@
   idempotency: z.enum(['safe', 'idempotent', 'keyed', 'single-try']),
   /** True if responses are large, such as downloads; their bytes yield to those of other calls on the links between processes. */
   bulk: z.boolean().optional(),
+  /** True if request bodies are large, such as uploads; they are sent under flow control, and yield to other calls on the links. */
+  bulk_body: z.boolean().optional(),
+  /** True if calls need no key although the catalogue has client accounts. */
+  anonymous: z.boolean().optional(),
   service: NAME.optional(),
   /** Services among which the calls are split by weight, instead of one service. */
   parts: z.array(WEIGHTED_SERVICE).min(1).optional(),
--- a/packages/node/src/routing/TargetPool.ts
+++ b/packages/traffic/src/placement/TargetPool.ts
@@ -1,11 +1,10 @@
 /**
  * Chooses among the targets of a service.
  */
-import type { IClock, IRandom, Metrics } from '@lagoonswitch/common'
-import type { EndpointView } from '@lagoonswitch/feed'
+import type { IClock, IEvent, IRandom, Metrics } from '@lagoonswitch/common'
 import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
-import type { ITargetLoad } from '../calls/CallTypes.js'
-import { computeSpareSlots } from '../targets/SlotLimiter.js'
+import type { ITargetLoad } from '../CallLoad.js'
+import { computeSpareSlots } from '../slots/SlotLimiter.js'
 import { COLD_FACTOR, FAILURE_WEIGHT, TargetState, DEFAULT_SERVICE_MS, computeDecayingMax } from './TargetState.js'
 
 export type { TargetState as ITargetState } from './TargetState.js'
@@ -66,6 +65,13 @@
   readonly excluded: string
 }
 
+/** The known targets of all services. */
+export interface IEndpointSource {
+  getRecords (): EndpointRecord[]
+  /** Fires with the records that changed. */
+  readonly onChanged: IEvent<{ readonly records: readonly EndpointRecord[] }>
+}
+
 /** Location of this process, and what the pool depends on. */
 export interface ITargetPoolOptions {
   readonly region: string
@@ -75,7 +81,7 @@
   readonly clock: IClock
   readonly random: IRandom
   readonly metrics: Metrics
-  readonly endpoints: EndpointView
+  readonly endpoints: IEndpointSource
   /** False while the process at a link address does not respond. */
   readonly isReachable?: (linkAddress: string) => boolean
 }
--- a/packages/node/src/routing/TargetState.ts
+++ b/packages/traffic/src/placement/TargetState.ts
@@ -2,7 +2,7 @@
  * What this process has measured of one target, and the load and times that it expects there.
  */
 import type { EndpointRecord } from '@lagoonswitch/schema'
-import type { ITargetLoad } from '../calls/CallTypes.js'
+import type { ITargetLoad } from '../CallLoad.js'
 
 /** Weights of the newest value in moving averages. */
 const SLOWNESS_WEIGHT = 0.1
--- a/packages/node/src/targets/SlotLimiter.ts
+++ b/packages/traffic/src/slots/SlotLimiter.ts
@@ -3,7 +3,7 @@
  */
 import type { IClock } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
-import type { FailureReason, ITargetLoad } from '../calls/CallTypes.js'
+import type { FailureReason, ITargetLoad } from '../CallLoad.js'
 import { SlotQueue, type IQueuedCall } from './SlotQueue.js'
 
 /** Weight of the newest call in the moving average of service times. */
@@ -42,6 +42,8 @@
 /** Request for a slot. */
 export interface ISlotRequest {
   readonly callClass: CallClass
+  /** Name of the client account; empty or omitted for a call without one. */
+  readonly account?: string
   readonly remainingMs: number
   /** Time left until the response loses value; 0 when none was stated. */
   readonly objectiveMs?: number
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,7 @@
 import { defineConfig } from 'vitest/config'
 import { fileURLToPath } from 'node:url'
 
-const packages = ['common', 'schema', 'transport', 'feed', 'control', 'node', 'lagoonswitch', 'lagoonctl', 'fleet']
+const packages = ['common', 'schema', 'transport', 'feed', 'control', 'traffic', 'node', 'lagoonswitch', 'lagoonctl', 'fleet']
 
 const resolvePackage = (name: string): string =>
   fileURLToPath(new URL(`./packages/${name}/src/index.ts`, import.meta.url))
