Common: messages on unreadable JSON do not quote it

Cause: the parser's messages quote some of the text, which of a configuration may be keys of client accounts, and they reach logs. Change: only the position is kept.

--- a/packages/common/src/BoundedJson.test.ts
+++ b/packages/common/src/BoundedJson.test.ts
@@ -20,3 +20,7 @@
   expect(parseJson('{"a":').err).toBe(true)
   expect(parseJson('"]]]').err).toBe(true)
 })
+
+test('message on text that is no JSON does not quote it, since it may hold keys', () => {
+  for (const text of ['{"keys":["secret" x]}', '{"keys":["secret', 'secret']) expect(parseJson(text).val).not.toMatch(/secret|keys/)
+})
--- a/packages/common/src/BoundedJson.ts
+++ b/packages/common/src/BoundedJson.ts
@@ -17,10 +17,16 @@
   try {
     return Ok(JSON.parse(text))
   } catch (error) {
-    return Err(formatError(error))
+    return Err(describeSyntaxError(formatError(error)))
   }
 }
 
+/** Messages of the parser may quote the text, which may hold keys; only the position is kept. */
+function describeSyntaxError (message: string): string {
+  const position = /\bposition (\d+)/.exec(message)?.[1]
+  return position === undefined ? 'it is no complete JSON' : `it is no JSON at position ${position}`
+}
+
 /** Counts brackets outside strings; in text that is no JSON the count means nothing, but the parser refuses it. */
 function hasDeepNesting (text: string): boolean {
   let depth = 0
