Catalogue: client accounts are published, edited, read and exported beside entries

Cause: the store knew accounts, but no publication or edit could bring one, and an account would have been parsed as an entry. Change: declarations of both kinds are parsed, checked together and formatted in one place (Declarations.ts), which the publisher, the state machine, the operators' listener, the reader of YAML and lagoonctl use. lagoonctl key digest computes the digest of a key from standard input, so that keys stand in no arguments.

--- a/packages/control/src/catalogue/CatalogueStateMachine.test.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.test.ts
@@ -162,3 +162,20 @@
   expect(store.getMove('desk')?.status).toBe(MoveStatus.MOVE_STATUS_TAKEN_BACK)
   expect(store.getMove('desk')?.reason).toMatch(/withdrawn/)
 })
+
+test('accounts are edited one by one, and no edit gives two accounts the same key', () => {
+  const createAccountEdit = (account: string, digit: string, expectedVersion = 0): EntryEdit => ({
+    name: `account/${account}`, expectedVersion, declaration: JSON.stringify({ account, key_digests: [digit.repeat(64)] }), annotation: ''
+  })
+  expect(change([createAccountEdit('x', 'a')]).outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED)
+  const refused = change([createAccountEdit('y', 'a')])
+  expect(refused.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_INVALID)
+  expect(refused.message).toMatch(/the account x has the same key/)
+  expect(change([{ ...createAccountEdit('y', 'b'), name: 'account/z' }]).outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_INVALID)
+  const { version } = store.getRecord('account/x') ?? { version: 0 }
+  const passed = change([{ ...createAccountEdit('x', 'a', version), declaration: '' }, createAccountEdit('y', 'a')])
+  expect(passed.outcome).toBe(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED)
+  const copy = new CatalogueStateMachine(new CatalogueStore())
+  copy.restoreSnapshot(machine.takeSnapshot())
+  expect([...copy.store.view.accounts.keys()]).toEqual(['y'])
+})
--- a/packages/control/src/catalogue/CatalogueStateMachine.ts
+++ b/packages/control/src/catalogue/CatalogueStateMachine.ts
@@ -6,9 +6,9 @@
 import { DeclarationError, Err, Ok, type ICatalogueVersion, type Result } from '@lagoonswitch/common'
 import { CatalogueStore } from '@lagoonswitch/feed'
 import {
-  CatalogueCommand, CatalogueSnapshot, ChangeCommand, ChangeOutcome, ChangeReply, EntryEdits, MoveStatus,
-  checkMoveTime, checkCatalogue, formatEntry, parseEntry,
-  type EntryEdit, type EntryRecord, type IEntry, type MoveCommand, type MoveOrder, type MoveRecord, type RequestRecord,
+  ACCOUNT_RECORD_PREFIX, CatalogueCommand, CatalogueSnapshot, ChangeCommand, ChangeOutcome, ChangeReply, EntryEdits, MoveStatus,
+  checkDeclarations, checkMoveTime, formatDeclaration, isAccount, parseRecordDeclaration,
+  type EntryEdit, type EntryRecord, type IDeclaration, type IEntry, type MoveCommand, type MoveOrder, type MoveRecord, type RequestRecord,
   type WithdrawalRecord
 } from '@lagoonswitch/schema'
 import { FULL_SHARE_PPM } from '../moves/MoveSchedule.js'
@@ -195,30 +195,36 @@
   private _prepareEdits (edits: readonly EntryEdit[], version: number): Result<IPreparedChange, DeclarationError[]> {
     const errors: DeclarationError[] = []
     const entries = new Map(this.store.view.entries)
+    const accounts = new Map(this.store.view.accounts)
     const prepared: IPreparedChange = { records: [], moves: [] }
     for (const edit of edits) {
       const previous = this.store.view.entries.get(edit.name)
       if (edit.declaration === '') {
-        entries.delete(edit.name)
+        if (edit.name.startsWith(ACCOUNT_RECORD_PREFIX)) accounts.delete(edit.name.slice(ACCOUNT_RECORD_PREFIX.length))
+        else entries.delete(edit.name)
         prepared.records.push({ name: edit.name, version, declaration: '', removed: true, annotation: '' })
         this._closeMove(edit.name, undefined, version, prepared.moves)
         continue
       }
-      const entry = parseDeclaration(edit)
-      if (entry.err) {
-        errors.push(...entry.val)
+      const parsed = parseDeclaration(edit)
+      if (parsed.err) {
+        errors.push(...parsed.val)
         continue
       }
-      const problem = checkMoveTime(entry.val, previous, this._nowMs) ?? this._checkVersionChange(entry.val, previous)
-      if (problem !== undefined) errors.push(problem)
-      entries.set(edit.name, entry.val)
-      const declaration = formatEntry(entry.val)
+      if (isAccount(parsed.val)) {
+        accounts.set(parsed.val.account, parsed.val)
+      } else {
+        const problem = checkMoveTime(parsed.val, previous, this._nowMs) ?? this._checkVersionChange(parsed.val, previous)
+        if (problem !== undefined) errors.push(problem)
+        entries.set(edit.name, parsed.val)
+      }
+      const declaration = formatDeclaration(parsed.val)
       const known = this.store.getRecord(edit.name)
       if (declaration === known?.declaration && edit.annotation === known.annotation) continue
       prepared.records.push({ name: edit.name, version, declaration, removed: false, annotation: edit.annotation })
-      this._prepareMove(entry.val, previous, version, prepared.moves)
+      if (!isAccount(parsed.val)) this._prepareMove(parsed.val, previous, version, prepared.moves)
     }
-    errors.push(...checkCatalogue(entries))
+    errors.push(...checkDeclarations({ entries, accounts }))
     return errors.length > 0 ? Err(errors) : Ok(prepared)
   }
 
@@ -349,18 +355,14 @@
   }
 }
 
-function parseDeclaration (edit: EntryEdit): Result<IEntry, DeclarationError[]> {
+function parseDeclaration (edit: EntryEdit): Result<IDeclaration, DeclarationError[]> {
   let value: unknown
   try {
     value = JSON.parse(edit.declaration)
   } catch {
     return Err([new DeclarationError(edit.name, 'the declaration is no JSON', 'send it with lagoonctl apply')])
   }
-  const entry = parseEntry(value)
-  if (entry.ok && entry.val.entry !== edit.name) {
-    return Err([new DeclarationError(edit.name, `the declaration names ${entry.val.entry}`, 'use one name')])
-  }
-  return entry
+  return parseRecordDeclaration(edit.name, value)
 }
 
 function createReply (outcome: ChangeOutcome, version: ICatalogueVersion, message: string): ChangeReply {
--- a/packages/control/src/catalogue/Publisher.test.ts
+++ b/packages/control/src/catalogue/Publisher.test.ts
@@ -138,3 +138,20 @@
   expect(await publish(createDraft(1, 0, ['a']))).toBe('no-quorum')
   expect(await publish(createDraft(9, 7, ['a']))).toBe('no-quorum')
 })
+
+test('accounts are published with the entries, and a key of two accounts refuses the whole publication', async () => {
+  const createAccount = (account: string, digit: string): IPublicationDraft['entries'][number] =>
+    ({ name: `account/${account}`, annotation: '', declaration: { account, key_digests: [digit.repeat(64)] } })
+  const withAccounts = (number: number, base: number, ...accounts: Array<IPublicationDraft['entries'][number]>): IPublicationDraft => {
+    const draft = createDraft(number, base, ['a', 'b'])
+    return { ...draft, digest: `${number}-${accounts.length}`, entries: [...accounts, ...draft.entries] }
+  }
+  expect(await publish(withAccounts(1, 0, createAccount('x', 'a'), createAccount('y', 'b')))).toBe('accepted')
+  expect(await publish(withAccounts(2, 1, createAccount('x', 'a'), createAccount('y', 'a')))).toBe('invalid')
+  expect(await publish(withAccounts(3, 1, createAccount('x', 'a'), createAccount('x', 'b')))).toBe('invalid')
+  expect([...store.view.accounts.keys()]).toEqual(['x', 'y'])
+  // The key passes from one account to the other in one publication.
+  expect(await publish(withAccounts(4, 1, createAccount('y', 'a')))).toBe('accepted')
+  expect(store.view.accounts.get('y')?.key_digests).toEqual(['a'.repeat(64)])
+  expect(store.view.accounts.size).toBe(1)
+})
--- a/packages/control/src/catalogue/Publisher.ts
+++ b/packages/control/src/catalogue/Publisher.ts
@@ -4,8 +4,8 @@
 import { deflateRawSync } from 'node:zlib'
 import { Err, NoQuorumError, Ok, type IClock, type ILog, type Result } from '@lagoonswitch/common'
 import {
-  CatalogueCommand, ChangeOutcome, ChangeReply, EntryEdits, checkCatalogue, formatEntry, parseEntry,
-  type CallerLimits, type EntryEdit, type EntryRecord, type IEntry, type Publication
+  CatalogueCommand, ChangeOutcome, ChangeReply, EntryEdits, checkDeclarations, formatDeclaration, parseRecordDeclaration,
+  splitDeclarations, type CallerLimits, type EntryEdit, type EntryRecord, type IDeclaration, type Publication
 } from '@lagoonswitch/schema'
 import type { CatalogueStore } from '@lagoonswitch/feed'
 import type { RaftGroup } from '../raft/RaftGroup.js'
@@ -16,8 +16,9 @@
 /** Attempts to publish when other changes are accepted meanwhile; each one computes the edits again. */
 const MAX_ATTEMPTS = 4
 
-/** One entry of a publication. */
+/** One entry or account of a publication. */
 export interface IPublishedEntry {
+  /** Name of the record: that of the entry, or `account/NAME`. */
   readonly name: string
   /** Validated when it is published. */
   readonly declaration: unknown
@@ -116,17 +117,17 @@
 
 /** @returns canonical declarations by name, or all problems */
 function parseEntries (entries: readonly IPublishedEntry[]): Result<Map<string, string>, string> {
-  const parsed = new Map<string, IEntry>()
+  const parsed = new Map<string, IDeclaration>()
   const problems: string[] = []
   for (const { name, declaration } of entries) {
-    const entry = parseEntry(declaration)
-    if (entry.err) problems.push(...entry.val.map(error => error.message))
-    else if (parsed.has(name)) problems.push(`${name}: the entry is declared twice; remove one`)
-    else parsed.set(name, entry.val)
+    const result = parseRecordDeclaration(name, declaration)
+    if (result.err) problems.push(...result.val.map(error => error.message))
+    else if (parsed.has(name)) problems.push(`${name}: it is declared twice; remove one`)
+    else parsed.set(name, result.val)
   }
-  if (problems.length === 0) problems.push(...checkCatalogue(parsed).map(error => error.message))
+  if (problems.length === 0) problems.push(...checkDeclarations(splitDeclarations(parsed)).map(error => error.message))
   if (problems.length > 0) return Err(problems.join('\n'))
-  return Ok(new Map([...parsed].map(([name, entry]) => [name, formatEntry(entry)])))
+  return Ok(new Map([...parsed].map(([name, declaration]) => [name, formatDeclaration(declaration)])))
 }
 
 function createCommand (
--- a/packages/lagoonctl/src/Commands.ts
+++ b/packages/lagoonctl/src/Commands.ts
@@ -4,7 +4,7 @@
 import { randomUUID } from 'node:crypto'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { stringify } from 'yaml'
-import { formatEntry, type IEntry } from '@lagoonswitch/schema'
+import { formatDeclaration, isAccount, type IDeclaration } from '@lagoonswitch/schema'
 import { readDeclarations } from './DeclarationFiles.js'
 import { findExplanation } from './explain/CallExplanation.js'
 import { readLogs } from './explain/LogFiles.js'
@@ -22,7 +22,7 @@
 interface IRemoteEntry {
   name: string
   version: number
-  declaration: IEntry
+  declaration: IDeclaration
 }
 
 interface IRemoteMove {
@@ -42,7 +42,7 @@
 interface IEdit {
   readonly name: string
   readonly expectedVersion: number
-  readonly declaration: IEntry | null
+  readonly declaration: IDeclaration | null
 }
 
 interface IDifference {
@@ -65,7 +65,7 @@
       for (const error of entries.val) console.error(error.message)
       return EXIT.invalid
     }
-    this._print({ valid: true, entries: entries.val.size }, `${path}: ${entries.val.size} entries are valid`)
+    this._print({ valid: true, entries: entries.val.size }, `${path}: ${entries.val.size} declarations are valid`)
     return EXIT.ok
   }
 
@@ -105,14 +105,13 @@
     return EXIT.ok
   }
 
-  /** Prints one entry, or all entries if no name is given. */
+  /** Prints one entry or account, or all of them if no name is given. */
   async get (name: string | undefined): Promise<number> {
     const entries = await this._listEntries()
     if (typeof entries === 'number') return entries
     const chosen = entries.filter(entry => name === undefined || entry.name === name)
     if (name !== undefined && chosen.length === 0) return this._fail(`no entry is named ${name}`, EXIT.failed)
-    this._print(chosen, chosen.map(entry =>
-      `${entry.name}  owner ${entry.declaration.owner}  class ${entry.declaration.class}  version ${entry.version}`).join('\n'))
+    this._print(chosen, chosen.map(formatRemoteEntry).join('\n'))
     return EXIT.ok
   }
 
@@ -198,7 +197,7 @@
     const lines: string[] = []
     for (const [name, entry] of declared.val) {
       const remoteEntry = remoteByName.get(name)
-      if (remoteEntry !== undefined && formatEntry(remoteEntry.declaration) === formatEntry(entry)) continue
+      if (remoteEntry !== undefined && formatDeclaration(remoteEntry.declaration) === formatDeclaration(entry)) continue
       edits.push({ name, expectedVersion: remoteEntry?.version ?? 0, declaration: entry })
       lines.push(`${remoteEntry === undefined ? '+' : '~'} ${name}`)
     }
@@ -249,6 +248,12 @@
   }
 }
 
+function formatRemoteEntry ({ name, declaration, version }: IRemoteEntry): string {
+  if (!isAccount(declaration)) return `${name}  owner ${declaration.owner}  class ${declaration.class}  version ${version}`
+  const { key_digests: digests, rate, burst, class: callClass } = declaration
+  return `${name}  keys ${digests.length}  class ${callClass ?? 'of the route'}  rate ${rate ?? 0}  burst ${burst ?? 0}  version ${version}`
+}
+
 function formatMove (move: IRemoteMove): string {
   const share = `${(move.share * 100).toFixed(1)}%`
   const evidence = move.newCalls === undefined ? '' : `, ${move.newCalls} new and ${move.oldCalls} old calls`
--- a/packages/lagoonctl/src/DeclarationFiles.ts
+++ b/packages/lagoonctl/src/DeclarationFiles.ts
@@ -4,14 +4,14 @@
 import { readFile, readdir, stat } from 'node:fs/promises'
 import { join } from 'node:path'
 import { DeclarationError, Err, formatError, type Result } from '@lagoonswitch/common'
-import { parseDeclarations, type IDeclarationFile, type IEntry } from '@lagoonswitch/schema'
+import { parseDeclarations, type IDeclarationFile, type IDeclaration } from '@lagoonswitch/schema'
 
 /**
  * Reads and validates declarations.
  * @param path - a YAML file, or a folder that is searched recursively for YAML files
- * @returns the entries by name, or one error per problem
+ * @returns the declarations by the names of their records, or one error per problem
  */
-export async function readDeclarations (path: string): Promise<Result<Map<string, IEntry>, DeclarationError[]>> {
+export async function readDeclarations (path: string): Promise<Result<Map<string, IDeclaration>, DeclarationError[]>> {
   try {
     const files: IDeclarationFile[] = []
     for (const file of await listFiles(path)) files.push({ file, text: await readFile(file, 'utf8') })
--- a/packages/lagoonctl/src/main.ts
+++ b/packages/lagoonctl/src/main.ts
@@ -3,9 +3,11 @@
  * Command line interface of lagoonctl.
  */
 import { readFile } from 'node:fs/promises'
+import { text } from 'node:stream/consumers'
 import sade from 'sade'
 import { SettingsError, formatError, parseDurationMs } from '@lagoonswitch/common'
 import { Commands, EXIT } from './Commands.js'
+import { computeInputDigest } from './KeyDigest.js'
 import { OperatorClient } from './OperatorClient.js'
 
 const VERSION = '0.1.0'
@@ -84,6 +86,13 @@
     await commands.replaceMember(name, address)))
 program.command('members remove <name>', 'Remove a control VM')
   .action(async (name: string, options: IOptions) => await run(options, async commands => await commands.removeMember(name)))
+program.command('key digest', 'Print the digest of a key read from standard input, for key_digests of an account')
+  .action(async () => {
+    const digest = computeInputDigest(await text(process.stdin))
+    if (digest.ok) console.log(digest.val)
+    else console.error(`lagoonctl: ${digest.val.message}`)
+    process.exitCode = digest.ok ? EXIT.ok : EXIT.usage
+  })
 program.command('explain <call>', 'Explain a call from logs: files after the id, or standard input')
   .example('explain 9c41d07be2a35f68 node-1.log node-2.log')
   .action(async (call: string, options: IOptions & { _: string[] }) => await run(options, async commands =>
--- a/packages/lagoonswitch/src/http/OperatorController.ts
+++ b/packages/lagoonswitch/src/http/OperatorController.ts
@@ -8,18 +8,20 @@
 import { z } from 'zod'
 import type { ControlRole, IRaftStatus } from '@lagoonswitch/control'
 import {
-  ChangeOutcome, EndpointState, MoveStatus, formatEntry, parseEntry, type ChangeReply, type EndpointRecord,
+  ChangeOutcome, EndpointState, MoveStatus, formatRecordDeclaration, type ChangeReply, type EndpointRecord,
   type MoveRecord
 } from '@lagoonswitch/schema'
 import type { OperatorTokens } from './OperatorTokens.js'
 import { CONTROL_ROLE, OPERATOR_TOKENS } from './InjectionTokens.js'
 
 const MAX_EDITS = 1_000
+/** Longest name of a record, that of an account of 256 characters. */
+const MAX_NAME_LENGTH = 264
 
 const CHANGE = z.strictObject({
   requestId: z.string().min(8).max(128),
   edits: z.array(z.strictObject({
-    name: z.string().min(1).max(63),
+    name: z.string().min(1).max(MAX_NAME_LENGTH),
     expectedVersion: z.number().int().min(0),
     declaration: z.unknown().nullable()
   })).min(1).max(MAX_EDITS)
@@ -66,7 +68,7 @@
     const edits = change.data.edits.map(edit => ({
       name: edit.name,
       expectedVersion: edit.expectedVersion,
-      declaration: formatDeclaration(edit.declaration)
+      declaration: formatRecordDeclaration(edit.name, edit.declaration)
     }))
     const result = await this._control.applyChange({ requestId: change.data.requestId, operator, edits })
     if (result.err) throw createUnavailableError(result.val.message)
@@ -76,7 +78,7 @@
     return reply
   }
 
-  /** Reads all entries, including the last accepted change. */
+  /** Reads all entries and accounts, including the last accepted change. */
   @Get('entries')
   async listEntries (@Headers('authorization') authorization: string | undefined): Promise<object> {
     this._checkOperator(authorization)
@@ -156,12 +158,6 @@
   }
 }
 
-function formatDeclaration (declaration: unknown): string {
-  if (declaration === null) return ''
-  const entry = parseEntry(declaration)
-  return entry.ok ? formatEntry(entry.val) : JSON.stringify(declaration)
-}
-
 function toChangeResponse (reply: ChangeReply): object {
   return {
     outcome: OUTCOME_NAMES[reply.outcome] ?? 'unknown',
--- a/packages/schema/src/catalogue/AccountSchema.ts
+++ b/packages/schema/src/catalogue/AccountSchema.ts
@@ -9,7 +9,8 @@
 export const ACCOUNT_RECORD_PREFIX = 'account/'
 const MAX_NAME_LENGTH = 256
 
-const ACCOUNT_NAME = z.string().max(MAX_NAME_LENGTH).regex(/^[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?$/,
+/** Name of an account; it is sent to targets in a header. */
+export const ACCOUNT_NAME = z.string().max(MAX_NAME_LENGTH).regex(/^[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?$/,
   'use printable ASCII characters, at most 256, without blanks at the ends')
 const KEY_DIGEST = z.string().regex(/^[0-9a-f]{64}$/, 'use the SHA-256 digest of the key in lower-case hexadecimal digits')
 
--- a/packages/schema/src/catalogue/DeclarationReader.ts
+++ b/packages/schema/src/catalogue/DeclarationReader.ts
@@ -3,8 +3,7 @@
  */
 import { LineCounter, isMap, isNode, parseAllDocuments, type Document } from 'yaml'
 import { DeclarationError, Err, Ok, type Result } from '@lagoonswitch/common'
-import { checkCatalogue, parseEntry } from './CatalogueChecks.js'
-import type { IEntry } from './EntrySchema.js'
+import { checkDeclarations, getRecordName, parseDeclaration, splitDeclarations, type IDeclaration } from './Declarations.js'
 
 /** Text of one declaration file. */
 export interface IDeclarationFile {
@@ -13,33 +12,33 @@
 }
 
 /**
- * Parses declaration files; each YAML document in a file is one entry.
+ * Parses declaration files; each YAML document in a file is one entry or one account.
  * @param files - texts with their file names
- * @returns the entries by name, or one error per problem with file, line and key
+ * @returns the declarations by the names of their records, or one error per problem with file, line and key
  */
-export function parseDeclarations (files: readonly IDeclarationFile[]): Result<Map<string, IEntry>, DeclarationError[]> {
-  const entries = new Map<string, IEntry>()
+export function parseDeclarations (files: readonly IDeclarationFile[]): Result<Map<string, IDeclaration>, DeclarationError[]> {
+  const declarations = new Map<string, IDeclaration>()
   const errors: DeclarationError[] = []
   for (const { file, text } of files) {
     const counter = new LineCounter()
     for (const document of parseAllDocuments(text, { lineCounter: counter })) {
       if (!('contents' in document) || document.contents === null) continue
-      readDocument(document, file, counter, entries, errors)
+      readDocument(document, file, counter, declarations, errors)
     }
   }
-  if (errors.length === 0) errors.push(...checkCatalogue(entries))
-  return errors.length > 0 ? Err(errors) : Ok(entries)
+  if (errors.length === 0) errors.push(...checkDeclarations(splitDeclarations(declarations)))
+  return errors.length > 0 ? Err(errors) : Ok(declarations)
 }
 
 function readDocument (
-  document: Document, file: string, counter: LineCounter, entries: Map<string, IEntry>, errors: DeclarationError[]
+  document: Document, file: string, counter: LineCounter, declarations: Map<string, IDeclaration>, errors: DeclarationError[]
 ): void {
   for (const error of document.errors) {
     errors.push(new DeclarationError('yaml', error.message.split('\n')[0] ?? '', 'correct the YAML', file,
       counter.linePos(error.pos[0]).line))
   }
   if (document.errors.length > 0) return
-  const parsed = parseEntry(document.toJS())
+  const parsed = parseDeclaration(document.toJS())
   if (parsed.err) {
     for (const error of parsed.val) {
       const line = findLine(document, error.path.split('.').slice(1), counter)
@@ -47,11 +46,11 @@
     }
     return
   }
-  if (entries.has(parsed.val.entry)) {
-    errors.push(new DeclarationError(parsed.val.entry, 'the entry is declared twice', 'remove one', file,
-      findLine(document, [], counter)))
+  const name = getRecordName(parsed.val)
+  if (declarations.has(name)) {
+    errors.push(new DeclarationError(name, 'it is declared twice', 'remove one', file, findLine(document, [], counter)))
   }
-  entries.set(parsed.val.entry, parsed.val)
+  declarations.set(name, parsed.val)
 }
 
 function findLine (document: Document, path: readonly string[], counter: LineCounter): number {
--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process'
-import { writeFileSync } from 'node:fs'
-import { join } from 'node:path'
+import { rmSync, writeFileSync } from 'node:fs'
+import { dirname, join } from 'node:path'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 // @ts-expect-error the benchmark harness is plain JavaScript
 import { Fleet, findPorts, waitUntil } from '../bench/harness.mjs'
@@ -155,3 +155,18 @@
   await fleet.kill('c1')
   expect((await runCtl('status')).code).toBe(5)
 }, 60_000)
+
+test('accounts are applied, listed, exported and removed like entries', async () => {
+  const folder = dirname(writeDeclaration(ENTRY))
+  const file = join(folder, 'account.yaml')
+  const digest = 'a'.repeat(64)
+  writeFileSync(file, JSON.stringify({ account: 'big corp', key_digests: [digest], class: 'high', rate: 2.5 }))
+  expect(await runCtl('apply', folder)).toMatchObject({ code: 0, output: expect.stringMatching(/\+ account\/big corp/) })
+  expect((await runCtl('get', 'account/big corp')).output).toMatch(/^account\/big corp {2}keys 1 {2}class high {2}rate 2.5 {2}burst 0 {2}version \d+\n$/)
+  expect((await runCtl('export')).output).toContain(`account: big corp\nclass: high\nkey_digests:\n  - ${digest}`)
+  expect((await runCtl('diff', folder)).output).toBe('nothing differs\n')
+  writeFileSync(join(folder, 'other.yaml'), JSON.stringify({ account: 'other', key_digests: [digest] }))
+  expect(await runCtl('apply', folder)).toMatchObject({ code: 3, output: expect.stringMatching(/has the same key/) })
+  for (const name of [file, join(folder, 'other.yaml')]) rmSync(name)
+  expect((await runCtl('apply', folder, '--prune')).output).toContain('- account/big corp')
+}, 60_000)
