Node: calls are authorized by the accounts of the catalogue

Cause: calls carried no account. Change: the dialect reads the key and names the header of the account; while the catalogue has accounts, callers' headers of both kinds are dropped, and the class of the account replaces that of the route. Nested calls are those whose parent runs at a target of the VM. Where the catalogue may be old, 503 takes the place of 401. Calls whose key is withdrawn before a target receives them end with 401. Recorded answers are held per account, since one account could otherwise read those of another. Without accounts nothing changes.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -16,7 +16,7 @@
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
-import { CallerWaitEstimator, BalancedDraws, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import { AccountIndex, CallerWaitEstimator, BalancedDraws, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
@@ -56,6 +56,9 @@
   private readonly _linkListener: LinkListener
   private readonly _linkAddress: string
   private _routes: RouteTable | undefined
+  private _accounts: AccountIndex | undefined
+  private readonly _reservedHeaders: ReadonlySet<string>
+  private readonly _reservedHeadersWithAccounts: ReadonlySet<string>
   private _catalogueChangedMs = 0
   private readonly _feed: NodeFeed
   private _stop: GracefulStop | undefined
@@ -74,6 +77,8 @@
     this._linkAddress = `${settings.listen.links.host}:${settings.listen.links.port}`
     const incarnation = clock.readWallTime().getTime()
     const dialect = _options.dialect ?? new LagoonDialect()
+    this._reservedHeaders = dialect.reservedHeaders
+    this._reservedHeadersWithAccounts = new Set([...dialect.reservedHeaders, ...dialect.accountHeaders])
     this._feed = this._disposables.add(new NodeFeed({ ..._options, incarnation, takeEvidence: () => this._evidence.takeEvidence() }))
     this.directory = this._feed.directory
     this.store = this._feed.store
@@ -122,6 +127,10 @@
       callerWaitEstimator: new CallerWaitEstimator(clock),
       findOpener: address => this._findOpener(address),
       isRepeatRun: callId => this.targets.isRepeatRun(callId),
+      isLocalRun: callId => this.targets.isLocalRun(callId),
+      startedMs: clock.readMonotonicMs(),
+      getAccounts: () => this._getAccounts(),
+      getReservedHeaders: () => this._getAccounts().size === 0 ? this._reservedHeaders : this._reservedHeadersWithAccounts,
       reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
       recordCalledService: part => this._calledServices.add(part.service),
       getRetryBudget: part => this._getRetryBudget(part),
@@ -137,12 +146,15 @@
     this._disposables.add(this.feed.onReady(withdrawals => this.targets.restoreWithdrawals(withdrawals)))
     this._disposables.add(this.store.onChanged(() => {
       this._routes = undefined
+      this._accounts = undefined
       this._catalogueChangedMs = clock.readMonotonicMs()
       this._callServer.applyLimits()
+      this._callServer.applyAccounts()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
     metrics.addGauge('feed_level', () => this.feed.level)
     metrics.addGauge('feed_current_age_ms', () => this.feed.getStatus().currentMs)
+    metrics.addGauge('accounts', () => this.store.view.accounts.size)
     metrics.addGauge('catalogue_version', () => this.store.version.version)
   }
 
@@ -252,6 +264,11 @@
     return this._routes
   }
 
+  private _getAccounts (): AccountIndex {
+    this._accounts ??= new AccountIndex(this.store.view.accounts)
+    return this._accounts
+  }
+
   private _findOpener (address: string): ICallOpener {
     if (address === this._linkAddress) return this.targets
     let link = this._links.get(address)
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -48,6 +48,8 @@
   private _isWithdrawn = false
   /** True when a target was skipped because the call could not end there before a graceful stop cuts it. */
   private _hasSkippedTarget = false
+  /** True once the key of the account has been withdrawn; no target receives the call from then on. */
+  private _isKeyWithdrawn = false
   private _isDone = false
   private _isCallerGone = false
   private readonly _onCallerEnd = (): void => this._handleCallerClose()
@@ -96,6 +98,15 @@
     this._withdrawalTimer = clock.schedule(Math.max(0, leftMs), () => this._withdraw())
   }
 
+  /** Withdraws the call if its key is no longer held, unless a target has received it; a run goes on. */
+  applyAccounts (): void {
+    if (this._isDone || this._isKeyWithdrawn || (this._head?.keyDigest ?? '') === '') return
+    if (this._context.getAccounts().isHeld(this._head.keyDigest)) return
+    this._isKeyWithdrawn = true
+    if (this._attempt === undefined) this._refuseForWithdrawnKey()
+    else this._attempt.handle?.withdraw()
+  }
+
   /** Ends the call because the process ends. */
   cut (): void {
     if (this._isDone) return
@@ -145,6 +156,10 @@
       return
     }
     this._retries.recordFailure(failure)
+    if (this._isKeyWithdrawn && failure.isNotRun) {
+      this._refuseForWithdrawnKey()
+      return
+    }
     if (this._isWithdrawn && failure.isNotRun) {
       this._refuseForStop()
       return
@@ -169,6 +184,7 @@
     this._picker = new TargetPicker(this._context, head.val)
     this._retries = new CallRetries(this._context, head.val, this._picker.part)
     this._report.route = head.val.route.key
+    this._report.account = head.val.account
     this._report.retries = this._retries
     this._deadlineMs = this._startedMs + head.val.timeoutMs
     return true
@@ -203,8 +219,10 @@
   private async _claimKey (): Promise<void> {
     const { method, url } = this._request
     const fingerprint = createHash('sha256').update(`${method} ${url}\n`).update(this._body.bytes).digest()
-    const result = await this._context.claims.claim(
-      this._head.route.key, this._head.key, fingerprint, this._getRemainingMs())
+    const { route, account, key } = this._head
+    // No account is given the recorded answer to a call of another one.
+    const scope = account === '' ? route.key : `${route.key}\n${account}`
+    const result = await this._context.claims.claim(scope, key, fingerprint, this._getRemainingMs())
     this._context.metrics.count('claims_total', result.kind)
     if (result.kind === 'granted') this._claim.hold(result.claim)
     if (this._isDone) {
@@ -224,6 +242,10 @@
   }
 
   private _send (): void {
+    if (this._isKeyWithdrawn) {
+      this._refuseForWithdrawnKey()
+      return
+    }
     const target = this._retryTarget ?? this._pickTarget()
     this._retryTarget = undefined
     if (target === undefined) {
@@ -259,6 +281,17 @@
     this._refuse('process-draining', 'not-run', this._context.getStop()?.computeRetryAfterMs(this._context.clock.readMonotonicMs()) ?? 0)
   }
 
+  /** An earlier attempt may have run; the call must not seem refused before it ran then. */
+  private _refuseForWithdrawnKey (): void {
+    if (this._retries.runs > 0) {
+      this._refuse(this._lastFailure?.reason ?? 'broken', 'unknown', 0)
+      return
+    }
+    this._context.metrics.count('authorizations_total', 'credentials-withdrawn')
+    if (this._context.isCatalogueCurrent()) this._refuse('credentials-withdrawn', 'not-run', 0)
+    else this._refuse('accounts-not-current', 'not-run', RETRY_AFTER_MS)
+  }
+
   /** Skips targets where the call could not end before a graceful stop cuts it. */
   private _pickTarget (): ITargetState | undefined {
     for (;;) {
@@ -320,7 +353,7 @@
   }
 
   private _canSendAgain (): boolean {
-    return this._body.isComplete && this._getRemainingMs() > 0 && !this._isCallerGone && !this._isWithdrawn
+    return this._body.isComplete && this._getRemainingMs() > 0 && !this._isCallerGone && !this._isWithdrawn && !this._isKeyWithdrawn
   }
 
   private _prepareResponseRetry (status: number, isRepeatDenied: boolean): boolean {
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -6,7 +6,7 @@
 import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
-import type { BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import type { AccountIndex, BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
 import type { IRoutePart, RouteTable } from '../routing/RouteTable.js'
 import type { CallDialect } from './CallDialect.js'
 import type { ICallOpener } from './CallTypes.js'
@@ -30,6 +30,14 @@
   readonly findOpener: (linkAddress: string) => ICallOpener
   /** Tells whether a target of this VM is running the call with this ID as a repeat. */
   readonly isRepeatRun: (callId: string) => boolean
+  /** Tells whether a target of this VM runs the call with this ID, or ran it within the last seconds. */
+  readonly isLocalRun: (callId: string) => boolean
+  /** Monotonic time of the start of this process, in milliseconds. */
+  readonly startedMs: number
+  /** Client accounts of the catalogue in use. */
+  readonly getAccounts: () => AccountIndex
+  /** Names of the headers in lower case that are not forwarded from callers. */
+  readonly getReservedHeaders: () => ReadonlySet<string>
   /** Records on the parent call that the retry budget denied a retry of one of its nested calls. */
   readonly reportRepeatDenied: (parentId: string) => void
   /** Records a service that targets of this VM call while they are running calls. */
--- a/packages/node/src/calls/CallDialect.ts
+++ b/packages/node/src/calls/CallDialect.ts
@@ -4,8 +4,10 @@
 import type { IncomingHttpHeaders } from 'node:http'
 import { Err, Ok, type Result } from '@lagoonswitch/common'
 import type { CallClass } from '@lagoonswitch/schema'
+import { readBearerKey } from './BearerKey.js'
 import { findClass } from '../routing/RouteTable.js'
-import { CLASS_HEADER, DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER, REPEAT_HEADER } from './Headers.js'
+import type { CallKey } from '@lagoonswitch/traffic'
+import { ACCOUNT_HEADER, AUTHORIZATION_HEADER, CLASS_HEADER, DEADLINE_HEADER, DEPTH_HEADER, KEY_HEADER, REPEAT_HEADER } from './Headers.js'
 
 const MS_PER_SECOND = 1_000
 
@@ -50,6 +52,32 @@
   /** Header names in lower case that are set by the node alone and never forwarded from callers. */
   abstract readonly reservedHeaders: ReadonlySet<string>
 
+  /** Name in lower case of the header that tells the target the account of a call. */
+  protected abstract readonly accountHeader: string
+
+  /** Lists the headers in lower case that only the node sets, or that only it reads, while the catalogue has client accounts. */
+  get accountHeaders (): readonly string[] {
+    return [AUTHORIZATION_HEADER, this.accountHeader]
+  }
+
+  /**
+   * Reads the key of a client account.
+   * @param rawHeaders - alternating names and values of the request
+   * @returns digest of the key, or that there is none or more than one
+   */
+  readKey (rawHeaders: readonly string[]): CallKey {
+    return readBearerKey(rawHeaders)
+  }
+
+  /**
+   * Lists the headers that tell the target the account of a call.
+   * @param account - name of the account; empty for a call without one
+   * @returns alternating names and values
+   */
+  formatAccountHeaders (account: string): string[] {
+    return account === '' ? [] : [this.accountHeader, account]
+  }
+
   /**
    * Reads the call ID.
    * @param headers - of the request
@@ -97,6 +125,7 @@
 /** The headers of lagoonswitch itself. */
 export class LagoonDialect extends CallDialect {
   readonly reservedHeaders = new Set([DEADLINE_HEADER, DEPTH_HEADER, CLASS_HEADER, REPEAT_HEADER])
+  protected readonly accountHeader = ACCOUNT_HEADER
 
   readCallId (): string {
     return ''
--- a/packages/node/src/calls/CallHead.ts
+++ b/packages/node/src/calls/CallHead.ts
@@ -4,8 +4,10 @@
 import type { IncomingMessage } from 'node:http'
 import { Err, Ok, type Result } from '@lagoonswitch/common'
 import { CallClass, type CallerLimits } from '@lagoonswitch/schema'
-import type { ICompiledRoute } from '../routing/RouteTable.js'
+import { authorizeCall, type IAuthorization } from '@lagoonswitch/traffic'
+import { findClass, type ICompiledRoute } from '../routing/RouteTable.js'
 import type { ICallContext } from './CallContext.js'
+import type { ICallMetadata } from './CallDialect.js'
 import { MAX_CALL_DEPTH } from './CallTypes.js'
 import { copyRequestHeaders } from './Headers.js'
 import type { IRefusal, RefusalReason } from './Refusal.js'
@@ -18,6 +20,8 @@
 const NOT_CURRENT_RETRY_AFTER_MS = 500
 /** Reported for an objective that has passed, since 0 means that there is no objective. */
 const MIN_OBJECTIVE_LEFT_MS = 1
+/** Time after the start of the process in which targets may run calls that they received before it; longer than most calls take. */
+const UNKNOWN_RUNS_MS = 10_000
 
 /** Validated head of a call. */
 export interface ICallHead {
@@ -41,6 +45,8 @@
   readonly key: string
   /** Name of the client account; empty for a call without one. */
   readonly account: string
+  /** Digest of the key of the account; empty for a call without one. */
+  readonly keyDigest: string
 }
 
 /**
@@ -61,17 +67,21 @@
   const metadataResult = context.dialect.readCallMetadata(headers)
   if (metadataResult.err) return refuse('bad-header', 0, metadataResult.val)
   const metadata = metadataResult.val
+  const authorization = authorizeHead(context, request.rawHeaders, route, metadata)
+  if (authorization.err) return authorization
+  const { account, keyDigest, isNested } = authorization.val
   const stop = context.getStop()
   // Nested calls are still served, since targets that are running calls wait for them.
-  if (stop?.isRefusing === true && !metadata.isAwaited && metadata.depth === 0) {
+  if (stop?.isRefusing === true && !isNested && metadata.depth === 0) {
     return refuse('process-draining', stop.computeRetryAfterMs(context.clock.readMonotonicMs()))
   }
   if (metadata.depth >= MAX_CALL_DEPTH) return refuse('too-deep')
   if (route.isKeyed && !isValidKey(metadata.key)) return refuse('key-missing')
-  const forwardedHeaders = copyRequestHeaders(request.rawHeaders, context.dialect.reservedHeaders)
-  forwardedHeaders.push(...context.dialect.formatForwardHeaders(metadata, context.settings.process.service))
-  const requestedClass = Math.max(route.callClass, metadata.callClass ?? route.callClass)
-  const callClass = metadata.isAwaited ? CallClass.CALL_CLASS_FIRST : requestedClass
+  const forwardedHeaders = copyRequestHeaders(request.rawHeaders, context.getReservedHeaders())
+  forwardedHeaders.push(
+    ...context.dialect.formatForwardHeaders(metadata, context.settings.process.service),
+    ...context.dialect.formatAccountHeaders(account))
+  const callClass = selectClass(route, metadata, authorization.val)
   return Ok({
     route,
     timeoutMs: Math.min(route.deadlineMs, metadata.wishedMs ?? Infinity),
@@ -79,14 +89,45 @@
     callClass,
     callId: metadata.callId,
     depth: metadata.depth,
-    parentId: metadata.parentId,
+    parentId: isNested ? metadata.parentId : '',
     isOfRepeat: metadata.isOfRepeat || context.isRepeatRun(metadata.parentId),
     headers: forwardedHeaders,
     key: route.isKeyed ? metadata.key : '',
-    account: ''
+    account,
+    keyDigest
   })
 }
 
+/** Without accounts in the catalogue every call is admitted, and one that states its parent is taken as made by a target. */
+function authorizeHead (
+  context: ICallContext, rawHeaders: readonly string[], route: ICompiledRoute, { isAwaited, parentId }: ICallMetadata
+): Result<IAuthorization, IRefusal> {
+  const accounts = context.getAccounts()
+  if (accounts.size === 0) return Ok({ kind: 'anonymous', account: '', callClass: undefined, keyDigest: '', isNested: isAwaited })
+  const decision = authorizeCall({
+    accounts,
+    key: context.dialect.readKey(rawHeaders),
+    isAnonymousRoute: route.isAnonymous,
+    parent: parentId === '' ? 'none' : context.isLocalRun(parentId) ? 'running' : 'unknown',
+    areRunsKnown: context.clock.readMonotonicMs() - context.startedMs >= UNKNOWN_RUNS_MS,
+    isCatalogueCurrent: context.isCatalogueCurrent()
+  })
+  context.metrics.count('authorizations_total', decision.kind === 'refused' ? decision.reason : decision.kind)
+  if (decision.kind !== 'refused') return Ok(decision)
+  switch (decision.reason) {
+    case 'accounts-not-current': return Err(createRefusal(decision.reason, NOT_CURRENT_RETRY_AFTER_MS))
+    case 'parent-unknown': return Err(createRefusal(decision.reason, RETRY_AFTER_MS))
+    default: return Err(createRefusal(decision.reason))
+  }
+}
+
+/** The class of the account takes precedence over that of the route; the caller can only lower it. */
+function selectClass (route: ICompiledRoute, metadata: ICallMetadata, { callClass, isNested }: IAuthorization): CallClass {
+  if (isNested) return CallClass.CALL_CLASS_FIRST
+  const grantedClass = (callClass === undefined ? undefined : findClass(callClass)) ?? route.callClass
+  return Math.max(grantedClass, metadata.callClass ?? grantedClass)
+}
+
 /**
  * Tells whether the request has a body.
  * @param request - from the caller
@@ -118,7 +159,11 @@
 }
 
 function refuse (reason: RefusalReason, retryAfterMs = 0, detail?: string): Result<ICallHead, IRefusal> {
-  return Err({ reason, run: 'not-run', retryAfterMs, detail })
+  return Err(createRefusal(reason, retryAfterMs, detail))
+}
+
+function createRefusal (reason: RefusalReason, retryAfterMs = 0, detail?: string): IRefusal {
+  return { reason, run: 'not-run', retryAfterMs, detail }
 }
 
 function findOversizeReason (request: IncomingMessage, limits: CallerLimits): RefusalReason | undefined {
--- a/packages/node/src/calls/CallReport.ts
+++ b/packages/node/src/calls/CallReport.ts
@@ -11,7 +11,7 @@
 /** Route label of calls that matched no route. */
 const NO_ROUTE_LABEL = 'none'
 /** Refusals that depend on how new the catalogue of this process is. */
-const ROUTE_REFUSALS: ReadonlySet<string> = new Set(['no-route', 'not-current'])
+const ROUTE_REFUSALS: ReadonlySet<string> = new Set(['no-route', 'not-current', 'credentials-unknown', 'accounts-not-current'])
 
 /** How a call ended. */
 export interface ICallEnd {
@@ -29,6 +29,8 @@
   private readonly _isSampled: boolean
   /** Key of the matched route; empty until one is found. */
   route = ''
+  /** Name of the client account; empty for a call without one. */
+  account = ''
   /** Attempt counters; undefined until the request head has been accepted. */
   retries: CallRetries | undefined
 
@@ -62,6 +64,7 @@
     this._context.log.info('call_sent', {
       call: this._callId,
       route: this.route,
+      account: this._getAccountField(),
       target: record.targetId,
       node: record.node,
       known_as: `${record.incarnation}.${record.sequence}`,
@@ -86,6 +89,7 @@
       run,
       status,
       route: this.route,
+      account: this._getAccountField(),
       target: lastTarget?.record.targetId,
       sends: this.retries?.sends ?? 0,
       runs: this.retries?.runs ?? 0,
@@ -96,6 +100,10 @@
     })
   }
 
+  private _getAccountField (): string | undefined {
+    return this.account === '' ? undefined : this.account
+  }
+
   private _describeFeed (): ILogFields {
     const { source, level, sourceMs, currentMs } = this._context.getFeedStatus()
     return {
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -68,6 +68,11 @@
     server.keepAliveTimeout = limits.idleTimeoutMs
   }
 
+  /** Withdraws calls whose key the catalogue in use no longer holds, unless a target has received them. */
+  applyAccounts (): void {
+    for (const call of [...this._calls]) call.applyAccounts()
+  }
+
   /** @returns number of running calls */
   getRunningCount (): number {
     return this._calls.size
--- a/packages/node/src/calls/Headers.ts
+++ b/packages/node/src/calls/Headers.ts
@@ -12,6 +12,10 @@
 export const CLASS_HEADER = 'lagoon-class'
 /** Idempotency key of a call that must run at most once. */
 export const KEY_HEADER = 'idempotency-key'
+/** Name of the client account of a call, set by the node. */
+export const ACCOUNT_HEADER = 'lagoon-account'
+/** Carries the key of a client account. */
+export const AUTHORIZATION_HEADER = 'authorization'
 /** Set on a recorded answer that is replayed. */
 export const REPEATED_HEADER = 'lagoon-repeated'
 
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -3,11 +3,13 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { CallDialect } from './CallDialect.js'
+import type { AuthorizationRefusal } from '@lagoonswitch/traffic'
 import type { ClaimResult } from '../claims/ClaimsClient.js'
 import type { FailureReason } from './CallTypes.js'
 
 /** Why a call was refused; the label of the refusal counter. */
-export type RefusalReason = FailureReason |
+export type RefusalReason = FailureReason | AuthorizationRefusal |
+  'credentials-withdrawn' |
   'not-ready' | 'not-current' | 'no-route' | 'too-deep' | 'bad-header' | 'key-missing' | 'key-mismatch' | 'key-in-progress' |
   'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'head-too-large' | 'owner-limit' | 'process-draining'
 
@@ -43,6 +45,15 @@
   'not-ready': { status: 503, title: 'this process has no confirmed catalogue yet', remedy: 'retry; check the control VMs' },
   'not-current': { status: 503, title: 'no route matches, but this process may not have the newest catalogue', remedy: 'retry; check its source' },
   'no-route': { status: 404, title: 'no route matches', remedy: 'declare a route or correct the path and the method' },
+  'credentials-missing': { status: 401, title: 'this route needs the key of an account', remedy: 'send Authorization: Bearer KEY' },
+  'credentials-unknown': { status: 401, title: 'no account has the key', remedy: 'use a key of an account' },
+  'credentials-withdrawn': { status: 401, title: 'the key was withdrawn while the call waited', remedy: 'use another key of the account' },
+  'accounts-not-current': {
+    status: 503, title: 'the key can\'t be judged, as this process may not have the newest catalogue', remedy: 'retry; check its source'
+  },
+  'parent-unknown': {
+    status: 503, title: 'this process has started too recently to know the call that this one belongs to', remedy: 'retry'
+  },
   'too-deep': { status: 508, title: 'the chain of calls is too deep', remedy: 'look for a loop between services' },
   'bad-header': { status: 400, title: 'a header can\'t be used', remedy: 'correct the header' },
   'key-missing': { status: 428, title: 'this route needs an idempotency key', remedy: 'send the header Idempotency-Key' },
@@ -59,6 +70,7 @@
 
 /** Statuses from which a caller may conclude that the request was not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
+const UNAUTHORIZED_STATUS = 401
 const BAD_GATEWAY_STATUS = 502
 const RETRY_AFTER_MS = 1_000
 
@@ -109,6 +121,7 @@
     'content-length': body.length,
     'lagoon-run': refusal.run
   }
+  if (status === UNAUTHORIZED_STATUS) headers['www-authenticate'] = 'Bearer'
   if (refusal.retryAfterMs > 0) headers['retry-after'] = dialect.formatRetryAfter(refusal.retryAfterMs)
   if (isClosing) headers.connection = 'close'
   response.writeHead(status, headers)
--- a/packages/node/src/claims/ClaimsClient.ts
+++ b/packages/node/src/claims/ClaimsClient.ts
@@ -34,7 +34,7 @@
 
   /**
    * Claims a key. The call may be sent to a target only if the claim is granted.
-   * @param scope - service and route, within which an idempotency key is unique
+   * @param scope - service, route and account, within which an idempotency key is unique
    * @param key - idempotency key from the caller
    * @param fingerprint - hash of the request
    * @param remainingMs - time left for the call in milliseconds
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,7 @@
 import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { DEFAULT_WARMUP_MS } from '@lagoonswitch/traffic'
+import { DEFAULT_WARMUP_MS, RunRegister } from '@lagoonswitch/traffic'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import { TargetCall } from './TargetCall.js'
 
@@ -75,8 +75,11 @@
   private _runningCount = 0
   /** Calls that targets run or that wait for a slot. */
   private readonly _callsById = new Map<string, IRunningCall>()
+  /** Calls that targets have received; a call that waits for a slot makes no nested calls. */
+  private readonly _runs: RunRegister
 
   constructor (private readonly _options: ILocalTargetRegistryOptions) {
+    this._runs = new RunRegister(_options.clock)
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
   }
 
@@ -177,12 +180,18 @@
     target.applyLimits(request.slots, request.connections)
     this._runningCount++
     let hasEnded = false
+    let hasStarted = false
     const call = new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
       this._runningCount--
       hasEnded = true
+      if (hasStarted) this._runs.remove(request.callId)
       if (this._callsById.get(request.callId)?.request === request) this._callsById.delete(request.callId)
       if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
       if (failure === 'connect' || failure === 'target-replaced') this._markLost(target, failure)
+    }, () => {
+      if (request.callId === '') return
+      hasStarted = true
+      this._runs.add(request.callId)
     })
     if (!hasEnded && request.callId !== '') this._callsById.set(request.callId, { request, call })
     return call
@@ -210,6 +219,14 @@
     return this._callsById.get(callId)?.request.isRepeat === true
   }
 
+  /**
+   * @param callId - id of a call
+   * @returns true if a target of this VM runs the call, or ran it within the last seconds
+   */
+  isLocalRun (callId: string): boolean {
+    return this._runs.has(callId)
+  }
+
   /**
    * Records that a call made by a target was denied a retry for lack of budget.
    * @param parentId - id of the call that the target runs; empty if unknown
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -53,7 +53,9 @@
     private readonly _events: ICallEvents,
     private readonly _clock: IClock,
     private readonly _dialect: CallDialect,
-    private readonly _onFinished: (failure: FailureReason | undefined) => void
+    private readonly _onFinished: (failure: FailureReason | undefined) => void,
+    /** Called when the target begins to receive the request. */
+    private readonly _onStarted?: () => void
   ) {
     this._isBodyEnded = _request.isBodyComplete
     this._deadlineAtMs = _clock.readMonotonicMs() + _request.remainingMs
@@ -111,6 +113,7 @@
       return
     }
     this._hasStarted = true
+    this._onStarted?.()
   }
 
   onResponseStart (
