Targets: a call that is broken off closes its connection for good and keeps its slot until then

Cause: undici keeps an aborted request in its queue until it has a connection, so each call that was broken off opened a new connection to its target, without a slot. A call cancelled while it connected gave its slot back although the attempt went on. A target that counts connection attempts as calls was sent more than its slots. An attempt to connect that hangs is not tested: loopback sockets connect at once.

--- a/packages/node/src/targets/TargetCall.test.ts
+++ b/packages/node/src/targets/TargetCall.test.ts
@@ -127,3 +127,23 @@
   }
   expect(connections).toBe(1)
 })
+
+// The client library reconnected at once for a request that was aborted, which was an attempt to connect without a slot.
+test('call that is broken off holds its slot until its connection is closed, and opens no other one', async () => {
+  const sockets = { opened: 0, closed: 0 }
+  const local = await startTarget(() => {})
+  server?.on('connection', socket => {
+    sockets.opened++
+    socket.on('close', () => { sockets.closed++ })
+  })
+  const events: ICallEvents = { onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: () => {}, onBodyDrain: () => {} }
+  for (let calls = 1; calls <= 5; calls++) {
+    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), () => {})
+    await sleep(20)
+    expect(sockets).toEqual({ opened: calls, closed: calls - 1 })
+    call.cancel()
+    expect(local.slotLimiter.load.inFlight).toBe(1)
+    while (local.slotLimiter.load.inFlight > 0) await sleep(1)
+    expect(sockets).toEqual({ opened: calls, closed: calls })
+  }
+})
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -242,17 +242,19 @@
     this._hasEnded = true
     this._deadlineTimer?.dispose()
     this._body?.destroy()
-    const release = (): void => this._release()
-    // The target learns of the abort with a delay; until then the call keeps its slot.
-    if (isAborted && this._hasStarted) this._clock.schedule(ABORT_GRACE_MS, release)
+    const connection = this._connection
+    const release = (): void => this._release(isAborted)
+    // The target learns with a delay that the connection is closed; until then the call, or the attempt to connect, keeps its slot.
+    if (isAborted && connection !== undefined) connection.discard(() => this._clock.schedule(ABORT_GRACE_MS, release))
     // Surplus bytes after the response must not reach the next call, so the connection stays unused for the rest of this event loop turn.
-    else if (this._connection !== undefined) setImmediate(release)
+    else if (connection !== undefined) setImmediate(release)
     else release()
     this._onFinished(failure)
   }
 
-  private _release (): void {
-    if (this._connection !== undefined) this._target.connections.release(this._connection, !this._isRefusalWithoutId)
+  private _release (isDiscarded: boolean): void {
+    if (isDiscarded) this._connection?.detachHandler()
+    else if (this._connection !== undefined) this._target.connections.release(this._connection, !this._isRefusalWithoutId)
     // The ticket is undefined only when acquire refuses the call before it returns.
     this._ticket?.release()
   }
--- a/packages/node/src/targets/TargetConnections.ts
+++ b/packages/node/src/targets/TargetConnections.ts
@@ -35,6 +35,8 @@
 export class TargetConnection {
   private readonly _client: Client
   private _socket: Socket | undefined
+  /** The socket of a connection attempt in progress. */
+  private _connectingSocket: Socket | undefined
   private _wasReset = false
   private _hasReceivedEnd = false
   private _isOverrun = false
@@ -61,10 +63,14 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
-      connect: (options, callback) => connect(options, (...outcome) => {
-        if (outcome[0] === null) this._watchSocket(outcome[1])
-        callback(...outcome)
-      })
+      connect: (options, callback) => {
+        // The connector returns the socket at once; its type doesn't say so.
+        this._connectingSocket = connect(options, (...outcome) => {
+          this._connectingSocket = undefined
+          if (outcome[0] === null) this._watchSocket(outcome[1])
+          callback(...outcome)
+        }) as unknown as Socket | undefined
+      }
     })
     this._client.on('disconnect', () => { this._socket = undefined })
     // The listener of undici was added earlier, so it has parsed the available bytes by now.
@@ -145,6 +151,22 @@
     void this._client.close().catch(() => undefined)
   }
 
+  /**
+   * Closes the connection of a call that is broken off, or ends the attempt to connect. A request that is only aborted would stay in
+   * undici's queue until a new connection is open, which would be an attempt to connect without a slot.
+   * @param onClosed - called once no socket is left
+   */
+  discard (onClosed: () => void): void {
+    const socket = this._connectingSocket ?? this._socket
+    void this._client.destroy().catch(() => undefined)
+    if (socket === undefined || socket.closed) {
+      onClosed()
+      return
+    }
+    socket.once('close', onClosed)
+    socket.destroy()
+  }
+
   private _watchSocket (socket: Socket): void {
     this._socket = socket
     this._wasReset = false
