Statuses: a response with a status outside 100 to 599 is no answer

Cause: 600 and 999 reached the caller as the status of an answer. Another service was seen to pass on 000. A head with any status from another process was passed on too, and a failure with a reason that this version does not know ended in an exception, since it has no error response. Change: such a response ends with 502, run unknown, reason bad-status; a safe call is retried within the budget; the connection is not used again; bad_status logs it and bad_statuses_total counts it. Statuses below 100 in place of an interim response count too; 103 and 199 pass. Heads on links are checked in the same way. On links, reasons that earlier versions don't know are sent as the nearest known one, with the exact one in the new field cause. PeerLink is split by class.

--- a/packages/lagoonctl/src/explain/CallExplanation.ts
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -31,6 +31,7 @@
   'link-silent': 'the node of the target stopped responding; the answer is lost',
   broken: 'the target sent an incomplete or malformed answer; the answer is lost',
   oversized: 'the target sent a head or framing that exceeds the limit; the answer is lost',
+  'bad-status': 'the target sent a status that no response can have; the answer is lost',
   crossed: 'the target sent an answer that does not belong to this call; the answer is lost',
   'target-replaced': 'another target had taken over the address',
   deadline: 'no complete answer arrived before the deadline',
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -13,7 +13,7 @@
 import { computeObjectiveLeftMs, hasBody, readCallHead, type ICallHead } from './CallHead.js'
 import { CallRetries } from './CallRetries.js'
 import { CallReport } from './CallReport.js'
-import type { ICallEvents, ICallFailure, ICallRequest, ITargetLoad } from './CallTypes.js'
+import { isFinalStatus, type ICallEvents, type ICallFailure, type ICallRequest, type ITargetLoad } from './CallTypes.js'
 import { REPEATED_HEADER } from './Headers.js'
 import type { GracefulStop } from './GracefulStop.js'
 import { TargetPicker } from './TargetPicker.js'
@@ -338,7 +338,7 @@
   }
 
   private _sendRecordedAnswer (answer: RecordedAnswer | undefined): void {
-    if (answer === undefined) {
+    if (answer === undefined || !isFinalStatus(answer.status)) {
       this._refuse('key-unknown', 'unknown', 0)
       return
     }
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -15,6 +15,17 @@
 /** A call with this many calls above it in a chain is refused. */
 export const MAX_CALL_DEPTH = 16
 
+const MIN_FINAL_STATUS = 200
+const MAX_STATUS = 599
+
+/**
+ * @param status - of a response
+ * @returns true if it is the status of a final response
+ */
+export function isFinalStatus (status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_STATUS
+}
+
 /** A call as it is passed to the node of the target. */
 export interface ICallRequest {
   readonly service: string
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -1,38 +1,18 @@
 /**
  * The link to one other process: a connection that carries many calls.
  */
-import type { IClock, IDisposable, ILog, Metrics } from '@lagoonswitch/common'
+import type { IDisposable } from '@lagoonswitch/common'
 import type { PeerFrame } from '@lagoonswitch/schema'
-import { FrameSocket, openLinkSocket, type IFrameListener, type LinkCredentials } from '@lagoonswitch/transport'
-import {
-  LINK_DEADLINE_MARGIN_MS, type FailureReason, type ICallEvents, type ICallHandle, type ICallOpener, type ICallRequest, type ITargetLoad
-} from '../calls/CallTypes.js'
-import { FlowWindow, UrgentBytes, WindowUpdates } from './FlowControl.js'
+import type { ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
+import { LinkConnection, SUSPECT_SILENCE_MS, type ILinkContext } from './LinkConnection.js'
+import { OutgoingCall, type ICallLink } from './OutgoingCall.js'
 
-const OPEN_TIMEOUT_MS = 1_000
-/** Silence after which a ping is sent to the other process. */
-const PING_INTERVAL_MS = 200
-/** Silence after which no new calls are sent on the link: a ping interval, a round trip and a short stall. */
-const SUSPECT_SILENCE_MS = 450
-/** Silence after which retryable calls without a response head fail, so that they can be retried elsewhere. */
-const RETRY_SILENCE_MS = 900
-/** Silence after which the connection is closed. */
-const MAX_SILENCE_MS = 3_000
 const MAX_CALL_ID = 0xffff_fffe
-const NO_BYTES = Buffer.alloc(0)
 
 type Frame = NonNullable<PeerFrame['frame']>
 
-/** What all links of a process share. */
-export interface ILinkContext {
-  readonly credentials: LinkCredentials
-  readonly clock: IClock
-  readonly log: ILog
-  readonly metrics: Metrics
-}
-
 /** Opens calls to the targets on the VM of another process; connects if there is a call and no connection. */
-export class PeerLink implements ICallOpener, IDisposable {
+export class PeerLink implements ICallOpener, ICallLink, IDisposable {
   private readonly _calls = new Map<number, OutgoingCall>()
   private _callsAwaitingOpen: OutgoingCall[] = []
   private _connection: LinkConnection | undefined
@@ -89,6 +69,11 @@
     this._connection?.dropBody(callId)
   }
 
+  reportBadStatus ({ callId, targetId }: ICallRequest, status: number): void {
+    this._context.metrics.count('bad_statuses_total', 'link')
+    this._context.log.warn('bad_status', { call: callId, target: targetId, status, from: 'link' })
+  }
+
   dispose (): void {
     this._connection?.dispose()
   }
@@ -125,275 +110,3 @@
     for (const call of calls) call.handleLinkLost()
   }
 }
-
-interface IConnectionEvents {
-  onOpen (): void
-  onFrame (frame: PeerFrame): void
-  onClose (): void
-  /** Returns true while calls are open, in which case silence indicates a fault. */
-  hasCalls (): boolean
-  /** Called repeatedly while the other process is silent for longer than {@link RETRY_SILENCE_MS}. */
-  onSilent (): void
-}
-
-/** One connection of a link; detects a silent peer with pings. */
-class LinkConnection implements IFrameListener, IDisposable {
-  private readonly _socket: FrameSocket
-  private readonly _stopping = new AbortController()
-  private _lastReceivedMs: number
-  /** When the first unanswered ping was sent, or the connection was requested; undefined if nothing is unanswered. */
-  private _unansweredSinceMs: number | undefined
-  isOpen = false
-
-  constructor (
-    private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
-  ) {
-    this._lastReceivedMs = _context.clock.readMonotonicMs()
-    this._unansweredSinceMs = this._lastReceivedMs
-    this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this)
-    void this._runPings()
-  }
-
-  send (frame: PeerFrame): void {
-    this._socket.send(frame)
-  }
-
-  sendBody (callId: number, chunk: Buffer, isEnd: boolean, isBulk: boolean): void {
-    this._socket.sendBody(callId, chunk, isEnd, isBulk)
-  }
-
-  dropBody (callId: number): void {
-    this._socket.dropBody(callId)
-  }
-
-  onFrame (frame: PeerFrame): void {
-    this._lastReceivedMs = this._context.clock.readMonotonicMs()
-    this._unansweredSinceMs = undefined
-    this._events.onFrame(frame)
-  }
-
-  onClose (cause: string): void {
-    this._stopping.abort()
-    this._context.metrics.count('links_lost_total', this.isOpen ? 'lost' : 'not-opened')
-    this._context.log.debug('link_lost', { address: this._address, cause })
-    this._events.onClose()
-  }
-
-  dispose (): void {
-    this._stopping.abort()
-    this._socket.dispose()
-  }
-
-  private _handleOpen (): void {
-    this.isOpen = true
-    this._lastReceivedMs = this._context.clock.readMonotonicMs()
-    this._unansweredSinceMs = undefined
-    this._events.onOpen()
-  }
-
-  /**
-   * Time for which the other process has been silent although it should have responded; 0 while nothing is unanswered. On an open
-   * connection it includes the ping interval of silence before the unanswered ping.
-   */
-  getSilenceMs (): number {
-    if (this._unansweredSinceMs === undefined) return 0
-    return this._context.clock.readMonotonicMs() - this._unansweredSinceMs + (this.isOpen ? PING_INTERVAL_MS : 0)
-  }
-
-  private async _runPings (): Promise<void> {
-    const { clock } = this._context
-    while (!this._stopping.signal.aborted) {
-      await clock.waitTick(PING_INTERVAL_MS)
-      if (this._stopping.signal.aborted) return
-      if (this._checkSilence()) {
-        this._socket.destroy()
-        return
-      }
-    }
-  }
-
-  /** @returns true if the connection is to be closed */
-  private _checkSilence (): boolean {
-    const nowMs = this._context.clock.readMonotonicMs()
-    const silentMs = this.getSilenceMs()
-    if (!this.isOpen) return silentMs > OPEN_TIMEOUT_MS
-    if (silentMs > MAX_SILENCE_MS) return true
-    if (silentMs > RETRY_SILENCE_MS) this._events.onSilent()
-    const isPingDue = nowMs - this._lastReceivedMs >= PING_INTERVAL_MS && (this._events.hasCalls() || this._unansweredSinceMs !== undefined)
-    if (!isPingDue) return false
-    this._unansweredSinceMs ??= nowMs
-    this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
-    return false
-  }
-}
-
-/** One call on a link. */
-class OutgoingCall implements ICallHandle {
-  private readonly _window = new FlowWindow()
-  private readonly _windowUpdates = new WindowUpdates()
-  private readonly _urgentBytes: UrgentBytes
-  private readonly _deadlineTimer: IDisposable
-  private readonly _deadlineAtMs: number
-  private _isSent = false
-  private _hasHead = false
-  private _hasEnded = false
-  private _bufferedBody: Buffer[] = []
-  private _isBodyEnded = false
-
-  constructor (
-    private readonly _link: PeerLink,
-    private readonly _callId: number,
-    private readonly _request: ICallRequest,
-    private readonly _events: ICallEvents,
-    private readonly _clock: IClock
-  ) {
-    this._urgentBytes = new UrgentBytes(false)
-    this._urgentBytes.take(_request.body.length)
-    this._deadlineAtMs = _clock.readMonotonicMs() + _request.remainingMs
-    this._deadlineTimer = _clock.schedule(_request.remainingMs + LINK_DEADLINE_MARGIN_MS, () => this._fail('deadline', !this._isSent))
-  }
-
-  /** Sends the call on the open link. */
-  sendOpen (): void {
-    if (this._hasEnded) return
-    const remainingMs = Math.floor(this._deadlineAtMs - this._clock.readMonotonicMs())
-    if (remainingMs <= 0) {
-      this._fail('deadline', true)
-      return
-    }
-    this._isSent = true
-    const request = this._request
-    this._link.sendFrame(this._callId, {
-      $case: 'open',
-      value: {
-        // Listed one by one, since rest or spread properties cost tens of microseconds per call.
-        service: request.service,
-        version: request.version,
-        targetId: request.targetId,
-        method: request.method,
-        path: request.path,
-        headers: request.headers as string[],
-        remainingMs,
-        class: request.callClass,
-        owner: request.owner,
-        account: request.account,
-        body: request.body,
-        bodyComplete: request.isBodyComplete,
-        slots: request.slots,
-        connections: request.connections,
-        queue: request.queue,
-        callId: request.callId,
-        expectedMs: request.expectedMs,
-        spareOnly: request.isSpareOnly,
-        repeat: request.isRepeat,
-        bulk: request.isBulk,
-        objectiveMs: Math.max(request.objectiveMs > 0 ? 1 : 0, Math.floor(request.objectiveMs - (request.remainingMs - remainingMs)))
-      }
-    })
-    this._window.consume(request.body.length)
-    const bufferedBody = this._bufferedBody
-    this._bufferedBody = []
-    let isOpen = true
-    for (const chunk of bufferedBody) isOpen = this.sendBody(chunk)
-    if (this._isBodyEnded) this.endBody()
-    else if (bufferedBody.length > 0 && isOpen) this._events.onBodyDrain()
-  }
-
-  /** Fails a call that was never sent. */
-  refuse (reason: FailureReason): void {
-    this._fail(reason, true)
-  }
-
-  sendBody (chunk: Buffer): boolean {
-    if (this._hasEnded) return true
-    if (!this._isSent) {
-      this._bufferedBody.push(chunk)
-      return false
-    }
-    const isUrgent = this._urgentBytes.take(chunk.length) === chunk.length
-    this._link.sendBody(this._callId, chunk, false, !isUrgent)
-    return this._window.consume(chunk.length)
-  }
-
-  endBody (): void {
-    if (this._hasEnded) return
-    if (!this._isSent) this._isBodyEnded = true
-    else this._link.sendBody(this._callId, NO_BYTES, true, false)
-  }
-
-  cancel (): void {
-    if (this._hasEnded) return
-    if (this._isSent) this._link.sendFrame(this._callId, { $case: 'cancel', value: { reason: 'cancelled' } })
-    this._finish()
-  }
-
-  withdraw (): void {
-    if (this._hasEnded) return
-    if (this._isSent) this._link.sendFrame(this._callId, { $case: 'withdraw', value: {} })
-    else this._fail('cancelled', true)
-  }
-
-  acknowledge (bytes: number): void {
-    const dueBytes = this._windowUpdates.add(bytes)
-    if (dueBytes > 0 && !this._hasEnded) this._link.sendFrame(this._callId, { $case: 'window', value: { bytes: dueBytes } })
-  }
-
-  handleFrame (frame: Frame): void {
-    if (this._hasEnded) return
-    switch (frame.$case) {
-      case 'head': {
-        const { status, headers, body, end, inFlight, slots, queued, served, serviceMs, repeatDenied } = frame.value
-        this._hasHead = true
-        this._events.onHead(status, headers, { inFlight, slots, queued, served, serviceMs, isRepeatDenied: repeatDenied })
-        if (body.length > 0) this._events.onData(body)
-        if (end) this._end()
-        return
-      }
-      case 'data':
-        if (frame.value.chunk.length > 0) this._events.onData(frame.value.chunk)
-        if (frame.value.end) this._end()
-        return
-      case 'window':
-        if (this._window.refill(frame.value.bytes)) this._events.onBodyDrain()
-        return
-      case 'failure': {
-        const { reason, notRun, retryAfterMs, inFlight, slots, queued } = frame.value
-        const load: ITargetLoad = { inFlight, slots, queued, served: 0, serviceMs: 0, isRepeatDenied: false }
-        this._finish()
-        this._events.onFailure({ reason: reason as FailureReason, isNotRun: notRun, retryAfterMs }, slots > 0 ? load : undefined)
-        return
-      }
-      default:
-        this._fail('bad-frame', false)
-    }
-  }
-
-  /** Fails a retryable call that has no response head yet, rather than let it wait for a silent process. */
-  handleSilence (): void {
-    if (this._request.isRetryable && !this._hasHead) this._fail('link-silent', !this._isSent)
-  }
-
-  /** A call whose opening frame was never sent has certainly not run. */
-  handleLinkLost (): void {
-    this._fail(this._isSent ? 'link-lost' : 'unreachable', !this._isSent)
-  }
-
-  private _end (): void {
-    if (this._hasEnded) return
-    this._finish()
-    this._events.onEnd()
-  }
-
-  private _fail (reason: FailureReason, isNotRun: boolean): void {
-    if (this._hasEnded) return
-    if (this._isSent) this._link.sendFrame(this._callId, { $case: 'cancel', value: { reason } })
-    this._finish()
-    this._events.onFailure({ reason, isNotRun, retryAfterMs: 0 }, undefined)
-  }
-
-  private _finish (): void {
-    this._hasEnded = true
-    this._deadlineTimer.dispose()
-    this._link.removeCall(this._callId)
-  }
-}
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -5,6 +5,7 @@
 import type { PeerFrame } from '@lagoonswitch/schema'
 import { FrameSocket, type IFrameListener } from '@lagoonswitch/transport'
 import type { ICallEvents, ICallFailure, ICallHandle, ICallOpener, ITargetLoad } from '../calls/CallTypes.js'
+import { encodeFailure } from './FailureFrames.js'
 import { UrgentBytes, WindowUpdates } from './FlowControl.js'
 
 const MAX_CALLS_PER_LINK = 4_096
@@ -261,18 +262,5 @@
 function sendFailure (
   socket: FrameSocket, callId: number, failure: ICallFailure, load: ITargetLoad | undefined
 ): void {
-  socket.send({
-    callId,
-    frame: {
-      $case: 'failure',
-      value: {
-        reason: failure.reason,
-        notRun: failure.isNotRun,
-        retryAfterMs: Math.ceil(failure.retryAfterMs),
-        inFlight: load?.inFlight ?? 0,
-        slots: load?.slots ?? 0,
-        queued: load?.queued ?? 0
-      }
-    }
-  })
+  socket.send({ callId, frame: { $case: 'failure', value: encodeFailure(failure, load) } })
 }
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -177,10 +177,11 @@
     target.applyLimits(request.slots, request.connections)
     this._runningCount++
     let hasEnded = false
-    const call = new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
+    const call: TargetCall = new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
       this._runningCount--
       hasEnded = true
       if (this._callsById.get(request.callId)?.request === request) this._callsById.delete(request.callId)
+      if (failure === 'bad-status') this._reportBadStatus(request, call.badStatus)
       if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
       if (failure === 'connect' || failure === 'target-replaced') this._markLost(target, failure)
     })
@@ -314,6 +315,11 @@
     this._options.log.warn('target_overrun', { call: callId, target: id, reason })
   }
 
+  private _reportBadStatus ({ callId, targetId }: ICallRequest, status: number | undefined): void {
+    this._options.metrics.count('bad_statuses_total', 'target')
+    this._options.log.warn('bad_status', { call: callId, target: targetId, status, from: 'target' })
+  }
+
   private _startLease (id: string): IDisposable {
     return this._options.clock.schedule(this._options.leaseMs, () => {
       const registered = this._targets.get(id)
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -5,7 +5,7 @@
 import type { Dispatcher } from 'undici'
 import type { IClock, IDisposable } from '@lagoonswitch/common'
 import {
-  DEADLINE_GRACE_MS, FLOW_WINDOW_BYTES, type FailureReason, type ICallEvents, type ICallHandle, type ICallRequest
+  DEADLINE_GRACE_MS, FLOW_WINDOW_BYTES, isFinalStatus, type FailureReason, type ICallEvents, type ICallHandle, type ICallRequest
 } from '../calls/CallTypes.js'
 import { copyResponseHeaders } from '../calls/Headers.js'
 import type { CallDialect } from '../calls/CallDialect.js'
@@ -19,6 +19,8 @@
 const MISDIRECTED_REQUEST = 421
 const BAD_REQUEST = 400
 const FIRST_REDIRECTION_STATUS = 300
+const MIN_STATUS = 100
+const MIN_FINAL_STATUS = 200
 
 /** Runs one call on a target. Uses plain callbacks to keep the overhead low, since every call takes this path. */
 export class TargetCall implements ICallHandle, IResponseHandler {
@@ -46,6 +48,8 @@
   private readonly _deadlineAtMs: number
   /** True if a call made while the target runs this one was denied a retry for lack of budget. */
   isRepeatDenied = false
+  /** Status of a response that can't have it; undefined if none arrived. */
+  badStatus: number | undefined
 
   constructor (
     private readonly _target: LocalTarget,
@@ -116,7 +120,12 @@
   onResponseStart (
     _controller: Dispatcher.DispatchController, status: number, headers: Record<string, string | string[] | undefined>
   ): void {
-    if (this._hasEnded || status < 200) return
+    if (this._hasEnded || (status >= MIN_STATUS && status < MIN_FINAL_STATUS)) return
+    if (!isFinalStatus(status)) {
+      this.badStatus = status
+      this._fail('bad-status')
+      return
+    }
     const metadata = this._dialect.readResponseMetadata(status, headers)
     const isOtherCall = this._request.callId !== '' && metadata.callId !== this._request.callId
     // A late refusal of another call says nothing about this one.
--- a/packages/traffic/src/CallLoad.ts
+++ b/packages/traffic/src/CallLoad.ts
@@ -15,8 +15,11 @@
   readonly isRepeatDenied: boolean
 }
 
-/** Why a call got no complete response; also the label of a counter. */
-export type FailureReason =
-  'queue-full' | 'shed' | 'deadline' | 'deadline-queue' | 'no-target' | 'draining' | 'unreachable' | 'link-lost' |
-  'connect' | 'broken' | 'cancelled' | 'oversized' | 'bad-frame' | 'target-busy' | 'target-replaced' | 'crossed' |
-  'link-silent' | 'no-spare' | 'no-budget'
+/** Why a call got no complete response; also the labels of a counter. */
+export const FAILURE_REASONS = [
+  'queue-full', 'shed', 'deadline', 'deadline-queue', 'no-target', 'draining', 'unreachable', 'link-lost',
+  'connect', 'broken', 'cancelled', 'oversized', 'bad-frame', 'target-busy', 'target-replaced', 'crossed',
+  'link-silent', 'no-spare', 'no-budget', 'bad-status'
+] as const
+
+export type FailureReason = typeof FAILURE_REASONS[number]
--- a/tests/Answers.test.ts
+++ b/tests/Answers.test.ts
@@ -208,3 +208,54 @@
   }
   expect(cuts).toBe(heads.length)
 })
+
+/** Statuses that no final response can have. */
+const BAD_STATUSES = ['000', '001', '099', '20', '2000', '-01', '600', '999', '100', '101']
+
+// 600 and 999 reached the caller as the status of an answer; another service was seen to pass on 000.
+test.each(BAD_STATUSES.flatMap(status => [['GET', status], ['POST', status]]))('response with a status that is none is not passed on: %s %s', async (method, status) => {
+  const sockets: Socket[] = []
+  await world.addRawTarget('n2', 't1', 'v1', socket => {
+    sockets.push(socket)
+    socket.on('data', data => {
+      const id = /x-attempt-id: (\S+)/i.exec(data.toString())?.[1] ?? ''
+      socket.write(formatResponse(id, 'Content-Length: 2', 'ok').replace('200', status))
+    })
+  })
+  for (let count = 1; count <= 2; count++) {
+    const reply = await call(method === 'GET' ? '/read' : '/once', method)
+    expect(reply).toMatchObject({ status: 502 })
+    expect(reply !== 'cut' && JSON.parse(reply.body).run).toBe('unknown')
+    // The connection is not used again.
+    expect(sockets.length).toBe(count)
+  }
+})
+
+test.each(['600', '999', '001'])('safe call is retried elsewhere after a response with a status that is none: %s', async status => {
+  let bad = 0
+  await world.addRawTarget('n2', 't1', 'v1', socket => {
+    socket.on('data', data => {
+      const id = /x-attempt-id: (\S+)/i.exec(data.toString())?.[1] ?? ''
+      bad++
+      socket.write(formatResponse(id, 'Content-Length: 2', 'ok').replace('200', status))
+    })
+  })
+  await world.addTarget('n2', 't2', 'v1', respondWith('good'))
+  for (let count = 0; count < 50; count++) {
+    expect(await call('/read')).toMatchObject({ status: 200, body: 'good' })
+    if (bad > 0) break
+  }
+  expect(bad).toBe(1)
+  expect(world.getNode('n1').metrics.readCount('retries_total', 'bad-status')).toBe(1)
+  expect(world.getNode('n2').metrics.readCount('bad_statuses_total', 'target')).toBe(1)
+})
+
+test.each([['199', 200], ['103', 200], ['099', 502], ['001', 502], ['000', 502]])('interim response before the final one: %s', async (status, expected) => {
+  await world.addRawTarget('n2', 't1', 'v1', socket => {
+    socket.on('data', data => {
+      const id = /x-attempt-id: (\S+)/i.exec(data.toString())?.[1] ?? ''
+      socket.write(`HTTP/1.1 ${status} Odd\r\n\r\n${formatResponse(id, 'Content-Length: 2', 'ok')}`)
+    })
+  })
+  expect(await call('/once', 'POST')).toMatchObject({ status: expected })
+})
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -204,3 +204,40 @@
   socket.destroy()
   expect(received).toEqual(Array.from({ length: 20 }, (_, index) => index + 1))
 })
+
+// A process of another version may pass on what its target sent.
+test.each([0, 99, 100, 199, 600, 999, 70_000])('head on a link with a status that is none is not passed on: %s', async status => {
+  const port = await listen(new PlainCredentials(), socket => {
+    const frames: FrameSocket = new FrameSocket(socket, {
+      onFrame: ({ callId, frame }) => {
+        if (frame?.$case !== 'open') return
+        frames.send({
+          callId,
+          frame: {
+            $case: 'head',
+            value: {
+              status, headers: [], body: Buffer.from('x'), end: true, inFlight: 0, slots: 1, queued: 0, served: 1, serviceMs: 1, repeatDenied: false
+            }
+          }
+        })
+      },
+      onClose: () => {}
+    })
+  })
+  expect(await call(port, new PlainCredentials())).toMatchObject({ reason: 'bad-status', isNotRun: false })
+})
+
+// A failure reason that this process does not know has no error response.
+test.each([[true, 503], [false, 502]])('failure on a link with an unknown reason keeps its run state: %s', async isNotRun => {
+  const port = await listen(new PlainCredentials(), socket => {
+    const frames: FrameSocket = new FrameSocket(socket, {
+      onFrame: ({ callId, frame }) => {
+        if (frame?.$case !== 'open') return
+        const failure = { reason: 'of-the-future', notRun: isNotRun, retryAfterMs: 0, inFlight: 0, slots: 1, queued: 0, cause: '' }
+        frames.send({ callId, frame: { $case: 'failure', value: failure } })
+      },
+      onClose: () => {}
+    })
+  })
+  expect(await call(port, new PlainCredentials())).toMatchObject({ reason: isNotRun ? 'draining' : 'broken', isNotRun })
+})
