Targets that hang: calls without a first byte are recognized by the times of their route

Cause: a target that is full may never answer a request, nor any later one on that connection. A safe call waited until its deadline, and the target got as many calls as before although it counted those that were given up. Its connection is closed, a safe call is retried within the budget if there is time, another one waits while it can be answered. One slot of the target is held back for 3 s per hang. CallOpen carries the route and whether the call may be repeated.

--- a/packages/lagoonctl/src/explain/CallExplanation.ts
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -32,6 +32,7 @@
   broken: 'the target sent an incomplete or malformed answer; the answer is lost',
   oversized: 'the target sent a head or framing that exceeds the limit; the answer is lost',
   'bad-status': 'the target sent a status that no response can have; the answer is lost',
+  hung: 'the target sent nothing for far longer than such calls take there; see target_hung of its node',
   crossed: 'the target sent an answer that does not belong to this call; the answer is lost',
   'target-replaced': 'another target had taken over the address',
   deadline: 'no complete answer arrived before the deadline',
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -16,7 +16,7 @@
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
-import { CallerWaitEstimator, BalancedDraws, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import { CallerWaitEstimator, BalancedDraws, OwnerCallLimiter, RetryBudget, ServicePace, TargetPool } from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
@@ -58,6 +58,7 @@
   private _routes: RouteTable | undefined
   private _catalogueChangedMs = 0
   private readonly _feed: NodeFeed
+  private readonly _pace: ServicePace
   private _stop: GracefulStop | undefined
 
   readonly directory: ControlDirectory
@@ -74,6 +75,7 @@
     this._linkAddress = `${settings.listen.links.host}:${settings.listen.links.port}`
     const incarnation = clock.readWallTime().getTime()
     const dialect = _options.dialect ?? new LagoonDialect()
+    this._pace = new ServicePace(clock)
     this._feed = this._disposables.add(new NodeFeed({ ..._options, incarnation, takeEvidence: () => this._evidence.takeEvidence() }))
     this.directory = this._feed.directory
     this.store = this._feed.store
@@ -93,6 +95,7 @@
       metrics,
       endpoints: this.endpoints,
       dialect,
+      isServiceSlow: settings.node.hangDetection ? (...wait) => this._pace.isSlow(...wait) : undefined,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
@@ -122,6 +125,8 @@
       callerWaitEstimator: new CallerWaitEstimator(clock),
       findOpener: address => this._findOpener(address),
       isRepeatRun: callId => this.targets.isRepeatRun(callId),
+      startNestedCall: parentId => this.targets.startNestedCall(parentId),
+      pace: this._pace,
       reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
       recordCalledService: part => this._calledServices.add(part.service),
       getRetryBudget: part => this._getRetryBudget(part),
--- a/packages/node/src/calls/Attempt.test.ts
+++ b/packages/node/src/calls/Attempt.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { ManualClock, Metrics } from '@lagoonswitch/common'
 import { EndpointRecord } from '@lagoonswitch/schema'
-import { TargetState } from '@lagoonswitch/traffic'
+import { ServicePace, TargetState } from '@lagoonswitch/traffic'
 import { Attempt } from './Attempt.js'
 import type { ICallContext } from './CallContext.js'
 import type { ICallEvents } from './CallTypes.js'
@@ -19,7 +19,8 @@
   const context = {
     clock,
     metrics: new Metrics(),
-    pool: { recordStart: () => {}, recordEnd: () => {}, recordLoad: () => {}, recordServiceTime: () => {} },
+    pace: new ServicePace(clock),
+    pool: { recordStart: () => {}, recordEnd: () => {}, recordLoad: () => {}, recordServiceTime: () => {}, computeExpectedMs: () => 0 },
     evidence: {
       recordOutcome: (_service: string, _version: string, _route: string, _target: string, _isFailure: boolean, latencyMs?: number) => {
         latencies.push(latencyMs)
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -5,7 +5,7 @@
 import type { FailureReason, ICallEvents, ICallFailure, ICallHandle, ITargetLoad } from './CallTypes.js'
 import type { IAwaitedAttempt } from '../moves/EvidenceCollector.js'
 import type { ICompiledRoute } from '../routing/RouteTable.js'
-import type { ITargetState } from '@lagoonswitch/traffic'
+import type { IPaceTicket, ITargetState } from '@lagoonswitch/traffic'
 
 const MIN_SERVER_ERROR_STATUS = 500
 /** Calls after which a target counts as warm even before its warm-up time is over. */
@@ -15,7 +15,7 @@
   'queue-full', 'shed', 'deadline-queue', 'draining', 'cancelled', 'no-target', 'no-spare', 'no-budget'
 ])
 /** Failures that count against a target when targets are picked, but not against its version. */
-const TARGET_ONLY_REASONS = new Set<FailureReason>(['target-busy', 'target-replaced', 'link-silent', 'link-lost', 'unreachable'])
+const TARGET_ONLY_REASONS = new Set<FailureReason>(['target-busy', 'target-replaced', 'link-silent', 'link-lost', 'unreachable', 'hung'])
 
 /** Forwards events and records the outcome of the attempt once. */
 export class Attempt implements ICallEvents {
@@ -29,6 +29,7 @@
   /** Time in the slot of the target until the response head, and the time at which the head arrived. */
   private _serviceMs = 0
   private _headReceivedMs = 0
+  private readonly _pace: IPaceTicket
   handle: ICallHandle | undefined
 
   constructor (
@@ -43,6 +44,7 @@
       this._awaited = _context.evidence.awaitResponse(target.record, _route.key, this._startedMs + _route.objectiveMs)
     }
     _context.pool.recordStart(target)
+    this._pace = _context.pace.recordSend(target.record.service, target.record.targetId)
   }
 
   onHead (status: number, headers: readonly string[], load: ITargetLoad): void {
@@ -51,6 +53,7 @@
     this._isTargetWarm ||= load.served > WARMUP_CALLS
     this._serviceMs = load.serviceMs
     this._headReceivedMs = this._context.clock.readMonotonicMs()
+    this._pace.recordFirstByte(load.serviceMs, this._context.pool.computeExpectedMs(this.target, this._route.key))
     const isFailed = status >= MIN_SERVER_ERROR_STATUS
     if (!isFailed) this._context.pool.recordServiceTime(this.target, this._route.key, load.serviceMs)
     this._recordOutcome(isFailed ? 'failed' : 'good', true)
@@ -102,6 +105,7 @@
   private _recordOutcome (outcome: 'good' | 'failed' | 'neutral', isVersionEvidence: boolean): void {
     if (this._isOutcomeRecorded) return
     this._isOutcomeRecorded = true
+    this._pace.end()
     const latencyMs = this._context.clock.readMonotonicMs() - this._startedMs
     this._context.pool.recordEnd(this.target, outcome, latencyMs)
     this._context.metrics.getLatencyFamily('attempt_duration', 'target').record(this.target.record.targetId, latencyMs)
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -48,6 +48,8 @@
   private _isWithdrawn = false
   /** True when a target was skipped because the call could not end there before a graceful stop cuts it. */
   private _hasSkippedTarget = false
+  /** Ends the nested call at the run that makes this call; undefined when no target of this VM makes it. */
+  private _endNestedCall: (() => void) | undefined
   private _isDone = false
   private _isCallerGone = false
   private readonly _onCallerEnd = (): void => this._handleCallerClose()
@@ -149,7 +151,7 @@
       this._refuseForStop()
       return
     }
-    if (this._canSendAgain() && this._retries.authorizeRetry(failure)) {
+    if (this._canSendAgain() && this._retries.authorizeRetry(failure, this._getRemainingMs())) {
       this._lastFailure = failure
       this._report.reportRetry(failure.reason, this._attempt?.target)
       this._scheduleSend()
@@ -168,6 +170,7 @@
     this._head = head.val
     this._picker = new TargetPicker(this._context, head.val)
     this._retries = new CallRetries(this._context, head.val, this._picker.part)
+    this._endNestedCall = this._context.startNestedCall(head.val.parentId)
     this._report.route = head.val.route.key
     this._report.retries = this._retries
     this._deadlineMs = this._startedMs + head.val.timeoutMs
@@ -298,6 +301,7 @@
       callId: this._head.callId,
       objectiveMs: this._getObjectiveLeftMs(),
       expectedMs: this._context.pool.computeExpectedMs(target, this._head.route.key),
+      route: this._head.route.key,
       isRetryable: this._head.route.isRetryable,
       isSpareOnly: this._context.pool.isLimitedToSpareSlots(target, this._head.callClass),
       isRepeat: this._retries.isRepeat,
@@ -393,6 +397,7 @@
 
   private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
+    this._endNestedCall?.()
     this._request.socket.off('end', this._onCallerEnd)
     this._deadlineTimer?.dispose()
     this._withdrawalTimer?.dispose()
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -6,7 +6,7 @@
 import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
-import type { BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import type { BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, ServicePace, TargetPool } from '@lagoonswitch/traffic'
 import type { IRoutePart, RouteTable } from '../routing/RouteTable.js'
 import type { CallDialect } from './CallDialect.js'
 import type { ICallOpener } from './CallTypes.js'
@@ -32,6 +32,10 @@
   readonly isRepeatRun: (callId: string) => boolean
   /** Records on the parent call that the retry budget denied a retry of one of its nested calls. */
   readonly reportRepeatDenied: (parentId: string) => void
+  /** Records a nested call on its parent call, if a target of this VM runs that; returns what ends it. */
+  readonly startNestedCall: (parentId: string) => (() => void) | undefined
+  /** Knows whether the targets of a service answer at their usual pace. */
+  readonly pace: ServicePace
   /** Records a service that targets of this VM call while they are running calls. */
   readonly recordCalledService: (part: IRoutePart) => void
   readonly getRetryBudget: (part: IRoutePart) => RetryBudget
--- a/packages/node/src/calls/CallRetries.ts
+++ b/packages/node/src/calls/CallRetries.ts
@@ -90,14 +90,17 @@
    * Decides whether to retry after a failure, and spends retry budget if so. A retry is free when the target never received the
    * request, so that targets that are leaving do not use up the budget.
    * @param failure - of the last attempt
+   * @param remainingMs - time left for the call in milliseconds
    * @returns true when the call is to be retried
    */
-  authorizeRetry ({ reason, isNotRun }: ICallFailure): boolean {
+  authorizeRetry ({ reason, isNotRun }: ICallFailure, remainingMs: number): boolean {
     const isRetryable = isNotRun || this._canRetryAfterRun()
     if (!isRetryable || FINAL_REASONS.has(reason) || !this._hasSendsLeft()) return false
     const maxQueueRefusals = this._head.callClass === CallClass.CALL_CLASS_FIRST ? MAX_QUEUE_REFUSALS_FIRST_CLASS : MAX_QUEUE_REFUSALS
     if (QUEUE_REASONS.has(reason) && this._queueRefusals >= maxQueueRefusals) return false
     if (isUndelivered(reason, isNotRun)) return true
+    // A hung call has used up much of its time; a run that can't end in the rest would only cost budget and a slot.
+    if (reason === 'hung' && this._context.pool.isTimeTooShort(this._head.route.key, remainingMs)) return false
     return this.spendBudget(reason)
   }
 
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -44,7 +44,9 @@
   readonly objectiveMs: number
   /** Usual time that such a call holds a slot of the target, in milliseconds; 0 when unknown. */
   readonly expectedMs: number
-  /** True when the call may run more than once; it then fails early, to be retried, when the node of the target stops responding. */
+  /** Key of the route, for the times that its runs take; empty for a call whose node does not state it. */
+  readonly route: string
+  /** True when the call may run more than once; it then fails early, to be retried, when the target or its node stops responding. */
   readonly isRetryable: boolean
   /** True when the call may take a free slot but must not queue for one, since calls from other availability zones are costly. */
   readonly isSpareOnly: boolean
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -37,6 +37,7 @@
   'target-busy': { status: 503, title: 'the target took no more calls', remedy: 'retry after the stated time' },
   'target-replaced': { status: 503, title: 'another target has the address', remedy: 'retry' },
   'bad-status': { status: 502, title: 'the target sent a status that no response can have', remedy: 'check whether the request took effect' },
+  hung: { status: 504, title: 'the target seems to hang', remedy: 'check whether the request took effect; compare the slots of the target with its capacity' },
   crossed: { status: 502, title: 'the target sent the answer to another call', remedy: 'check whether the request took effect' },
   'link-silent': { status: 502, title: 'the process beside the target fell silent', remedy: 'check whether the request took effect' },
   'no-spare': { status: 503, title: 'targets of other zones have no free slot', remedy: 'retry after the stated time' },
--- a/packages/node/src/links/FailureFrames.ts
+++ b/packages/node/src/links/FailureFrames.ts
@@ -9,7 +9,7 @@
  * Reasons that earlier versions don't know, and the nearest one that they know: an unknown reason ends the event in which they
  * handle the call with an exception.
  */
-const EARLIER_REASONS: Readonly<Partial<Record<FailureReason, FailureReason>>> = { 'bad-status': 'broken' }
+const EARLIER_REASONS: Readonly<Partial<Record<FailureReason, FailureReason>>> = { 'bad-status': 'broken', hung: 'broken' }
 const KNOWN_REASONS: ReadonlySet<string> = new Set(FAILURE_REASONS)
 
 /**
--- a/packages/node/src/links/OutgoingCall.ts
+++ b/packages/node/src/links/OutgoingCall.ts
@@ -75,6 +75,8 @@
         class: request.callClass,
         owner: request.owner,
         account: request.account,
+        route: request.route,
+        retryable: request.isRetryable,
         body: request.body,
         bodyComplete: request.isBodyComplete,
         slots: request.slots,
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -118,7 +118,8 @@
       callId: open.callId,
       objectiveMs: open.objectiveMs,
       expectedMs: open.expectedMs,
-      isRetryable: false,
+      route: open.route,
+      isRetryable: open.retryable,
       isSpareOnly: open.spareOnly,
       isRepeat: open.repeat,
       isBulk: open.bulk
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,9 +6,10 @@
 import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { DEFAULT_WARMUP_MS } from '@lagoonswitch/traffic'
+import { DEFAULT_WARMUP_MS, HangDetector } from '@lagoonswitch/traffic'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import { TargetCall } from './TargetCall.js'
+import { TargetReports } from './TargetReports.js'
 
 /** Handle of a call that failed before it started. */
 const ENDED_HANDLE: ICallHandle = {
@@ -42,6 +43,11 @@
   readonly dialect: CallDialect
   /** Returns false while a service that the targets call has no retry budget left here for the calls that a retry makes. */
   readonly canTakeRepeat: () => boolean
+  /**
+   * Tells whether the other targets of a service have slowed down since a monotonic time; undefined if calls that hang are not to
+   * be detected.
+   */
+  readonly isServiceSlow?: (service: string, targetId: string, sinceMs: number) => boolean
 }
 
 interface IRegisteredTarget {
@@ -75,8 +81,10 @@
   private _runningCount = 0
   /** Calls that targets run or that wait for a slot. */
   private readonly _callsById = new Map<string, IRunningCall>()
+  private readonly _reports: TargetReports
 
   constructor (private readonly _options: ILocalTargetRegistryOptions) {
+    this._reports = new TargetReports(_options.log, _options.metrics)
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
   }
 
@@ -99,7 +107,7 @@
     this._removeOthersAtAddress(announcement)
     registered?.leaseTimer.dispose()
     registered?.target.dispose()
-    const target = new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle'))
+    const target = this._createTarget(announcement)
     target.isDraining = isWithdrawn
     this._targets.set(announcement.id, {
       target,
@@ -177,13 +185,18 @@
     target.applyLimits(request.slots, request.connections)
     this._runningCount++
     let hasEnded = false
-    const call: TargetCall = new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
+    const onFinished = (failure: FailureReason | undefined): void => {
       this._runningCount--
       hasEnded = true
       if (this._callsById.get(request.callId)?.request === request) this._callsById.delete(request.callId)
-      if (failure === 'bad-status') this._reportBadStatus(request, call.badStatus)
-      if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
+      if (failure === 'bad-status') this._reports.reportBadStatus(request, call.badStatus)
+      if (failure === 'oversized') this._reports.reportOverrun(request.targetId, 'answer', request.callId)
       if (failure === 'connect' || failure === 'target-replaced') this._markLost(target, failure)
+    }
+    const call: TargetCall = new TargetCall(target, request, events, this._options.clock, this._options.dialect, {
+      onFinished,
+      onHung: (hang, action, leftMs) => this._reports.reportHang(request, hang, action, leftMs, target.slotLimiter.usableSlots),
+      onHangRefuted: () => this._reports.reportHangRefuted()
     })
     if (!hasEnded && request.callId !== '') this._callsById.set(request.callId, { request, call })
     return call
@@ -220,6 +233,15 @@
     if (run !== undefined) run.call.isRepeatDenied = true
   }
 
+  /**
+   * Records a call that a target makes while it runs another one.
+   * @param parentId - id of the call that the target runs; empty if unknown
+   * @returns ends the nested call; undefined if no target of this VM runs the parent
+   */
+  startNestedCall (parentId: string): (() => void) | undefined {
+    return this._callsById.get(parentId)?.call.startNestedCall()
+  }
+
   /**
    * @param id - id of a target
    * @returns its announcement, or undefined if no such target is registered
@@ -310,14 +332,11 @@
     this._publish(target.announcement, EndpointState.ENDPOINT_STATE_GONE)
   }
 
-  private _reportOverrun (id: string, reason: 'answer' | 'idle', callId?: string): void {
-    this._options.metrics.count('target_overruns_total', reason)
-    this._options.log.warn('target_overrun', { call: callId, target: id, reason })
-  }
-
-  private _reportBadStatus ({ callId, targetId }: ICallRequest, status: number | undefined): void {
-    this._options.metrics.count('bad_statuses_total', 'target')
-    this._options.log.warn('bad_status', { call: callId, target: targetId, status, from: 'target' })
+  private _createTarget (announcement: ITargetAnnouncement): LocalTarget {
+    const { clock, isServiceSlow } = this._options
+    const { id, service } = announcement
+    const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
+    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector)
   }
 
   private _startLease (id: string): IDisposable {
--- a/packages/node/src/targets/TargetCall.test.ts
+++ b/packages/node/src/targets/TargetCall.test.ts
@@ -26,6 +26,7 @@
   callId: '',
   objectiveMs: 0,
   expectedMs: 0,
+  route: '',
   isRetryable: false,
   isSpareOnly: false,
   isRepeat: false,
@@ -81,7 +82,7 @@
       onFailure: ({ reason }) => resolve({ outcome: reason, bytes }),
       onBodyDrain: () => {}
     }
-    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), () => {})
+    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), { onFinished: () => {} })
   })
 }
 
@@ -138,7 +139,7 @@
   })
   const events: ICallEvents = { onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: () => {}, onBodyDrain: () => {} }
   for (let calls = 1; calls <= 5; calls++) {
-    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), () => {})
+    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), { onFinished: () => {} })
     await sleep(20)
     expect(sockets).toEqual({ opened: calls, closed: calls - 1 })
     call.cancel()
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -10,7 +10,7 @@
 import { copyResponseHeaders } from '../calls/Headers.js'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { LocalTarget } from './LocalTarget.js'
-import type { ISlotTicket } from '@lagoonswitch/traffic'
+import type { IHang, ISlotTicket } from '@lagoonswitch/traffic'
 import type { IResponseHandler, TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
@@ -19,9 +19,24 @@
 const MISDIRECTED_REQUEST = 421
 const BAD_REQUEST = 400
 const FIRST_REDIRECTION_STATUS = 300
+/** Fraction of the average time of a route within which few of its runs end. */
+const SHORTEST_TIME_RATIO = 0.5
 const MIN_STATUS = 100
 const MIN_FINAL_STATUS = 200
 
+/** What is done with a call that is considered hung: retried elsewhere, ended, or left until its deadline; or why it is left alone. */
+export type HangAction = 'retry' | 'end' | 'wait' | 'service-slow'
+
+/** Reports how a target call ended or that it hangs. */
+export interface ITargetCallReports {
+  /** Called once; the failure is undefined after a complete response. */
+  onFinished (failure: FailureReason | undefined): void
+  /** Called when the call is considered hung, with the inputs of the decision. */
+  onHung? (hang: IHang, action: HangAction, leftMs: number): void
+  /** Called when a call that was left to wait, though considered hung, was answered. */
+  onHangRefuted? (): void
+}
+
 /** Runs one call on a target. Uses plain callbacks to keep the overhead low, since every call takes this path. */
 export class TargetCall implements ICallHandle, IResponseHandler {
   private readonly _ticket: ISlotTicket
@@ -50,6 +65,12 @@
   isRepeatDenied = false
   /** Status of a response that can't have it; undefined if none arrived. */
   badStatus: number | undefined
+  /** Nested calls that the run waits for, and whether there was one since the last look. */
+  private _nestedCalls = 0
+  private _hadNestedCall = false
+  private _hangWatch: IDisposable | undefined
+  /** True while the call waits on although it is considered hung. */
+  private _isHung = false
 
   constructor (
     private readonly _target: LocalTarget,
@@ -57,7 +78,7 @@
     private readonly _events: ICallEvents,
     private readonly _clock: IClock,
     private readonly _dialect: CallDialect,
-    private readonly _onFinished: (failure: FailureReason | undefined) => void
+    private readonly _reports: ITargetCallReports
   ) {
     this._isBodyEnded = _request.isBodyComplete
     this._deadlineAtMs = _clock.readMonotonicMs() + _request.remainingMs
@@ -108,6 +129,20 @@
     if (this._unacknowledgedBytes < FLOW_WINDOW_BYTES) this._connection?.resume()
   }
 
+  /**
+   * Records that the run makes a nested call, during which it is not considered hung.
+   * @returns ends the nested call; further calls have no effect
+   */
+  startNestedCall (): () => void {
+    let isRunning = true
+    this._nestedCalls++
+    this._hadNestedCall = true
+    return () => {
+      if (isRunning) this._nestedCalls--
+      isRunning = false
+    }
+  }
+
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this._controller = controller
     if (this._hasEnded) {
@@ -140,6 +175,7 @@
       this._fail('crossed')
       return
     }
+    this._recordFirstByte()
     this._isChunked = headers['transfer-encoding'] !== undefined
     if (!this._isChunked) this._connection?.unlimitReads()
     this._isFramed = this._isChunked || headers['content-length'] !== undefined
@@ -203,7 +239,7 @@
     if (this._hasEnded) return
     const { method, path, headers, body, targetId, isRepeat } = this._request
     this._grantedAtMs = this._clock.readMonotonicMs()
-    const leftMs = Math.max(1, Math.floor(this._deadlineAtMs - this._clock.readMonotonicMs()))
+    const leftMs = Math.max(1, this._computeLeftMs())
     const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBody.length === 0
     this._connection = this._target.connections.acquire()
     this._connection.dispatch({
@@ -212,6 +248,49 @@
       headers: [...headers, ...this._dialect.formatTargetHeaders({ remainingMs: leftMs, targetId, isRepeat })],
       body: isEmpty ? null : this._createBody(body)
     }, this)
+    this._watchForHang()
+  }
+
+  /** Calls without an ID are not watched: their nested calls can't be told from others. */
+  private _watchForHang (): void {
+    const { route, callId } = this._request
+    if (this._hasEnded || route === '' || callId === '') return
+    this._hangWatch = this._target.hangDetector?.watch(route, {
+      isBusy: () => this._isBusy(),
+      hasReceived: () => this._connection?.hasReceived === true,
+      onServiceSlow: hang => this._reports.onHung?.(hang, 'service-slow', this._computeLeftMs()),
+      onHung: hang => this._handleHang(hang)
+    })
+  }
+
+  /** Tells whether the target has a reason not to answer yet: a nested call, or a request that has not been sent completely. */
+  private _isBusy (): boolean {
+    const isNested = this._nestedCalls > 0 || this._hadNestedCall
+    this._hadNestedCall = false
+    const isSent = this._isBodyEnded && (this._body?.readableLength ?? 0) === 0 && this._connection?.hasUnsentBytes === false
+    return isNested || !isSent
+  }
+
+  private _handleHang (hang: IHang): void {
+    if (this._hasEnded) return
+    const leftMs = this._computeLeftMs()
+    const isOver = leftMs < SHORTEST_TIME_RATIO * hang.averageMs
+    const action = this._request.isRetryable ? 'retry' : isOver ? 'end' : 'wait'
+    this._isHung = true
+    this._reports.onHung?.(hang, action, leftMs)
+    if (action !== 'wait') this._fail('hung')
+  }
+
+  private _recordFirstByte (): void {
+    this._hangWatch?.dispose()
+    const { route } = this._request
+    if (route !== '') this._target.hangDetector?.recordFirstByte(route, this._clock.readMonotonicMs() - this._grantedAtMs)
+    if (this._isHung) this._reports.onHangRefuted?.()
+    this._isHung = false
+  }
+
+  private _computeLeftMs (): number {
+    return Math.max(0, Math.floor(this._deadlineAtMs - this._clock.readMonotonicMs()))
   }
 
   private _createBody (first: Buffer): Buffer | Readable {
@@ -250,7 +329,10 @@
   private _finish (failure: FailureReason | undefined, isAborted = false): void {
     this._hasEnded = true
     this._deadlineTimer?.dispose()
+    this._hangWatch?.dispose()
     this._body?.destroy()
+    // The target may count the call for longer than this process does.
+    if (this._isHung) this._target.slotLimiter.holdBack()
     const connection = this._connection
     const release = (): void => this._release(isAborted)
     // The target learns with a delay that the connection is closed; until then the call, or the attempt to connect, keeps its slot.
@@ -258,7 +340,7 @@
     // Surplus bytes after the response must not reach the next call, so the connection stays unused for the rest of this event loop turn.
     else if (connection !== undefined) setImmediate(release)
     else release()
-    this._onFinished(failure)
+    this._reports.onFinished(failure)
   }
 
   private _release (isDiscarded: boolean): void {
--- a/packages/node/src/targets/TargetConnections.ts
+++ b/packages/node/src/targets/TargetConnections.ts
@@ -45,6 +45,8 @@
   private _handler: IResponseHandler | undefined
   /** Bytes read from the socket that have been parsed and counted. */
   private _parsedBytes = 0
+  /** Bytes read from the socket before the current call. */
+  private _earlierBytes = 0
   /** Body bytes not yet subtracted from the overhead. */
   private _bodyBytes = 0
   /** Bytes outside bodies that may still arrive. */
@@ -83,6 +85,16 @@
     return this._socket !== undefined && !this._socket.destroyed
   }
 
+  /** True while the connection is not open yet or a part of the request waits to be sent. */
+  get hasUnsentBytes (): boolean {
+    return this._socket === undefined || this._socket.writableLength > 0
+  }
+
+  /** True once bytes have arrived since the request was sent. */
+  get hasReceived (): boolean {
+    return this._socket !== undefined && this._socket.bytesRead > this._earlierBytes
+  }
+
   /**
    * Sends a request.
    * @param options - head and body
@@ -90,6 +102,7 @@
    */
   dispatch (options: Dispatcher.DispatchOptions, handler: IResponseHandler): void {
     this._handler = handler
+    this._earlierBytes = this._socket?.bytesRead ?? 0
     this._isOverrun = false
     this._areReadsLimited = true
     this._overheadLeftBytes = MAX_OVERHEAD_BYTES
@@ -174,6 +187,7 @@
     this._isOverrun = false
     this._isPaused = false
     this._parsedBytes = 0
+    this._earlierBytes = 0
     this._bodyBytes = 0
     const read = socket.read.bind(socket)
     // undici reads without a size, Node.js itself with 0.
--- a/packages/traffic/src/CallLoad.ts
+++ b/packages/traffic/src/CallLoad.ts
@@ -19,7 +19,7 @@
 export const FAILURE_REASONS = [
   'queue-full', 'shed', 'deadline', 'deadline-queue', 'no-target', 'draining', 'unreachable', 'link-lost',
   'connect', 'broken', 'cancelled', 'oversized', 'bad-frame', 'target-busy', 'target-replaced', 'crossed',
-  'link-silent', 'no-spare', 'no-budget', 'bad-status'
+  'link-silent', 'no-spare', 'no-budget', 'bad-status', 'hung'
 ] as const
 
 export type FailureReason = typeof FAILURE_REASONS[number]
--- a/packages/traffic/src/slots/SlotLimiter.test.ts
+++ b/packages/traffic/src/slots/SlotLimiter.test.ts
@@ -227,3 +227,19 @@
     }
   }), { seed: 9, numRuns: 300 })
 })
+
+test('slots that are held back after hangs come back one by one, and the last slot stays usable', async () => {
+  limiter = new SlotLimiter(clock, 3)
+  for (let hang = 0; hang < 5; hang++) limiter.holdBack()
+  expect(limiter.load.slots).toBe(1)
+  for (const name of ['a', 'b', 'c']) acquireSlot(name)
+  expect(events.length).toBe(1)
+  await clock.advance(2_999)
+  expect(events.length).toBe(1)
+  await clock.advance(1)
+  expect(events.length).toBe(2)
+  await clock.advance(1_000)
+  // Waiting calls go newest first by then.
+  expect(events).toEqual(['a granted', 'c granted', 'b granted'])
+  expect(limiter.load.slots).toBe(3)
+})
--- a/packages/traffic/src/slots/SlotLimiter.ts
+++ b/packages/traffic/src/slots/SlotLimiter.ts
@@ -33,6 +33,13 @@
  */
 const BACKOFF_RATIO = 0.33
 
+/**
+ * Time for which a slot stays unused after a call hung in it: the target counts a call that was given up for an unknown time. Further
+ * ones come back one by one, so that a target that is still full is not filled again at once.
+ */
+const HOLD_BACK_MS = 3_000
+const RESTORE_INTERVAL_MS = 1_000
+
 /** A call that waits for a slot or holds one. */
 export interface ISlotTicket {
   /** Releases the slot, or leaves the queue. */
@@ -73,6 +80,9 @@
   private _served = 0
   /** Time since which the queue has not been empty. */
   private _nonEmptySinceMs = 0
+  /** Slots that stay unused after hangs, and when the last of them comes back. */
+  private _heldBack = 0
+  private _restoredAtMs = 0
 
   /**
    * @param _clock - source of time
@@ -82,10 +92,32 @@
 
   get load (): ITargetLoad {
     return {
-      inFlight: this._inFlight, slots: this.slots, queued: this._queue.length, served: this._served, serviceMs: 0, isRepeatDenied: false
+      inFlight: this._inFlight,
+      slots: this.usableSlots,
+      queued: this._queue.length,
+      served: this._served,
+      serviceMs: 0,
+      isRepeatDenied: false
     }
   }
 
+  /** Slots that may be in use, at least one if the target has any. */
+  get usableSlots (): number {
+    return Math.max(Math.min(1, this.slots), this.slots - this._heldBack)
+  }
+
+  /** Leaves one slot more unused for some seconds, since a call hung; the last slot stays in use. */
+  holdBack (): void {
+    if (this.usableSlots <= 1) return
+    const nowMs = this._clock.readMonotonicMs()
+    this._heldBack++
+    this._restoredAtMs = Math.max(nowMs + HOLD_BACK_MS, this._restoredAtMs + RESTORE_INTERVAL_MS)
+    this._clock.schedule(this._restoredAtMs - nowMs, () => {
+      this._heldBack--
+      this._grantFree()
+    })
+  }
+
   /**
    * Requests a slot. Exactly one of the callbacks is called, possibly before this method returns.
    * @param request - class, time left and callbacks
@@ -123,7 +155,7 @@
   }
 
   private _computeUsableSlots ({ isSpareOnly, callClass }: ISlotRequest): number {
-    return isSpareOnly === true ? computeSpareSlots(this.slots, callClass) : this.slots
+    return isSpareOnly === true ? computeSpareSlots(this.usableSlots, callClass) : this.usableSlots
   }
 
   private _addWaiter (waiter: IWaiter): void {
@@ -139,7 +171,7 @@
     if (request.isSpareOnly === true) return 'no-spare'
     if (maxWaitMs <= 0) return 'deadline-queue'
     const callsAhead = this._isCongested() ? 0 : this._queue.countAhead(request.callClass)
-    const waitMs = (callsAhead + 1) / Math.max(1, this.slots) * this._averageServiceMs
+    const waitMs = (callsAhead + 1) / Math.max(1, this.usableSlots) * this._averageServiceMs
     const availableMs = isTimely ? computeTimeLimitMs(request) : request.remainingMs
     if (waitMs + MIN_TIME_RATIO * this._getExpectedMs(request) > availableMs) return 'deadline-queue'
     if (this._queue.length < request.queueLimit) return undefined
@@ -193,7 +225,7 @@
 
   /** A caller whose response would be late, or that meets an overload, is asked to wait as long as it can: the peak may be over then. */
   private _computeRetryAfterMs ({ request, arrivedAtMs, maxWaitMs }: IWaiter): number {
-    const waitMs = (this._queue.length + 1) / Math.max(1, this.slots) * this._averageServiceMs
+    const waitMs = (this._queue.length + 1) / Math.max(1, this.usableSlots) * this._averageServiceMs
     const passedMs = this._clock.readMonotonicMs() - arrivedAtMs
     const isLate = computeTimeLimitMs(request) - passedMs < this._getExpectedMs(request)
     return Math.max(MIN_BACKOFF_MS, waitMs, isLate || this._isOverloaded(maxWaitMs) ? BACKOFF_RATIO * (request.remainingMs - passedMs) : 0)
@@ -209,7 +241,11 @@
       this._averageServiceMs += (serviceMs - this._averageServiceMs) * SERVICE_TIME_WEIGHT
     }
     waiter.state = 'ended'
-    while (this._inFlight < this.slots) {
+    this._grantFree()
+  }
+
+  private _grantFree (): void {
+    while (this._inFlight < this.usableSlots) {
       const next = this._queue.takeNext(this._isCongested())
       if (next === undefined) return
       this._grant(next)
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -34,6 +34,7 @@
   callId: 'c1',
   objectiveMs: 0,
   expectedMs: 0,
+  route: '',
   isRetryable: false,
   isSpareOnly: false,
   isRepeat: false,
