Silent VMs: calls on a silent link end early, as not run where that is certain

Cause: a call that may not be repeated waited until its deadline for a machine known to be dark; a call on a link that did not open waited 1 s; a call that found the link silent was sent all the same. A process that had stood still took others as silent. Change: after 450 ms calls on a link that has not opened end as not run and go elsewhere; on an open link new calls are refused as not run, and 200 ms later those without a response head end as link-silent, may have run.

--- a/packages/node/src/calls/CallRetries.ts
+++ b/packages/node/src/calls/CallRetries.ts
@@ -14,7 +14,8 @@
 const FINAL_REASONS = new Set<FailureReason>(['deadline', 'cancelled'])
 /** Failures before the target received the request; these attempts cost it nothing. */
 const UNDELIVERED_REASONS = new Set<FailureReason>([
-  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare', 'no-budget'
+  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare', 'no-budget',
+  'link-silent'
 ])
 /** Refusals by the queue of a target; another target may be tried. */
 const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue'])
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -62,6 +62,7 @@
 /** Statuses from which a caller may conclude that the request was not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 const BAD_GATEWAY_STATUS = 502
+const UNAVAILABLE_STATUS = 503
 const RETRY_AFTER_MS = 1_000
 
 /** Content of an error response. */
@@ -96,7 +97,9 @@
 ): number {
   const problemType = PROBLEM_TYPES[refusal.reason]
   const isPossiblyRun = refusal.run !== 'not-run' && NOT_RUN_STATUSES.has(problemType.status)
-  const status = isPossiblyRun ? BAD_GATEWAY_STATUS : problemType.status
+  // The same reason can apply before the target could receive the request, which callers read from the status.
+  const isCertainlyNotRun = refusal.run === 'not-run' && problemType.status === BAD_GATEWAY_STATUS
+  const status = isPossiblyRun ? BAD_GATEWAY_STATUS : isCertainlyNotRun ? UNAVAILABLE_STATUS : problemType.status
   const body = Buffer.from(JSON.stringify({
     type: `urn:lagoonswitch:problem:${refusal.reason}`,
     title: problemType.title,
--- a/packages/node/src/links/LinkConnection.ts
+++ b/packages/node/src/links/LinkConnection.ts
@@ -3,15 +3,18 @@
  */
 import type { IClock, IDisposable, ILog, Metrics } from '@lagoonswitch/common'
 import type { PeerFrame } from '@lagoonswitch/schema'
+import { SilenceMeter } from '@lagoonswitch/traffic'
 import { FrameSocket, openLinkSocket, type IFrameListener, type LinkCredentials } from '@lagoonswitch/transport'
 
 const OPEN_TIMEOUT_MS = 1_000
 /** Silence after which a ping is sent to the other process. */
 const PING_INTERVAL_MS = 200
-/** Silence after which no new calls are sent on the link: a ping interval, a round trip and a short stall. */
+/** Time between two checks while an answer is awaited. */
+const CHECK_INTERVAL_MS = 50
+/** Silence after which no calls are sent on the link: a ping interval, a round trip and a short stall. */
 export const SUSPECT_SILENCE_MS = 450
-/** Silence after which retryable calls without a response head fail, so that they can be retried elsewhere. */
-const RETRY_SILENCE_MS = 900
+/** Silence after which calls without a response head fail: one more ping has not been answered. */
+const GIVE_UP_SILENCE_MS = SUSPECT_SILENCE_MS + PING_INTERVAL_MS
 /** Silence after which the connection is closed. */
 const MAX_SILENCE_MS = 3_000
 
@@ -30,7 +33,9 @@
   onClose (): void
   /** Returns true while calls are open, in which case silence indicates a fault. */
   hasCalls (): boolean
-  /** Called repeatedly while the other process is silent for longer than {@link RETRY_SILENCE_MS}. */
+  /** Called repeatedly while the connection is not open after {@link SUSPECT_SILENCE_MS}; it may still open. */
+  onSlowOpen (): void
+  /** Called repeatedly while the other process is silent for longer than {@link GIVE_UP_SILENCE_MS}. */
   onSilent (): void
 }
 
@@ -38,16 +43,16 @@
 export class LinkConnection implements IFrameListener, IDisposable {
   private readonly _socket: FrameSocket
   private readonly _stopping = new AbortController()
-  private _lastReceivedMs: number
-  /** When the first unanswered ping was sent, or the connection was requested; undefined if nothing is unanswered. */
-  private _unansweredSinceMs: number | undefined
+  private readonly _meter: SilenceMeter
+  private _lastPingMs = -Infinity
+  private _isSilent = false
   isOpen = false
 
   constructor (
     private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
   ) {
-    this._lastReceivedMs = _context.clock.readMonotonicMs()
-    this._unansweredSinceMs = this._lastReceivedMs
+    this._meter = new SilenceMeter(_context.clock)
+    this._meter.await()
     this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this)
     void this._runPings()
   }
@@ -64,9 +69,11 @@
     this._socket.dropBody(callId)
   }
 
+  onBytes (): void {
+    this._recordReceived()
+  }
+
   onFrame (frame: PeerFrame): void {
-    this._lastReceivedMs = this._context.clock.readMonotonicMs()
-    this._unansweredSinceMs = undefined
     this._events.onFrame(frame)
   }
 
@@ -84,25 +91,27 @@
 
   private _handleOpen (): void {
     this.isOpen = true
-    this._lastReceivedMs = this._context.clock.readMonotonicMs()
-    this._unansweredSinceMs = undefined
+    this._recordReceived()
     this._events.onOpen()
   }
 
   /**
-   * Time for which the other process has been silent although it should have responded; 0 while nothing is unanswered. On an open
-   * connection it includes the ping interval of silence before the unanswered ping.
+   * Time in milliseconds for which the other process has been silent although it should have responded; 0 while nothing is unanswered.
+   * On an open connection it includes the ping interval of silence before the unanswered ping. Pauses of this process don't count.
    */
   getSilenceMs (): number {
-    if (this._unansweredSinceMs === undefined) return 0
-    return this._context.clock.readMonotonicMs() - this._unansweredSinceMs + (this.isOpen ? PING_INTERVAL_MS : 0)
+    if (!this._meter.isAwaiting) return 0
+    return this._meter.awaitedMs + (this.isOpen ? PING_INTERVAL_MS : 0)
   }
 
   private async _runPings (): Promise<void> {
     const { clock } = this._context
     while (!this._stopping.signal.aborted) {
-      await clock.waitTick(PING_INTERVAL_MS)
+      const stepMs = this._meter.isAwaiting ? CHECK_INTERVAL_MS : PING_INTERVAL_MS
+      this._meter.planStep(stepMs)
+      await clock.waitTick(stepMs)
       if (this._stopping.signal.aborted) return
+      this._meter.step()
       if (this._checkSilence()) {
         this._socket.destroy()
         return
@@ -112,15 +121,39 @@
 
   /** @returns true if the connection is to be closed */
   private _checkSilence (): boolean {
-    const nowMs = this._context.clock.readMonotonicMs()
     const silentMs = this.getSilenceMs()
-    if (!this.isOpen) return silentMs > OPEN_TIMEOUT_MS
+    if (silentMs >= SUSPECT_SILENCE_MS && !this._isSilent) this._reportSilence(silentMs)
+    if (!this.isOpen) {
+      if (silentMs >= SUSPECT_SILENCE_MS) this._events.onSlowOpen()
+      return silentMs > OPEN_TIMEOUT_MS
+    }
     if (silentMs > MAX_SILENCE_MS) return true
-    if (silentMs > RETRY_SILENCE_MS) this._events.onSilent()
-    const isPingDue = nowMs - this._lastReceivedMs >= PING_INTERVAL_MS && (this._events.hasCalls() || this._unansweredSinceMs !== undefined)
-    if (!isPingDue) return false
-    this._unansweredSinceMs ??= nowMs
-    this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
+    if (silentMs >= GIVE_UP_SILENCE_MS) this._events.onSilent()
+    this._sendPingIfDue()
     return false
   }
+
+  private _sendPingIfDue (): void {
+    const nowMs = this._context.clock.readMonotonicMs()
+    const isAnswerAwaited = this._events.hasCalls() || this._meter.isAwaiting
+    if (!isAnswerAwaited || this._meter.quietMs < PING_INTERVAL_MS || nowMs - this._lastPingMs < PING_INTERVAL_MS) return
+    this._lastPingMs = nowMs
+    this._meter.await()
+    this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
+  }
+
+  private _reportSilence (silentMs: number): void {
+    this._isSilent = true
+    this._context.metrics.count('links_silent_total', this.isOpen ? 'open' : 'not-opened')
+    this._context.log.warn('link_silent', { address: this._address, opened: this.isOpen, silent_ms: Math.round(silentMs) })
+  }
+
+  private _recordReceived (): void {
+    if (this._isSilent) {
+      this._isSilent = false
+      this._context.metrics.count('links_silent_total', 'answered')
+      this._context.log.info('link_answered', { address: this._address, quiet_ms: Math.round(this._meter.quietMs) })
+    }
+    this._meter.recordReceived()
+  }
 }
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -33,6 +33,10 @@
     if (this._isDraining) {
       // Deferred, so that the caller of this method receives its handle before the failure.
       queueMicrotask(() => call.refuse('draining'))
+    } else if (!this.isReachable) {
+      // Nothing of the call is sent, so that it is certain not to run; on an open connection it could run once the other process goes on.
+      const reason = this._connection?.isOpen === true ? 'link-silent' : 'unreachable'
+      queueMicrotask(() => call.refuse(reason))
     } else if (this._connection?.isOpen === true) {
       call.sendOpen()
     } else {
@@ -42,6 +46,7 @@
         onFrame: frame => this._handleFrame(frame),
         onClose: () => this._handleClose(),
         hasCalls: () => this._calls.size > 0,
+        onSlowOpen: () => this._handleSlowOpen(),
         onSilent: () => this._handleSilence()
       })
     }
@@ -94,7 +99,20 @@
   private _handleFrame ({ callId, frame }: PeerFrame): void {
     if (frame === undefined || frame.$case === 'ping') return
     if (frame.$case === 'drain') this._isDraining = true
-    else this._calls.get(callId)?.handleFrame(frame)
+    else this._deliver(callId, frame)
+  }
+
+  /** An answer to a call that was given up is dropped; its number has not been given to another call since. */
+  private _deliver (callId: number, frame: Frame): void {
+    const call = this._calls.get(callId)
+    if (call !== undefined) call.handleFrame(frame)
+    else if (frame.$case === 'head') this._context.metrics.count('late_answers_total', 'link')
+  }
+
+  private _handleSlowOpen (): void {
+    const waiting = this._callsAwaitingOpen
+    this._callsAwaitingOpen = []
+    for (const call of waiting) call.refuse('unreachable')
   }
 
   private _handleSilence (): void {
--- a/packages/traffic/src/hangs/HangWatch.ts
+++ b/packages/traffic/src/hangs/HangWatch.ts
@@ -54,9 +54,10 @@
     this._lastStepMs = nowMs
     if (this._call.hasReceived()) return
     this._timer = this._clock.schedule(STEP_MS, () => this._step())
-    if (elapsedMs > STEP_MS + MAX_STEP_DELAY_MS || this._call.isBusy()) return
-    this._waitedMs += elapsedMs
-    this._decide(nowMs)
+    if (this._call.isBusy()) return
+    const isLate = elapsedMs > STEP_MS + MAX_STEP_DELAY_MS
+    this._waitedMs += isLate ? STEP_MS : elapsedMs
+    if (!isLate) this._decide(nowMs)
   }
 
   private _decide (nowMs: number): void {
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -17,6 +17,8 @@
 /** Receives the events of a socket. */
 export interface IFrameListener {
   onFrame (frame: PeerFrame): void
+  /** Called when bytes arrive, also those of frames that are incomplete or not passed on. */
+  onBytes? (): void
   /** Called once, with the reason; not called after {@link FrameSocket.dispose}. */
   onClose (cause: string): void
 }
@@ -157,6 +159,7 @@
   }
 
   private _receive (chunk: Buffer): void {
+    this._listener.onBytes?.()
     let data = this._incoming.length === 0 ? chunk : Buffer.concat([this._incoming, chunk])
     while (data.length > 0 && !this._isClosed) {
       const prefix = readLengthPrefix(data)
