--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -16,7 +16,9 @@
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
-import { AccountIndex, CallerWaitEstimator, BalancedDraws, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import {
+  AccountIndex, BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, ServicePace, TargetPool
+} from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
@@ -61,6 +63,7 @@
   private readonly _reservedHeadersWithAccounts: ReadonlySet<string>
   private _catalogueChangedMs = 0
   private readonly _feed: NodeFeed
+  private readonly _pace: ServicePace
   private _stop: GracefulStop | undefined
 
   readonly directory: ControlDirectory
@@ -79,6 +82,7 @@
     const dialect = _options.dialect ?? new LagoonDialect()
     this._reservedHeaders = dialect.reservedHeaders
     this._reservedHeadersWithAccounts = new Set([...dialect.reservedHeaders, ...dialect.accountHeaders])
+    this._pace = new ServicePace(clock)
     this._feed = this._disposables.add(new NodeFeed({ ..._options, incarnation, takeEvidence: () => this._evidence.takeEvidence() }))
     this.directory = this._feed.directory
     this.store = this._feed.store
@@ -98,6 +102,7 @@
       metrics,
       endpoints: this.endpoints,
       dialect,
+      isServiceSlow: settings.node.hangDetection ? (...wait) => this._pace.isSlow(...wait) : undefined,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
@@ -131,6 +136,8 @@
       startedMs: clock.readMonotonicMs(),
       getAccounts: () => this._getAccounts(),
       getReservedHeaders: () => this._getAccounts().size === 0 ? this._reservedHeaders : this._reservedHeadersWithAccounts,
+      startNestedCall: parentId => this.targets.startNestedCall(parentId),
+      pace: this._pace,
       reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
       recordCalledService: part => this._calledServices.add(part.service),
       getRetryBudget: part => this._getRetryBudget(part),
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -13,7 +13,7 @@
 import { computeObjectiveLeftMs, hasBody, readCallHead, type ICallHead } from './CallHead.js'
 import { CallRetries } from './CallRetries.js'
 import { CallReport } from './CallReport.js'
-import type { ICallEvents, ICallFailure, ICallRequest, ITargetLoad } from './CallTypes.js'
+import { isFinalStatus, type ICallEvents, type ICallFailure, type ICallRequest, type ITargetLoad } from './CallTypes.js'
 import { REPEATED_HEADER } from './Headers.js'
 import type { GracefulStop } from './GracefulStop.js'
 import { TargetPicker } from './TargetPicker.js'
@@ -50,6 +50,8 @@
   private _hasSkippedTarget = false
   /** True once the key of the account has been withdrawn; no target receives the call from then on. */
   private _isKeyWithdrawn = false
+  /** Ends the nested call at the run that makes this call; undefined when no target of this VM makes it. */
+  private _endNestedCall: (() => void) | undefined
   private _isDone = false
   private _isCallerGone = false
   private readonly _onCallerEnd = (): void => this._handleCallerClose()
@@ -164,7 +166,7 @@
       this._refuseForStop()
       return
     }
-    if (this._canSendAgain() && this._retries.authorizeRetry(failure)) {
+    if (this._canSendAgain() && this._retries.authorizeRetry(failure, this._getRemainingMs())) {
       this._lastFailure = failure
       this._report.reportRetry(failure.reason, this._attempt?.target)
       this._scheduleSend()
@@ -183,6 +185,7 @@
     this._head = head.val
     this._picker = new TargetPicker(this._context, head.val)
     this._retries = new CallRetries(this._context, head.val, this._picker.part)
+    this._endNestedCall = this._context.startNestedCall(head.val.parentId)
     this._report.route = head.val.route.key
     this._report.account = head.val.account
     this._report.retries = this._retries
@@ -331,6 +334,7 @@
       callId: this._head.callId,
       objectiveMs: this._getObjectiveLeftMs(),
       expectedMs: this._context.pool.computeExpectedMs(target, this._head.route.key),
+      route: this._head.route.key,
       isRetryable: this._head.route.isRetryable,
       isSpareOnly: this._context.pool.isLimitedToSpareSlots(target, this._head.callClass),
       isRepeat: this._retries.isRepeat,
@@ -371,7 +375,7 @@
   }
 
   private _sendRecordedAnswer (answer: RecordedAnswer | undefined): void {
-    if (answer === undefined) {
+    if (answer === undefined || !isFinalStatus(answer.status)) {
       this._refuse('key-unknown', 'unknown', 0)
       return
     }
@@ -426,6 +430,7 @@
 
   private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
+    this._endNestedCall?.()
     this._request.socket.off('end', this._onCallerEnd)
     this._deadlineTimer?.dispose()
     this._withdrawalTimer?.dispose()
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -38,6 +38,8 @@
   'bad-frame': { status: 502, title: 'a process of the system broke its protocol', remedy: 'update the processes' },
   'target-busy': { status: 503, title: 'the target took no more calls', remedy: 'retry after the stated time' },
   'target-replaced': { status: 503, title: 'another target has the address', remedy: 'retry' },
+  'bad-status': { status: 502, title: 'the target sent a status that no response can have', remedy: 'check whether the request took effect' },
+  hung: { status: 504, title: 'the target seems to hang', remedy: 'check whether the request took effect; compare the slots of the target with its capacity' },
   crossed: { status: 502, title: 'the target sent the answer to another call', remedy: 'check whether the request took effect' },
   'link-silent': { status: 502, title: 'the process beside the target fell silent', remedy: 'check whether the request took effect' },
   'no-spare': { status: 503, title: 'targets of other zones have no free slot', remedy: 'retry after the stated time' },
@@ -72,6 +74,7 @@
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 const UNAUTHORIZED_STATUS = 401
 const BAD_GATEWAY_STATUS = 502
+const UNAVAILABLE_STATUS = 503
 const RETRY_AFTER_MS = 1_000
 
 /** Content of an error response. */
@@ -106,7 +109,9 @@
 ): number {
   const problemType = PROBLEM_TYPES[refusal.reason]
   const isPossiblyRun = refusal.run !== 'not-run' && NOT_RUN_STATUSES.has(problemType.status)
-  const status = isPossiblyRun ? BAD_GATEWAY_STATUS : problemType.status
+  // The same reason can apply before the target could receive the request, which callers read from the status.
+  const isCertainlyNotRun = refusal.run === 'not-run' && problemType.status === BAD_GATEWAY_STATUS
+  const status = isPossiblyRun ? BAD_GATEWAY_STATUS : isCertainlyNotRun ? UNAVAILABLE_STATUS : problemType.status
   const body = Buffer.from(JSON.stringify({
     type: `urn:lagoonswitch:problem:${refusal.reason}`,
     title: problemType.title,
