--- a/packages/node/src/targets/TargetCall.test.ts
+++ b/packages/node/src/targets/TargetCall.test.ts
@@ -1,4 +1,6 @@
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
 import { SystemClock } from '@lagoonswitch/common'
@@ -148,3 +150,45 @@
     expect(sockets).toEqual({ opened: calls, closed: calls })
   }
 })
+
+/** Listens with the shortest queue of connections and accepts none while it is stopped. */
+const LISTENER = `
+const server = require('node:net').createServer(socket => { socket.on('error', () => {}) })
+server.listen({ port: 0, host: '127.0.0.1', backlog: 1 }, () => process.stdout.write(server.address().port + '\\n'))`
+
+// The slot was given back at once although the attempt went on.
+test('attempt to connect that hangs holds a slot, and ends with its call', async () => {
+  const child = spawn(process.execPath, ['-e', LISTENER], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const fillers: Socket[] = []
+  try {
+    const [line] = await once(child.stdout, 'data') as [Buffer]
+    const port = Number(line.toString())
+    child.kill('SIGSTOP')
+    let isFull = false
+    while (!isFull && fillers.length < 10) {
+      const filler = connect(port, '127.0.0.1')
+      filler.on('error', () => undefined)
+      fillers.push(filler)
+      isFull = await Promise.race([once(filler, 'connect').then(() => false), sleep(200).then(() => true)])
+    }
+    expect(isFull).toBe(true)
+    const announcement = { id: 't1', service: 'desk', version: 'v1', address: `127.0.0.1:${port}`, slots: 1, connections: 1, instance: '' }
+    target = new LocalTarget(announcement, new SystemClock(), () => undefined)
+    const { slotLimiter } = target
+    const events: ICallEvents = { onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: () => {}, onBodyDrain: () => {} }
+    const call = new TargetCall(target, REQUEST, events, new SystemClock(), new LagoonDialect(), { onFinished: () => {} })
+    await sleep(50)
+    expect(slotLimiter.load.inFlight).toBe(1)
+    const connectingSocket = (call as unknown as { _connection: { _connectingSocket: Socket } })._connection._connectingSocket
+    expect(connectingSocket.connecting).toBe(true)
+    call.cancel()
+    await new Promise(resolve => setImmediate(() => setImmediate(resolve)))
+    expect([slotLimiter.load.inFlight, connectingSocket.destroyed]).toEqual([1, true])
+    await sleep(50)
+    expect(slotLimiter.load.inFlight).toBe(0)
+  } finally {
+    for (const filler of fillers) filler.destroy()
+    child.kill('SIGCONT')
+    child.kill('SIGKILL')
+  }
+})
