--- a/tests/Accounts.test.ts
+++ b/tests/Accounts.test.ts
@@ -177,6 +177,25 @@
   expect(await world.readMetrics('n1')).toMatch(/authorizations_total\{reason="credentials-withdrawn"\} 1/)
 })
 
+test('call that failed at one target is not reported as unauthorized when its key is withdrawn before the next one receives it', async () => {
+  await startWorld([BIG, SMALL])
+  await world.addTarget('n1', 'desk')
+  const call = world.call('n1', '/desk/safe/hold-apart', {}, KEY)
+  await waitFor('the running call', () => world.heldApart.length === 1)
+  // Calls prefer the target of the VM at which they arrive, so these take all slots of the other one.
+  const others = Array.from({ length: 4 }, async () => await world.call('n2', '/desk/safe/hold', {}, 'key-of-small'))
+  await waitFor('no free slot', () => world.held.length === 4)
+  const [response] = world.heldApart.splice(0)
+  response?.writeHead(500).end()
+  await waitFor('the retry in the queue', () => world.platform.processes.get('n2').node.targets.listTargets()[0].queued === 1)
+  await world.publishEverywhere(createTenantConfiguration(2, 1, [{ ...BIG, 'api-keys': [OTHER_KEY] }, SMALL]))
+  const { status, headers } = await call
+  expect([status, headers['lagoon-run']]).toEqual([502, 'unknown'])
+  expect(world.heldApart.length).toBe(0)
+  for (const held of world.held.splice(0)) held.end('served')
+  expect((await Promise.all(others)).map(reply => reply.status)).toEqual([200, 200, 200, 200])
+})
+
 test('call whose body is still arriving when its key is withdrawn reaches no target', async () => {
   await startWorld([BIG])
   const outgoing = request({
--- a/tests/support/AccountWorld.ts
+++ b/tests/support/AccountWorld.ts
@@ -62,6 +62,7 @@
   readonly received: IReceived[] = []
   /** Responses to requests whose path ends in `/hold`, until a test ends them. */
   readonly held: ServerResponse[] = []
+  readonly heldApart: ServerResponse[] = []
   private readonly _closers: Array<() => Promise<void>> = []
   private _idCount = 0
 
@@ -96,7 +97,10 @@
     return this.platform.ports[2]
   }
 
-  /** Adds a target: a request for `/hold` is answered when the test ends it, one for `/nested` makes a call of its own first. */
+  /**
+   * Adds a target: a request for `/hold` is answered when the test ends it, one for `/nested` makes a call of its own first.
+   * Requests for `/hold-apart` are kept in {@link heldApart}.
+   */
   async addTarget (node: string, service: string, slots = 4): Promise<void> {
     const host = `127.0.2.${node.slice(1)}`
     const [port] = await findPorts(1)
@@ -108,6 +112,7 @@
       const callId = String(headers['x-attempt-id'])
       response.setHeader('x-attempt-id', callId)
       if (url.endsWith('/hold')) this.held.push(response)
+      else if (url.endsWith('/hold-apart')) this.heldApart.push(response)
       else if (url.endsWith('/nested')) {
         void this.call(node, '/desk/safe/inner', { 'x-attempt-id': `${callId}.1`, 'x-tenant': 'forged' })
           .then(inner => response.end(`inner ${inner.status}`))
@@ -180,7 +185,7 @@
   }
 
   async stop (): Promise<void> {
-    for (const response of this.held) response.end()
+    for (const response of [...this.held, ...this.heldApart]) response.end()
     await Promise.all(this._closers.map(async close => await close()))
     await this.platform.stop()
   }
