Slots: accounts of one class share the slots of a target in weighted fair order

Cause: an account with many waiting calls delayed all others of its class, filled the queue, and refused callers returned together. Change: start-time fair queueing by account within a class; a full queue evicts the newest call of the account with most waiting calls; a call that won't get its slot in time is refused at once by its account's position; refused callers with an account get their own time to return. Without accounts all decisions are as before.

--- /dev/null
+++ b/packages/traffic/src/slots/AccountCompetition.test.ts
@@ -0,0 +1,41 @@
+import { expect, test } from 'vitest'
+import { CallClass } from '@lagoonswitch/schema'
+import { CompetitionModel, type ICompetitionResult, type IGroupResult } from '../testing/CompetitionModel.js'
+
+const SEEDS = [1, 2, 3]
+/** Stated target: no account, class or kind is served less than this fraction of the share of all. */
+const MIN_SHARE_RATIO = 0.25
+
+function computeShare ({ calls, served }: IGroupResult): number {
+  return served / calls
+}
+
+const ONE_CLASS = [CallClass.CALL_CLASS_NORMAL]
+const ALL_CLASSES = [CallClass.CALL_CLASS_HIGH, CallClass.CALL_CLASS_NORMAL, CallClass.CALL_CLASS_NORMAL, CallClass.CALL_CLASS_LOW]
+
+/** Prints the results of one run. */
+function report (name: string, { all, groups }: ICompetitionResult): { lowestRatio: number, worstTenth: number } {
+  const sorted = [...groups].sort(([, a], [, b]) => computeShare(a) - computeShare(b))
+  const accounts = sorted.filter(([group]) => group.startsWith('account')).map(([, result]) => result)
+  const worst = accounts.slice(0, Math.ceil(accounts.length / 10))
+  const average = (values: number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
+  const worstTenth = average(worst.map(computeShare))
+  const [lowest, lowestResult] = sorted[0] as [string, IGroupResult]
+  const lowestRatio = computeShare(lowestResult) / computeShare(all)
+  console.log(`${name}: served ${computeShare(all).toFixed(3)}, value ${(all.value / all.calls).toFixed(3)}; worst tenth of accounts: ` +
+    `served ${worstTenth.toFixed(3)}, value ${average(worst.map(({ value, calls }) => value / calls)).toFixed(3)}; ` +
+    `lowest: ${lowest}, ${lowestRatio.toFixed(2)} of all`)
+  return { lowestRatio, worstTenth }
+}
+
+test.each([
+  [1, 'one class', ONE_CLASS], [1.3, 'one class', ONE_CLASS], [1.8, 'one class', ONE_CLASS],
+  [1, 'all classes', ALL_CLASSES], [1.3, 'all classes', ALL_CLASSES], [1.8, 'all classes', ALL_CLASSES]
+] as const)('no account, class or kind starves while one account sends a burst: load %s, %s', (load, name, classes) => {
+  for (const seed of SEEDS) {
+    const before = report(`load ${load}, ${name}, seed ${seed}, before`, new CompetitionModel({ seed, load, classes, hasAccounts: false }).run())
+    const now = report(`load ${load}, ${name}, seed ${seed}, now`, new CompetitionModel({ seed, load, classes, hasAccounts: true }).run())
+    expect(now.lowestRatio).toBeGreaterThanOrEqual(MIN_SHARE_RATIO)
+    expect(now.worstTenth).toBeGreaterThan(before.worstTenth)
+  }
+})
--- a/packages/traffic/src/slots/SlotLimiter.ts
+++ b/packages/traffic/src/slots/SlotLimiter.ts
@@ -1,9 +1,10 @@
 /**
  * Limits the calls that run on one target to its slots, with a short queue for calls that wait.
  */
-import type { IClock } from '@lagoonswitch/common'
+import type { IClock, IRandom } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
 import type { FailureReason, ITargetLoad } from '../CallLoad.js'
+import { ReturnSchedule } from './ReturnSchedule.js'
 import { SlotQueue, type IQueuedCall } from './SlotQueue.js'
 
 /** Weight of the newest call in the moving average of service times. */
@@ -32,6 +33,8 @@
  * at most a third of that time.
  */
 const BACKOFF_RATIO = 0.33
+/** Part of that time before which a caller with an account that meets an overload does not return. */
+const MIN_BACKOFF_RATIO = 0.5
 
 /** A call that waits for a slot or holds one. */
 export interface ISlotTicket {
@@ -73,12 +76,16 @@
   private _served = 0
   /** Time since which the queue has not been empty. */
   private _nonEmptySinceMs = 0
+  private readonly _returns: ReturnSchedule | undefined
 
   /**
    * @param _clock - source of time
    * @param slots - calls that the target takes at once
+   * @param random - spreads the times at which refused callers with an account return; without it they are not spread
    */
-  constructor (private readonly _clock: IClock, public slots: number) {}
+  constructor (private readonly _clock: IClock, public slots: number, random?: IRandom) {
+    this._returns = random === undefined ? undefined : new ReturnSchedule(_clock, random)
+  }
 
   get load (): ITargetLoad {
     return {
@@ -86,6 +93,14 @@
     }
   }
 
+  /**
+   * @param callClass - of the calls
+   * @returns number of calls of the class that wait for a slot
+   */
+  countWaiting (callClass: CallClass): number {
+    return this._queue.countOfClass(callClass)
+  }
+
   /**
    * Requests a slot. Exactly one of the callbacks is called, possibly before this method returns.
    * @param request - class, time left and callbacks
@@ -96,6 +111,7 @@
     const waiter: IWaiter = {
       request,
       callClass: request.callClass,
+      account: request.account ?? '',
       arrivedAtMs: this._clock.readMonotonicMs(),
       isTimely,
       maxWaitMs: this._computeMaxWaitMs(request, isTimely),
@@ -105,6 +121,7 @@
       release: () => this._release(waiter)
     }
     if (this._inFlight < this._computeUsableSlots(request) && this._queue.length === 0) {
+      this._queue.recordUncontended(waiter.callClass)
       this._grant(waiter)
       return waiter
     }
@@ -135,15 +152,17 @@
     })
   }
 
-  private _findRefusalReason ({ request, isTimely, maxWaitMs }: IWaiter): FailureReason | undefined {
+  private _findRefusalReason ({ request, account, isTimely, maxWaitMs }: IWaiter): FailureReason | undefined {
     if (request.isSpareOnly === true) return 'no-spare'
     if (maxWaitMs <= 0) return 'deadline-queue'
-    const callsAhead = this._isCongested() ? 0 : this._queue.countAhead(request.callClass)
+    // The newest call goes first under congestion, but among calls of accounts only within its account.
+    const isFirst = this._isCongested() && !this._queue.hasAccounts(request.callClass, account)
+    const callsAhead = isFirst ? 0 : this._queue.countAhead(request.callClass, account)
     const waitMs = (callsAhead + 1) / Math.max(1, this.slots) * this._averageServiceMs
     const availableMs = isTimely ? computeTimeLimitMs(request) : request.remainingMs
     if (waitMs + MIN_TIME_RATIO * this._getExpectedMs(request) > availableMs) return 'deadline-queue'
     if (this._queue.length < request.queueLimit) return undefined
-    const shed = this._queue.evictLowerClass(request.callClass)
+    const shed = this._queue.evictFor(request.callClass, account)
     if (shed === undefined) return 'queue-full'
     this._refuse(shed, 'shed')
     return undefined
@@ -192,11 +211,17 @@
   }
 
   /** A caller whose response would be late, or that meets an overload, is asked to wait as long as it can: the peak may be over then. */
-  private _computeRetryAfterMs ({ request, arrivedAtMs, maxWaitMs }: IWaiter): number {
-    const waitMs = (this._queue.length + 1) / Math.max(1, this.slots) * this._averageServiceMs
+  private _computeRetryAfterMs ({ request, account, arrivedAtMs, maxWaitMs }: IWaiter): number {
+    const intervalMs = this._averageServiceMs / Math.max(1, this.slots)
     const passedMs = this._clock.readMonotonicMs() - arrivedAtMs
     const isLate = computeTimeLimitMs(request) - passedMs < this._getExpectedMs(request)
-    return Math.max(MIN_BACKOFF_MS, waitMs, isLate || this._isOverloaded(maxWaitMs) ? BACKOFF_RATIO * (request.remainingMs - passedMs) : 0)
+    const backoffMs = isLate || this._isOverloaded(maxWaitMs) ? BACKOFF_RATIO * (request.remainingMs - passedMs) : 0
+    if (this._returns === undefined || !this._queue.hasAccounts(request.callClass, account)) {
+      return Math.max(MIN_BACKOFF_MS, (this._queue.length + 1) * intervalMs, backoffMs)
+    }
+    const waitMs = (this._queue.countAhead(request.callClass, account) + 1) * intervalMs
+    const minMs = Math.max(MIN_BACKOFF_MS, waitMs, MIN_BACKOFF_RATIO * backoffMs)
+    return this._returns.allocateDelayMs(minMs, Math.max(minMs, BACKOFF_RATIO * (request.remainingMs - passedMs)), intervalMs)
   }
 
   private _release (waiter: IWaiter): void {
--- a/packages/traffic/src/slots/SlotQueue.ts
+++ b/packages/traffic/src/slots/SlotQueue.ts
@@ -3,6 +3,7 @@
  */
 import type { IDisposable } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
+import { AccountShares } from './AccountShares.js'
 
 /** Consecutive slots that go to calls of the first class while others wait, so that the others do not starve. */
 const MAX_CONSECUTIVE_FIRST_CLASS = 8
@@ -19,6 +20,8 @@
 /** A call waiting in the queue. */
 export interface IQueuedCall {
   readonly callClass: CallClass
+  /** Name of the client account; empty for a call without one. */
+  readonly account: string
   /** False if the response will come too late for the objective of the call. */
   isTimely: boolean
   timer: IDisposable | undefined
@@ -27,12 +30,14 @@
 /**
  * Weighted fair queue of waiting calls. Calls of the first class, which other calls wait for, go first; then calls whose response
  * can still meet its objective, where classes share the slots by weight and number of waiting calls; then late calls. Within a
- * class the oldest goes first, but under congestion the newest: if not all can be served, those that have waited least are in time.
+ * class {@link AccountShares} picks the account. Of its calls the oldest goes first, but under congestion the newest: if not all can
+ * be served, those that have waited least are in time. Calls without an account count as those of one account.
  */
 export class SlotQueue<T extends IQueuedCall> {
   /** In order of arrival. */
   private readonly _waiting: T[] = []
   private readonly _virtualTimes = new Map<CallClass, number>()
+  private readonly _shares = new Map<CallClass, AccountShares>()
   private _consecutiveFirstClass = 0
 
   get length (): number {
@@ -57,31 +62,60 @@
 
   /**
    * @param callClass - of an arriving call
+   * @param account - of the arriving call
    * @returns how many calls would be served before it if the oldest went first
    */
-  countAhead (callClass: CallClass): number {
-    if (callClass !== CallClass.CALL_CLASS_FIRST) return this._waiting.length
+  countAhead (callClass: CallClass, account = ''): number {
+    const ofClass = this._waiting.filter(waiter => waiter.callClass === callClass)
+    const others = callClass === CallClass.CALL_CLASS_FIRST ? 0 : this._waiting.length - ofClass.length
+    if (!this.hasAccounts(callClass, account)) return others + ofClass.length
+    return others + this._getShares(callClass).countAhead(account, countByAccount(ofClass))
+  }
+
+  /** @returns number of waiting calls of a class */
+  countOfClass (callClass: CallClass): number {
     return this._waiting.filter(waiter => waiter.callClass === callClass).length
   }
 
+  /**
+   * @param callClass - of an arriving call
+   * @param account - of the arriving call
+   * @returns true if it, a waiting call of its class or a recent one has an account
+   */
+  hasAccounts (callClass: CallClass, account: string): boolean {
+    return account !== '' || this._shares.get(callClass)?.hasLeads === true ||
+      this._waiting.some(waiter => waiter.callClass === callClass && waiter.account !== '')
+  }
+
+  /**
+   * Records a call that got a slot without waiting.
+   * @param callClass - of the call
+   */
+  recordUncontended (callClass: CallClass): void {
+    this._shares.get(callClass)?.recordUncontended()
+  }
+
   /** @returns the waiter that has waited longest among those that can be in time */
   findOldestTimely (): T | undefined {
     return this._waiting.find(waiter => waiter.isTimely)
   }
 
   /**
-   * Removes the waiter that makes room for a call of a higher class.
+   * Removes the waiter that makes room for a call of a higher class, or of an account with fewer waiting calls.
    * @param callClass - of the arriving call
-   * @returns the newest waiter of the lowest class if that class is lower, otherwise undefined
+   * @param account - of the arriving call
+   * @returns the newest waiter of the account with most waiting calls in the lowest class, or undefined if it is not to make room
    */
-  evictLowerClass (callClass: CallClass): T | undefined {
-    let lowest: T | undefined
-    for (const waiter of this._waiting) {
-      if (lowest === undefined || waiter.callClass >= lowest.callClass) lowest = waiter
-    }
-    if (lowest === undefined || lowest.callClass <= callClass) return undefined
-    this.remove(lowest)
-    return lowest
+  evictFor (callClass: CallClass, account = ''): T | undefined {
+    const lowestClass = this._waiting.reduce<CallClass>((lowest, waiter) => Math.max(lowest, waiter.callClass), 0)
+    if (this._waiting.length === 0 || lowestClass < callClass) return undefined
+    const ofClass = this._waiting.filter(waiter => waiter.callClass === lowestClass)
+    const counts = countByAccount(ofClass)
+    const most = Math.max(...counts.values())
+    if (lowestClass === callClass && (counts.get(account) ?? 0) >= most) return undefined
+    const evicted = ofClass.findLast(waiter => counts.get(waiter.account) === most)
+    if (evicted !== undefined) this.remove(evicted)
+    return evicted
   }
 
   /**
@@ -94,12 +128,28 @@
     if (callClass === undefined) return undefined
     const ofClass = this._waiting.filter(waiter => waiter.callClass === callClass)
     const timely = ofClass.filter(waiter => waiter.isTimely)
-    const candidates = timely.length > 0 ? timely : ofClass
+    const candidates = this._filterByAccount(callClass, timely.length > 0 ? timely : ofClass)
     const next = isNewestFirst ? candidates.at(-1) : candidates[0]
     if (next !== undefined) this.remove(next)
     return next
   }
 
+  /** Picks the account whose turn it is, and keeps only its waiters. */
+  private _filterByAccount (callClass: CallClass, waiters: readonly T[]): readonly T[] {
+    if (!this.hasAccounts(callClass, '')) return waiters
+    const account = this._getShares(callClass).takeAccount(countByAccount(waiters))
+    return waiters.filter(waiter => waiter.account === account)
+  }
+
+  private _getShares (callClass: CallClass): AccountShares {
+    let shares = this._shares.get(callClass)
+    if (shares === undefined) {
+      shares = new AccountShares()
+      this._shares.set(callClass, shares)
+    }
+    return shares
+  }
+
   private _pickClass (): CallClass | undefined {
     const others = this._waiting.filter(waiter => waiter.callClass !== CallClass.CALL_CLASS_FIRST)
     const hasFirst = others.length < this._waiting.length
@@ -136,3 +186,9 @@
     return this._virtualTimes.get(callClass) ?? 0
   }
 }
+
+function countByAccount (waiters: readonly IQueuedCall[]): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>()
+  for (const { account } of waiters) counts.set(account, (counts.get(account) ?? 0) + 1)
+  return counts
+}
