--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -5,7 +5,7 @@
   DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
 import type { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
-import type { ISettings } from '@lagoonswitch/schema'
+import { CallClass, type ISettings } from '@lagoonswitch/schema'
 import { LeaderClient, LinkListener, type IPeerChannels, type IServiceRegistry, type LinkCredentials } from '@lagoonswitch/transport'
 import { LagoonDialect, type CallDialect } from './calls/CallDialect.js'
 import { CallServer } from './calls/CallServer.js'
@@ -28,6 +28,11 @@
 const STOP_POLL_MS = 50
 /** Minimum length of the lease of a target in heartbeat intervals, since heartbeats may be seconds late. */
 const MIN_HEARTBEATS_PER_LEASE = 6
+/** Classes whose waiting calls are counted, by the suffix of their gauge. */
+const WAITING_CLASSES = [
+  ['first', CallClass.CALL_CLASS_FIRST], ['high', CallClass.CALL_CLASS_HIGH], ['normal', CallClass.CALL_CLASS_NORMAL],
+  ['low', CallClass.CALL_CLASS_LOW]
+] as const
 
 /** Settings and dependencies of a node. */
 export interface INodeRoleOptions {
@@ -93,6 +98,7 @@
       metrics,
       endpoints: this.endpoints,
       dialect,
+      random,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
@@ -141,6 +147,7 @@
       this._callServer.applyLimits()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
+    for (const [name, callClass] of WAITING_CLASSES) metrics.addGauge(`calls_waiting_${name}`, () => this.targets.countWaiting(callClass))
     metrics.addGauge('feed_level', () => this.feed.level)
     metrics.addGauge('feed_current_age_ms', () => this.feed.getStatus().currentMs)
     metrics.addGauge('catalogue_version', () => this.store.version.version)
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -1,7 +1,7 @@
 /**
  * A target on this VM: its announcement, slots and connections.
  */
-import type { IClock, IDisposable } from '@lagoonswitch/common'
+import type { IClock, IDisposable, IRandom } from '@lagoonswitch/common'
 import { SlotLimiter } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
@@ -37,9 +37,10 @@
    * @param announcement - from the target
    * @param clock - source of time
    * @param onIdleOverrun - called when a connection was closed for surplus bytes that arrived while it had no call
+   * @param random - spreads the times at which refused callers return
    */
-  constructor (readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void) {
-    this.slotLimiter = new SlotLimiter(clock, announcement.slots)
+  constructor (readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, random?: IRandom) {
+    this.slotLimiter = new SlotLimiter(clock, announcement.slots, random)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
   }
 
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -1,9 +1,9 @@
 /**
  * The targets of this VM: their announcements, heartbeats and withdrawals, and the calls to them.
  */
-import { DisposableStore, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
+import { DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
 import type { EndpointView } from '@lagoonswitch/feed'
-import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
+import { EndpointState, type CallClass, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
 import { DEFAULT_WARMUP_MS } from '@lagoonswitch/traffic'
@@ -40,6 +40,8 @@
   readonly metrics: Metrics
   readonly endpoints: EndpointView
   readonly dialect: CallDialect
+  /** Spreads the times at which refused callers with an account return; without it they are not spread. */
+  readonly random?: IRandom
   /** Returns false while a service that the targets call has no retry budget left here for the calls that a retry makes. */
   readonly canTakeRepeat: () => boolean
 }
@@ -99,7 +101,8 @@
     this._removeOthersAtAddress(announcement)
     registered?.leaseTimer.dispose()
     registered?.target.dispose()
-    const target = new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle'))
+    const { clock, random } = this._options
+    const target = new LocalTarget(announcement, clock, () => this._reportOverrun(announcement.id, 'idle'), random)
     target.isDraining = isWithdrawn
     this._targets.set(announcement.id, {
       target,
@@ -202,6 +205,14 @@
     return this._runningCount
   }
 
+  /**
+   * @param callClass - of calls
+   * @returns number of calls of the class that wait for a slot of a target of this VM
+   */
+  countWaiting (callClass: CallClass): number {
+    return [...this._targets.values()].reduce((sum, { target }) => sum + target.slotLimiter.countWaiting(callClass), 0)
+  }
+
   /**
    * @param callId - id of a call
    * @returns true if a target of this VM runs the call and it is a retry, or a target made it while running a retry
