Placement: policies as classes, and one that uses the room of other zones (node.zone_placement = balanced)

Cause: the cost of leaving a zone (0.72 of a call's value at 5 kB) kept calls in zones that refused them while others had room. Change: LocalPlacement has the present cost and stays the default; BalancedPlacement compares the expected probability of a response in time, from load reports that decay with age, refusals and link times, and draws among the best few targets by free slots. Counter zone_crossings_total by reason.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -16,7 +16,9 @@
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
-import { CallerWaitEstimator, BalancedDraws, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import {
+  BalancedDraws, BalancedPlacement, CallerWaitEstimator, LocalPlacement, OwnerCallLimiter, RetryBudget, TargetPool
+} from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
@@ -105,6 +107,8 @@
     this.withdrawals = new WithdrawalRecorder({ node: name, targets: this.targets, leaderClient, clock, log, metrics })
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
+    const location = { region, availabilityZone, linkAddress: this._linkAddress }
+    const isBalanced = settings.node.zonePlacement === 'balanced'
     this._callServer = new CallServer({
       clock,
       random,
@@ -113,14 +117,13 @@
       metrics,
       settings,
       pool: new TargetPool({
-        region,
-        availabilityZone,
-        linkAddress: this._linkAddress,
+        ...location,
         clock,
         random,
         metrics,
         endpoints: this.endpoints,
-        isReachable: address => this._links.get(address)?.isReachable !== false
+        isReachable: address => this._links.get(address)?.isReachable !== false,
+        placement: isBalanced ? new BalancedPlacement({ ...location, random }) : new LocalPlacement({ ...location, random })
       }),
       claims: new ClaimsClient(leaderClient, settings.control.claimShards),
       evidence: this._evidence,
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -83,6 +83,7 @@
     if (failure.reason === 'unreachable' || failure.reason === 'connect') {
       this._context.pool.ejectUnreachable(this.target)
     }
+    this._context.pool.recordRefusal(this.target, failure.reason)
     this._recordOutcome(NEUTRAL_REASONS.has(failure.reason) ? 'neutral' : 'failed', !TARGET_ONLY_REASONS.has(failure.reason))
     this._events.onFailure(failure, load)
   }
--- a/packages/traffic/src/placement/TargetPool.ts
+++ b/packages/traffic/src/placement/TargetPool.ts
@@ -3,8 +3,9 @@
  */
 import type { IClock, IEvent, IRandom, Metrics } from '@lagoonswitch/common'
 import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
-import type { ITargetLoad } from '../CallLoad.js'
-import { computeSpareSlots } from '../slots/SlotLimiter.js'
+import type { FailureReason, ITargetLoad } from '../CallLoad.js'
+import { LocalPlacement } from './LocalPlacement.js'
+import type { IPlacementCall, PlacementPolicy } from './PlacementPolicy.js'
 import { COLD_FACTOR, FAILURE_WEIGHT, TargetState, DEFAULT_SERVICE_MS, computeDecayingMax } from './TargetState.js'
 
 export type { TargetState as ITargetState } from './TargetState.js'
@@ -26,23 +27,6 @@
 const MIN_OWN_RUNS = 30
 /** Runs may take longer than any of the few that are known, by this factor divided by their number. */
 const FEW_RUNS_FACTOR = 5
-/** Shape of the Weibull distribution that models how the times of calls vary around their mean. */
-const WEIBULL_SHAPE = 1.3
-/** Costs of a hop to another VM, and of leaving the zone or region, relative to the value of a response in time, which is 1. */
-const HOP_COST = 0.02
-const ZONE_COST = 0.12
-const ZONE_COST_PER_KB = 0.12
-const REGION_COST = 0.3
-/** Upper limit of the cost of traffic between zones. */
-const MAX_ZONE_COST = 0.9
-/** Cost of a response that is expected to take its whole objective; a shorter time costs proportionally less. */
-const LATENCY_COST = 0.05
-/** Value of a response that comes after the objective, relative to one in time. */
-const LATE_VALUE = 0.35
-/** Amplitude of the random term that spreads calls over targets with nearly equal values. */
-const VALUE_NOISE = 0.015
-const HOP_LATENCY_MS = 1
-const BYTES_PER_KB = 1_024
 const NO_STATES: readonly TargetState[] = []
 
 /** Properties of a call that the choice of its target depends on. */
@@ -84,6 +68,8 @@
   readonly endpoints: IEndpointSource
   /** False while the process at a link address does not respond. */
   readonly isReachable?: (linkAddress: string) => boolean
+  /** Chooses among the targets that can be called; {@link LocalPlacement} if omitted. */
+  readonly placement?: PlacementPolicy
 }
 
 /** The targets of a service, all and by version. */
@@ -104,8 +90,10 @@
   private readonly _states = new Map<string, TargetState>()
   private readonly _services = new Map<string, IServiceTargets>()
   private readonly _routeHistories = new Map<string, IRouteHistory>()
+  private readonly _placement: PlacementPolicy
 
   constructor (private readonly _options: ITargetPoolOptions) {
+    this._placement = _options.placement ?? new LocalPlacement(_options)
     this._applyRecords(_options.endpoints.getRecords())
     _options.endpoints.onChanged(({ records }) => this._applyRecords(records))
   }
@@ -158,6 +146,7 @@
     state.recordOutcome(outcome === 'failed', nowMs)
     if (outcome === 'good') {
       state.recordLatency(latencyMs)
+      this._placement.recordAccepted(state, this._options.clock.readMonotonicMs())
       state.ejections = state.failureRate < FAILURE_WEIGHT ? 0 : state.ejections
       return
     }
@@ -256,7 +245,18 @@
 
   /** Records the load that a target's own process reported. */
   recordLoad (state: TargetState, load: ITargetLoad): void {
-    state.recordLoad(load, this._options.clock.readMonotonicMs())
+    const nowMs = this._options.clock.readMonotonicMs()
+    state.recordLoad(load, nowMs)
+    this._placement.recordLoad(state, nowMs)
+  }
+
+  /**
+   * Records that a target did not take a call.
+   * @param state - the target
+   * @param reason - of the refusal
+   */
+  recordRefusal (state: TargetState, reason: FailureReason): void {
+    this._placement.recordRefusal(state, reason, this._options.clock.readMonotonicMs())
   }
 
   private _listStates (service: string, choice: string | IVersionChoice): readonly TargetState[] {
@@ -316,52 +316,24 @@
   }
 
   private _pickBest (states: readonly TargetState[], criteria: IPickCriteria | undefined, nowMs: number): TargetState | undefined {
-    let best: TargetState | undefined
-    let bestValue = -Infinity
     const callClass = criteria?.callClass ?? CallClass.CALL_CLASS_NORMAL
-    const isLimitedToSpare = this._createSpareSlotsCheck(callClass, nowMs)
-    for (const state of states) {
-      const expected = this._computeExpectedValue(state, criteria, nowMs)
-      if (isLimitedToSpare(state.record) && !this._isWorthCrossingZones(state, criteria, callClass, expected, nowMs)) continue
-      const value = expected + this._options.random.draw() * VALUE_NOISE
-      if (value <= bestValue) continue
-      best = state
-      bestValue = value
-    }
-    return best
-  }
-
-  /** Expected value of sending the call there: the probability of a response in time less the cost of failures, latency and network. */
-  private _computeExpectedValue (state: TargetState, criteria: IPickCriteria | undefined, nowMs: number): number {
     const history = criteria === undefined ? undefined : this._routeHistories.get(criteria.route)
     const usualMs = history?.usualMs ?? 0
-    const waitMs = state.computeWaitMs(nowMs)
-    const serviceMs = state.computeServiceMs(usualMs, nowMs)
-    const objectiveMs = criteria !== undefined && criteria.objectiveLeftMs > 0 && criteria.isLate !== true
+    const isLate = criteria?.isLate === true
+    const objectiveMs = criteria !== undefined && criteria.objectiveLeftMs > 0 && !isLate
       ? criteria.objectiveLeftMs
       : ASSUMED_OBJECTIVE_FACTOR * (usualMs > 0 ? usualMs : DEFAULT_SERVICE_MS)
-    const leftMs = Math.max(0, objectiveMs - waitMs - HOP_LATENCY_MS)
-    const inTimeProbability = 1 - Math.exp(-((leftMs / serviceMs) ** WEIBULL_SHAPE))
-    const delayRatio = Math.min(1, (waitMs + serviceMs) / objectiveMs)
-    const networkCost = this._computeNetworkCost(state, history) / (criteria?.isLate === true ? LATE_VALUE : 1)
-    return inTimeProbability * (1 - state.computeFailureRate(nowMs)) - LATENCY_COST * delayRatio - networkCost
-  }
-
-  /** Another zone is used if the response is worth more than its transfer and a slot may be free; a refused request costs traffic too. */
-  private _isWorthCrossingZones (
-    state: TargetState, criteria: IPickCriteria | undefined, callClass: CallClass, expectedValue: number, nowMs: number
-  ): boolean {
-    return expectedValue > 0 && criteria?.isSpareExcluded !== true &&
-      state.countActive(nowMs) < computeSpareSlots(state.record.slots, callClass)
-  }
-
-  private _computeNetworkCost ({ record }: TargetState, history: IRouteHistory | undefined): number {
-    const { availabilityZone, region, linkAddress } = this._options
-    if (record.linkAddress === linkAddress) return 0
-    if (record.availabilityZone === availabilityZone) return HOP_COST
-    const kilobytes = (history?.responseBytes ?? 0) / BYTES_PER_KB
-    const zoneCost = Math.min(MAX_ZONE_COST, ZONE_COST + ZONE_COST_PER_KB * kilobytes)
-    return HOP_COST + zoneCost + (record.region === region ? 0 : REGION_COST)
+    const call: IPlacementCall = {
+      callClass,
+      usualMs,
+      responseBytes: history?.responseBytes ?? 0,
+      objectiveMs,
+      isLate,
+      isSpareExcluded: criteria?.isSpareExcluded === true
+    }
+    const placement = this._placement.pickTarget(states, call, this._createSpareSlotsCheck(callClass, nowMs), nowMs)
+    if (placement?.crossing !== undefined) this._options.metrics.count('zone_crossings_total', placement.crossing)
+    return placement?.state
   }
 
   private _getHistory (route: string): IRouteHistory {
--- a/packages/traffic/src/placement/TargetState.ts
+++ b/packages/traffic/src/placement/TargetState.ts
@@ -26,6 +26,11 @@
 const FULL_LOAD_SLOWDOWN = 0.3
 /** Time for which a load report is used. */
 const LOAD_REPORT_LIFETIME_MS = 1_000
+/**
+ * Time after which a load report counts half against what is known of the zone. Calls take some hundred milliseconds, so after a second
+ * most of those that it counted have ended.
+ */
+const LOAD_REPORT_HALF_LIFE_MS = 500
 
 /** Runs of the calls of one route. */
 export interface IRunTimes {
@@ -49,6 +54,8 @@
   private _averageSlotMs = 0
   private _loadReport: ITargetLoad | undefined
   private _loadReportedMs = 0
+  /** Calls sent from here that had not ended when the load was reported. */
+  private _inFlightAtReport = 0
   private readonly _warmAtMs: number
   /** By route. */
   private readonly _runs = new Map<string, IRunTimes>()
@@ -98,6 +105,7 @@
   recordLoad (load: ITargetLoad, nowMs: number): void {
     this._loadReport = load
     this._loadReportedMs = nowMs
+    this._inFlightAtReport = this.inFlight
   }
 
   /** Records the time to the first byte of a response. */
@@ -146,10 +154,36 @@
     return Math.max(this.inFlight, reportedCalls)
   }
 
-  /** @returns expected wait for a slot in milliseconds */
-  computeWaitMs (nowMs: number): number {
+  /** Calls per slot that were last reported; undefined when there was no report. */
+  get reportedUtilization (): number | undefined {
+    if (this._loadReport === undefined) return undefined
+    return (this._loadReport.inFlight + this._loadReport.queued) / Math.max(1, this.record.slots)
+  }
+
+  /**
+   * Estimates the calls that hold or await a slot from the last report, the calls sent from here since, and the load of the zone, which
+   * counts the more, the older the report is.
+   * @param zoneUtilization - calls per slot at the targets of its zone
+   * @param nowMs - monotonic time in milliseconds
+   * @returns number of calls, possibly fractional
+   */
+  estimateActive (zoneUtilization: number, nowMs: number): number {
+    const zoneCalls = zoneUtilization * this.record.slots
+    if (this._loadReport === undefined) return Math.max(this.inFlight, zoneCalls)
+    const weight = 0.5 ** ((nowMs - this._loadReportedMs) / LOAD_REPORT_HALF_LIFE_MS)
+    const { inFlight, queued } = this._loadReport
+    const reported = Math.max(0, inFlight + queued + this.inFlight - this._inFlightAtReport)
+    return Math.max(this.inFlight, weight * reported + (1 - weight) * zoneCalls)
+  }
+
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @param activeCalls - that hold or await a slot
+   * @returns expected wait for a slot in milliseconds
+   */
+  computeWaitMs (nowMs: number, activeCalls = this.countActive(nowMs)): number {
     const slots = Math.max(1, this.record.slots)
-    const excessCalls = this.countActive(nowMs) + 1 - slots
+    const excessCalls = activeCalls + 1 - slots
     return excessCalls <= 0 ? 0 : excessCalls / slots * (this._averageSlotMs > 0 ? this._averageSlotMs : DEFAULT_SERVICE_MS)
   }
 
