Nested calls first: a call whose nested calls would be refused is not begun

Cause: runs at the first service ended with 500 because a call that they needed was refused, and held slots meanwhile. Change: the node beside a target learns which services the runs of a route call and the share of refused nested calls; with node.zone_placement = balanced it refuses such calls as not run (needed-refused), with probes.

--- a/packages/lagoonctl/src/explain/CallExplanation.ts
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -17,6 +17,7 @@
   'queue-full': 'overload: the queue of the target was full',
   shed: 'overload: a call of higher priority replaced it in the queue',
   'no-spare': 'overload: no target in the availability zone of the caller accepted it, and a target elsewhere had no spare slot',
+  'needed-refused': 'overload: a service that the target calls refused most calls, so the call was not begun',
   'target-busy': 'overload: the target itself refused further calls',
   'owner-limit': 'the owner of the entry had too many calls running',
   'not-ready': 'the process had no confirmed catalogue; see its process_started and catalogue_confirmed',
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -21,6 +21,7 @@
 } from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
+import { NestedCalls } from './targets/NestedCalls.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
 
 /** Time within which callers notice that this process is no longer ready. */
@@ -88,6 +89,9 @@
     this.feed = this._feed.client
     this.relay = this._feed.relay
     this._evidence = this._disposables.add(new EvidenceCollector(this.store, clock, log, metrics))
+    const isBalanced = settings.node.zonePlacement === 'balanced'
+    const findRoute = (host: string, method: string, path: string): string | undefined =>
+      this._getRoutes()?.findRoute(host, method, path)?.key
     this.targets = this._disposables.add(new LocalTargetRegistry({
       node: name,
       region,
@@ -101,6 +105,7 @@
       endpoints: this.endpoints,
       dialect,
       random,
+      nestedCalls: isBalanced ? new NestedCalls({ clock, random, log, metrics, findRoute }) : undefined,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
@@ -108,7 +113,6 @@
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
     const location = { region, availabilityZone, linkAddress: this._linkAddress }
-    const isBalanced = settings.node.zonePlacement === 'balanced'
     this._callServer = new CallServer({
       clock,
       random,
@@ -133,6 +137,7 @@
       isRepeatRun: callId => this.targets.isRepeatRun(callId),
       reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
       recordCalledService: part => this._calledServices.add(part.service),
+      recordNestedCall: (parentId, part, reason) => this.targets.recordNestedCall(parentId, part.service, reason),
       getRetryBudget: part => this._getRetryBudget(part),
       getRoutes: () => this._getRoutes(),
       getStop: () => this._stop,
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -12,7 +12,7 @@
 const WARMUP_CALLS = 50
 /** Failures that are not the fault of the target. */
 const NEUTRAL_REASONS = new Set<FailureReason>([
-  'queue-full', 'shed', 'deadline-queue', 'draining', 'cancelled', 'no-target', 'no-spare', 'no-budget'
+  'queue-full', 'shed', 'deadline-queue', 'draining', 'cancelled', 'no-target', 'no-spare', 'no-budget', 'needed-refused'
 ])
 /** Failures that count against a target when targets are picked, but not against its version. */
 const TARGET_ONLY_REASONS = new Set<FailureReason>(['target-busy', 'target-replaced', 'link-silent', 'link-lost', 'unreachable'])
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -397,6 +397,9 @@
     this._deadlineTimer?.dispose()
     this._withdrawalTimer?.dispose()
     if (this._owner !== undefined) this._context.ownerCallLimiter.release(this._owner)
+    // Undefined when the head was refused.
+    const parentId = (this._head as ICallHead | undefined)?.parentId ?? ''
+    if (parentId !== '') this._context.recordNestedCall(parentId, this._picker.part, run === 'not-run' ? reason : '')
     this._report.reportEnd({
       outcome,
       reason,
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -34,6 +34,8 @@
   readonly reportRepeatDenied: (parentId: string) => void
   /** Records a service that targets of this VM call while they are running calls. */
   readonly recordCalledService: (part: IRoutePart) => void
+  /** Records the end of a call that a target of this VM made during a run, with the reason if it was refused and has not run. */
+  readonly recordNestedCall: (parentId: string, part: IRoutePart, reason: string) => void
   readonly getRetryBudget: (part: IRoutePart) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
   /** The graceful stop in progress; undefined while there is none. */
--- a/packages/node/src/calls/CallRetries.ts
+++ b/packages/node/src/calls/CallRetries.ts
@@ -14,10 +14,10 @@
 const FINAL_REASONS = new Set<FailureReason>(['deadline', 'cancelled'])
 /** Failures before the target received the request; these attempts cost it nothing. */
 const UNDELIVERED_REASONS = new Set<FailureReason>([
-  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare', 'no-budget'
+  'no-target', 'draining', 'unreachable', 'connect', 'queue-full', 'shed', 'deadline-queue', 'no-spare', 'no-budget', 'needed-refused'
 ])
-/** Refusals by the queue of a target; another target may be tried. */
-const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue'])
+/** Refusals for lack of room at a target or at the services that it calls; another target may be tried. */
+const QUEUE_REASONS = new Set<FailureReason>(['queue-full', 'shed', 'deadline-queue', 'needed-refused'])
 /** Maximum number of queues that may refuse one call; calls of the first class may try more, since other calls wait for them. */
 const MAX_QUEUE_REFUSALS = 2
 const MAX_QUEUE_REFUSALS_FIRST_CLASS = 4
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -40,6 +40,7 @@
   'link-silent': { status: 502, title: 'the process beside the target fell silent', remedy: 'check whether the request took effect' },
   'no-spare': { status: 503, title: 'targets of other zones have no free slot', remedy: 'retry after the stated time' },
   'no-budget': { status: 503, title: 'the services that the target calls bear no more repeats', remedy: 'retry after the stated time' },
+  'needed-refused': { status: 503, title: 'a service that the target calls refuses most calls', remedy: 'retry after the stated time' },
   'not-ready': { status: 503, title: 'this process has no confirmed catalogue yet', remedy: 'retry; check the control VMs' },
   'not-current': { status: 503, title: 'no route matches, but this process may not have the newest catalogue', remedy: 'retry; check its source' },
   'no-route': { status: 404, title: 'no route matches', remedy: 'declare a route or correct the path and the method' },
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -8,6 +8,7 @@
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
 import { DEFAULT_WARMUP_MS } from '@lagoonswitch/traffic'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
+import type { NestedCalls } from './NestedCalls.js'
 import { TargetCall } from './TargetCall.js'
 
 /** Handle of a call that failed before it started. */
@@ -40,8 +41,10 @@
   readonly metrics: Metrics
   readonly endpoints: EndpointView
   readonly dialect: CallDialect
-  /** Spreads the times at which refused callers with an account return; without it they are not spread. */
+  /** Spreads the times at which refused callers with an account return. */
   readonly random?: IRandom
+  /** Decides which calls are not begun; without it all are. */
+  readonly nestedCalls?: NestedCalls
   /** Returns false while a service that the targets call has no retry budget left here for the calls that a retry makes. */
   readonly canTakeRepeat: () => boolean
 }
@@ -177,6 +180,11 @@
       events.onFailure({ reason: 'no-budget', isNotRun: true, retryAfterMs: NO_BUDGET_RETRY_AFTER_MS }, target.slotLimiter.load)
       return ENDED_HANDLE
     }
+    const retryAfterMs = this._options.nestedCalls?.findRefusal(request)?.retryAfterMs
+    if (retryAfterMs !== undefined) {
+      events.onFailure({ reason: 'needed-refused', isNotRun: true, retryAfterMs }, target.slotLimiter.load)
+      return ENDED_HANDLE
+    }
     target.applyLimits(request.slots, request.connections)
     this._runningCount++
     let hasEnded = false
@@ -184,6 +192,7 @@
       this._runningCount--
       hasEnded = true
       if (this._callsById.get(request.callId)?.request === request) this._callsById.delete(request.callId)
+      this._options.nestedCalls?.recordRun(request, failure === undefined)
       if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
       if (failure === 'connect' || failure === 'target-replaced') this._markLost(target, failure)
     })
@@ -230,6 +239,17 @@
     if (run !== undefined) run.call.isRepeatDenied = true
   }
 
+  /**
+   * Records the end of a nested call.
+   * @param parentId - id of the call that makes it
+   * @param service - that was called
+   * @param reason - why it was refused and has not run; empty otherwise
+   */
+  recordNestedCall (parentId: string, service: string, reason: string): void {
+    const run = this._callsById.get(parentId)
+    if (run !== undefined) this._options.nestedCalls?.recordNestedCall(run.request, service, reason)
+  }
+
   /**
    * @param id - id of a target
    * @returns its announcement, or undefined if no such target is registered
--- a/packages/traffic/src/CallLoad.ts
+++ b/packages/traffic/src/CallLoad.ts
@@ -19,4 +19,4 @@
 export type FailureReason =
   'queue-full' | 'shed' | 'deadline' | 'deadline-queue' | 'no-target' | 'draining' | 'unreachable' | 'link-lost' |
   'connect' | 'broken' | 'cancelled' | 'oversized' | 'bad-frame' | 'target-busy' | 'target-replaced' | 'crossed' |
-  'link-silent' | 'no-spare' | 'no-budget'
+  'link-silent' | 'no-spare' | 'no-budget' | 'needed-refused'
--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -3,6 +3,7 @@
  */
 export * from './CallLoad.js'
 export * from './admission/CallerWaitEstimator.js'
+export * from './admission/NeededServices.js'
 export * from './admission/OwnerCallLimiter.js'
 export * from './placement/BalancedDraws.js'
 export * from './placement/BalancedPlacement.js'
--- a/packages/traffic/src/placement/BalancedPlacement.ts
+++ b/packages/traffic/src/placement/BalancedPlacement.ts
@@ -54,7 +54,7 @@
     for (const state of states) {
       const isLimited = isLimitedToSpare(state.record)
       if (isLimited && call.isSpareExcluded) continue
-      const candidate = this._rate(state, call, isLimited, nowMs)
+      const candidate = this._createCandidate(state, call, isLimited, nowMs)
       if (this._isInOwnZone(state)) home.push(candidate)
       else if (!isLimited || candidate.room > 0) away.push(candidate)
     }
@@ -80,15 +80,15 @@
     this._getNews(state).recordOutcome(false, nowMs)
   }
 
-  private _rate (state: TargetState, call: IPlacementCall, isLimited: boolean, nowMs: number): ICandidate {
+  private _createCandidate (state: TargetState, call: IPlacementCall, isLimited: boolean, nowMs: number): ICandidate {
     const news = this._getNews(state)
     const { slots } = state.record
-    const active = state.estimateActive(news.estimateUtilization(nowMs), nowMs)
+    const active = state.computeActive(news.computeUtilization(nowMs), nowMs)
     const room = (isLimited ? computeSpareSlots(slots, call.callClass) : slots) - active
     const waitMs = isLimited ? 0 : state.computeWaitMs(nowMs, active)
     const isHome = this._isInOwnZone(state)
     const networkMs = isHome ? HOP_LATENCY_MS : ZONE_LATENCY_MS + call.responseBytes / LINK_BYTES_PER_MS
-    const acceptedProbability = (1 - news.estimateRefusedShare(nowMs)) * (isLimited ? Math.min(1, Math.max(0, room) / SAFE_SPARE_SLOTS) : 1)
+    const acceptedProbability = (1 - news.computeRefusedShare(nowMs)) * (isLimited ? Math.min(1, Math.max(0, room) / SAFE_SPARE_SLOTS) : 1)
     const value = this._computeValue(state, call, waitMs, networkMs, nowMs) * acceptedProbability - this._computeCost(state, call) +
       this._options.random.draw() * VALUE_NOISE
     return { state, value, room }
@@ -114,7 +114,7 @@
 
   private _explainCrossing (bestHome: ICandidate | undefined, nowMs: number): CrossingReason {
     if (bestHome === undefined) return 'no-home-target'
-    return this._getNews(bestHome.state).estimateRefusedShare(nowMs) > MIN_GAIN ? 'home-refuses' : 'home-late'
+    return this._getNews(bestHome.state).computeRefusedShare(nowMs) > MIN_GAIN ? 'home-refuses' : 'home-late'
   }
 
   private _getNews ({ record }: TargetState): ZoneNews {
--- a/packages/traffic/src/placement/TargetState.ts
+++ b/packages/traffic/src/placement/TargetState.ts
@@ -167,7 +167,7 @@
    * @param nowMs - monotonic time in milliseconds
    * @returns number of calls, possibly fractional
    */
-  estimateActive (zoneUtilization: number, nowMs: number): number {
+  computeActive (zoneUtilization: number, nowMs: number): number {
     const zoneCalls = zoneUtilization * this.record.slots
     if (this._loadReport === undefined) return Math.max(this.inFlight, zoneCalls)
     const weight = 0.5 ** ((nowMs - this._loadReportedMs) / LOAD_REPORT_HALF_LIFE_MS)
--- a/packages/traffic/src/placement/ZoneNews.ts
+++ b/packages/traffic/src/placement/ZoneNews.ts
@@ -41,19 +41,19 @@
    * @param nowMs - monotonic time in milliseconds
    */
   recordOutcome (isRefused: boolean, nowMs: number): void {
-    const share = this.estimateRefusedShare(nowMs)
+    const share = this.computeRefusedShare(nowMs)
     this._refusedShare = share + ((isRefused ? 1 : 0) - share) * REFUSAL_WEIGHT
     this._refusedMs = nowMs
   }
 
   /** @returns expected calls per slot, 1 or more if calls wait */
-  estimateUtilization (nowMs: number): number {
+  computeUtilization (nowMs: number): number {
     const decay = 0.5 ** ((nowMs - this._reportedMs) / REPORT_HALF_LIFE_MS)
     return (this._sum * decay + ASSUMED_UTILIZATION * ASSUMED_WEIGHT) / (this._weight * decay + ASSUMED_WEIGHT)
   }
 
   /** @returns share of calls that are refused there, which decays with the time since the last call */
-  estimateRefusedShare (nowMs: number): number {
+  computeRefusedShare (nowMs: number): number {
     return this._refusedShare * 0.5 ** ((nowMs - this._refusedMs) / REFUSAL_HALF_LIFE_MS)
   }
 }
--- a/packages/traffic/src/testing/PlacementModel.ts
+++ b/packages/traffic/src/testing/PlacementModel.ts
@@ -219,7 +219,7 @@
         callClass: kind.callClass
       })
     if (state === undefined) {
-      this._returnLater(call, lastRetryAfterMs)
+      this._scheduleReturn(call, lastRetryAfterMs)
       return
     }
     call.sends++
@@ -227,10 +227,10 @@
     pool.recordStart(state)
     const isCrossing = state.record.availabilityZone !== zone
     if (isCrossing && this._isMeasured(call)) this._result.crossings++
-    this._clock.schedule(isCrossing ? ZONE_LATENCY_MS : HOME_LATENCY_MS, () => this._arrive(call, state, route))
+    this._clock.schedule(isCrossing ? ZONE_LATENCY_MS : HOME_LATENCY_MS, () => this._handleArrival(call, state, route))
   }
 
-  private _arrive (call: ICall, state: TargetState, route: string): void {
+  private _handleArrival (call: ICall, state: TargetState, route: string): void {
     const { kind, decider: { pool, zone } } = call
     const target = this._targets.get(state.record.targetId) as ITarget
     const isCrossing = state.record.availabilityZone !== zone
@@ -286,7 +286,7 @@
   }
 
   /** The caller returns after the stated time if that is short against its deadline. */
-  private _returnLater (call: ICall, retryAfterMs: number): void {
+  private _scheduleReturn (call: ICall, retryAfterMs: number): void {
     const remainingMs = call.arrivedMs + call.kind.deadlineMs - this._clock.readMonotonicMs()
     if (remainingMs <= 0 || retryAfterMs > MAX_RETURN_RATIO * remainingMs) return
     this._clock.schedule(Math.max(retryAfterMs, MIN_RETURN_MS), () => {
