Slots: callers with an account return later under overload

Change: they return within the last quarter of the third of their time; the model counts refused attempts, and those refused at once.

--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -246,8 +246,7 @@
    * @param reason - why it was refused and has not run; empty otherwise
    */
   recordNestedCall (parentId: string, service: string, reason: string): void {
-    const run = this._callsById.get(parentId)
-    if (run !== undefined) this._options.nestedCalls?.recordNestedCall(run.request, service, reason)
+    this._options.nestedCalls?.recordNestedCall(this._callsById.get(parentId)?.request, service, reason)
   }
 
   /**
--- a/packages/node/src/targets/NestedCalls.ts
+++ b/packages/node/src/targets/NestedCalls.ts
@@ -44,11 +44,12 @@
 
   /**
    * Records the end of a call that a target made during a run.
-   * @param run - that the target was running
+   * @param run - that made the call; undefined if no target of this VM runs it
    * @param service - that was called
    * @param reason - why it was refused and has not run; empty otherwise
    */
-  recordNestedCall (run: ICallRequest, service: string, reason: string): void {
+  recordNestedCall (run: ICallRequest | undefined, service: string, reason: string): void {
+    if (run === undefined) return
     const services = this._calledServices.get(run)
     if (services === undefined) this._calledServices.set(run, new Set([service]))
     else services.add(service)
--- a/packages/traffic/src/slots/AccountCompetition.test.ts
+++ b/packages/traffic/src/slots/AccountCompetition.test.ts
@@ -24,7 +24,8 @@
   const lowestRatio = computeShare(lowestResult) / computeShare(all)
   console.log(`${name}: served ${computeShare(all).toFixed(3)}, value ${(all.value / all.calls).toFixed(3)}; worst tenth of accounts: ` +
     `served ${worstTenth.toFixed(3)}, value ${average(worst.map(({ value, calls }) => value / calls)).toFixed(3)}; ` +
-    `lowest: ${lowest}, ${lowestRatio.toFixed(2)} of all`)
+    `lowest: ${lowest}, ${lowestRatio.toFixed(2)} of all; refused attempts per call ${(all.refusals / all.calls).toFixed(2)}, ` +
+    `${(all.immediateRefusals / all.refusals).toFixed(2)} of them at once`)
   return { lowestRatio, worstTenth }
 }
 
--- a/packages/traffic/src/slots/ReturnSchedule.ts
+++ b/packages/traffic/src/slots/ReturnSchedule.ts
@@ -4,7 +4,7 @@
 import type { IClock, IRandom } from '@lagoonswitch/common'
 
 /** Fraction of the longest delay over which callers are spread that can't all return within it. */
-const OVERFLOW_SPREAD_RATIO = 0.5
+const OVERFLOW_SPREAD_RATIO = 0.25
 
 /** Gives each refused caller its own time to return, earlier ones first, at the pace at which slots become free. */
 export class ReturnSchedule {
--- a/packages/traffic/src/testing/CompetitionModel.ts
+++ b/packages/traffic/src/testing/CompetitionModel.ts
@@ -55,6 +55,9 @@
   calls: number
   served: number
   value: number
+  /** Attempts that were refused, and those of them that did not wait. */
+  refusals: number
+  immediateRefusals: number
 }
 
 /** Results of a run. */
@@ -77,7 +80,7 @@
   private readonly _random: IRandom
   private readonly _targets: SlotLimiter[]
   private readonly _weights = Array.from({ length: ACCOUNTS }, (_, index) => (index + 1) ** -ZIPF_EXPONENT)
-  private readonly _all: IGroupResult = { calls: 0, served: 0, value: 0 }
+  private readonly _all: IGroupResult = { calls: 0, served: 0, value: 0, refusals: 0, immediateRefusals: 0 }
   private readonly _groups = new Map<string, IGroupResult>()
 
   /** @param _settings - demand and classes */
@@ -133,6 +136,11 @@
         })
       },
       onRefused: (_reason, retryAfterMs) => {
+        const isImmediate = this._clock.readMonotonicMs() - call.arrivedMs <= passedMs
+        for (const group of this._listGroups(call)) {
+          group.refusals++
+          if (isImmediate) group.immediateRefusals++
+        }
         if (queues < MAX_QUEUES) this._clock.schedule(1, () => this._tryTarget(call, queues + 1, target))
         else if (retryAfterMs <= MAX_RETURN_RATIO * remainingMs) {
           this._clock.schedule(retryAfterMs, () => this._tryTarget(call, 1, undefined))
@@ -160,7 +168,7 @@
   private _listGroups ({ account, kind }: ICall): IGroupResult[] {
     const names = [`account ${account + 1}`, `class ${CallClass[this._getClass(account)]}`, `kind ${kind.name}`]
     return [this._all, ...names.map(name => {
-      const group = this._groups.get(name) ?? { calls: 0, served: 0, value: 0 }
+      const group = this._groups.get(name) ?? { calls: 0, served: 0, value: 0, refusals: 0, immediateRefusals: 0 }
       this._groups.set(name, group)
       return group
     })]
