--- a/packages/traffic/src/slots/ReturnSchedule.ts
+++ b/packages/traffic/src/slots/ReturnSchedule.ts
@@ -29,7 +29,7 @@
     const dueMs = Math.max(nowMs + minMs, this._lastDueMs + intervalMs)
     if (dueMs + draw * intervalMs > nowMs + maxMs) {
       const startMs = Math.max(minMs, (1 - OVERFLOW_SPREAD_RATIO) * maxMs)
-      return startMs + draw * Math.max(intervalMs, maxMs - startMs)
+      return startMs + draw * (startMs < maxMs ? maxMs - startMs : intervalMs)
     }
     this._lastDueMs = dueMs
     return dueMs - nowMs + draw * intervalMs
