Docs: figures of the queue model on the final code

Cause: the spread of returning callers changed after the table had been measured. Change: table and comment.

--- a/packages/traffic/src/slots/SlotLimiter.ts
+++ b/packages/traffic/src/slots/SlotLimiter.ts
@@ -35,7 +35,7 @@
 const BACKOFF_RATIO = 0.33
 /**
  * Part of that time before which a caller with an account that meets an overload does not return. With 0.5 callers of the model of
- * AccountCompetition.test.ts are refused 5.3 times per call at load 1.8, with 0.75 4.9 times, and are served equally often.
+ * AccountCompetition.test.ts are refused 5.4 times per call at load 1.8, with 0.75 5.0 times, and are served equally often.
  */
 const MIN_BACKOFF_RATIO = 0.75
 
