--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -5,7 +5,7 @@
   DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
 import type { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
-import type { ISettings } from '@lagoonswitch/schema'
+import { CallClass, type ISettings } from '@lagoonswitch/schema'
 import { LeaderClient, LinkListener, type IPeerChannels, type IServiceRegistry, type LinkCredentials } from '@lagoonswitch/transport'
 import { LagoonDialect, type CallDialect } from './calls/CallDialect.js'
 import { CallServer } from './calls/CallServer.js'
@@ -17,10 +17,12 @@
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
 import {
-  AccountIndex, BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, ServicePace, TargetPool
+  AccountIndex, BalancedDraws, BalancedPlacement, CallerWaitEstimator, LocalPlacement, OwnerCallLimiter, RetryBudget, ServicePace,
+  TargetPool
 } from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
+import { NestedCalls } from './targets/NestedCalls.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
 
 /** Time within which callers notice that this process is no longer ready. */
@@ -30,6 +32,11 @@
 const STOP_POLL_MS = 50
 /** Minimum length of the lease of a target in heartbeat intervals, since heartbeats may be seconds late. */
 const MIN_HEARTBEATS_PER_LEASE = 6
+/** Classes whose waiting calls are counted, by the suffix of their gauge. */
+const WAITING_CLASSES = [
+  ['first', CallClass.CALL_CLASS_FIRST], ['high', CallClass.CALL_CLASS_HIGH], ['normal', CallClass.CALL_CLASS_NORMAL],
+  ['low', CallClass.CALL_CLASS_LOW]
+] as const
 
 /** Settings and dependencies of a node. */
 export interface INodeRoleOptions {
@@ -90,6 +97,9 @@
     this.feed = this._feed.client
     this.relay = this._feed.relay
     this._evidence = this._disposables.add(new EvidenceCollector(this.store, clock, log, metrics))
+    const isBalanced = settings.node.zonePlacement === 'balanced'
+    const findRoute = (host: string, method: string, path: string): string | undefined =>
+      this._getRoutes()?.findRoute(host, method, path)?.key
     this.targets = this._disposables.add(new LocalTargetRegistry({
       node: name,
       region,
@@ -103,12 +113,15 @@
       endpoints: this.endpoints,
       dialect,
       isServiceSlow: settings.node.hangDetection ? (...wait) => this._pace.isSlow(...wait) : undefined,
+      random,
+      nestedCalls: isBalanced ? new NestedCalls({ clock, random, log, metrics, findRoute }) : undefined,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
     this.withdrawals = new WithdrawalRecorder({ node: name, targets: this.targets, leaderClient, clock, log, metrics })
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
+    const location = { region, availabilityZone, linkAddress: this._linkAddress }
     this._callServer = new CallServer({
       clock,
       random,
@@ -117,14 +130,13 @@
       metrics,
       settings,
       pool: new TargetPool({
-        region,
-        availabilityZone,
-        linkAddress: this._linkAddress,
+        ...location,
         clock,
         random,
         metrics,
         endpoints: this.endpoints,
-        isReachable: address => this._links.get(address)?.isReachable !== false
+        isReachable: address => this._links.get(address)?.isReachable !== false,
+        placement: isBalanced ? new BalancedPlacement({ ...location, random }) : new LocalPlacement({ ...location, random })
       }),
       claims: new ClaimsClient(leaderClient, settings.control.claimShards),
       evidence: this._evidence,
@@ -140,6 +152,7 @@
       pace: this._pace,
       reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
       recordCalledService: part => this._calledServices.add(part.service),
+      recordNestedCall: (parentId, part, reason) => this.targets.recordNestedCall(parentId, part.service, reason),
       getRetryBudget: part => this._getRetryBudget(part),
       getRoutes: () => this._getRoutes(),
       getStop: () => this._stop,
@@ -159,6 +172,7 @@
       this._callServer.applyAccounts()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
+    for (const [name, callClass] of WAITING_CLASSES) metrics.addGauge(`calls_waiting_${name}`, () => this.targets.countWaiting(callClass))
     metrics.addGauge('feed_level', () => this.feed.level)
     metrics.addGauge('feed_current_age_ms', () => this.feed.getStatus().currentMs)
     metrics.addGauge('accounts', () => this.store.view.accounts.size)
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -1,7 +1,7 @@
 /**
  * A target on this VM: its announcement, slots and connections.
  */
-import type { IClock, IDisposable } from '@lagoonswitch/common'
+import type { IClock, IDisposable, IRandom } from '@lagoonswitch/common'
 import { SlotLimiter, type HangDetector } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
@@ -38,11 +38,13 @@
    * @param clock - source of time
    * @param onIdleOverrun - called when a connection was closed for surplus bytes that arrived while it had no call
    * @param hangDetector - recognizes calls that hang; undefined if they are not to be detected
+   * @param random - spreads the times at which refused callers return
    */
   constructor (
-    readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, readonly hangDetector?: HangDetector
+    readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, readonly hangDetector?: HangDetector,
+    random?: IRandom
   ) {
-    this.slotLimiter = new SlotLimiter(clock, announcement.slots)
+    this.slotLimiter = new SlotLimiter(clock, announcement.slots, random)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
   }
 
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -1,13 +1,14 @@
 /**
  * The targets of this VM: their announcements, heartbeats and withdrawals, and the calls to them.
  */
-import { DisposableStore, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
+import { DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
 import type { EndpointView } from '@lagoonswitch/feed'
-import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
+import { EndpointState, type CallClass, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
 import { DEFAULT_WARMUP_MS, HangDetector, RunRegister } from '@lagoonswitch/traffic'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
+import type { NestedCalls } from './NestedCalls.js'
 import { TargetCall } from './TargetCall.js'
 import { TargetReports } from './TargetReports.js'
 
@@ -41,6 +42,10 @@
   readonly metrics: Metrics
   readonly endpoints: EndpointView
   readonly dialect: CallDialect
+  /** Spreads the times at which refused callers with an account return. */
+  readonly random?: IRandom
+  /** Decides which calls are not begun; without it all are. */
+  readonly nestedCalls?: NestedCalls
   /** Returns false while a service that the targets call has no retry budget left here for the calls that a retry makes. */
   readonly canTakeRepeat: () => boolean
   /**
@@ -185,6 +190,11 @@
       events.onFailure({ reason: 'no-budget', isNotRun: true, retryAfterMs: NO_BUDGET_RETRY_AFTER_MS }, target.slotLimiter.load)
       return ENDED_HANDLE
     }
+    const retryAfterMs = this._options.nestedCalls?.findRefusal(request)?.retryAfterMs
+    if (retryAfterMs !== undefined) {
+      events.onFailure({ reason: 'needed-refused', isNotRun: true, retryAfterMs }, target.slotLimiter.load)
+      return ENDED_HANDLE
+    }
     target.applyLimits(request.slots, request.connections)
     this._runningCount++
     let hasEnded = false
@@ -196,6 +206,7 @@
       if (this._callsById.get(request.callId)?.request === request) this._callsById.delete(request.callId)
       if (failure === 'bad-status') this._reports.reportBadStatus(request, call.badStatus)
       if (failure === 'oversized') this._reports.reportOverrun(request.targetId, 'answer', request.callId)
+      this._options.nestedCalls?.recordRun(request, failure === undefined)
       if (failure === 'connect' || failure === 'target-replaced') this._markLost(target, failure)
     }
     const onStarted = (): void => {
@@ -227,6 +238,14 @@
     return this._runningCount
   }
 
+  /**
+   * @param callClass - of calls
+   * @returns number of calls of the class that wait for a slot of a target of this VM
+   */
+  countWaiting (callClass: CallClass): number {
+    return [...this._targets.values()].reduce((sum, { target }) => sum + target.slotLimiter.countWaiting(callClass), 0)
+  }
+
   /**
    * @param callId - id of a call
    * @returns true if a target of this VM runs the call and it is a retry, or a target made it while running a retry
@@ -261,6 +280,16 @@
     return this._callsById.get(parentId)?.call.startNestedCall()
   }
 
+  /**
+   * Records the end of a nested call.
+   * @param parentId - id of the call that makes it
+   * @param service - that was called
+   * @param reason - why it was refused and has not run; empty otherwise
+   */
+  recordNestedCall (parentId: string, service: string, reason: string): void {
+    this._options.nestedCalls?.recordNestedCall(this._callsById.get(parentId)?.request, service, reason)
+  }
+
   /**
    * @param id - id of a target
    * @returns its announcement, or undefined if no such target is registered
@@ -352,10 +381,10 @@
   }
 
   private _createTarget (announcement: ITargetAnnouncement): LocalTarget {
-    const { clock, isServiceSlow } = this._options
+    const { clock, random, isServiceSlow } = this._options
     const { id, service } = announcement
     const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
-    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector)
+    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random)
   }
 
   private _startLease (id: string): IDisposable {
