--- a/packages/schema/src/settings/SectionReader.ts
+++ b/packages/schema/src/settings/SectionReader.ts
@@ -85,7 +85,7 @@
 }
 
 function parseKey (rawValue: string | undefined, keySchema: IKeySchema): Result<SettingValue, IValueProblem> {
-  const text = rawValue ?? keySchema.default
+  const text = (keySchema.emptyIsDefault === true && isEmptyValue(rawValue, keySchema) ? undefined : rawValue) ?? keySchema.default
   if (text === undefined || (keySchema.required === true && text === '')) {
     return Err({ problem: 'not set', remedy: `set it: ${keySchema.description}` })
   }
@@ -104,6 +104,11 @@
   }
 }
 
+/** The value of a duration whose placeholder is empty is its unit alone. */
+function isEmptyValue (rawValue: string | undefined, { type }: IKeySchema): boolean {
+  return rawValue === '' || (type === 'duration' && /^(ms|s|m|h|d)$/.test(rawValue ?? ''))
+}
+
 function parseInteger (text: string, keySchema: IKeySchema): Result<number, IValueProblem> {
   const value = Number(text)
   const min = keySchema.min ?? 0
--- a/packages/schema/src/settings/SettingTypes.ts
+++ b/packages/schema/src/settings/SettingTypes.ts
@@ -8,6 +8,8 @@
   readonly description: string
   readonly required?: boolean
   readonly default?: string
+  /** True if an empty value stands for the default, as in files rendered by a platform that doesn't state every bound. */
+  readonly emptyIsDefault?: boolean
   readonly values?: readonly string[]
   readonly min?: number
   readonly max?: number
--- a/tests/PlatformSettings.test.ts
+++ b/tests/PlatformSettings.test.ts
@@ -19,9 +19,12 @@
   'bounds.budget-slack': 62,
   'bounds.expose-share': 0.1,
   'bounds.expose-slack': 50,
-  'bounds.retry-ratio': 0.2
+  'bounds.retry-ratio': 0.2,
+  'bounds.quota-window-s': 5,
+  'bounds.quota-excess': 0.1,
+  'bounds.quota-slack': 20
 }
-const RATIOS = new Set(['bounds.expose-share', 'bounds.retry-ratio'])
+const RATIOS = new Set(['bounds.expose-share', 'bounds.retry-ratio', 'bounds.quota-excess'])
 const FRACTION = 30.714285714285715
 
 let folder: string
@@ -98,3 +101,24 @@
   const settings = parseSettings((await render('node', {})).replace('retry_slack = 62', `retry_slack = ${text}`), 'node.ini')
   expect(settings.err && settings.val[0]?.message).toMatch(/retry_slack.*use a number from 0 to 100000/)
 })
+
+// A deployment without usage caps states no quota: its processes failed to start otherwise.
+test.each(['node', 'control'] as const)('quota that a deployment leaves out has its default: %s', async role => {
+  const rendered = await render(role, {})
+  const emptied = rendered.replace('cap_window = 5s', 'cap_window = s').replace('cap_excess = 0.1', 'cap_excess = ').replace('cap_slack = 20', 'cap_slack = ')
+  expect(emptied).not.toBe(rendered)
+  const settings = parseSettings(emptied, `${role}.ini`)
+  expect(settings.ok && settings.val.accounts).toEqual({ capWindowMs: 5_000, capExcess: 0.1, capSlack: 20 })
+})
+
+test('quota of a deployment is taken over', async () => {
+  const { accounts } = await read('control', { 'bounds.quota-window-s': 2.5, 'bounds.quota-excess': 0.05, 'bounds.quota-slack': 7.5 })
+  expect(accounts).toEqual({ capWindowMs: 2_500, capExcess: 0.05, capSlack: 7.5 })
+})
+
+test.each(['cap_window = x', 'cap_window = -1s', 'cap_excess = s', 'cap_slack = -1'])('quota that is no number is refused: %s', async line => {
+  const key = line.split(' ')[0] ?? ''
+  const text = (await render('node', {})).replace(new RegExp(`${key} = .*`), line)
+  const settings = parseSettings(text, 'node.ini')
+  expect(settings.err && settings.val[0]?.message).toContain(key)
+})
