Usage caps: served by the leader of the catalogue, and applied to calls at nodes

Cause: calls of accounts were not limited. Change: the leader answers nodes while it surely leads (0.8 of the election timeout since its quorum); a call of a capped account is admitted before its body is buffered, or refused with 429 usage-cap or 503 cap-undecided; the token goes back if the call ends without having run. Calls without a cap skip this; a catalogue without caps sends no message. Gauges by account, counters, a line per changed mode.

--- a/packages/common/src/Metrics.ts
+++ b/packages/common/src/Metrics.ts
@@ -128,6 +128,29 @@
     })
   }
 
+  /**
+   * Adds a gauge with one series for each value of a label, which are read at each scrape; a bounded number of them is published.
+   * @param name - metric name without prefix
+   * @param label - name of the label
+   * @param listValues - returns label values and their current values
+   */
+  addGaugeFamily (name: string, label: string, listValues: () => Iterable<readonly [string, number]>): void {
+    const gauge: Gauge<string> = new Gauge({
+      name: `lagoonswitch_${name}`,
+      help: `${name} by ${label}`,
+      labelNames: [label],
+      registers: [this._registry],
+      collect: () => {
+        gauge.reset()
+        let count = 0
+        for (const [value, current] of listValues()) {
+          if (++count > MAX_SERIES_PER_FAMILY) break
+          gauge.set({ [label]: value }, current)
+        }
+      }
+    })
+  }
+
   /**
    * Returns the latencies of one kind of event, creating the family on first use.
    * @param name - metric name without prefix and unit
--- a/packages/control/src/ControlRole.ts
+++ b/packages/control/src/ControlRole.ts
@@ -10,11 +10,12 @@
 import { CatalogueStore, ControlDirectory, EndpointView, FeedHub, RELAY_LEVEL } from '@lagoonswitch/feed'
 import {
   CatalogueCommand, ChangeCommand, ChangeOutcome, ChangeReply, ConfirmReply, ControlService, EndpointState,
-  FeedClient as FeedStub, FeedService, MoveStatus, RaftService,
+  FeedClient as FeedStub, FeedService, MoveStatus, RaftService, UsageCapsService,
   type ConfirmRequest, type Evidence, type ISettings,
   type ProposeReply, type ProposeRequest, type ReportReply
 } from '@lagoonswitch/schema'
 import { LeaderClient, createUnaryHandler, sendUnary, type IPeerChannels, type IServiceRegistry } from '@lagoonswitch/transport'
+import { UsageServer } from './caps/UsageServer.js'
 import { CatalogueStateMachine, isMoveOpen } from './catalogue/CatalogueStateMachine.js'
 import { ClaimsStateMachine } from './claims/ClaimsStateMachine.js'
 import { EndpointMesh } from './EndpointMesh.js'
@@ -69,6 +70,7 @@
   private readonly _moves: MoveController
   private readonly _evidence: EvidenceRouter
   private readonly _hub: FeedHub
+  private readonly _usage: UsageServer
   private readonly _catalogueGroup: RaftGroup
   private readonly _catalogueMachine: CatalogueStateMachine
   private readonly _stopping = new AbortController()
@@ -89,6 +91,7 @@
     this._leaderClient = new LeaderClient(_options.channels, clock, () => this.directory.listAddresses())
     this._catalogueMachine = new CatalogueStateMachine(this.store)
     this._catalogueGroup = this._addGroup(CATALOGUE_GROUP, this._catalogueMachine, CATALOGUE_SNAPSHOT_ENTRIES)
+    this._usage = this._disposables.add(new UsageServer({ settings, clock, log, metrics, store: this.store, group: this._catalogueGroup }))
     this._publisher = new Publisher({ clock, log, store: this.store, stateMachine: this._catalogueMachine, group: this._catalogueGroup })
     this._disposables.add(this._catalogueGroup.onMembersChanged(members => this.directory.setMembers(members)))
     for (let shard = 0; shard < settings.control.claimShards; shard++) {
@@ -144,6 +147,7 @@
     listener.addService(RaftService, createRaftHandlers(this._groups))
     listener.addService(ControlService, this._createControlHandlers())
     listener.addService(FeedService, this._hub.createHandlers())
+    listener.addService(UsageCapsService, this._usage.createHandlers())
   }
 
   /** Loads the durable state and starts all tasks; rejects if the state is damaged. */
--- a/packages/lagoonctl/src/explain/CallExplanation.ts
+++ b/packages/lagoonctl/src/explain/CallExplanation.ts
@@ -19,6 +19,8 @@
   'no-spare': 'overload: no target in the availability zone of the caller accepted it, and a target elsewhere had no spare slot',
   'target-busy': 'overload: the target itself refused further calls',
   'owner-limit': 'the owner of the entry had too many calls running',
+  'usage-cap': 'the account had used up its rate over all nodes',
+  'cap-undecided': 'no leader of the control VMs decided in time on the usage of the account; see the caps_mode_changed of the process',
   'not-ready': 'the process had no confirmed catalogue; see its process_started and catalogue_confirmed',
   'process-draining': 'the process was stopping',
   draining: 'the target got no new calls: it or its node was stopping, or it was lost or now serves another service or version',
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -11,6 +11,7 @@
 import { CallServer } from './calls/CallServer.js'
 import type { ICallOpener } from './calls/CallTypes.js'
 import { GracefulStop } from './calls/GracefulStop.js'
+import { UsageClient } from './caps/UsageClient.js'
 import { ClaimsClient } from './claims/ClaimsClient.js'
 import { PeerLink } from './links/PeerLink.js'
 import { PeerServer } from './links/PeerServer.js'
@@ -99,6 +100,17 @@
     this.withdrawals = new WithdrawalRecorder({ node: name, targets: this.targets, leaderClient, clock, log, metrics })
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
+    const caps = this._disposables.add(new UsageClient({
+      settings,
+      incarnation,
+      clock,
+      log,
+      metrics,
+      channels,
+      store: this.store,
+      listAddresses: () => this.directory.listAddresses(),
+      countNodes: () => this._countNodes()
+    }))
     this._callServer = new CallServer({
       clock,
       random,
@@ -117,6 +129,7 @@
         isReachable: address => this._links.get(address)?.isReachable !== false
       }),
       claims: new ClaimsClient(leaderClient, settings.control.claimShards),
+      caps,
       evidence: this._evidence,
       ownerCallLimiter: new OwnerCallLimiter(),
       callerWaitEstimator: new CallerWaitEstimator(clock),
@@ -139,6 +152,7 @@
       this._routes = undefined
       this._catalogueChangedMs = clock.readMonotonicMs()
       this._callServer.applyLimits()
+      caps.applyCatalogue()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
     metrics.addGauge('feed_level', () => this.feed.level)
@@ -252,6 +266,10 @@
     return this._routes
   }
 
+  private _countNodes (): number {
+    return new Set(this.endpoints.getRecords().map(record => record.node)).size
+  }
+
   private _findOpener (address: string): ICallOpener {
     if (address === this._linkAddress) return this.targets
     let link = this._links.get(address)
@@ -267,8 +285,8 @@
     const existing = this._retryBudgets.get(service)
     if (existing?.ratio === ratio) return existing
     const { retryWindowMs, retrySlack } = this._options.settings.node
-    const countNodes = (): number => new Set(this.endpoints.getRecords().map(record => record.node)).size
-    const budget = new RetryBudget({ ratio, windowMs: retryWindowMs, slack: retrySlack, countNodes }, this._options.clock)
+    const bounds = { ratio, windowMs: retryWindowMs, slack: retrySlack, countNodes: () => this._countNodes() }
+    const budget = new RetryBudget(bounds, this._options.clock)
     this._retryBudgets.set(service, budget)
     return budget
   }
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { IDisposable } from '@lagoonswitch/common'
 import type { RecordedAnswer } from '@lagoonswitch/schema'
+import { CallAdmission } from '../caps/CallAdmission.js'
 import { CallClaim } from '../claims/CallClaim.js'
 import type { ITargetState } from '@lagoonswitch/traffic'
 import { Attempt } from './Attempt.js'
@@ -36,6 +37,8 @@
   private _retryTarget: ITargetState | undefined
   private _lastFailure: ICallFailure | undefined
   private readonly _claim: CallClaim
+  /** Undefined for calls whose account has no cap. */
+  private _admission: CallAdmission | undefined
   private _deadlineTimer: IDisposable | undefined
   /** Withdraws the attempt at the latest time at which it may start during a graceful stop. */
   private _withdrawalTimer: IDisposable | undefined
@@ -74,16 +77,13 @@
   start (): void {
     if (!this._readHead() || !this._acquireOwnerSlot()) return
     this._deadlineTimer = this._context.clock.schedule(this._getRemainingMs(), () => this._handleDeadline())
-    if (!hasBody(this._request)) {
-      this._body.isComplete = true
-      this._claimOrSend()
+    const { account } = this._head
+    if (account === '' || !this._context.caps.isCapped(account)) {
+      this._receiveBody()
       return
     }
-    const { isKeyed } = this._head.route
-    this._body.buffer(isKeyed ? this._context.settings.node.keyedBodyBytes : MAX_BUFFERED_BODY_BYTES, () => {
-      if (isKeyed && !this._body.isComplete) this._refuse('body-too-large', 'not-run', 0)
-      else this._claimOrSend()
-    })
+    this._admission = new CallAdmission(this._context, account)
+    this._admission.request(() => this._receiveBody(), (reason, retryAfterMs) => this._refuse(reason, 'not-run', retryAfterMs))
   }
 
   /** During a graceful stop, schedules the withdrawal of an attempt that would start too late to end before the process does. */
@@ -181,6 +181,19 @@
     return true
   }
 
+  private _receiveBody (): void {
+    if (!hasBody(this._request)) {
+      this._body.isComplete = true
+      this._claimOrSend()
+      return
+    }
+    const { isKeyed } = this._head.route
+    this._body.buffer(isKeyed ? this._context.settings.node.keyedBodyBytes : MAX_BUFFERED_BODY_BYTES, () => {
+      if (isKeyed && !this._body.isComplete) this._refuse('body-too-large', 'not-run', 0)
+      else this._claimOrSend()
+    })
+  }
+
   private _claimOrSend (): void {
     if (this._isDone) return
     this._retries.recordCall()
@@ -393,6 +406,7 @@
 
   private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
+    if (run === 'not-run' || outcome === 'repeated' || (this._isCallerGone && this._attempt === undefined)) this._admission?.giveBack()
     this._request.socket.off('end', this._onCallerEnd)
     this._deadlineTimer?.dispose()
     this._withdrawalTimer?.dispose()
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -4,6 +4,7 @@
 import type { IClock, ILog, IRandom, Metrics } from '@lagoonswitch/common'
 import type { IFeedStatus } from '@lagoonswitch/feed'
 import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
+import type { UsageClient } from '../caps/UsageClient.js'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
 import type { BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
@@ -23,6 +24,8 @@
   readonly settings: ISettings
   readonly pool: TargetPool
   readonly claims: ClaimsClient
+  /** Usage caps of client accounts. */
+  readonly caps: UsageClient
   readonly evidence: EvidenceCollector
   readonly ownerCallLimiter: OwnerCallLimiter
   readonly callerWaitEstimator: CallerWaitEstimator
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -9,7 +9,8 @@
 /** Why a call was refused; the label of the refusal counter. */
 export type RefusalReason = FailureReason |
   'not-ready' | 'not-current' | 'no-route' | 'too-deep' | 'bad-header' | 'key-missing' | 'key-mismatch' | 'key-in-progress' |
-  'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'head-too-large' | 'owner-limit' | 'process-draining'
+  'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'head-too-large' | 'owner-limit' | 'process-draining' |
+  'usage-cap' | 'cap-undecided'
 
 /** Whether the target ran the request, as far as is known. */
 export type RunState = 'not-run' | 'unknown' | 'run-earlier'
@@ -54,7 +55,9 @@
   'body-too-large': { status: 413, title: 'the body is too large', remedy: 'shorten it or raise the limit' },
   'head-too-large': { status: 431, title: 'the head is too large', remedy: 'send fewer or shorter headers' },
   'owner-limit': { status: 429, title: 'the owner has too many calls running', remedy: 'retry after the stated time' },
-  'process-draining': { status: 503, title: 'this process is stopping', remedy: 'use another process' }
+  'process-draining': { status: 503, title: 'this process is stopping', remedy: 'use another process' },
+  'usage-cap': { status: 429, title: 'the account has used up its rate', remedy: 'retry after the stated time' },
+  'cap-undecided': { status: 503, title: 'the usage of the account can\'t be checked now', remedy: 'retry; check the control VMs' }
 }
 
 /** Statuses from which a caller may conclude that the request was not run. */
