Traffic: share of the rate without a leader from the start of its loss, within the cap of small accounts

Cause: calls without a lease were lost for 10 s after the last answer; and with a burst of one at each of 85 nodes, filled at the same time, an account of 7 calls a second ran 69 in a window whose bound is 66 (flood while all control VMs are down). Change: RateShare admits the node's share of what is never leased once no leader answers for 0.4 s, and of the whole rate after 10 s; its token is lost if it is not used in time, and each node begins at another time.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -104,6 +104,7 @@
       settings,
       incarnation,
       clock,
+      random,
       log,
       metrics,
       channels,
--- a/packages/node/src/caps/UsageClient.ts
+++ b/packages/node/src/caps/UsageClient.ts
@@ -1,7 +1,7 @@
 /**
  * Connects the usage caps of this node with the leader of the control VMs: sends the messages that are due and counts decisions.
  */
-import { formatError, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
+import { formatError, type IClock, type IDisposable, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
 import type { CatalogueStore } from '@lagoonswitch/feed'
 import { UsageCapsClient, type ISettings, type UsageReply, type UsageRequest } from '@lagoonswitch/schema'
 import { NodeCaps, findCap, type CapMode, type ICap, type ICapDecision, type ICapPermit, type ICapWaiter } from '@lagoonswitch/traffic'
@@ -18,6 +18,7 @@
   /** Distinguishes starts of this node. */
   readonly incarnation: number
   readonly clock: IClock
+  readonly random: IRandom
   readonly log: ILog
   readonly metrics: Metrics
   readonly channels: IPeerChannels
@@ -40,9 +41,9 @@
   private _isDisposed = false
 
   constructor (private readonly _options: IUsageClientOptions) {
-    const { settings: { process, accounts }, incarnation, clock, metrics, countNodes } = _options
+    const { settings: { process, accounts }, incarnation, clock, random, metrics, countNodes } = _options
     const tolerance = { windowMs: accounts.capWindowMs, excess: accounts.capExcess, slack: accounts.capSlack }
-    this._caps = new NodeCaps({ name: process.name, incarnation, tolerance, countNodes }, clock.readMonotonicMs())
+    this._caps = new NodeCaps({ name: process.name, incarnation, tolerance, random, countNodes }, clock.readMonotonicMs())
     metrics.addGaugeFamily('caps_held_rate', 'account', () => this._listHeldRates())
   }
 
--- a/packages/traffic/src/caps/NodeCaps.ts
+++ b/packages/traffic/src/caps/NodeCaps.ts
@@ -1,6 +1,7 @@
 /**
  * The node's side of usage caps: admits, refuses or lets wait the calls of accounts, and decides which messages are sent when.
  */
+import type { IRandom } from '@lagoonswitch/common'
 import type { AccountUse, UsageReply, UsageRequest } from '@lagoonswitch/schema'
 import { NodeLease, type ICapDecision, type ICapWaiter } from './NodeLease.js'
 import { TokenBucket } from './TokenBucket.js'
@@ -53,6 +54,7 @@
   /** Distinguishes starts of the node. */
   readonly incarnation: number
   readonly tolerance: ICapTolerance
+  readonly random: IRandom
   /** Number of nodes known from elsewhere; the largest number that was ever known shares a rate without a leader. */
   readonly countNodes: () => number
 }
@@ -145,11 +147,7 @@
     this._inUse.add(lease)
     if (lease.takeToken(nowMs)) return { kind: 'admitted', source: 'lease', waitMs: 0 }
     const mode = this.getMode(nowMs)
-    if (mode === 'fallback') {
-      const waitMs = lease.takeFallback(this._countNodes(), nowMs)
-      return waitMs === 0 ? { kind: 'admitted', source: 'fallback', waitMs } : { kind: 'refused', source: 'fallback', waitMs }
-    }
-    if (mode === 'no-contact') return this._decideAlone(lease, nowMs)
+    if (mode !== 'contact') return this._decideWithoutLeader(lease, mode === 'fallback', nowMs)
     const pauseMs = lease.nextAskMs - nowMs
     if (pauseMs > ASK_INTERVAL_MS || lease.waiters.length >= MAX_WAITERS) {
       return { kind: 'refused', source: 'none', waitMs: Math.max(pauseMs, ASK_INTERVAL_MS) }
@@ -247,7 +245,7 @@
     this._nodes = Math.max(this._nodes, reply.nodes, this._node.countNodes())
     if (this._lostMs !== undefined) {
       this._lostMs = undefined
-      for (const lease of this._leases.values()) lease.endFallback()
+      for (const lease of this._leases.values()) lease.endShare()
     }
     request.accounts.forEach((use, index) => {
       const answer = reply.accounts[index]
@@ -283,6 +281,13 @@
     this._decide(lease, refused, () => ({ kind: 'refused', source: 'none', waitMs: Math.max(1, waitMs) }))
   }
 
+  private _decideWithoutLeader (lease: NodeLease, isWhole: boolean, nowMs: number): ICapDecision {
+    const { tolerance, random } = this._node
+    const waitMs = lease.takeShare({ isWhole, nodes: this._countNodes(), tolerance, lostMs: this._lostMs ?? nowMs, random }, nowMs)
+    if (waitMs === 0) return { kind: 'admitted', source: 'fallback', waitMs }
+    return isWhole ? { kind: 'refused', source: 'fallback', waitMs } : this._decideAlone(lease, nowMs)
+  }
+
   /** Decides on a call of which no leader has decided in time. */
   private _decideAlone (lease: NodeLease, nowMs: number): ICapDecision {
     const isTaken = lease.takeReserve(this._node.tolerance, this._countNodes(), nowMs)
--- a/packages/traffic/src/caps/NodeLease.ts
+++ b/packages/traffic/src/caps/NodeLease.ts
@@ -1,7 +1,9 @@
 /**
  * What a node holds of one account: its lease, and the calls that wait for a token.
  */
+import type { IRandom } from '@lagoonswitch/common'
 import type { AccountUse, UsageLease } from '@lagoonswitch/schema'
+import { RateShare } from './RateShare.js'
 import { TokenBucket } from './TokenBucket.js'
 import { LEASE_VALIDITY_MS, computeLeasableRate, computeReserve, type ICap, type ICapTolerance } from './CapRules.js'
 
@@ -25,6 +27,18 @@
   readonly waitMs: number
 }
 
+/** How a rate is shared without a leader. */
+export interface IShareContext {
+  /** True for the share of the whole rate. */
+  readonly isWhole: boolean
+  /** Nodes that share the rate. */
+  readonly nodes: number
+  readonly tolerance: ICapTolerance
+  /** Time from which no leader answered, in milliseconds. */
+  readonly lostMs: number
+  readonly random: IRandom
+}
+
 /**
  * Account of a node. Answers steady demand: calls within the lease are admitted without a message. Scales the lease at once when
  * the catalogue lowers the cap, so that a lowered cap needs no leader.
@@ -37,8 +51,8 @@
   private _grantedRate = 0
   private _grantedBurst = 0
   private _expiresMs = -Infinity
-  /** Share of the rate of an account while no leader was reached for long; undefined while leases decide. */
-  private _fallback: TokenBucket | undefined
+  /** Share of the rate of an account while no leader is reached; undefined while leaders answer. */
+  private _share: RateShare | undefined
   private _reserveUsed = 0
   private _reserveUsedMs = -Infinity
   private _reportedMs = -Infinity
@@ -76,7 +90,7 @@
   changeCap (cap: ICap, nowMs: number): void {
     if (cap.rate === this._cap.rate && cap.burst === this._cap.burst) return
     this._cap = cap
-    this._fallback = undefined
+    this._share = undefined
     this._applyScale(nowMs)
   }
 
@@ -96,16 +110,18 @@
   }
 
   /**
-   * Takes a token of the node's share of the rate, which applies without a leader.
-   * @param nodes - nodes that share the rate
+   * Takes a token of the node's share of the rate, which applies without a leader: of what is never leased while leases may be valid,
+   * of the whole rate later.
+   * @param context - how the rate is shared, and since when
    * @param nowMs - current time in milliseconds
    * @returns milliseconds until there is a token; 0 if one was taken
    */
-  takeFallback (nodes: number, nowMs: number): number {
-    const rate = this._cap.rate / Math.max(1, nodes)
-    if (this._fallback === undefined) this._fallback = new TokenBucket(rate, 1, nowMs)
-    else if (this._fallback.rate !== rate) this._fallback.change(rate, 1, nowMs)
-    return this._fallback.take(1, nowMs) === 1 ? 0 : this._fallback.computeWaitMs(nowMs)
+  takeShare ({ isWhole, nodes, tolerance, lostMs, random }: IShareContext, nowMs: number): number {
+    const known = this._share?.rule
+    if (this._share === undefined || known?.isWhole !== isWhole || known.nodes !== nodes) {
+      this._share = new RateShare({ cap: this._cap, tolerance, isWhole, nodes }, known === undefined && !isWhole ? lostMs : nowMs, random)
+    }
+    return this._share.take(nowMs)
   }
 
   /**
@@ -125,8 +141,8 @@
   }
 
   /** Ends the use of the node's share; a later one starts empty. */
-  endFallback (): void {
-    this._fallback = undefined
+  endShare (): void {
+    this._share = undefined
   }
 
   /**
@@ -138,8 +154,6 @@
   returnToken (source: ICapDecision['source'], takenMs: number, nowMs: number): void {
     if (source === 'lease' && this._bucket.depth >= 1) {
       this._bucket.putBack(1, takenMs, nowMs)
-    } else if (source === 'fallback') {
-      this._fallback?.putBack(1, takenMs, nowMs)
     } else if (source === 'reserve') {
       this._reserveUsed = Math.max(0, this._reserveUsed - 1)
     } else if (source === 'spare' || source === 'lease') {
--- a/packages/traffic/src/caps/UsageCaps.test.ts
+++ b/packages/traffic/src/caps/UsageCaps.test.ts
@@ -109,6 +109,19 @@
       }
     }
   },
+  {
+    name: 'a flood while all control VMs are down for 30 s',
+    options: { computeLoad: () => 5, durationMs: 60_000 },
+    disturb: model => {
+      model.at(15_000, () => model.stopLeader())
+      model.at(45_000, () => model.elect())
+    }
+  },
+  {
+    name: 'a flood after a pause while all control VMs are down for 30 s',
+    options: { computeLoad: nowMs => nowMs >= 18_000 && nowMs < 38_000 ? 0.05 : 7.5, durationMs: 48_000 },
+    disturb: model => model.at(15_000, () => model.stopLeader())
+  },
   {
     name: 'a flood and caps lowered to a third',
     options: { computeLoad: () => 5 },
--- a/packages/traffic/src/testing/CapModel.ts
+++ b/packages/traffic/src/testing/CapModel.ts
@@ -206,7 +206,7 @@
   }
 
   private _createCaps (index: number, start: number): NodeCaps {
-    const caps = new NodeCaps({ name: `node-${index}`, incarnation: start, tolerance: TOLERANCE, countNodes: () => NODES }, this._nowMs)
+    const caps = new NodeCaps({ name: `node-${index}`, incarnation: start, tolerance: TOLERANCE, random: this.random, countNodes: () => NODES }, this._nowMs)
     caps.setCaps(this._createCapMap(), this._nowMs)
     return caps
   }
