Tests: usage caps with real keys

Cause: the test named the account by a mocked header, which the authorization of calls replaces: 5 of 5 failed after the merge. Change: two accounts with keys, of which one has a cap; all checks are as before.

--- a/tests/UsageCaps.test.ts
+++ b/tests/UsageCaps.test.ts
@@ -1,29 +1,18 @@
 /**
  * Usage caps of client accounts with a control VM and nodes in the test process.
  */
-import { request as openRequest, type IncomingMessage } from 'node:http'
+import { request as openRequest } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { afterEach, expect, test, vi } from 'vitest'
-import { Ok } from '@lagoonswitch/common'
-import type * as CallHeadModule from '../packages/node/src/calls/CallHead.js'
+import { afterEach, expect, test } from 'vitest'
+import { computeKeyDigest } from '@lagoonswitch/schema'
 import { DESK, World, waitFor, type IResponse } from './support/World.js'
 
-const ACCOUNT_HEADER = 'x-test-account'
+/** The account `a` has a usage cap, the account `b` has none. */
+const CAPPED = { authorization: 'Bearer key-a' }
+const UNCAPPED = { authorization: 'Bearer key-b' }
 /** Calls beyond a bucket of one token in the time of a test. */
 const REPEATS = 6
 
-// The account of a call is named by a header here, so that these tests don't depend on how keys are sent.
-vi.mock(import('../packages/node/src/calls/CallHead.js'), async importOriginal => {
-  const original: typeof CallHeadModule = await importOriginal()
-  return {
-    ...original,
-    readCallHead: (context, request: IncomingMessage) => {
-      const head = original.readCallHead(context, request)
-      return head.ok ? Ok({ ...head.val, account: String(request.headers[ACCOUNT_HEADER] ?? '') }) : head
-    }
-  }
-})
-
 let world: World
 
 afterEach(async () => { await world.stop() })
@@ -32,15 +21,19 @@
   world = await World.start(nodes, extraSettings)
   await world.putEntry(DESK)
   const { version, epoch } = world.control.store.version
-  const declaration = JSON.stringify({ account: 'a', key_digests: [], rate, burst })
-  world.control.store.commitRecords({ epoch, version: version + 1 }, [
-    { name: 'account/a', version: version + 1, declaration, removed: false, operator: 'test', changedMs: 0 }
-  ] as never, [])
+  const createRecord = (account: string, fields: object): object => ({
+    name: `account/${account}`,
+    version: version + 1,
+    declaration: JSON.stringify({ account, key_digests: [computeKeyDigest(`key-${account}`)], ...fields }),
+    removed: false,
+    annotation: ''
+  })
+  world.control.store.commitRecords({ epoch, version: version + 1 }, [createRecord('a', { rate, burst }), createRecord('b', {})] as never, [])
   await waitFor('the account at all nodes', () => [...world.nodes.values()].every(node => node.role.store.view.accounts.has('a')))
 }
 
 async function call (node: string): Promise<IResponse> {
-  return await world.call(node, 'GET', '/read', { [ACCOUNT_HEADER]: 'a' })
+  return await world.call(node, 'GET', '/read', CAPPED)
 }
 
 function readReason ({ status, body }: IResponse): string {
@@ -68,7 +61,7 @@
     expect(Number(reply.headers['retry-after'])).toBeGreaterThanOrEqual(1)
   }
   await waitFor('room', async () => (await call('n2')).status === 200)
-  const uncapped = await Promise.all(Array.from({ length: 10 }, async () => await world.call('n1', 'GET', '/read')))
+  const uncapped = await Promise.all(Array.from({ length: 10 }, async () => await world.call('n1', 'GET', '/read', UNCAPPED)))
   expect(uncapped.map(({ status }) => status)).toEqual(new Array(10).fill(200))
 })
 
@@ -86,7 +79,7 @@
   for (let repeat = 0; repeat < REPEATS; repeat++) {
     const admitted = metrics.readCount('caps_calls_total', 'spare')
     const outgoing = openRequest({
-      host: '127.0.0.1', port, method: 'POST', path: '/read', headers: { [ACCOUNT_HEADER]: 'a', 'content-length': 10 }, agent: false
+      host: '127.0.0.1', port, method: 'POST', path: '/read', headers: { ...CAPPED, 'content-length': 10 }, agent: false
     })
     outgoing.on('error', () => undefined)
     outgoing.flushHeaders()
@@ -108,7 +101,7 @@
   const reply = await call('n1')
   expect(reply.status).toBe(503)
   expect(Number(reply.headers['retry-after'])).toBeGreaterThanOrEqual(1)
-  expect((await world.call('n1', 'GET', '/read')).status).toBe(200)
+  expect((await world.call('n1', 'GET', '/read', UNCAPPED)).status).toBe(200)
   await world.startControl()
   await waitFor('a decision of the next leader', async () => (await call('n1')).status === 200)
 })
