Traffic: credit for large request bodies of a node

Cause: bodies of many senders fill the link and the memory of the node of their target, and a slow sender would hold a slot.

--- a/packages/traffic/src/index.ts
+++ b/packages/traffic/src/index.ts
@@ -2,6 +2,7 @@
  * Public interface of the traffic package: decisions on admission, queueing, placement and retries of calls, without I/O.
  */
 export * from './CallLoad.js'
+export * from './admission/BodyCredit.js'
 export * from './admission/CallerWaitEstimator.js'
 export * from './admission/OwnerCallLimiter.js'
 export * from './placement/BalancedDraws.js'
