Uploads: large request bodies are sent as their target's node grants credit

Cause: a body above 16 kB took a slot with its first part and up to 256 kB of the link for each call. Change: bodies of bulk_body routes are offered by the entry, sent within credit as bulk frames, and take a slot when whole or at 512 kB; the same on the VM of the target. A body in chunks above the limit is withdrawn and refused with 413. A request body counts in the cost of a zone. A peer that states no credit gets the window of other bodies.

--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -30,6 +30,8 @@
   private _serviceMs = 0
   private _headReceivedMs = 0
   handle: ICallHandle | undefined
+  /** Length of the request body on a route with large ones, 0 on others. */
+  requestBytes = 0
 
   constructor (
     private readonly _context: ICallContext,
@@ -68,7 +70,7 @@
     this._hasEnded = true
     const { clock, pool } = this._context
     pool.recordRunTime(this.target, this._route.key, this._serviceMs + clock.readMonotonicMs() - this._headReceivedMs)
-    pool.recordResponseBytes(this._route.key, this._bodyBytes)
+    pool.recordResponseBytes(this._route.key, this._bodyBytes + this.requestBytes)
     this._events.onEnd()
   }
 
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -21,6 +21,8 @@
 
 const MAX_BUFFERED_BODY_BYTES = 16_384
 const RETRY_AFTER_MS = 1_000
+/** Time after which a call that was to be withdrawn counts as received by its target. */
+const WITHDRAWAL_TIMEOUT_MS = 250
 /** Handles one call. The data path uses plain callbacks to keep the overhead per call low. */
 export class Call implements ICallEvents {
   private readonly _startedMs: number
@@ -46,6 +48,7 @@
   /** Response bytes that wait in the write buffer of the caller's connection. */
   private _unacknowledgedBytes = 0
   private _isWithdrawn = false
+  private _isBodyTooLarge = false
   /** True when a target was skipped because the call could not end there before a graceful stop cuts it. */
   private _hasSkippedTarget = false
   private _isDone = false
@@ -79,7 +82,9 @@
       this._claimOrSend()
       return
     }
-    const { isKeyed } = this._head.route
+    const { isKeyed, isBulkBody } = this._head.route
+    // The stated length has been checked; a body in chunks states none.
+    if (isBulkBody) this._body.limit(this._context.getCallerLimits()?.bodyBytes ?? Infinity, () => this._handleTooLargeBody())
     this._body.buffer(isKeyed ? this._context.settings.node.keyedBodyBytes : MAX_BUFFERED_BODY_BYTES, () => {
       if (isKeyed && !this._body.isComplete) this._refuse('body-too-large', 'not-run', 0)
       else this._claimOrSend()
@@ -114,6 +119,7 @@
     }
     this._hasResponseHead = true
     this._status = status
+    if (this._head.route.isBulkBody && this._attempt !== undefined) this._attempt.requestBytes = this._body.readBytes
     this._claim.recordHead(status, headers)
     if (this._isCallerGone) return
     this._response.writeHead(status, headers as string[])
@@ -146,7 +152,8 @@
     }
     this._retries.recordFailure(failure)
     if (this._isWithdrawn && failure.isNotRun) {
-      this._refuseForStop()
+      if (this._isBodyTooLarge) this._refuse('body-too-large', 'not-run', 0)
+      else this._refuseForStop()
       return
     }
     if (this._canSendAgain() && this._retries.authorizeRetry(failure)) {
@@ -302,6 +309,8 @@
       isSpareOnly: this._context.pool.isLimitedToSpareSlots(target, this._head.callClass),
       isRepeat: this._retries.isRepeat,
       isBulk: this._head.route.isBulk,
+      isBulkBody: this._head.route.isBulkBody,
+      bodyBytes: this._body.statedBytes,
       owner,
       account: this._head.account,
       body: this._body.bytes,
@@ -377,6 +386,20 @@
     this._response.destroy()
   }
 
+  /** Refuses a call whose body exceeds the limit as not run if no target has received it, which its node knows. */
+  private _handleTooLargeBody (): void {
+    if (this._isDone || this._hasResponseHead) return
+    if (this._attempt?.handle === undefined) {
+      this._refuse('body-too-large', 'not-run', 0)
+      return
+    }
+    this._isBodyTooLarge = true
+    this._context.clock.schedule(WITHDRAWAL_TIMEOUT_MS, () => {
+      if (!this._isDone && !this._hasResponseHead) this._refuse('body-too-large', 'unknown', 0)
+    })
+    this._withdraw()
+  }
+
   private _handleDeadline (): void {
     if (this._isDone || this._attempt !== undefined) return
     this._refuse('deadline', 'not-run', 0)
--- a/packages/node/src/calls/CallBody.ts
+++ b/packages/node/src/calls/CallBody.ts
@@ -17,10 +17,30 @@
   bytes: Buffer = NO_BYTES
   /** True once {@link bytes} holds the whole body. */
   isComplete = false
+  /** Bytes read so far. */
+  readBytes = 0
+  /** Largest body in bytes; a longer one is not read on. */
+  private _maxBytes = Infinity
+  private _onTooLarge = (): void => undefined
 
   /** @param _request - from the caller */
   constructor (private readonly _request: IncomingMessage) {}
 
+  /** Length that the caller stated, 0 if it stated none. */
+  get statedBytes (): number {
+    return Number(this._request.headers['content-length'] ?? 0)
+  }
+
+  /**
+   * Limits a body whose length need not be stated.
+   * @param maxBytes - largest body in bytes
+   * @param onTooLarge - called once, when more has arrived
+   */
+  limit (maxBytes: number, onTooLarge: () => void): void {
+    this._maxBytes = maxBytes
+    this._onTooLarge = onTooLarge
+  }
+
   /**
    * Reads the body until it ends or exceeds the limit.
    * @param maxBytes - largest body to buffer, in bytes
@@ -38,6 +58,7 @@
     }
     const onEnd = (): void => finish(true)
     const onData = (chunk: Buffer): void => {
+      if (this._isTooLarge(chunk)) return
       chunks.push(chunk)
       length += chunk.length
       if (length <= maxBytes) return
@@ -56,9 +77,9 @@
     if (this.isComplete || this._isStreaming) return
     this._isStreaming = true
     this._request.on('data', (chunk: Buffer) => {
-      if (!this._isDiscarding && getHandle()?.sendBody(chunk) === false) this._request.pause()
+      if (!this._isDiscarding && !this._isTooLarge(chunk) && getHandle()?.sendBody(chunk) === false) this._request.pause()
     })
-    this._request.on('end', () => { if (!this._isDiscarding) getHandle()?.endBody() })
+    this._request.on('end', () => { if (!this._isDiscarding && this.readBytes <= this._maxBytes) getHandle()?.endBody() })
     this._request.resume()
   }
 
@@ -77,6 +98,15 @@
 
   /** Resumes reading after backpressure from the attempt. */
   resume (): void {
-    this._request.resume()
+    if (this.readBytes <= this._maxBytes) this._request.resume()
+  }
+
+  private _isTooLarge (chunk: Buffer): boolean {
+    const wasTooLarge = this.readBytes > this._maxBytes
+    this.readBytes += chunk.length
+    if (this.readBytes <= this._maxBytes) return false
+    this._request.pause()
+    if (!wasTooLarge) this._onTooLarge()
+    return true
   }
 }
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -47,6 +47,10 @@
   /** The body, or its start. */
   readonly body: Buffer
   readonly isBodyComplete: boolean
+  /** True when the body is declared as large; unless it is complete, it is sent as credit allows. */
+  readonly isBulkBody?: boolean
+  /** Length of the whole body, 0 or omitted when unknown. */
+  readonly bodyBytes?: number
   /** Limits of the entry; they apply in addition to those that the target announced. */
   readonly slots: number
   readonly connections: number
@@ -69,6 +73,11 @@
   onFailure (failure: ICallFailure, load: ITargetLoad | undefined): void
   /** More of the body may be sent after {@link ICallHandle.sendBody} returned false. */
   onBodyDrain (): void
+  /**
+   * Credit for a large body was granted to the other side of a link; a call without this method is on the VM of its target.
+   * @param bytes - that may be sent in addition
+   */
+  onBodyCredit? (bytes: number): void
 }
 
 /** The sending side of one call. */
@@ -80,6 +89,11 @@
    */
   sendBody (chunk: Buffer): boolean
   endBody (): void
+  /**
+   * Announces a part of a large body, which may be sent once there is credit for it.
+   * @param bytes - that are ready in addition
+   */
+  offerBody? (bytes: number): void
   /** Cancels the call; no event follows. */
   cancel (): void
   /** Cancels the call if the target has not received it yet, which fails it as not run; otherwise it continues. */
--- /dev/null
+++ b/packages/node/src/links/LinkTypes.ts
@@ -0,0 +1,28 @@
+/**
+ * Types shared by the parts of a link.
+ */
+import type { IClock, ILog, Metrics } from '@lagoonswitch/common'
+import type { PeerFrame } from '@lagoonswitch/schema'
+import type { BulkWindow, LinkCredentials } from '@lagoonswitch/transport'
+
+/** What all links of a process share. */
+export interface ILinkContext {
+  readonly credentials: LinkCredentials
+  readonly clock: IClock
+  readonly log: ILog
+  readonly metrics: Metrics
+  /** Limits large bodies in transit; shared by all links of the process by default. */
+  readonly bulkWindow?: BulkWindow
+}
+
+/** Receives the events of one connection of a link. */
+export interface IConnectionEvents {
+  onOpen (): void
+  onFrame (frame: PeerFrame): void
+  onClose (): void
+  /** Returns true while calls are open, in which case silence indicates a fault. */
+  hasCalls (): boolean
+  /** Called repeatedly while the other process is silent for longer than the time that calls wait for it. */
+  onSilent (): void
+  onBodyCreditKnown (): void
+}
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -1,13 +1,15 @@
 /**
  * The link to one other process: a connection that carries many calls.
  */
-import type { IClock, IDisposable, ILog, Metrics } from '@lagoonswitch/common'
+import type { IClock, IDisposable } from '@lagoonswitch/common'
 import type { PeerFrame } from '@lagoonswitch/schema'
-import { FrameSocket, openLinkSocket, type IFrameListener, type LinkCredentials } from '@lagoonswitch/transport'
+import { FrameSocket, openLinkSocket, type IFrameListener } from '@lagoonswitch/transport'
 import {
   LINK_DEADLINE_MARGIN_MS, type FailureReason, type ICallEvents, type ICallHandle, type ICallOpener, type ICallRequest, type ITargetLoad
 } from '../calls/CallTypes.js'
-import { FlowWindow, UrgentBytes, WindowUpdates } from './FlowControl.js'
+import { WindowUpdates } from './FlowControl.js'
+import type { IConnectionEvents, ILinkContext } from './LinkTypes.js'
+import { createOutgoingBody, isCredited, type IBodyLink, type OutgoingBody } from './OutgoingBody.js'
 
 const OPEN_TIMEOUT_MS = 1_000
 /** Silence after which a ping is sent to the other process. */
@@ -23,14 +25,6 @@
 
 type Frame = NonNullable<PeerFrame['frame']>
 
-/** What all links of a process share. */
-export interface ILinkContext {
-  readonly credentials: LinkCredentials
-  readonly clock: IClock
-  readonly log: ILog
-  readonly metrics: Metrics
-}
-
 /** Opens calls to the targets on the VM of another process; connects if there is a call and no connection. */
 export class PeerLink implements ICallOpener, IDisposable {
   private readonly _calls = new Map<number, OutgoingCall>()
@@ -62,7 +56,8 @@
         onFrame: frame => this._handleFrame(frame),
         onClose: () => this._handleClose(),
         hasCalls: () => this._calls.size > 0,
-        onSilent: () => this._handleSilence()
+        onSilent: () => this._handleSilence(),
+        onBodyCreditKnown: () => { for (const call of this._calls.values()) call.applyBodyCredit() }
       })
     }
     return call
@@ -73,6 +68,11 @@
     return this._connection === undefined || this._connection.getSilenceMs() < SUSPECT_SILENCE_MS
   }
 
+  /** Whether the other process grants credit for large request bodies; undefined until its first frame. */
+  get isBodyCreditGranted (): boolean | undefined {
+    return this._connection?.isBodyCreditGranted
+  }
+
   /** Sends a frame of an open call. */
   sendFrame (callId: number, frame: Frame): void {
     this._connection?.send({ callId, frame })
@@ -126,16 +126,6 @@
   }
 }
 
-interface IConnectionEvents {
-  onOpen (): void
-  onFrame (frame: PeerFrame): void
-  onClose (): void
-  /** Returns true while calls are open, in which case silence indicates a fault. */
-  hasCalls (): boolean
-  /** Called repeatedly while the other process is silent for longer than {@link RETRY_SILENCE_MS}. */
-  onSilent (): void
-}
-
 /** One connection of a link; detects a silent peer with pings. */
 class LinkConnection implements IFrameListener, IDisposable {
   private readonly _socket: FrameSocket
@@ -144,13 +134,14 @@
   /** When the first unanswered ping was sent, or the connection was requested; undefined if nothing is unanswered. */
   private _unansweredSinceMs: number | undefined
   isOpen = false
+  isBodyCreditGranted: boolean | undefined
 
   constructor (
     private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
   ) {
     this._lastReceivedMs = _context.clock.readMonotonicMs()
     this._unansweredSinceMs = this._lastReceivedMs
-    this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this)
+    this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this, _context.bulkWindow)
     void this._runPings()
   }
 
@@ -172,6 +163,11 @@
     this._events.onFrame(frame)
   }
 
+  onBodyCreditKnown (isGranted: boolean): void {
+    this.isBodyCreditGranted = isGranted
+    this._events.onBodyCreditKnown()
+  }
+
   onClose (cause: string): void {
     this._stopping.abort()
     this._context.metrics.count('links_lost_total', this.isOpen ? 'lost' : 'not-opened')
@@ -228,17 +224,14 @@
 }
 
 /** One call on a link. */
-class OutgoingCall implements ICallHandle {
-  private readonly _window = new FlowWindow()
+class OutgoingCall implements ICallHandle, IBodyLink {
   private readonly _windowUpdates = new WindowUpdates()
-  private readonly _urgentBytes: UrgentBytes
+  private readonly _body: OutgoingBody
   private readonly _deadlineTimer: IDisposable
   private readonly _deadlineAtMs: number
   private _isSent = false
   private _hasHead = false
   private _hasEnded = false
-  private _bufferedBody: Buffer[] = []
-  private _isBodyEnded = false
 
   constructor (
     private readonly _link: PeerLink,
@@ -247,8 +240,7 @@
     private readonly _events: ICallEvents,
     private readonly _clock: IClock
   ) {
-    this._urgentBytes = new UrgentBytes(false)
-    this._urgentBytes.take(_request.body.length)
+    this._body = createOutgoingBody(_request, this)
     this._deadlineAtMs = _clock.readMonotonicMs() + _request.remainingMs
     this._deadlineTimer = _clock.schedule(_request.remainingMs + LINK_DEADLINE_MARGIN_MS, () => this._fail('deadline', !this._isSent))
   }
@@ -263,6 +255,7 @@
     }
     this._isSent = true
     const request = this._request
+    const isBodyCredited = isCredited(request)
     this._link.sendFrame(this._callId, {
       $case: 'open',
       value: {
@@ -277,7 +270,9 @@
         class: request.callClass,
         owner: request.owner,
         account: request.account,
-        body: request.body,
+        body: isBodyCredited ? NO_BYTES : request.body,
+        bulkBody: isBodyCredited,
+        bodyBytes: request.bodyBytes ?? 0,
         bodyComplete: request.isBodyComplete,
         slots: request.slots,
         connections: request.connections,
@@ -290,13 +285,13 @@
         objectiveMs: Math.max(request.objectiveMs > 0 ? 1 : 0, Math.floor(request.objectiveMs - (request.remainingMs - remainingMs)))
       }
     })
-    this._window.consume(request.body.length)
-    const bufferedBody = this._bufferedBody
-    this._bufferedBody = []
-    let isOpen = true
-    for (const chunk of bufferedBody) isOpen = this.sendBody(chunk)
-    if (this._isBodyEnded) this.endBody()
-    else if (bufferedBody.length > 0 && isOpen) this._events.onBodyDrain()
+    this._body.open()
+    this.applyBodyCredit()
+  }
+
+  applyBodyCredit (): void {
+    const isGranted = this._link.isBodyCreditGranted
+    if (isGranted !== undefined && this._isSent && !this._hasEnded) this._body.applyBodyCredit(isGranted)
   }
 
   /** Fails a call that was never sent. */
@@ -305,20 +300,23 @@
   }
 
   sendBody (chunk: Buffer): boolean {
-    if (this._hasEnded) return true
-    if (!this._isSent) {
-      this._bufferedBody.push(chunk)
-      return false
-    }
-    const isUrgent = this._urgentBytes.take(chunk.length) === chunk.length
-    this._link.sendBody(this._callId, chunk, false, !isUrgent)
-    return this._window.consume(chunk.length)
+    return this._hasEnded || this._body.push(chunk)
   }
 
   endBody (): void {
-    if (this._hasEnded) return
-    if (!this._isSent) this._isBodyEnded = true
-    else this._link.sendBody(this._callId, NO_BYTES, true, false)
+    if (!this._hasEnded) this._body.end()
+  }
+
+  sendFrame (frame: Frame): void {
+    this._link.sendFrame(this._callId, frame)
+  }
+
+  sendPart (chunk: Buffer, isEnd: boolean, isBulk: boolean): void {
+    this._link.sendBody(this._callId, chunk, isEnd, isBulk)
+  }
+
+  onDrain (): void {
+    if (!this._hasEnded) this._events.onBodyDrain()
   }
 
   cancel (): void {
@@ -354,7 +352,7 @@
         if (frame.value.end) this._end()
         return
       case 'window':
-        if (this._window.refill(frame.value.bytes)) this._events.onBodyDrain()
+        this._body.addWindow(frame.value.bytes)
         return
       case 'failure': {
         const { reason, notRun, retryAfterMs, inFlight, slots, queued } = frame.value
@@ -393,6 +391,7 @@
 
   private _finish (): void {
     this._hasEnded = true
+    this._body.close()
     this._deadlineTimer.dispose()
     this._link.removeCall(this._callId)
   }
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -2,7 +2,7 @@
  * Accepts calls from other processes to the targets of this VM.
  */
 import type { Socket } from 'node:net'
-import type { PeerFrame } from '@lagoonswitch/schema'
+import type { CallOpen, PeerFrame } from '@lagoonswitch/schema'
 import { FrameSocket, type IFrameListener } from '@lagoonswitch/transport'
 import type { ICallEvents, ICallFailure, ICallHandle, ICallOpener, ITargetLoad } from '../calls/CallTypes.js'
 import { UrgentBytes, WindowUpdates } from './FlowControl.js'
@@ -90,12 +90,12 @@
     for (const call of [...this._calls.values()]) call.cancel()
   }
 
-  private _open (callId: number, open: Extract<Frame, { $case: 'open' }>['value']): void {
+  private _open (callId: number, open: CallOpen): void {
     if (this._calls.has(callId) || this._calls.size >= MAX_CALLS_PER_LINK) {
       sendFailure(this._socket, callId, { reason: 'bad-frame', isNotRun: true, retryAfterMs: 0 }, undefined)
       return
     }
-    const call = new IncomingCall(this._socket, callId, open.bulk, () => this._calls.delete(callId))
+    const call = new IncomingCall(this._socket, callId, open, () => this._calls.delete(callId))
     this._calls.set(callId, call)
     // Listed one by one, since rest or spread properties cost tens of microseconds per call.
     call.start(this._opener.open({
@@ -120,9 +120,11 @@
       isRetryable: false,
       isSpareOnly: open.spareOnly,
       isRepeat: open.repeat,
-      isBulk: open.bulk
+      isBulk: open.bulk,
+      isBulkBody: open.bulkBody,
+      bodyBytes: open.bodyBytes
     }, call))
-    if (open.body.length > 0) call.countBodyBytes(open.body.length)
+    if (open.body.length > 0 && !open.bulkBody) call.countBodyBytes(open.body.length)
   }
 }
 
@@ -133,12 +135,14 @@
   private _handle: ICallHandle | undefined
   private _hasEnded = false
   private _isBodyBlocked = false
+  private readonly _isBodyCredited: boolean
   private _head: { status: number, headers: readonly string[], load: ITargetLoad } | undefined
 
   constructor (
-    private readonly _socket: FrameSocket, private readonly _callId: number, isBulk: boolean, private readonly _onDone: () => void
+    private readonly _socket: FrameSocket, private readonly _callId: number, open: CallOpen, private readonly _onDone: () => void
   ) {
-    this._urgentBytes = new UrgentBytes(isBulk)
+    this._urgentBytes = new UrgentBytes(open.bulk)
+    this._isBodyCredited = open.bulkBody
   }
 
   start (handle: ICallHandle): void {
@@ -157,6 +161,9 @@
         if (frame.value.chunk.length > 0) this._receiveBody(frame.value.chunk)
         if (frame.value.end) this._handle?.endBody()
         return
+      case 'offer':
+        this._handle?.offerBody?.(frame.value.bytes)
+        return
       case 'window':
         this._handle?.acknowledge(frame.value.bytes)
         return
@@ -195,6 +202,10 @@
     this._sendWindow(this._windowUpdates.take())
   }
 
+  onBodyCredit (bytes: number): void {
+    this._sendWindow(bytes)
+  }
+
   /** Counts body bytes that were passed on. */
   countBodyBytes (bytes: number): void {
     this._sendWindow(this._windowUpdates.add(bytes))
@@ -202,6 +213,7 @@
 
   private _receiveBody (chunk: Buffer): void {
     const isOpen = this._handle?.sendBody(chunk) !== false
+    if (this._isBodyCredited) return
     const dueBytes = this._windowUpdates.add(chunk.length)
     if (!isOpen) this._isBodyBlocked = true
     if (this._isBodyBlocked) this._windowUpdates.restore(dueBytes)
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -2,7 +2,7 @@
  * A target on this VM: its announcement, slots and connections.
  */
 import type { IClock, IDisposable } from '@lagoonswitch/common'
-import { SlotLimiter } from '@lagoonswitch/traffic'
+import { BodyCreditAllocator, SlotLimiter, type FailureReason } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
 /** What a target announces about itself. */
@@ -24,6 +24,11 @@
   readonly warmupMs?: number
 }
 
+/** A call whose body has not arrived far enough for a slot. */
+export interface IAwaitingCall {
+  refuse (reason: FailureReason): void
+}
+
 /** Owns the slots of one target and the connections to it. */
 export class LocalTarget implements IDisposable {
   readonly slotLimiter: SlotLimiter
@@ -32,13 +37,19 @@
   isDraining = false
   /** True while the target accepts no connections, until it announces itself again. */
   isLost = false
+  /** Calls that ask for a slot once more of their body has arrived. */
+  readonly awaitingCalls = new Set<IAwaitingCall>()
 
   /**
    * @param announcement - from the target
    * @param clock - source of time
    * @param onIdleOverrun - called when a connection was closed for surplus bytes that arrived while it had no call
+   * @param bodyCredit - grants credit for large bodies of calls to all targets of the VM
    */
-  constructor (readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void) {
+  constructor (
+    readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void,
+    readonly bodyCredit: BodyCreditAllocator = new BodyCreditAllocator(clock)
+  ) {
     this.slotLimiter = new SlotLimiter(clock, announcement.slots)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
   }
@@ -52,8 +63,17 @@
     this.slotLimiter.slots = Math.min(this.announcement.slots, this.announcement.connections, slots, connections)
   }
 
+  /**
+   * Refuses all calls that wait for a slot or for their body.
+   * @param reason - reported to each of them
+   */
+  refuseWaiting (reason: FailureReason): void {
+    this.slotLimiter.refuseAll(reason)
+    for (const call of [...this.awaitingCalls]) call.refuse(reason)
+  }
+
   dispose (): void {
-    this.slotLimiter.refuseAll('no-target')
+    this.refuseWaiting('no-target')
     this.connections.close()
   }
 }
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,8 @@
 import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { DEFAULT_WARMUP_MS } from '@lagoonswitch/traffic'
+import { BodyCreditAllocator, DEFAULT_WARMUP_MS, type CreditLimit } from '@lagoonswitch/traffic'
+import { LocalUpload } from './LocalUpload.js'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import { TargetCall } from './TargetCall.js'
 
@@ -21,6 +22,7 @@
 
 /** Time after which a call refused for lack of retry budget may be repeated; a fraction of the window in which retries are counted. */
 const NO_BUDGET_RETRY_AFTER_MS = 1_000
+const MEMORY_LOG_INTERVAL_MS = 1_000
 /** Withdrawals that are remembered, so that a late announcement does not restore a withdrawn target. */
 const MAX_WITHDRAWALS = 256
 
@@ -73,10 +75,18 @@
   private readonly _withdrawals = new Map<string, IWithdrawal>()
   private _isDraining = false
   private _runningCount = 0
+  private _nextMemoryLogMs = -Infinity
   /** Calls that targets run or that wait for a slot. */
   private readonly _callsById = new Map<string, IRunningCall>()
 
+  /** Grants credit for large bodies of calls to the targets of this VM. */
+  readonly bodyCredit: BodyCreditAllocator
+
   constructor (private readonly _options: ILocalTargetRegistryOptions) {
+    this.bodyCredit = new BodyCreditAllocator(_options.clock, limit => this._reportWithheldCredit(limit))
+    _options.metrics.addGauge('body_bytes_waiting', () => this.bodyCredit.waitingBytes)
+    _options.metrics.addGauge('body_bytes_in_transit', () => this.bodyCredit.transitBytes)
+    _options.metrics.addGauge('bodies_open', () => this.bodyCredit.bodyCount)
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
   }
 
@@ -99,7 +109,7 @@
     this._removeOthersAtAddress(announcement)
     registered?.leaseTimer.dispose()
     registered?.target.dispose()
-    const target = new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle'))
+    const target = new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle'), this.bodyCredit)
     target.isDraining = isWithdrawn
     this._targets.set(announcement.id, {
       target,
@@ -140,7 +150,7 @@
       return true
     }
     registered.target.isDraining = true
-    registered.target.slotLimiter.refuseAll('draining')
+    registered.target.refuseWaiting('draining')
     this._publish(registered.target.announcement, EndpointState.ENDPOINT_STATE_DRAINING, true)
     this._options.log.info('target_draining', { target: id, in_flight: registered.target.slotLimiter.load.inFlight })
     return true
@@ -161,6 +171,8 @@
   }
 
   open (request: ICallRequest, events: ICallEvents): ICallHandle {
+    const isLocalUpload = request.isBulkBody === true && !request.isBodyComplete && events.onBodyCredit === undefined
+    if (isLocalUpload) return new LocalUpload(this, request, events)
     const target = this._targets.get(request.targetId)?.target
     const isServing = target !== undefined && !target.isDraining && !target.isLost && !this._isDraining &&
       target.announcement.service === request.service && target.announcement.version === request.version
@@ -192,7 +204,7 @@
   drain (): void {
     this._isDraining = true
     for (const { target } of this._targets.values()) {
-      target.slotLimiter.refuseAll('draining')
+      target.refuseWaiting('draining')
       if (!target.isDraining) this._publish(target.announcement, EndpointState.ENDPOINT_STATE_DRAINING)
     }
   }
@@ -303,12 +315,21 @@
   private _markLost (target: LocalTarget, reason: FailureReason): void {
     if (target.isLost || this._targets.get(target.announcement.id)?.target !== target) return
     target.isLost = true
-    target.slotLimiter.refuseAll('connect')
+    target.refuseWaiting('connect')
     this._options.metrics.count('targets_lost_total', reason)
     this._options.log.warn('target_lost', { target: target.announcement.id, reason })
     this._publish(target.announcement, EndpointState.ENDPOINT_STATE_GONE)
   }
 
+  private _reportWithheldCredit (limit: CreditLimit): void {
+    const { clock, log, metrics } = this._options
+    metrics.count('body_credit_withheld_total', limit)
+    const nowMs = clock.readMonotonicMs()
+    if (limit !== 'memory' || nowMs < this._nextMemoryLogMs) return
+    this._nextMemoryLogMs = nowMs + MEMORY_LOG_INTERVAL_MS
+    log.warn('body_memory_full', { bodies: this.bodyCredit.bodyCount, bytes: this.bodyCredit.waitingBytes })
+  }
+
   private _reportOverrun (id: string, reason: 'answer' | 'idle', callId?: string): void {
     this._options.metrics.count('target_overruns_total', reason)
     this._options.log.warn('target_overrun', { call: callId, target: id, reason })
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -7,10 +7,11 @@
 import {
   DEADLINE_GRACE_MS, FLOW_WINDOW_BYTES, type FailureReason, type ICallEvents, type ICallHandle, type ICallRequest
 } from '../calls/CallTypes.js'
+import { BodyBlocks } from '../calls/BodyBlocks.js'
 import { copyResponseHeaders } from '../calls/Headers.js'
 import type { CallDialect } from '../calls/CallDialect.js'
-import type { LocalTarget } from './LocalTarget.js'
-import type { ISlotTicket } from '@lagoonswitch/traffic'
+import type { IAwaitingCall, LocalTarget } from './LocalTarget.js'
+import { SLOT_BODY_BYTES, type BodyCredit, type ISlotTicket } from '@lagoonswitch/traffic'
 import type { IResponseHandler, TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
@@ -21,8 +22,10 @@
 const FIRST_REDIRECTION_STATUS = 300
 
 /** Runs one call on a target. Uses plain callbacks to keep the overhead low, since every call takes this path. */
-export class TargetCall implements ICallHandle, IResponseHandler {
-  private readonly _ticket: ISlotTicket
+export class TargetCall implements ICallHandle, IResponseHandler, IAwaitingCall {
+  private _ticket: ISlotTicket | undefined
+  /** Set for a large body that arrives as credit allows. */
+  private readonly _credit: BodyCredit | undefined
   private readonly _deadlineTimer: IDisposable
   private _connection: TargetConnection | undefined
   private _controller: Dispatcher.DispatchController | undefined
@@ -35,6 +38,8 @@
   private _isRefusalWithoutId = false
   private _body: Readable | undefined
   private _queuedBody: Buffer[] = []
+  /** Body of a call with credit until it is sent. */
+  private readonly _creditedBody = new BodyBlocks()
   private _queuedBytes = 0
   private _isBodyEnded: boolean
   private _hasStarted = false
@@ -58,35 +63,40 @@
     this._isBodyEnded = _request.isBodyComplete
     this._deadlineAtMs = _clock.readMonotonicMs() + _request.remainingMs
     this._deadlineTimer = _clock.schedule(_request.remainingMs + DEADLINE_GRACE_MS, () => this._fail('deadline'))
-    this._ticket = _target.slotLimiter.acquire({
-      callClass: _request.callClass,
-      account: _request.account,
-      remainingMs: _request.remainingMs,
-      objectiveMs: _request.objectiveMs,
-      expectedMs: _request.expectedMs,
-      isSpareOnly: _request.isSpareOnly,
-      queueLimit: _request.queue,
-      onGranted: () => this._send(),
-      onRefused: (reason, retryAfterMs) => this._refuse(reason, retryAfterMs)
-    })
-    if (this._hasEnded) this._ticket.release()
+    if (_request.isBulkBody === true && !_request.isBodyComplete) {
+      this._credit = _target.bodyCredit.open(_request.bodyBytes ?? 0, bytes => this._events.onBodyCredit?.(bytes))
+      _target.awaitingCalls.add(this)
+    } else {
+      this._acquireSlot(_request.remainingMs, _request.objectiveMs)
+    }
   }
 
   get hasEnded (): boolean {
     return this._hasEnded
   }
 
+  /** Refuses a call that has not asked for a slot yet. */
+  refuse (reason: FailureReason): void {
+    this._refuse(reason, 0)
+  }
+
+  offerBody (bytes: number): void {
+    if (!this._hasEnded) this._credit?.offer(bytes)
+  }
+
   sendBody (chunk: Buffer): boolean {
     if (this._hasEnded) return true
+    this._queuedBytes += chunk.length
+    if (this._credit !== undefined) return this._receiveCredited(chunk, this._credit)
     if (this._body !== undefined) return this._body.push(chunk)
     this._queuedBody.push(chunk)
-    this._queuedBytes += chunk.length
     return this._queuedBytes < FLOW_WINDOW_BYTES
   }
 
   endBody (): void {
     this._isBodyEnded = true
     this._body?.push(null)
+    this._acquireSlotForBody()
   }
 
   cancel (): void {
@@ -190,12 +200,45 @@
     if (!this._hasEnded) this._events.onData(chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks))
   }
 
+  private _receiveCredited (chunk: Buffer, credit: BodyCredit): boolean {
+    if (this._body !== undefined) this._body.push(chunk)
+    else this._creditedBody.push(chunk)
+    // Last, since it may grant credit, and on this VM the next chunk then comes before the return.
+    credit.receive(chunk.length)
+    if (this._queuedBytes >= SLOT_BODY_BYTES) this._acquireSlotForBody()
+    return true
+  }
+
+  /** A call with a large body asks for its slot when the body has arrived, so that a slow sender holds none. */
+  private _acquireSlotForBody (): void {
+    if (this._hasEnded || !this._target.awaitingCalls.delete(this)) return
+    const leftMs = Math.max(0, Math.floor(this._deadlineAtMs - this._clock.readMonotonicMs()))
+    const { remainingMs, objectiveMs } = this._request
+    this._acquireSlot(leftMs, objectiveMs === 0 ? 0 : Math.max(1, objectiveMs - (remainingMs - leftMs)))
+  }
+
+  private _acquireSlot (remainingMs: number, objectiveMs: number): void {
+    const { callClass, account, expectedMs, isSpareOnly, queue } = this._request
+    this._ticket = this._target.slotLimiter.acquire({
+      callClass,
+      account,
+      remainingMs,
+      objectiveMs,
+      expectedMs,
+      isSpareOnly,
+      queueLimit: queue,
+      onGranted: () => this._send(),
+      onRefused: (reason, retryAfterMs) => this._refuse(reason, retryAfterMs)
+    })
+    if (this._hasEnded) this._ticket.release()
+  }
+
   private _send (): void {
     if (this._hasEnded) return
     const { method, path, headers, body, targetId, isRepeat } = this._request
     this._grantedAtMs = this._clock.readMonotonicMs()
     const leftMs = Math.max(1, Math.floor(this._deadlineAtMs - this._clock.readMonotonicMs()))
-    const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBody.length === 0
+    const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBytes === 0
     this._connection = this._target.connections.acquire()
     this._connection.dispatch({
       method: method as Dispatcher.HttpMethod,
@@ -206,12 +249,19 @@
   }
 
   private _createBody (first: Buffer): Buffer | Readable {
+    if (this._credit !== undefined) this._queuedBody = this._creditedBody.takeAll()
     if (this._isBodyEnded) {
       return this._queuedBody.length === 0 ? first : Buffer.concat([first, ...this._queuedBody])
     }
+    let takenBytes = 0
     const body = new Readable({
       highWaterMark: FLOW_WINDOW_BYTES,
-      read: () => this._events.onBodyDrain()
+      read: () => {
+        const bytes = this._queuedBytes - body.readableLength - takenBytes
+        takenBytes += bytes
+        this._credit?.consume(bytes)
+        this._events.onBodyDrain()
+      }
     })
     if (first.length > 0) body.push(first)
     for (const chunk of this._queuedBody) body.push(chunk)
@@ -242,6 +292,9 @@
     this._hasEnded = true
     this._deadlineTimer?.dispose()
     this._body?.destroy()
+    this._credit?.close()
+    this._target.awaitingCalls.delete(this)
+    this._creditedBody.takeAll()
     const release = (): void => this._release()
     // The target learns of the abort with a delay; until then the call keeps its slot.
     if (isAborted && this._hasStarted) this._clock.schedule(ABORT_GRACE_MS, release)
@@ -253,7 +306,7 @@
 
   private _release (): void {
     if (this._connection !== undefined) this._target.connections.release(this._connection, !this._isRefusalWithoutId)
-    // The ticket is undefined only when acquire refuses the call before it returns.
+    // Undefined when the call has not asked for a slot, or acquire refuses it before it returns.
     this._ticket?.release()
   }
 }
--- a/packages/traffic/src/placement/TargetPool.ts
+++ b/packages/traffic/src/placement/TargetPool.ts
@@ -225,9 +225,9 @@
   }
 
   /**
-   * Records the size of a response.
+   * Records the bytes that a call transferred.
    * @param route - key of the route
-   * @param bytes - of the body
+   * @param bytes - of the response body, and of the request body on a route with large ones
    */
   recordResponseBytes (route: string, bytes: number): void {
     const history = this._getHistory(route)
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -19,6 +19,8 @@
   onFrame (frame: PeerFrame): void
   /** Called once, with the reason; not called after {@link FrameSocket.dispose}. */
   onClose (cause: string): void
+  /** Called once, when the first frame tells whether the peer grants credit for large request bodies. */
+  onBodyCreditKnown? (isGranted: boolean): void
 }
 
 /**
@@ -33,6 +35,7 @@
   private _unreportedBytes = 0
   /** False for a peer that does not report what it receives, to which everything is sent at once. */
   private _isPeerReporting = false
+  private _isBodyCreditKnown = false
   private _outgoing: Uint8Array[] = []
   private _isFlushing = false
   private _incoming: Buffer = Buffer.alloc(0)
@@ -131,7 +134,7 @@
   }
 
   private _sendReport (bytes: number): void {
-    this.send({ callId: 0, frame: { $case: 'received', value: { bytes } } })
+    this.send({ callId: 0, frame: { $case: 'received', value: { bytes, bodyCredit: true } } })
   }
 
   private _handleReport (bytes: number): void {
@@ -181,6 +184,11 @@
       this._fail('a frame can\'t be decoded')
       return false
     }
+    if (!this._isBodyCreditKnown) {
+      // Each process sends a report first, or none if its version does not report at all.
+      this._isBodyCreditKnown = true
+      this._listener.onBodyCreditKnown?.(frame.frame?.$case === 'received' && frame.frame.value.bodyCredit)
+    }
     if (frame.frame?.$case === 'received') {
       this._handleReport(frame.frame.value.bytes)
       return true
