Calls: pipelined calls start in order, at most 16 a connection, and none survives a closing response

Cause: all requests of one read started at once, at-most-once ones also behind a response that could close the connection; calls behind such a response ran on, and responses never assigned to the connection were counted as unsent until the end of a planned stop. Change: CallerConnection starts the calls of a connection, stops reading beyond 16, lets a call that may not be repeated wait for all earlier responses, and cancels or drops what is behind a closing one. A refusal in a planned stop keeps a connection open on which a later call was started.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -141,6 +141,7 @@
       this._callServer.applyLimits()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
+    metrics.addGauge('responses_unsent', () => this._callServer.getUnsentResponseCount())
     metrics.addGauge('feed_level', () => this.feed.level)
     metrics.addGauge('feed_current_age_ms', () => this.feed.getStatus().currentMs)
     metrics.addGauge('catalogue_version', () => this.store.version.version)
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -23,6 +23,17 @@
 const RETRY_AFTER_MS = 1_000
 /** Time after which a call that was to be withdrawn counts as received by its target. */
 const WITHDRAWAL_TIMEOUT_MS = 250
+
+/** The connection of the caller, as far as a call has to know of it. */
+export interface ICallConnection {
+  /** True while a later call on the connection has been started, whose response must not be lost. */
+  readonly hasStartedBehind: boolean
+  /** Called before the response that closes the connection is sent. */
+  onClosing (): void
+  /** Called once, at the end of the call. */
+  onDone (): void
+}
+
 /** Handles one call. The data path uses plain callbacks to keep the overhead per call low. */
 export class Call implements ICallEvents {
   private readonly _startedMs: number
@@ -53,13 +64,13 @@
   private _hasSkippedTarget = false
   private _isDone = false
   private _isCallerGone = false
-  private readonly _onCallerEnd = (): void => this._handleCallerClose()
+  private readonly _onCallerEnd = (): void => this.handleCallerClose()
 
   constructor (
     private readonly _context: ICallContext,
     private readonly _request: IncomingMessage,
     private readonly _response: ServerResponse,
-    private readonly _onDone: () => void
+    private readonly _connection: ICallConnection
   ) {
     this._startedMs = _context.clock.readMonotonicMs()
     this._report = new CallReport(_context, _context.dialect.readCallId(_request.headers))
@@ -75,7 +86,7 @@
 
   /** Validates the call and sends it. */
   start (): void {
-    if (!this._readHead() || !this._acquireOwnerSlot()) return
+    if (this._isDone || !this._readHead() || !this._acquireOwnerSlot()) return
     this._deadlineTimer = this._context.clock.schedule(this._getRemainingMs(), () => this._handleDeadline())
     if (!hasBody(this._request)) {
       this._body.isComplete = true
@@ -108,6 +119,24 @@
     else this._refuse('process-draining', this._attempt === undefined ? 'not-run' : 'unknown', RETRY_AFTER_MS)
   }
 
+  /** Ends the call without a response, since an earlier response closes the connection. */
+  drop (): void {
+    if (this._isDone) return
+    this._isCallerGone = true
+    this._attempt?.cancel()
+    this._finish('dropped', 'connection-closing')
+  }
+
+  /** Ends the call after its caller has closed the connection. */
+  handleCallerClose (): void {
+    if (this._isDone || this._isCallerGone) return
+    this._isCallerGone = true
+    // A claimed call continues, so that a later call with the same key gets the recorded answer.
+    if (this._claim.isHeld && this._body.isComplete) return
+    this._attempt?.cancel()
+    this._finish('caller-gone', 'closed')
+  }
+
   onHead (status: number, headers: readonly string[], { isRepeatDenied }: ITargetLoad): void {
     if (this._isDone) return
     if (this._prepareResponseRetry(status, isRepeatDenied)) {
@@ -372,7 +401,9 @@
     this._finish('refused', reason, run)
     this._context.metrics.count('refusals_total', reason)
     if (!this._isCallerGone) {
-      const isClosing = this._context.getStop()?.isRefusing === true || !this._request.complete
+      const isStopping = this._context.getStop()?.isRefusing === true && !this._connection.hasStartedBehind
+      const isClosing = isStopping || !this._request.complete
+      if (isClosing) this._connection.onClosing()
       sendRefusal(this._response, { ...refusal, run }, isClosing, this._context.dialect)
     }
     return false
@@ -383,6 +414,7 @@
     this._claim.settleUnknown()
     this._attempt?.cancel()
     this._finish('cut', reason)
+    this._connection.onClosing()
     this._response.destroy()
   }
 
@@ -405,15 +437,6 @@
     this._refuse('deadline', 'not-run', 0)
   }
 
-  private _handleCallerClose (): void {
-    if (this._isDone || this._isCallerGone) return
-    this._isCallerGone = true
-    // A claimed call continues, so that a later call with the same key gets the recorded answer.
-    if (this._claim.isHeld && this._body.isComplete) return
-    this._attempt?.cancel()
-    this._finish('caller-gone', 'closed')
-  }
-
   private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
     this._request.socket.off('end', this._onCallerEnd)
@@ -428,7 +451,7 @@
       tookMs: this._context.clock.readMonotonicMs() - this._startedMs,
       leftMs: this._deadlineMs === 0 ? undefined : this._getRemainingMs()
     }, this._attempt?.target)
-    this._onDone()
+    this._connection.onDone()
   }
 
   private _getRemainingMs (): number {
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -2,9 +2,10 @@
  * The HTTP/1.1 listener for callers.
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
-import { Call } from './Call.js'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Call } from './Call.js'
 import type { ICallContext } from './CallContext.js'
+import { CallerConnection } from './CallerConnection.js'
 
 const HEADERS_TIMEOUT_MS = 10_000
 /** Interval of the check for late request heads; the 30 s default of Node.js is too coarse for header timeouts of a few seconds. */
@@ -21,6 +22,7 @@
 export class CallServer {
   private readonly _server: Server
   private readonly _calls = new Set<Call>()
+  private readonly _connections = new WeakMap<Socket, CallerConnection>()
   private _lastCallMs = -Infinity
   /** Responses that have not been sent completely, including those of running calls. */
   private _unsentResponses = 0
@@ -37,8 +39,6 @@
       insecureHTTPParser: false
     }, (request, response) => this._handleRequest(request, response))
     this._server.maxConnections = callerConnections
-    // Each call adds a listener to its connection, and a caller may pipeline any number of calls.
-    this._server.on('connection', socket => socket.setMaxListeners(0))
     this._server.on('checkContinue', (request, response) => {
       response.writeContinue()
       this._handleRequest(request, response)
@@ -101,10 +101,22 @@
 
   private _handleRequest (request: IncomingMessage, response: ServerResponse): void {
     this._lastCallMs = this._context.clock.readMonotonicMs()
-    const call: Call = new Call(this._context, request, response, () => this._calls.delete(call))
-    this._calls.add(call)
-    this._unsentResponses++
-    response.on('close', () => { this._unsentResponses-- })
-    call.start()
+    this._findConnection(request.socket).add(request, response)
+  }
+
+  private _findConnection (socket: Socket): CallerConnection {
+    let connection = this._connections.get(socket)
+    if (connection === undefined) {
+      connection = new CallerConnection(this._context, socket, {
+        onCall: call => {
+          this._calls.add(call)
+          this._unsentResponses++
+        },
+        onCallEnd: call => this._calls.delete(call),
+        onSent: () => { this._unsentResponses-- }
+      })
+      this._connections.set(socket, connection)
+    }
+    return connection
   }
 }
