Uploads: 64 kB of recent credit for all bodies, in parts of 16 kB while several are sent

Cause: with 128 kB the 99th percentile of small calls beside 40 uploads was 376 to 576 ms on a link of 7.7 Mbit/s (objective 533 ms), so UploadLinks.test.ts failed once beside another run; and two bodies on a slow path held all of it. Change: less credit, in smaller parts, and credit that has not arrived after 250 ms leaves room for other bodies.

--- a/packages/traffic/src/admission/BodyCredit.ts
+++ b/packages/traffic/src/admission/BodyCredit.ts
@@ -10,12 +10,14 @@
 /** Parts of all bodies in transit, in bytes. */
 export const MAX_TRANSIT_BYTES = 524_288
 /**
- * Bytes of bodies that arrive steadily in transit: 140 ms of a link of 7.7 Mbit/s, a quarter of the latency objective of reads there. With
- * 512 kB, reads beside uploads took 1.2 s at the 99th percentile on such a link.
+ * Bytes in transit with recent credit: 70 ms of a link of 7.7 Mbit/s. With 128 kB, reads beside uploads took 400 to 580 ms at the 99th
+ * percentile on such a link, with 512 kB 1.2 s; their latency objective there is 533 ms.
  */
-const STEADY_TRANSIT_BYTES = 131_072
-/** Time without an arrival after which a body in transit no longer counts as steady; its bytes still count towards the maximum. */
-const STALL_MS = 250
+const RECENT_TRANSIT_BYTES = 65_536
+/** Part of one body in transit while other bodies have something to send, so that one on a slow path holds little of the recent credit. */
+const SHARED_CALL_TRANSIT_BYTES = 16_384
+/** Time after which credit is no longer recent, as its sender is slow or silent; it still counts towards the maximum in transit. */
+const RECENT_MS = 250
 /** Bytes of all bodies that wait on the node or are in transit to it. */
 export const MAX_WAITING_BYTES = 24_000_000
 /** Last part of the memory, for bodies that it can complete; bodies that fill the memory halfway each could not be completed. */
@@ -34,8 +36,7 @@
   transitBytes = 0
   /** Bytes that have arrived and that the target has not taken. */
   waitingBytes = 0
-  /** Time of the last arrival, or of the first credit after everything granted had arrived. */
-  lastProgressMs = 0
+  lastGrantMs = 0
   private _arrivedBytes = 0
 
   /**
@@ -83,7 +84,7 @@
   private _waitingBytes = 0
   private _isAllocating = false
   private _isChanged = false
-  private _stallTimer: IDisposable | undefined
+  private _retryTimer: IDisposable | undefined
 
   /**
    * @param _clock - source of time
@@ -124,7 +125,6 @@
     this._transitBytes -= grantedBytes
     body.waitingBytes += bytes
     this._waitingBytes += bytes
-    body.lastProgressMs = this._clock.readMonotonicMs()
     this.allocate()
   }
 
@@ -161,10 +161,12 @@
   }
 
   private _grantNext (): void {
-    for (const body of this._listOffers()) {
+    const offers = this._listOffers()
+    const callTransitBytes = offers.length > 1 ? SHARED_CALL_TRANSIT_BYTES : CALL_TRANSIT_BYTES
+    for (const body of offers) {
       const roomBytes = SLOT_BODY_BYTES - body.transitBytes - body.waitingBytes
       const neededBytes = Math.min(body.remainingBytes, roomBytes)
-      const ownBytes = Math.min(body.offeredBytes, CALL_TRANSIT_BYTES - body.transitBytes, roomBytes)
+      const ownBytes = Math.min(body.offeredBytes, callTransitBytes - body.transitBytes, roomBytes)
       // The last part before the slot may be small as well.
       const leastBytes = Math.min(MIN_GRANT_BYTES, body.offeredBytes, Math.max(1, roomBytes))
       // The sender or the target has to go on first, which is no reason to hold up other bodies.
@@ -189,7 +191,7 @@
 
   private _reportLimit (limit: CreditLimit): void {
     this._onLimited(limit)
-    this._scheduleStallCheck()
+    this._scheduleRetry()
   }
 
   /** Bodies with an offer: those of which the rest fits into one grant, shortest rest first, then the others by arrival. */
@@ -203,26 +205,26 @@
   }
 
   private _computeTransitLeft (): number {
-    const steadySinceMs = this._clock.readMonotonicMs() - STALL_MS
-    let steadyBytes = 0
+    const sinceMs = this._clock.readMonotonicMs() - RECENT_MS
+    let recentBytes = 0
     for (const body of this._bodies) {
-      if (body.transitBytes > 0 && body.lastProgressMs > steadySinceMs) steadyBytes += body.transitBytes
+      if (body.lastGrantMs > sinceMs) recentBytes += body.transitBytes
     }
-    return Math.min(STEADY_TRANSIT_BYTES - steadyBytes, MAX_TRANSIT_BYTES - this._transitBytes)
+    return Math.min(RECENT_TRANSIT_BYTES - recentBytes, MAX_TRANSIT_BYTES - this._transitBytes)
   }
 
   private _grant (body: BodyCredit, bytes: number): void {
-    if (body.transitBytes === 0) body.lastProgressMs = this._clock.readMonotonicMs()
+    body.lastGrantMs = this._clock.readMonotonicMs()
     body.offeredBytes -= bytes
     body.transitBytes += bytes
     this._transitBytes += bytes
     body.onGranted(bytes)
   }
 
-  /** Bodies in transit that have stalled leave room for others without any other event. */
-  private _scheduleStallCheck (): void {
-    this._stallTimer ??= this._clock.schedule(STALL_MS, () => {
-      this._stallTimer = undefined
+  /** Credit that is no longer recent leaves room for others without any other event. */
+  private _scheduleRetry (): void {
+    this._retryTimer ??= this._clock.schedule(RECENT_MS, () => {
+      this._retryTimer = undefined
       this.allocate()
     })
   }
