--- a/packages/node/src/calls/Attempt.test.ts
+++ b/packages/node/src/calls/Attempt.test.ts
@@ -32,3 +32,29 @@
   attempt.onHead(200, [], { ...LOAD, served })
   expect(latencies).toEqual([isEvidence ? SERVICE_MS : undefined])
 })
+
+// Uploads would be sent to other zones as if their bodies cost nothing.
+test('body of a request counts in the usual bytes of its route', () => {
+  const recorded: Array<[string, number]> = []
+  const context = {
+    clock: new ManualClock(),
+    metrics: new Metrics(),
+    pool: {
+      recordStart: () => {},
+      recordEnd: () => {},
+      recordLoad: () => {},
+      recordServiceTime: () => {},
+      recordRunTime: () => {},
+      recordResponseBytes: (route: string, bytes: number) => recorded.push([route, bytes])
+    },
+    evidence: { recordOutcome: () => {} }
+  } as unknown as ICallContext
+  const events = { onHead: () => {}, onData: () => {}, onEnd: () => {} } as unknown as ICallEvents
+  const target = new TargetState(EndpointRecord.fromPartial({ targetId: 't' }), 0)
+  const attempt = new Attempt(context, { key: 'r', isBulkBody: true } as never, target, events)
+  attempt.requestBytes = 60_000
+  attempt.onHead(200, [], { ...LOAD, served: 1 })
+  attempt.onData(Buffer.alloc(100))
+  attempt.onEnd()
+  expect(recorded).toEqual([['r', 60_100]])
+})
