--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -5,7 +5,7 @@
   DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics
 } from '@lagoonswitch/common'
 import type { CatalogueStore, ControlDirectory, EndpointView, FeedClient, FeedHub } from '@lagoonswitch/feed'
-import type { ISettings } from '@lagoonswitch/schema'
+import { CallClass, type ISettings } from '@lagoonswitch/schema'
 import { LeaderClient, LinkListener, type IPeerChannels, type IServiceRegistry, type LinkCredentials } from '@lagoonswitch/transport'
 import { LagoonDialect, type CallDialect } from './calls/CallDialect.js'
 import { CallServer } from './calls/CallServer.js'
@@ -16,9 +16,13 @@
 import { PeerServer } from './links/PeerServer.js'
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
-import { CallerWaitEstimator, BalancedDraws, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import {
+  AccountIndex, BalancedDraws, BalancedPlacement, CallerWaitEstimator, LocalPlacement, OwnerCallLimiter, RetryBudget, ServicePace,
+  TargetPool
+} from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
+import { NestedCalls } from './targets/NestedCalls.js'
 import { WithdrawalRecorder } from './targets/WithdrawalRecorder.js'
 
 /** Time within which callers notice that this process is no longer ready. */
@@ -28,6 +32,11 @@
 const STOP_POLL_MS = 50
 /** Minimum length of the lease of a target in heartbeat intervals, since heartbeats may be seconds late. */
 const MIN_HEARTBEATS_PER_LEASE = 6
+/** Classes whose waiting calls are counted, by the suffix of their gauge. */
+const WAITING_CLASSES = [
+  ['first', CallClass.CALL_CLASS_FIRST], ['high', CallClass.CALL_CLASS_HIGH], ['normal', CallClass.CALL_CLASS_NORMAL],
+  ['low', CallClass.CALL_CLASS_LOW]
+] as const
 
 /** Settings and dependencies of a node. */
 export interface INodeRoleOptions {
@@ -56,8 +65,12 @@
   private readonly _linkListener: LinkListener
   private readonly _linkAddress: string
   private _routes: RouteTable | undefined
+  private _accounts: AccountIndex | undefined
+  private readonly _reservedHeaders: ReadonlySet<string>
+  private readonly _reservedHeadersWithAccounts: ReadonlySet<string>
   private _catalogueChangedMs = 0
   private readonly _feed: NodeFeed
+  private readonly _pace: ServicePace
   private _stop: GracefulStop | undefined
 
   readonly directory: ControlDirectory
@@ -74,6 +87,9 @@
     this._linkAddress = `${settings.listen.links.host}:${settings.listen.links.port}`
     const incarnation = clock.readWallTime().getTime()
     const dialect = _options.dialect ?? new LagoonDialect()
+    this._reservedHeaders = dialect.reservedHeaders
+    this._reservedHeadersWithAccounts = new Set([...dialect.reservedHeaders, ...dialect.accountHeaders])
+    this._pace = new ServicePace(clock)
     this._feed = this._disposables.add(new NodeFeed({ ..._options, incarnation, takeEvidence: () => this._evidence.takeEvidence() }))
     this.directory = this._feed.directory
     this.store = this._feed.store
@@ -81,6 +97,9 @@
     this.feed = this._feed.client
     this.relay = this._feed.relay
     this._evidence = this._disposables.add(new EvidenceCollector(this.store, clock, log, metrics))
+    const isBalanced = settings.node.zonePlacement === 'balanced'
+    const findRoute = (host: string, method: string, path: string): string | undefined =>
+      this._getRoutes()?.findRoute(host, method, path)?.key
     this.targets = this._disposables.add(new LocalTargetRegistry({
       node: name,
       region,
@@ -93,12 +112,16 @@
       metrics,
       endpoints: this.endpoints,
       dialect,
+      isServiceSlow: settings.node.hangDetection ? (...wait) => this._pace.isSlow(...wait) : undefined,
+      random,
+      nestedCalls: isBalanced ? new NestedCalls({ clock, random, log, metrics, findRoute }) : undefined,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
     this.withdrawals = new WithdrawalRecorder({ node: name, targets: this.targets, leaderClient, clock, log, metrics })
     this._peerServer = new PeerServer(this.targets)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
+    const location = { region, availabilityZone, linkAddress: this._linkAddress }
     this._callServer = new CallServer({
       clock,
       random,
@@ -107,14 +130,13 @@
       metrics,
       settings,
       pool: new TargetPool({
-        region,
-        availabilityZone,
-        linkAddress: this._linkAddress,
+        ...location,
         clock,
         random,
         metrics,
         endpoints: this.endpoints,
-        isReachable: address => this._links.get(address)?.isReachable !== false
+        isReachable: address => this._links.get(address)?.isReachable !== false,
+        placement: isBalanced ? new BalancedPlacement({ ...location, random }) : new LocalPlacement({ ...location, random })
       }),
       claims: new ClaimsClient(leaderClient, settings.control.claimShards),
       evidence: this._evidence,
@@ -122,8 +144,15 @@
       callerWaitEstimator: new CallerWaitEstimator(clock),
       findOpener: address => this._findOpener(address),
       isRepeatRun: callId => this.targets.isRepeatRun(callId),
+      isLocalRun: callId => this.targets.isLocalRun(callId),
+      startedMs: clock.readMonotonicMs(),
+      getAccounts: () => this._getAccounts(),
+      getReservedHeaders: () => this._getAccounts().size === 0 ? this._reservedHeaders : this._reservedHeadersWithAccounts,
+      startNestedCall: parentId => this.targets.startNestedCall(parentId),
+      pace: this._pace,
       reportRepeatDenied: parentId => this.targets.recordRepeatDenied(parentId),
       recordCalledService: part => this._calledServices.add(part.service),
+      recordNestedCall: (parentId, part, reason) => this.targets.recordNestedCall(parentId, part.service, reason),
       getRetryBudget: part => this._getRetryBudget(part),
       getRoutes: () => this._getRoutes(),
       getStop: () => this._stop,
@@ -137,13 +166,17 @@
     this._disposables.add(this.feed.onReady(withdrawals => this.targets.restoreWithdrawals(withdrawals)))
     this._disposables.add(this.store.onChanged(() => {
       this._routes = undefined
+      this._accounts = undefined
       this._catalogueChangedMs = clock.readMonotonicMs()
       this._callServer.applyLimits()
+      this._callServer.applyAccounts()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
     metrics.addGauge('responses_unsent', () => this._callServer.getUnsentResponseCount())
+    for (const [name, callClass] of WAITING_CLASSES) metrics.addGauge(`calls_waiting_${name}`, () => this.targets.countWaiting(callClass))
     metrics.addGauge('feed_level', () => this.feed.level)
     metrics.addGauge('feed_current_age_ms', () => this.feed.getStatus().currentMs)
+    metrics.addGauge('accounts', () => this.store.view.accounts.size)
     metrics.addGauge('catalogue_version', () => this.store.version.version)
   }
 
@@ -253,6 +286,11 @@
     return this._routes
   }
 
+  private _getAccounts (): AccountIndex {
+    this._accounts ??= new AccountIndex(this.store.view.accounts)
+    return this._accounts
+  }
+
   private _findOpener (address: string): ICallOpener {
     if (address === this._linkAddress) return this.targets
     let link = this._links.get(address)
--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -13,7 +13,7 @@
 import { computeObjectiveLeftMs, hasBody, readCallHead, type ICallHead } from './CallHead.js'
 import { CallRetries } from './CallRetries.js'
 import { CallReport } from './CallReport.js'
-import type { ICallEvents, ICallFailure, ICallRequest, ITargetLoad } from './CallTypes.js'
+import { isFinalStatus, type ICallEvents, type ICallFailure, type ICallRequest, type ITargetLoad } from './CallTypes.js'
 import { REPEATED_HEADER } from './Headers.js'
 import type { GracefulStop } from './GracefulStop.js'
 import { TargetPicker } from './TargetPicker.js'
@@ -62,6 +62,10 @@
   private _isBodyTooLarge = false
   /** True when a target was skipped because the call could not end there before a graceful stop cuts it. */
   private _hasSkippedTarget = false
+  /** True once the key of the account has been withdrawn; no target receives the call from then on. */
+  private _isKeyWithdrawn = false
+  /** Ends the nested call at the run that makes this call; undefined when no target of this VM makes it. */
+  private _endNestedCall: (() => void) | undefined
   private _isDone = false
   private _isCallerGone = false
   private readonly _onCallerEnd = (): void => this.handleCallerClose()
@@ -112,6 +116,15 @@
     this._withdrawalTimer = clock.schedule(Math.max(0, leftMs), () => this._withdraw())
   }
 
+  /** Withdraws the call if its key is no longer held, unless a target has received it; a run goes on. */
+  applyAccounts (): void {
+    if (this._isDone || this._isKeyWithdrawn || (this._head?.keyDigest ?? '') === '') return
+    if (this._context.getAccounts().isHeld(this._head.keyDigest)) return
+    this._isKeyWithdrawn = true
+    if (this._attempt === undefined) this._refuseForWithdrawnKey()
+    else this._attempt.handle?.withdraw()
+  }
+
   /** Ends the call because the process ends. */
   cut (): void {
     if (this._isDone) return
@@ -180,12 +193,16 @@
       return
     }
     this._retries.recordFailure(failure)
+    if (this._isKeyWithdrawn && failure.isNotRun) {
+      this._refuseForWithdrawnKey()
+      return
+    }
     if (this._isWithdrawn && failure.isNotRun) {
       if (this._isBodyTooLarge) this._refuse('body-too-large', 'not-run', 0)
       else this._refuseForStop()
       return
     }
-    if (this._canSendAgain() && this._retries.authorizeRetry(failure)) {
+    if (this._canSendAgain() && this._retries.authorizeRetry(failure, this._getRemainingMs())) {
       this._lastFailure = failure
       this._report.reportRetry(failure.reason, this._attempt?.target)
       this._scheduleSend()
@@ -204,7 +221,9 @@
     this._head = head.val
     this._picker = new TargetPicker(this._context, head.val)
     this._retries = new CallRetries(this._context, head.val, this._picker.part)
+    this._endNestedCall = this._context.startNestedCall(head.val.parentId)
     this._report.route = head.val.route.key
+    this._report.account = head.val.account
     this._report.retries = this._retries
     this._deadlineMs = this._startedMs + head.val.timeoutMs
     return true
@@ -239,8 +258,10 @@
   private async _claimKey (): Promise<void> {
     const { method, url } = this._request
     const fingerprint = createHash('sha256').update(`${method} ${url}\n`).update(this._body.bytes).digest()
-    const result = await this._context.claims.claim(
-      this._head.route.key, this._head.key, fingerprint, this._getRemainingMs())
+    const { route, account, key } = this._head
+    // No account is given the recorded answer to a call of another one.
+    const scope = account === '' ? route.key : `${route.key}\n${account}`
+    const result = await this._context.claims.claim(scope, key, fingerprint, this._getRemainingMs())
     this._context.metrics.count('claims_total', result.kind)
     if (result.kind === 'granted') this._claim.hold(result.claim)
     if (this._isDone) {
@@ -260,6 +281,10 @@
   }
 
   private _send (): void {
+    if (this._isKeyWithdrawn) {
+      this._refuseForWithdrawnKey()
+      return
+    }
     const target = this._retryTarget ?? this._pickTarget()
     this._retryTarget = undefined
     if (target === undefined) {
@@ -295,6 +320,17 @@
     this._refuse('process-draining', 'not-run', this._context.getStop()?.computeRetryAfterMs(this._context.clock.readMonotonicMs()) ?? 0)
   }
 
+  /** An earlier attempt may have run; the call must not seem refused before it ran then. */
+  private _refuseForWithdrawnKey (): void {
+    if (this._retries.runs > 0) {
+      this._refuse(this._lastFailure?.reason ?? 'broken', 'unknown', 0)
+      return
+    }
+    this._context.metrics.count('authorizations_total', 'credentials-withdrawn')
+    if (this._context.isCatalogueCurrent()) this._refuse('credentials-withdrawn', 'not-run', 0)
+    else this._refuse('accounts-not-current', 'not-run', RETRY_AFTER_MS)
+  }
+
   /** Skips targets where the call could not end before a graceful stop cuts it. */
   private _pickTarget (): ITargetState | undefined {
     for (;;) {
@@ -334,6 +370,7 @@
       callId: this._head.callId,
       objectiveMs: this._getObjectiveLeftMs(),
       expectedMs: this._context.pool.computeExpectedMs(target, this._head.route.key),
+      route: this._head.route.key,
       isRetryable: this._head.route.isRetryable,
       isSpareOnly: this._context.pool.isLimitedToSpareSlots(target, this._head.callClass),
       isRepeat: this._retries.isRepeat,
@@ -358,7 +395,7 @@
   }
 
   private _canSendAgain (): boolean {
-    return this._body.isComplete && this._getRemainingMs() > 0 && !this._isCallerGone && !this._isWithdrawn
+    return this._body.isComplete && this._getRemainingMs() > 0 && !this._isCallerGone && !this._isWithdrawn && !this._isKeyWithdrawn
   }
 
   private _prepareResponseRetry (status: number, isRepeatDenied: boolean): boolean {
@@ -376,7 +413,7 @@
   }
 
   private _sendRecordedAnswer (answer: RecordedAnswer | undefined): void {
-    if (answer === undefined) {
+    if (answer === undefined || !isFinalStatus(answer.status)) {
       this._refuse('key-unknown', 'unknown', 0)
       return
     }
@@ -439,10 +476,14 @@
 
   private _finish (outcome: string, reason = '', run = ''): void {
     this._isDone = true
+    this._endNestedCall?.()
     this._request.socket.off('end', this._onCallerEnd)
     this._deadlineTimer?.dispose()
     this._withdrawalTimer?.dispose()
     if (this._owner !== undefined) this._context.ownerCallLimiter.release(this._owner)
+    // Undefined when the head was refused.
+    const parentId = (this._head as ICallHead | undefined)?.parentId ?? ''
+    if (parentId !== '') this._context.recordNestedCall(parentId, this._picker.part, run === 'not-run' ? reason : '')
     this._report.reportEnd({
       outcome,
       reason,
--- a/packages/node/src/calls/CallContext.ts
+++ b/packages/node/src/calls/CallContext.ts
@@ -6,7 +6,9 @@
 import type { CallerLimits, ISettings } from '@lagoonswitch/schema'
 import type { ClaimsClient } from '../claims/ClaimsClient.js'
 import type { EvidenceCollector } from '../moves/EvidenceCollector.js'
-import type { BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, TargetPool } from '@lagoonswitch/traffic'
+import type {
+  AccountIndex, BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, ServicePace, TargetPool
+} from '@lagoonswitch/traffic'
 import type { IRoutePart, RouteTable } from '../routing/RouteTable.js'
 import type { CallDialect } from './CallDialect.js'
 import type { ICallOpener } from './CallTypes.js'
@@ -30,10 +32,24 @@
   readonly findOpener: (linkAddress: string) => ICallOpener
   /** Tells whether a target of this VM is running the call with this ID as a repeat. */
   readonly isRepeatRun: (callId: string) => boolean
+  /** Tells whether a target of this VM runs the call with this ID, or ran it within the last seconds. */
+  readonly isLocalRun: (callId: string) => boolean
+  /** Monotonic time of the start of this process, in milliseconds. */
+  readonly startedMs: number
+  /** Client accounts of the catalogue in use. */
+  readonly getAccounts: () => AccountIndex
+  /** Names of the headers in lower case that are not forwarded from callers. */
+  readonly getReservedHeaders: () => ReadonlySet<string>
   /** Records on the parent call that the retry budget denied a retry of one of its nested calls. */
   readonly reportRepeatDenied: (parentId: string) => void
+  /** Records a nested call on its parent call, if a target of this VM runs that; returns what ends it. */
+  readonly startNestedCall: (parentId: string) => (() => void) | undefined
+  /** Knows whether the targets of a service answer at their usual pace. */
+  readonly pace: ServicePace
   /** Records a service that targets of this VM call while they are running calls. */
   readonly recordCalledService: (part: IRoutePart) => void
+  /** Records the end of a call that a target of this VM made during a run, with the reason if it was refused and has not run. */
+  readonly recordNestedCall: (parentId: string, part: IRoutePart, reason: string) => void
   readonly getRetryBudget: (part: IRoutePart) => RetryBudget
   readonly getRoutes: () => RouteTable | undefined
   /** The graceful stop in progress; undefined while there is none. */
--- a/packages/node/src/links/LinkTypes.ts
+++ b/packages/node/src/links/LinkTypes.ts
@@ -22,6 +22,8 @@
   onClose (): void
   /** Returns true while calls are open, in which case silence indicates a fault. */
   hasCalls (): boolean
+  /** Called repeatedly while the connection has not opened within the time after which a link counts as silent; it may still open. */
+  onSlowOpen (): void
   /** Called repeatedly while the other process is silent for longer than the time that calls wait for it. */
   onSilent (): void
   onBodyCreditKnown (): void
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -1,8 +1,8 @@
 /**
  * A target on this VM: its announcement, slots and connections.
  */
-import type { IClock, IDisposable } from '@lagoonswitch/common'
-import { BodyCreditAllocator, SlotLimiter, type FailureReason } from '@lagoonswitch/traffic'
+import type { IClock, IDisposable, IRandom } from '@lagoonswitch/common'
+import { BodyCreditAllocator, SlotLimiter, type FailureReason, type HangDetector } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
 /** What a target announces about itself. */
@@ -44,13 +44,15 @@
    * @param announcement - from the target
    * @param clock - source of time
    * @param onIdleOverrun - called when a connection was closed for surplus bytes that arrived while it had no call
+   * @param hangDetector - recognizes calls that hang; undefined if they are not to be detected
+   * @param random - spreads the times at which refused callers return
    * @param bodyCredit - grants credit for large bodies of calls to all targets of the VM
    */
   constructor (
-    readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void,
-    readonly bodyCredit: BodyCreditAllocator = new BodyCreditAllocator(clock)
+    readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, readonly hangDetector?: HangDetector,
+    random?: IRandom, readonly bodyCredit: BodyCreditAllocator = new BodyCreditAllocator(clock)
   ) {
-    this.slotLimiter = new SlotLimiter(clock, announcement.slots)
+    this.slotLimiter = new SlotLimiter(clock, announcement.slots, random)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
   }
 
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -1,15 +1,17 @@
 /**
  * The targets of this VM: their announcements, heartbeats and withdrawals, and the calls to them.
  */
-import { DisposableStore, type IClock, type IDisposable, type ILog, type Metrics } from '@lagoonswitch/common'
+import { DisposableStore, type IClock, type IDisposable, type ILog, type IRandom, type Metrics } from '@lagoonswitch/common'
 import type { EndpointView } from '@lagoonswitch/feed'
-import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
+import { EndpointState, type CallClass, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { BodyCreditAllocator, DEFAULT_WARMUP_MS, type CreditLimit } from '@lagoonswitch/traffic'
+import { BodyCreditAllocator, DEFAULT_WARMUP_MS, HangDetector, RunRegister } from '@lagoonswitch/traffic'
 import { LocalUpload } from './LocalUpload.js'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
+import type { NestedCalls } from './NestedCalls.js'
 import { TargetCall } from './TargetCall.js'
+import { TargetReports } from './TargetReports.js'
 
 /** Handle of a call that failed before it started. */
 const ENDED_HANDLE: ICallHandle = {
@@ -22,7 +24,6 @@
 
 /** Time after which a call refused for lack of retry budget may be repeated; a fraction of the window in which retries are counted. */
 const NO_BUDGET_RETRY_AFTER_MS = 1_000
-const MEMORY_LOG_INTERVAL_MS = 1_000
 /** Withdrawals that are remembered, so that a late announcement does not restore a withdrawn target. */
 const MAX_WITHDRAWALS = 256
 
@@ -42,8 +43,17 @@
   readonly metrics: Metrics
   readonly endpoints: EndpointView
   readonly dialect: CallDialect
+  /** Spreads the times at which refused callers with an account return. */
+  readonly random?: IRandom
+  /** Decides which calls are not begun; without it all are. */
+  readonly nestedCalls?: NestedCalls
   /** Returns false while a service that the targets call has no retry budget left here for the calls that a retry makes. */
   readonly canTakeRepeat: () => boolean
+  /**
+   * Tells whether the other targets of a service have slowed down since a monotonic time; undefined if calls that hang are not to
+   * be detected.
+   */
+  readonly isServiceSlow?: (service: string, targetId: string, sinceMs: number) => boolean
 }
 
 interface IRegisteredTarget {
@@ -75,18 +85,22 @@
   private readonly _withdrawals = new Map<string, IWithdrawal>()
   private _isDraining = false
   private _runningCount = 0
-  private _nextMemoryLogMs = -Infinity
   /** Calls that targets run or that wait for a slot. */
   private readonly _callsById = new Map<string, IRunningCall>()
+  /** Calls that targets have received; a call that waits for a slot makes no nested calls. */
+  private readonly _runs: RunRegister
+  private readonly _reports: TargetReports
 
   /** Grants credit for large bodies of calls to the targets of this VM. */
   readonly bodyCredit: BodyCreditAllocator
 
   constructor (private readonly _options: ILocalTargetRegistryOptions) {
-    this.bodyCredit = new BodyCreditAllocator(_options.clock, limit => this._reportWithheldCredit(limit))
-    _options.metrics.addGauge('body_bytes_waiting', () => this.bodyCredit.waitingBytes)
-    _options.metrics.addGauge('body_bytes_in_transit', () => this.bodyCredit.transitBytes)
-    _options.metrics.addGauge('bodies_open', () => this.bodyCredit.bodyCount)
+    this._runs = new RunRegister(_options.clock)
+    this._reports = new TargetReports(_options.log, _options.metrics)
+    this.bodyCredit = new BodyCreditAllocator(_options.clock, limit => {
+      this._reports.reportWithheldCredit(limit, this.bodyCredit, _options.clock.readMonotonicMs())
+    })
+    this._reports.addBodyGauges(this.bodyCredit)
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
   }
 
@@ -109,7 +123,7 @@
     this._removeOthersAtAddress(announcement)
     registered?.leaseTimer.dispose()
     registered?.target.dispose()
-    const target = new LocalTarget(announcement, this._options.clock, () => this._reportOverrun(announcement.id, 'idle'), this.bodyCredit)
+    const target = this._createTarget(announcement)
     target.isDraining = isWithdrawn
     this._targets.set(announcement.id, {
       target,
@@ -186,15 +200,35 @@
       events.onFailure({ reason: 'no-budget', isNotRun: true, retryAfterMs: NO_BUDGET_RETRY_AFTER_MS }, target.slotLimiter.load)
       return ENDED_HANDLE
     }
+    const retryAfterMs = this._options.nestedCalls?.findRefusal(request)?.retryAfterMs
+    if (retryAfterMs !== undefined) {
+      events.onFailure({ reason: 'needed-refused', isNotRun: true, retryAfterMs }, target.slotLimiter.load)
+      return ENDED_HANDLE
+    }
     target.applyLimits(request.slots, request.connections)
     this._runningCount++
     let hasEnded = false
-    const call = new TargetCall(target, request, events, this._options.clock, this._options.dialect, failure => {
+    let hasStarted = false
+    const onFinished = (failure: FailureReason | undefined): void => {
       this._runningCount--
       hasEnded = true
+      if (hasStarted) this._runs.remove(request.callId)
       if (this._callsById.get(request.callId)?.request === request) this._callsById.delete(request.callId)
-      if (failure === 'oversized') this._reportOverrun(request.targetId, 'answer', request.callId)
+      if (failure === 'bad-status') this._reports.reportBadStatus(request, call.badStatus)
+      if (failure === 'oversized') this._reports.reportOverrun(request.targetId, 'answer', request.callId)
+      this._options.nestedCalls?.recordRun(request, failure === undefined)
       if (failure === 'connect' || failure === 'target-replaced') this._markLost(target, failure)
+    }
+    const onStarted = (): void => {
+      if (request.callId === '') return
+      hasStarted = true
+      this._runs.add(request.callId)
+    }
+    const call: TargetCall = new TargetCall(target, request, events, this._options.clock, this._options.dialect, {
+      onFinished,
+      onStarted,
+      onHung: (hang, action, leftMs) => this._reports.reportHang(request, hang, action, leftMs, target.slotLimiter.usableSlots),
+      onHangRefuted: () => this._reports.reportHangRefuted()
     })
     if (!hasEnded && request.callId !== '') this._callsById.set(request.callId, { request, call })
     return call
@@ -214,6 +248,14 @@
     return this._runningCount
   }
 
+  /**
+   * @param callClass - of calls
+   * @returns number of calls of the class that wait for a slot of a target of this VM
+   */
+  countWaiting (callClass: CallClass): number {
+    return [...this._targets.values()].reduce((sum, { target }) => sum + target.slotLimiter.countWaiting(callClass), 0)
+  }
+
   /**
    * @param callId - id of a call
    * @returns true if a target of this VM runs the call and it is a retry, or a target made it while running a retry
@@ -222,6 +264,14 @@
     return this._callsById.get(callId)?.request.isRepeat === true
   }
 
+  /**
+   * @param callId - id of a call
+   * @returns true if a target of this VM runs the call, or ran it within the last seconds
+   */
+  isLocalRun (callId: string): boolean {
+    return this._runs.has(callId)
+  }
+
   /**
    * Records that a call made by a target was denied a retry for lack of budget.
    * @param parentId - id of the call that the target runs; empty if unknown
@@ -231,6 +281,25 @@
     if (run !== undefined) run.call.isRepeatDenied = true
   }
 
+  /**
+   * Records a call that a target makes while it runs another one.
+   * @param parentId - id of the call that the target runs; empty if unknown
+   * @returns ends the nested call; undefined if no target of this VM runs the parent
+   */
+  startNestedCall (parentId: string): (() => void) | undefined {
+    return this._callsById.get(parentId)?.call.startNestedCall()
+  }
+
+  /**
+   * Records the end of a nested call.
+   * @param parentId - id of the call that makes it
+   * @param service - that was called
+   * @param reason - why it was refused and has not run; empty otherwise
+   */
+  recordNestedCall (parentId: string, service: string, reason: string): void {
+    this._options.nestedCalls?.recordNestedCall(this._callsById.get(parentId)?.request, service, reason)
+  }
+
   /**
    * @param id - id of a target
    * @returns its announcement, or undefined if no such target is registered
@@ -321,18 +390,11 @@
     this._publish(target.announcement, EndpointState.ENDPOINT_STATE_GONE)
   }
 
-  private _reportWithheldCredit (limit: CreditLimit): void {
-    const { clock, log, metrics } = this._options
-    metrics.count('body_credit_withheld_total', limit)
-    const nowMs = clock.readMonotonicMs()
-    if (limit !== 'memory' || nowMs < this._nextMemoryLogMs) return
-    this._nextMemoryLogMs = nowMs + MEMORY_LOG_INTERVAL_MS
-    log.warn('body_memory_full', { bodies: this.bodyCredit.bodyCount, bytes: this.bodyCredit.waitingBytes })
-  }
-
-  private _reportOverrun (id: string, reason: 'answer' | 'idle', callId?: string): void {
-    this._options.metrics.count('target_overruns_total', reason)
-    this._options.log.warn('target_overrun', { call: callId, target: id, reason })
+  private _createTarget (announcement: ITargetAnnouncement): LocalTarget {
+    const { clock, random, isServiceSlow } = this._options
+    const { id, service } = announcement
+    const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
+    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random, this.bodyCredit)
   }
 
   private _startLease (id: string): IDisposable {
--- a/packages/node/src/targets/TargetCall.test.ts
+++ b/packages/node/src/targets/TargetCall.test.ts
@@ -1,4 +1,6 @@
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, expect, test } from 'vitest'
 import { SystemClock } from '@lagoonswitch/common'
@@ -26,6 +28,7 @@
   callId: '',
   objectiveMs: 0,
   expectedMs: 0,
+  route: '',
   isRetryable: false,
   isSpareOnly: false,
   isRepeat: false,
@@ -81,7 +84,7 @@
       onFailure: ({ reason }) => resolve({ outcome: reason, bytes }),
       onBodyDrain: () => {}
     }
-    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), () => {})
+    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), { onFinished: () => {} })
   })
 }
 
@@ -127,3 +130,65 @@
   }
   expect(connections).toBe(1)
 })
+
+// The client library reconnected at once for a request that was aborted, which was an attempt to connect without a slot.
+test('call that is broken off holds its slot until its connection is closed, and opens no other one', async () => {
+  const sockets = { opened: 0, closed: 0 }
+  const local = await startTarget(() => {})
+  server?.on('connection', socket => {
+    sockets.opened++
+    socket.on('close', () => { sockets.closed++ })
+  })
+  const events: ICallEvents = { onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: () => {}, onBodyDrain: () => {} }
+  for (let calls = 1; calls <= 5; calls++) {
+    const call = new TargetCall(local, REQUEST, events, new SystemClock(), new LagoonDialect(), { onFinished: () => {} })
+    await sleep(20)
+    expect(sockets).toEqual({ opened: calls, closed: calls - 1 })
+    call.cancel()
+    expect(local.slotLimiter.load.inFlight).toBe(1)
+    while (local.slotLimiter.load.inFlight > 0) await sleep(1)
+    expect(sockets).toEqual({ opened: calls, closed: calls })
+  }
+})
+
+/** Listens with the shortest queue of connections and accepts none while it is stopped. */
+const LISTENER = `
+const server = require('node:net').createServer(socket => { socket.on('error', () => {}) })
+server.listen({ port: 0, host: '127.0.0.1', backlog: 1 }, () => process.stdout.write(server.address().port + '\\n'))`
+
+// The slot was given back at once although the attempt went on.
+test('attempt to connect that hangs holds a slot, and ends with its call', async () => {
+  const child = spawn(process.execPath, ['-e', LISTENER], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const fillers: Socket[] = []
+  try {
+    const [line] = await once(child.stdout, 'data') as [Buffer]
+    const port = Number(line.toString())
+    child.kill('SIGSTOP')
+    let isFull = false
+    while (!isFull && fillers.length < 10) {
+      const filler = connect(port, '127.0.0.1')
+      filler.on('error', () => undefined)
+      fillers.push(filler)
+      isFull = await Promise.race([once(filler, 'connect').then(() => false), sleep(200).then(() => true)])
+    }
+    expect(isFull).toBe(true)
+    const announcement = { id: 't1', service: 'desk', version: 'v1', address: `127.0.0.1:${port}`, slots: 1, connections: 1, instance: '' }
+    target = new LocalTarget(announcement, new SystemClock(), () => undefined)
+    const { slotLimiter } = target
+    const events: ICallEvents = { onHead: () => {}, onData: () => {}, onEnd: () => {}, onFailure: () => {}, onBodyDrain: () => {} }
+    const call = new TargetCall(target, REQUEST, events, new SystemClock(), new LagoonDialect(), { onFinished: () => {} })
+    await sleep(50)
+    expect(slotLimiter.load.inFlight).toBe(1)
+    const connectingSocket = (call as unknown as { _connection: { _connectingSocket: Socket } })._connection._connectingSocket
+    expect(connectingSocket.connecting).toBe(true)
+    call.cancel()
+    await new Promise(resolve => setImmediate(() => setImmediate(resolve)))
+    expect([slotLimiter.load.inFlight, connectingSocket.destroyed]).toEqual([1, true])
+    await sleep(50)
+    expect(slotLimiter.load.inFlight).toBe(0)
+  } finally {
+    for (const filler of fillers) filler.destroy()
+    child.kill('SIGCONT')
+    child.kill('SIGKILL')
+  }
+})
--- a/packages/node/src/targets/TargetConnections.ts
+++ b/packages/node/src/targets/TargetConnections.ts
@@ -35,6 +35,8 @@
 export class TargetConnection {
   private readonly _client: Client
   private _socket: Socket | undefined
+  /** The socket of a connection attempt in progress. */
+  private _connectingSocket: Socket | undefined
   private _wasReset = false
   private _hasReceivedEnd = false
   private _isOverrun = false
@@ -43,6 +45,8 @@
   private _handler: IResponseHandler | undefined
   /** Bytes read from the socket that have been parsed and counted. */
   private _parsedBytes = 0
+  /** Bytes read from the socket before the current call. */
+  private _earlierBytes = 0
   /** Body bytes not yet subtracted from the overhead. */
   private _bodyBytes = 0
   /** Bytes outside bodies that may still arrive. */
@@ -61,10 +65,14 @@
       maxHeaderSize: MAX_HEAD_BYTES,
       keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
-      connect: (options, callback) => connect(options, (...outcome) => {
-        if (outcome[0] === null) this._watchSocket(outcome[1])
-        callback(...outcome)
-      })
+      connect: (options, callback) => {
+        // The connector returns the socket at once; its type doesn't say so.
+        this._connectingSocket = connect(options, (...outcome) => {
+          this._connectingSocket = undefined
+          if (outcome[0] === null) this._watchSocket(outcome[1])
+          callback(...outcome)
+        }) as unknown as Socket | undefined
+      }
     })
     this._client.on('disconnect', () => { this._socket = undefined })
     // The listener of undici was added earlier, so it has parsed the available bytes by now.
@@ -77,6 +85,16 @@
     return this._socket !== undefined && !this._socket.destroyed
   }
 
+  /** True while the connection is not open yet or a part of the request waits to be sent. */
+  get hasUnsentBytes (): boolean {
+    return this._socket === undefined || this._socket.writableLength > 0
+  }
+
+  /** True once bytes have arrived since the request was sent. */
+  get hasReceived (): boolean {
+    return this._socket !== undefined && this._socket.bytesRead > this._earlierBytes
+  }
+
   /**
    * Sends a request.
    * @param options - head and body
@@ -84,6 +102,7 @@
    */
   dispatch (options: Dispatcher.DispatchOptions, handler: IResponseHandler): void {
     this._handler = handler
+    this._earlierBytes = this._socket?.bytesRead ?? 0
     this._isOverrun = false
     this._areReadsLimited = true
     this._overheadLeftBytes = MAX_OVERHEAD_BYTES
@@ -145,6 +164,22 @@
     void this._client.close().catch(() => undefined)
   }
 
+  /**
+   * Closes the connection of a call that is broken off, or ends the attempt to connect. A request that is only aborted would stay in
+   * undici's queue until a new connection is open, which would be an attempt to connect without a slot.
+   * @param onClosed - called once no socket is left
+   */
+  discard (onClosed: () => void): void {
+    const socket = this._connectingSocket ?? this._socket
+    void this._client.destroy().catch(() => undefined)
+    if (socket === undefined || socket.closed) {
+      onClosed()
+      return
+    }
+    socket.once('close', onClosed)
+    socket.destroy()
+  }
+
   private _watchSocket (socket: Socket): void {
     this._socket = socket
     this._wasReset = false
@@ -152,6 +187,7 @@
     this._isOverrun = false
     this._isPaused = false
     this._parsedBytes = 0
+    this._earlierBytes = 0
     this._bodyBytes = 0
     const read = socket.read.bind(socket)
     // undici reads without a size, Node.js itself with 0.
--- a/tests/UploadLinks.test.ts
+++ b/tests/UploadLinks.test.ts
@@ -45,6 +45,7 @@
   callId: '',
   objectiveMs: 0,
   expectedMs: 0,
+  route: '',
   isRetryable: false,
   isSpareOnly: false,
   isRepeat: false,
