Calls: requests of attempts and the effect of a graceful stop move out of Call

Change: AttemptRequest.ts creates the request of an attempt, AttemptStop.ts decides on attempts during a graceful stop. No change of behaviour.

--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -8,6 +8,8 @@
 import { CallClaim } from '../claims/CallClaim.js'
 import type { ITargetState } from '@lagoonswitch/traffic'
 import { Attempt } from './Attempt.js'
+import { createAttemptRequest } from './AttemptRequest.js'
+import { AttemptStop } from './AttemptStop.js'
 import { CallBody } from './CallBody.js'
 import type { ICallContext } from './CallContext.js'
 import { computeObjectiveLeftMs, hasBody, readCallHead, type ICallHead } from './CallHead.js'
@@ -15,7 +17,6 @@
 import { CallReport } from './CallReport.js'
 import { isFinalStatus, type ICallEvents, type ICallFailure, type ICallRequest, type ITargetLoad } from './CallTypes.js'
 import { REPEATED_HEADER } from './Headers.js'
-import type { GracefulStop } from './GracefulStop.js'
 import { TargetPicker } from './TargetPicker.js'
 import { CLAIM_REFUSALS, sendRefusal, type IRefusal, type RefusalReason, type RunState } from './Refusal.js'
 
@@ -41,6 +42,7 @@
   private _head!: ICallHead
   private _picker!: TargetPicker
   private _retries!: CallRetries
+  private _stop!: AttemptStop
   private readonly _report: CallReport
   private readonly _body: CallBody
   private _deadlineMs = 0
@@ -50,8 +52,6 @@
   private _lastFailure: ICallFailure | undefined
   private readonly _claim: CallClaim
   private _deadlineTimer: IDisposable | undefined
-  /** Withdraws the attempt at the latest time at which it may start during a graceful stop. */
-  private _withdrawalTimer: IDisposable | undefined
   private _hasResponseHead = false
   private _status = 0
   /** Owner whose running calls include this one; undefined until it is admitted. */
@@ -108,12 +108,7 @@
 
   /** During a graceful stop, schedules the withdrawal of an attempt that would start too late to end before the process does. */
   applyStop (): void {
-    const stop = this._context.getStop()
-    if (stop === undefined || this._isDone || this._attempt === undefined) return
-    const { clock } = this._context
-    this._withdrawalTimer?.dispose()
-    const leftMs = this._computeLatestStartMs(stop, this._attempt.target) - clock.readMonotonicMs()
-    this._withdrawalTimer = clock.schedule(Math.max(0, leftMs), () => this._withdraw())
+    if (!this._isDone && this._attempt !== undefined) this._stop.schedule(this._attempt.target, () => this._withdraw())
   }
 
   /** Withdraws the call if its key is no longer held, unless a target has received it; a run goes on. */
@@ -226,6 +221,7 @@
     this._report.account = head.val.account
     this._report.retries = this._retries
     this._deadlineMs = this._startedMs + head.val.timeoutMs
+    this._stop = new AttemptStop(this._context, head.val.route.key, this._deadlineMs)
     return true
   }
 
@@ -302,22 +298,13 @@
     if (!this._isDone) this._body.stream(() => this._attempt?.handle)
   }
 
-  private _isTooLateToStart (target: ITargetState): boolean {
-    const stop = this._context.getStop()
-    return stop !== undefined && this._context.clock.readMonotonicMs() >= this._computeLatestStartMs(stop, target)
-  }
-
-  private _computeLatestStartMs (stop: GracefulStop, target: ITargetState): number {
-    return stop.computeLatestStartMs(this._context.pool.computeLongestRunMs(target, this._head.route.key), this._deadlineMs)
-  }
-
   private _withdraw (): void {
     this._isWithdrawn = true
     this._attempt?.handle?.withdraw()
   }
 
   private _refuseForStop (): void {
-    this._refuse('process-draining', 'not-run', this._context.getStop()?.computeRetryAfterMs(this._context.clock.readMonotonicMs()) ?? 0)
+    this._refuse('process-draining', 'not-run', this._stop.computeRetryAfterMs())
   }
 
   /** An earlier attempt may have run; the call must not seem refused before it ran then. */
@@ -335,7 +322,7 @@
   private _pickTarget (): ITargetState | undefined {
     for (;;) {
       const target = this._picker.pickTarget(this._getObjectiveLeftMs(), this._lastFailure?.reason)
-      if (target === undefined || !this._isTooLateToStart(target)) return target
+      if (target === undefined || !this._stop.isTooLateToStart(target)) return target
       this._hasSkippedTarget = true
       this._picker.markTried(target)
     }
@@ -356,42 +343,20 @@
   }
 
   private _createRequest (target: ITargetState): ICallRequest {
-    const { targetId, version } = target.record
-    const { service, serviceEntry: { limits, owner } } = this._picker.part
-    return {
-      service,
-      version,
-      targetId,
-      method: this._request.method ?? 'GET',
-      path: this._request.url ?? '/',
-      headers: this._head.headers,
-      remainingMs: this._computeAttemptRemainingMs(),
-      callClass: this._head.callClass,
-      callId: this._head.callId,
-      objectiveMs: this._getObjectiveLeftMs(),
-      expectedMs: this._context.pool.computeExpectedMs(target, this._head.route.key),
-      route: this._head.route.key,
-      isRetryable: this._head.route.isRetryable,
-      isSpareOnly: this._context.pool.isLimitedToSpareSlots(target, this._head.callClass),
-      isRepeat: this._retries.isRepeat,
-      isBulk: this._head.route.isBulk,
-      isBulkBody: this._head.route.isBulkBody,
-      bodyBytes: this._body.statedBytes,
+    const { limits, owner } = this._picker.part.serviceEntry
+    return createAttemptRequest({
+      service: this._picker.part.service,
       owner,
-      account: this._head.account,
-      body: this._body.bytes,
-      isBodyComplete: this._body.isComplete,
-      slots: limits.slots,
-      connections: limits.connections,
-      queue: limits.queue
-    }
-  }
-
-  /** During a graceful stop the attempt must end before the process does, so the deadline for the target may be earlier. */
-  private _computeAttemptRemainingMs (): number {
-    const leftMs = this._getRemainingMs()
-    const stop = this._context.getStop()
-    return stop === undefined ? leftMs : Math.min(leftMs, stop.computeMaxRemainingMs(this._context.clock.readMonotonicMs()))
+      limits,
+      target,
+      method: this._request.method,
+      path: this._request.url,
+      head: this._head,
+      body: this._body,
+      remainingMs: this._stop.limitRemainingMs(this._getRemainingMs()),
+      objectiveMs: this._getObjectiveLeftMs(),
+      isRepeat: this._retries.isRepeat
+    }, this._context.pool)
   }
 
   private _canSendAgain (): boolean {
@@ -479,9 +444,10 @@
     this._endNestedCall?.()
     this._request.socket.off('end', this._onCallerEnd)
     this._deadlineTimer?.dispose()
-    this._withdrawalTimer?.dispose()
     if (this._owner !== undefined) this._context.ownerCallLimiter.release(this._owner)
-    // Undefined when the head was refused.
+    // Both are undefined when the head was refused.
+    const stop = this._stop as AttemptStop | undefined
+    stop?.dispose()
     const parentId = (this._head as ICallHead | undefined)?.parentId ?? ''
     if (parentId !== '') this._context.recordNestedCall(parentId, this._picker.part, run === 'not-run' ? reason : '')
     this._report.reportEnd({
