Uploads: a large body on its way is no sign that a service is slow

Cause: the merge of uploads and hang detection counted the time in which a large body arrives as silence of its target, so uploads of slow senders could suppress the detection of hung calls at other targets. The context in a test of Attempt had no ServicePace, which the constructor now needs. Change: attempts of routes with large bodies don't count as waiting in ServicePace; their time in the slot still does. The context of the test has a ServicePace; its expectations are unchanged.

--- a/packages/node/src/calls/Attempt.test.ts
+++ b/packages/node/src/calls/Attempt.test.ts
@@ -37,15 +37,18 @@
 // Uploads would be sent to other zones as if their bodies cost nothing.
 test('body of a request counts in the usual bytes of its route', () => {
   const recorded: Array<[string, number]> = []
+  const clock = new ManualClock()
   const context = {
-    clock: new ManualClock(),
+    clock,
     metrics: new Metrics(),
+    pace: new ServicePace(clock),
     pool: {
       recordStart: () => {},
       recordEnd: () => {},
       recordLoad: () => {},
       recordServiceTime: () => {},
       recordRunTime: () => {},
+      computeExpectedMs: () => 0,
       recordResponseBytes: (route: string, bytes: number) => recorded.push([route, bytes])
     },
     evidence: { recordOutcome: () => {} }
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -47,7 +47,7 @@
       this._awaited = _context.evidence.awaitResponse(target.record, _route.key, this._startedMs + _route.objectiveMs)
     }
     _context.pool.recordStart(target)
-    this._pace = _context.pace.recordSend(target.record.service, target.record.targetId)
+    this._pace = _context.pace.recordSend(target.record.service, target.record.targetId, !_route.isBulkBody)
   }
 
   onHead (status: number, headers: readonly string[], load: ITargetLoad): void {
--- a/packages/traffic/src/hangs/HangDetector.test.ts
+++ b/packages/traffic/src/hangs/HangDetector.test.ts
@@ -156,3 +156,16 @@
   }
   expect(bench.detector.findLimit('read')).toBeUndefined()
 })
+
+// Otherwise uploads of slow senders make a service seem slow, and calls that hang at another target of it are not detected.
+test('large body that is on its way to a target is no sign that its service is slow', async () => {
+  const { clock, pace } = new Bench()
+  const upload = pace.recordSend('desk', 't2', false)
+  await clock.advance(1_000)
+  expect(pace.isSlow('desk', 't1', 500)).toBe(false)
+  // The time in the slot of the target still counts.
+  upload.recordFirstByte(3 * RUN_MS, RUN_MS)
+  expect(pace.isSlow('desk', 't1', 500)).toBe(true)
+  upload.recordFirstByte(RUN_MS, RUN_MS)
+  expect(pace.isSlow('desk', 't1', 500)).toBe(true)
+})
--- a/packages/traffic/src/hangs/ServicePace.ts
+++ b/packages/traffic/src/hangs/ServicePace.ts
@@ -38,19 +38,27 @@
    * Records an attempt.
    * @param service - name of the service
    * @param targetId - of the target
+   * @param isWaitCounted - false if the target does not get the call until a large body has arrived, which says nothing about its pace
    * @returns receives the outcome; later ones than the first are ignored
    */
-  recordSend (service: string, targetId: string): IPaceTicket {
+  recordSend (service: string, targetId: string, isWaitCounted = true): IPaceTicket {
     const pace = this._getPace(service, targetId)
     const attempt = { sentMs: this._clock.readMonotonicMs() }
-    pace.waiting.add(attempt)
+    let hasEnded = false
+    const end = (): void => {
+      hasEnded = true
+      pace.waiting.delete(attempt)
+    }
+    if (isWaitCounted) pace.waiting.add(attempt)
     return {
       recordFirstByte: (serviceMs, expectedMs) => {
-        if (!pace.waiting.delete(attempt) || expectedMs <= 0) return
+        if (hasEnded) return
+        end()
+        if (expectedMs <= 0) return
         if (serviceMs > LATE_FACTOR * expectedMs) pace.lateMs = this._clock.readMonotonicMs()
         else pace.timelyMs = this._clock.readMonotonicMs()
       },
-      end: () => { pace.waiting.delete(attempt) }
+      end
     }
   }
 
