Links: bytes on their way extend the time after which a link counts as silent

Cause: a ping arrives behind the bytes that were sent before it. A whole body of 360 kB in one opening frame ended its call as link-silent after 672 ms on a link of 4 Mbit/s while it was on its way. Change: when the first unanswered ping is sent, its awaited answer is put off by what the bytes ahead of it need at 4 Mbit/s: bulk chunks that are not reported as received, bytes in the local socket, and opening frames with bodies above 16 kB that no answer has confirmed. Bytes sent later don't count, so calls to a silent VM do not extend its silence.

--- a/packages/node/src/links/LinkConnection.ts
+++ b/packages/node/src/links/LinkConnection.ts
@@ -3,7 +3,7 @@
  */
 import type { IDisposable } from '@lagoonswitch/common'
 import type { PeerFrame } from '@lagoonswitch/schema'
-import { SilenceMeter } from '@lagoonswitch/traffic'
+import { SilenceMeter, TransitMeter, computeTransitMs } from '@lagoonswitch/traffic'
 import { FrameSocket, openLinkSocket, type IFrameListener } from '@lagoonswitch/transport'
 import type { IConnectionEvents, ILinkContext } from './LinkTypes.js'
 
@@ -16,6 +16,8 @@
 export const SUSPECT_SILENCE_MS = 450
 /** Silence after which calls without a response head fail: one more ping has not been answered. */
 const GIVE_UP_SILENCE_MS = SUSPECT_SILENCE_MS + PING_INTERVAL_MS
+/** Size of a body in an opening frame above which its time in transit is estimated; below, it is short beside a ping interval. */
+const MIN_LARGE_BYTES = 16_384
 /** Silence after which the connection is closed. */
 const MAX_SILENCE_MS = 3_000
 
@@ -24,6 +26,8 @@
   private readonly _socket: FrameSocket
   private readonly _stopping = new AbortController()
   private readonly _meter: SilenceMeter
+  /** Large frames that open calls, such as those with a whole body. */
+  private readonly _transit: TransitMeter
   private _lastPingMs = -Infinity
   private _isSilent = false
   isOpen = false
@@ -33,12 +37,16 @@
     private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
   ) {
     this._meter = new SilenceMeter(_context.clock)
+    this._transit = new TransitMeter(_context.clock)
     this._meter.await()
     this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this, _context.bulkWindow)
     void this._runPings()
   }
 
   send (frame: PeerFrame): void {
+    if (frame.frame?.$case === 'open' && frame.frame.value.body.length > MIN_LARGE_BYTES) {
+      this._transit.recordSent(frame.callId, frame.frame.value.body.length)
+    }
     this._socket.send(frame)
   }
 
@@ -55,6 +63,8 @@
   }
 
   onFrame (frame: PeerFrame): void {
+    if (frame.frame?.$case === 'ping') this._transit.recordPingAnswer()
+    else if (frame.callId !== 0) this._transit.recordAnswer(frame.callId)
     this._events.onFrame(frame)
   }
 
@@ -83,7 +93,8 @@
 
   /**
    * Time in milliseconds for which the other process has been silent although it should have responded; 0 while nothing is unanswered.
-   * On an open connection it includes the ping interval of silence before the unanswered ping. Pauses of this process don't count.
+   * On an open connection it includes the ping interval of silence before the unanswered ping. Pauses of this process don't count, nor
+   * does the time that the ping needs behind the bytes ahead of it at a low speed of the link.
    */
   getSilenceMs (): number {
     if (!this._meter.isAwaiting) return 0
@@ -124,10 +135,21 @@
     const isAnswerAwaited = this._events.hasCalls() || this._meter.isAwaiting
     if (!isAnswerAwaited || this._meter.quietMs < PING_INTERVAL_MS || nowMs - this._lastPingMs < PING_INTERVAL_MS) return
     this._lastPingMs = nowMs
-    this._meter.await()
+    // The ping arrives behind these bytes; those that follow it do not delay it.
+    this._meter.await(this._computeTransitMs())
+    this._transit.recordPing()
     this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
   }
 
+  /**
+   * Time in milliseconds that the bytes ahead of the next frame may need: bulk chunks that are not reported as received, and what else is
+   * known to wait in the socket or beyond it.
+   */
+  private _computeTransitMs (): number {
+    const { unreportedBytes, unsentBytes } = this._socket
+    return computeTransitMs(unreportedBytes) + Math.max(this._transit.leftMs, computeTransitMs(unsentBytes))
+  }
+
   private _reportSilence (silentMs: number): void {
     this._isSilent = true
     this._context.metrics.count('links_silent_total', this.isOpen ? 'open' : 'not-opened')
--- a/packages/traffic/src/hangs/SilenceMeter.test.ts
+++ b/packages/traffic/src/hangs/SilenceMeter.test.ts
@@ -46,3 +46,28 @@
   for (let count = 0; count < 10; count++) await step(clock, meter, 300)
   expect(meter.awaitedMs).toBe(10 * STEP_MS)
 })
+
+// Otherwise a link seems silent while the ping waits behind bytes that are still on their way.
+test('time that the message needs to arrive is not silence', async () => {
+  const clock = new ManualClock()
+  const meter = new SilenceMeter(clock)
+  meter.await(2 * STEP_MS)
+  await step(clock, meter)
+  await step(clock, meter)
+  expect([meter.awaitedMs, meter.isAwaiting]).toEqual([0, true])
+  // A later message neither extends nor shortens it.
+  meter.await(STEP_MS)
+  await step(clock, meter)
+  expect(meter.awaitedMs).toBe(STEP_MS)
+})
+
+test('pause of the own process does not shorten the time that the message needs to arrive', async () => {
+  const clock = new ManualClock()
+  const meter = new SilenceMeter(clock)
+  meter.await(20 * STEP_MS)
+  await step(clock, meter, 5 * STEP_MS)
+  for (let count = 0; count < 15; count++) await step(clock, meter)
+  expect(meter.awaitedMs).toBe(0)
+  await step(clock, meter)
+  expect(meter.awaitedMs).toBe(STEP_MS)
+})
--- a/packages/traffic/src/hangs/SilenceMeter.ts
+++ b/packages/traffic/src/hangs/SilenceMeter.ts
@@ -9,7 +9,7 @@
 /** Does not count time in which this process itself stood still. */
 export class SilenceMeter {
   private _lastReceivedMs: number
-  /** Since when an answer is awaited; undefined if none is. */
+  /** Since when an answer is awaited, in the future while what must be answered is on its way; undefined if none is. */
   private _awaitedSinceMs: number | undefined
   private _lastStepMs: number
   private _stepMs = 0
@@ -37,9 +37,12 @@
     return Math.max(0, Math.min(this._clock.readMonotonicMs(), latestMs) - this._awaitedSinceMs)
   }
 
-  /** Records that something was sent that must be answered. */
-  await (): void {
-    this._awaitedSinceMs ??= this._clock.readMonotonicMs()
+  /**
+   * Records that something was sent that must be answered.
+   * @param transitMs - time that it may need to arrive at the other process, in milliseconds; the silence counts from then on
+   */
+  await (transitMs = 0): void {
+    this._awaitedSinceMs ??= this._clock.readMonotonicMs() + transitMs
   }
 
   /** Records that bytes arrived. */
@@ -62,7 +65,7 @@
     const delayMs = nowMs - this._lastStepMs - this._stepMs
     this._lastStepMs = nowMs
     if (this._awaitedSinceMs !== undefined && delayMs > MAX_STEP_DELAY_MS) {
-      this._awaitedSinceMs = Math.min(nowMs, this._awaitedSinceMs + delayMs)
+      this._awaitedSinceMs = Math.max(this._awaitedSinceMs, Math.min(nowMs, this._awaitedSinceMs + delayMs))
     }
   }
 }
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -33,6 +33,8 @@
   private readonly _bulkQueue = new BulkQueue()
   /** Bytes of bulk chunks that the peer has not reported as received. */
   private _bulkBytesInTransit = 0
+  /** Bytes of all bulk chunks that were sent, less those that the peer has reported; also of chunks sent before its first report. */
+  private _unreportedSentBytes = 0
   /** Received bytes of bulk chunks that are not reported yet. */
   private _unreportedBytes = 0
   /** False for a peer that does not report what it receives, to which everything is sent at once. */
@@ -102,6 +104,16 @@
     return !this._isClosed && (!this._bulkQueue.isEmpty || this._outgoing.length > 0 || this._socket.writableLength > 0)
   }
 
+  /** Bytes of bulk chunks that the peer has not reported as received; 0 if it reports nothing. */
+  get unreportedBytes (): number {
+    return this._isPeerReporting ? this._unreportedSentBytes : 0
+  }
+
+  /** Bytes of frames that the network has not taken. */
+  get unsentBytes (): number {
+    return this._socket.writableLength
+  }
+
   /** Sends everything that waits and closes the connection. */
   dispose (): void {
     for (let next = this._bulkQueue.take(); next !== undefined; next = this._bulkQueue.take()) this._sendBulkChunk(next)
@@ -127,6 +139,7 @@
   }
 
   private _sendBulkChunk ({ callId, chunk, isEnd }: IBulkChunk): void {
+    this._unreportedSentBytes += chunk.length
     if (this._isPeerReporting) this._bulkBytesInTransit += chunk.length
     this.send({ callId, frame: { $case: 'data', value: { chunk, end: isEnd, bulk: true } } })
   }
@@ -141,6 +154,7 @@
 
   private _handleReport (bytes: number): void {
     this._isPeerReporting = true
+    this._unreportedSentBytes = Math.max(0, this._unreportedSentBytes - bytes)
     this._bulkBytesInTransit = Math.max(0, this._bulkBytesInTransit - bytes)
     this._sendBulkChunks()
   }
