--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -187,6 +187,7 @@
       caps.applyCatalogue()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
+    metrics.addGauge('responses_unsent', () => this._callServer.getUnsentResponseCount())
     for (const [name, callClass] of WAITING_CLASSES) metrics.addGauge(`calls_waiting_${name}`, () => this.targets.countWaiting(callClass))
     metrics.addGauge('feed_level', () => this.feed.level)
     metrics.addGauge('feed_current_age_ms', () => this.feed.getStatus().currentMs)
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -31,6 +31,8 @@
   private _headReceivedMs = 0
   private readonly _pace: IPaceTicket
   handle: ICallHandle | undefined
+  /** Length of the request body on a route with large ones, 0 on others. */
+  requestBytes = 0
 
   constructor (
     private readonly _context: ICallContext,
@@ -40,11 +42,12 @@
   ) {
     this._startedMs = _context.clock.readMonotonicMs()
     this._isTargetWarm = target.isWarm(this._startedMs)
-    if (this._isTargetWarm && _route.objectiveMs > 0) {
+    // The time that a large body takes to arrive says nothing about the target.
+    if (this._isTargetWarm && _route.objectiveMs > 0 && !_route.isBulkBody) {
       this._awaited = _context.evidence.awaitResponse(target.record, _route.key, this._startedMs + _route.objectiveMs)
     }
     _context.pool.recordStart(target)
-    this._pace = _context.pace.recordSend(target.record.service, target.record.targetId)
+    this._pace = _context.pace.recordSend(target.record.service, target.record.targetId, !_route.isBulkBody)
   }
 
   onHead (status: number, headers: readonly string[], load: ITargetLoad): void {
@@ -71,7 +74,7 @@
     this._hasEnded = true
     const { clock, pool } = this._context
     pool.recordRunTime(this.target, this._route.key, this._serviceMs + clock.readMonotonicMs() - this._headReceivedMs)
-    pool.recordResponseBytes(this._route.key, this._bodyBytes)
+    pool.recordResponseBytes(this._route.key, this._bodyBytes + this.requestBytes)
     this._events.onEnd()
   }
 
@@ -87,7 +90,9 @@
       this._context.pool.ejectUnreachable(this.target)
     }
     this._context.pool.recordRefusal(this.target, failure.reason)
-    this._recordOutcome(NEUTRAL_REASONS.has(failure.reason) ? 'neutral' : 'failed', !TARGET_ONLY_REASONS.has(failure.reason))
+    // The sender of a large body was too slow, or the target had no slot.
+    const isSenderLate = this._route.isBulkBody && failure.isNotRun && failure.reason === 'deadline'
+    this._recordOutcome(isSenderLate || NEUTRAL_REASONS.has(failure.reason) ? 'neutral' : 'failed', !TARGET_ONLY_REASONS.has(failure.reason))
     this._events.onFailure(failure, load)
   }
 
@@ -107,7 +112,8 @@
     if (this._isOutcomeRecorded) return
     this._isOutcomeRecorded = true
     this._pace.end()
-    const latencyMs = this._context.clock.readMonotonicMs() - this._startedMs
+    const elapsedMs = this._context.clock.readMonotonicMs() - this._startedMs
+    const latencyMs = this._route.isBulkBody && this._serviceMs > 0 ? this._serviceMs : elapsedMs
     this._context.pool.recordEnd(this.target, outcome, latencyMs)
     this._context.metrics.getLatencyFamily('attempt_duration', 'target').record(this.target.record.targetId, latencyMs)
     this._context.metrics.count('attempts_total', outcome)
--- a/packages/node/src/links/LinkConnection.ts
+++ b/packages/node/src/links/LinkConnection.ts
@@ -1,10 +1,11 @@
 /**
  * One connection of a link; detects a silent process at its other end.
  */
-import type { IClock, IDisposable, ILog, Metrics } from '@lagoonswitch/common'
+import type { IDisposable } from '@lagoonswitch/common'
 import type { PeerFrame } from '@lagoonswitch/schema'
-import { SilenceMeter } from '@lagoonswitch/traffic'
-import { FrameSocket, openLinkSocket, type IFrameListener, type LinkCredentials } from '@lagoonswitch/transport'
+import { SilenceMeter, TransitMeter, computeTransitMs } from '@lagoonswitch/traffic'
+import { FrameSocket, openLinkSocket, type IFrameListener } from '@lagoonswitch/transport'
+import type { IConnectionEvents, ILinkContext } from './LinkTypes.js'
 
 const OPEN_TIMEOUT_MS = 1_000
 /** Silence after which a ping is sent to the other process. */
@@ -15,49 +16,37 @@
 export const SUSPECT_SILENCE_MS = 450
 /** Silence after which calls without a response head fail: one more ping has not been answered. */
 const GIVE_UP_SILENCE_MS = SUSPECT_SILENCE_MS + PING_INTERVAL_MS
+/** Size of a body in an opening frame above which its time in transit is estimated; below, it is short beside a ping interval. */
+const MIN_LARGE_BYTES = 16_384
 /** Silence after which the connection is closed. */
 const MAX_SILENCE_MS = 3_000
 
-/** What all links of a process share. */
-export interface ILinkContext {
-  readonly credentials: LinkCredentials
-  readonly clock: IClock
-  readonly log: ILog
-  readonly metrics: Metrics
-}
-
-/** Receives the events of a connection. */
-export interface IConnectionEvents {
-  onOpen (): void
-  onFrame (frame: PeerFrame): void
-  onClose (): void
-  /** Returns true while calls are open, in which case silence indicates a fault. */
-  hasCalls (): boolean
-  /** Called repeatedly while the connection is not open after {@link SUSPECT_SILENCE_MS}; it may still open. */
-  onSlowOpen (): void
-  /** Called repeatedly while the other process is silent for longer than {@link GIVE_UP_SILENCE_MS}. */
-  onSilent (): void
-}
-
 /** One connection of a link; detects a silent peer with pings. */
 export class LinkConnection implements IFrameListener, IDisposable {
   private readonly _socket: FrameSocket
   private readonly _stopping = new AbortController()
   private readonly _meter: SilenceMeter
+  /** Large frames that open calls, such as those with a whole body. */
+  private readonly _transit: TransitMeter
   private _lastPingMs = -Infinity
   private _isSilent = false
   isOpen = false
+  isBodyCreditGranted: boolean | undefined
 
   constructor (
     private readonly _address: string, private readonly _context: ILinkContext, private readonly _events: IConnectionEvents
   ) {
     this._meter = new SilenceMeter(_context.clock)
+    this._transit = new TransitMeter(_context.clock)
     this._meter.await()
-    this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this)
+    this._socket = new FrameSocket(openLinkSocket(_address, _context.credentials, () => this._handleOpen()), this, _context.bulkWindow)
     void this._runPings()
   }
 
   send (frame: PeerFrame): void {
+    if (frame.frame?.$case === 'open' && frame.frame.value.body.length > MIN_LARGE_BYTES) {
+      this._transit.recordSent(frame.callId, frame.frame.value.body.length)
+    }
     this._socket.send(frame)
   }
 
@@ -74,9 +63,16 @@
   }
 
   onFrame (frame: PeerFrame): void {
+    if (frame.frame?.$case === 'ping') this._transit.recordPingAnswer()
+    else if (frame.callId !== 0) this._transit.recordAnswer(frame.callId)
     this._events.onFrame(frame)
   }
 
+  onBodyCreditKnown (isGranted: boolean): void {
+    this.isBodyCreditGranted = isGranted
+    this._events.onBodyCreditKnown()
+  }
+
   onClose (cause: string): void {
     this._stopping.abort()
     this._context.metrics.count('links_lost_total', this.isOpen ? 'lost' : 'not-opened')
@@ -97,7 +93,8 @@
 
   /**
    * Time in milliseconds for which the other process has been silent although it should have responded; 0 while nothing is unanswered.
-   * On an open connection it includes the ping interval of silence before the unanswered ping. Pauses of this process don't count.
+   * On an open connection it includes the ping interval of silence before the unanswered ping. Pauses of this process don't count, nor
+   * does the time that the ping needs behind the bytes ahead of it at a low speed of the link.
    */
   getSilenceMs (): number {
     if (!this._meter.isAwaiting) return 0
@@ -138,10 +135,21 @@
     const isAnswerAwaited = this._events.hasCalls() || this._meter.isAwaiting
     if (!isAnswerAwaited || this._meter.quietMs < PING_INTERVAL_MS || nowMs - this._lastPingMs < PING_INTERVAL_MS) return
     this._lastPingMs = nowMs
-    this._meter.await()
+    // The ping arrives behind these bytes; those that follow it do not delay it.
+    this._meter.await(this._computeTransitMs())
+    this._transit.recordPing()
     this.send({ callId: 0, frame: { $case: 'ping', value: { reply: false } } })
   }
 
+  /**
+   * Time in milliseconds that the bytes ahead of the next frame may need: bulk chunks that are not reported as received, and what else is
+   * known to wait in the socket or beyond it.
+   */
+  private _computeTransitMs (): number {
+    const { unreportedBytes, unsentBytes } = this._socket
+    return computeTransitMs(unreportedBytes) + Math.max(this._transit.leftMs, computeTransitMs(unsentBytes))
+  }
+
   private _reportSilence (silentMs: number): void {
     this._isSilent = true
     this._context.metrics.count('links_silent_total', this.isOpen ? 'open' : 'not-opened')
--- a/packages/node/src/links/OutgoingCall.ts
+++ b/packages/node/src/links/OutgoingCall.ts
@@ -7,7 +7,8 @@
   LINK_DEADLINE_MARGIN_MS, isFinalStatus, type FailureReason, type ICallEvents, type ICallHandle, type ICallRequest, type ITargetLoad
 } from '../calls/CallTypes.js'
 import { decodeFailure } from './FailureFrames.js'
-import { FlowWindow, UrgentBytes, WindowUpdates } from './FlowControl.js'
+import { WindowUpdates } from './FlowControl.js'
+import { createOutgoingBody, isCredited, type IBodyLink, type OutgoingBody } from './OutgoingBody.js'
 
 const NO_BYTES = Buffer.alloc(0)
 
@@ -15,6 +16,8 @@
 
 /** The link that carries a call. */
 export interface ICallLink {
+  /** Whether the other process grants credit for large request bodies; undefined until its first frame. */
+  readonly isBodyCreditGranted: boolean | undefined
   /** Sends a frame of an open call. */
   sendFrame (callId: number, frame: Frame): void
   /** Sends a part of the body of an open call. */
@@ -26,17 +29,14 @@
 }
 
 /** One call on a link. */
-export class OutgoingCall implements ICallHandle {
-  private readonly _window = new FlowWindow()
+export class OutgoingCall implements ICallHandle, IBodyLink {
   private readonly _windowUpdates = new WindowUpdates()
-  private readonly _urgentBytes: UrgentBytes
+  private readonly _body: OutgoingBody
   private readonly _deadlineTimer: IDisposable
   private readonly _deadlineAtMs: number
   private _isSent = false
   private _hasHead = false
   private _hasEnded = false
-  private _bufferedBody: Buffer[] = []
-  private _isBodyEnded = false
 
   constructor (
     private readonly _link: ICallLink,
@@ -45,8 +45,7 @@
     private readonly _events: ICallEvents,
     private readonly _clock: IClock
   ) {
-    this._urgentBytes = new UrgentBytes(false)
-    this._urgentBytes.take(_request.body.length)
+    this._body = createOutgoingBody(_request, this)
     this._deadlineAtMs = _clock.readMonotonicMs() + _request.remainingMs
     this._deadlineTimer = _clock.schedule(_request.remainingMs + LINK_DEADLINE_MARGIN_MS, () => this._fail('deadline', !this._isSent))
   }
@@ -61,6 +60,7 @@
     }
     this._isSent = true
     const request = this._request
+    const isBodyCredited = isCredited(request)
     this._link.sendFrame(this._callId, {
       $case: 'open',
       value: {
@@ -77,7 +77,9 @@
         account: request.account,
         route: request.route,
         retryable: request.isRetryable,
-        body: request.body,
+        body: isBodyCredited ? NO_BYTES : request.body,
+        bulkBody: isBodyCredited,
+        bodyBytes: request.bodyBytes ?? 0,
         bodyComplete: request.isBodyComplete,
         slots: request.slots,
         connections: request.connections,
@@ -90,13 +92,14 @@
         objectiveMs: Math.max(request.objectiveMs > 0 ? 1 : 0, Math.floor(request.objectiveMs - (request.remainingMs - remainingMs)))
       }
     })
-    this._window.consume(request.body.length)
-    const bufferedBody = this._bufferedBody
-    this._bufferedBody = []
-    let isOpen = true
-    for (const chunk of bufferedBody) isOpen = this.sendBody(chunk)
-    if (this._isBodyEnded) this.endBody()
-    else if (bufferedBody.length > 0 && isOpen) this._events.onBodyDrain()
+    this._body.open()
+    this.applyBodyCredit()
+  }
+
+  /** Applies whether the other process grants credit, once that is known. */
+  applyBodyCredit (): void {
+    const isGranted = this._link.isBodyCreditGranted
+    if (isGranted !== undefined && this._isSent && !this._hasEnded) this._body.applyBodyCredit(isGranted)
   }
 
   /** Fails a call that was never sent. */
@@ -105,20 +108,23 @@
   }
 
   sendBody (chunk: Buffer): boolean {
-    if (this._hasEnded) return true
-    if (!this._isSent) {
-      this._bufferedBody.push(chunk)
-      return false
-    }
-    const isUrgent = this._urgentBytes.take(chunk.length) === chunk.length
-    this._link.sendBody(this._callId, chunk, false, !isUrgent)
-    return this._window.consume(chunk.length)
+    return this._hasEnded || this._body.push(chunk)
   }
 
   endBody (): void {
-    if (this._hasEnded) return
-    if (!this._isSent) this._isBodyEnded = true
-    else this._link.sendBody(this._callId, NO_BYTES, true, false)
+    if (!this._hasEnded) this._body.end()
+  }
+
+  sendFrame (frame: Frame): void {
+    this._link.sendFrame(this._callId, frame)
+  }
+
+  sendPart (chunk: Buffer, isEnd: boolean, isBulk: boolean): void {
+    this._link.sendBody(this._callId, chunk, isEnd, isBulk)
+  }
+
+  onDrain (): void {
+    if (!this._hasEnded) this._events.onBodyDrain()
   }
 
   cancel (): void {
@@ -159,7 +165,7 @@
         if (frame.value.end) this._end()
         return
       case 'window':
-        if (this._window.refill(frame.value.bytes)) this._events.onBodyDrain()
+        this._body.addWindow(frame.value.bytes)
         return
       case 'failure': {
         const { inFlight, slots, queued } = frame.value
@@ -201,6 +207,7 @@
 
   private _finish (): void {
     this._hasEnded = true
+    this._body.close()
     this._deadlineTimer.dispose()
     this._link.removeCall(this._callId)
   }
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -4,7 +4,8 @@
 import type { IDisposable } from '@lagoonswitch/common'
 import type { PeerFrame } from '@lagoonswitch/schema'
 import type { ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { LinkConnection, SUSPECT_SILENCE_MS, type ILinkContext } from './LinkConnection.js'
+import { LinkConnection, SUSPECT_SILENCE_MS } from './LinkConnection.js'
+import type { ILinkContext } from './LinkTypes.js'
 import { OutgoingCall, type ICallLink } from './OutgoingCall.js'
 
 const MAX_CALL_ID = 0xffff_fffe
@@ -47,7 +48,8 @@
         onClose: () => this._handleClose(),
         hasCalls: () => this._calls.size > 0,
         onSlowOpen: () => this._handleSlowOpen(),
-        onSilent: () => this._handleSilence()
+        onSilent: () => this._handleSilence(),
+        onBodyCreditKnown: () => { for (const call of this._calls.values()) call.applyBodyCredit() }
       })
     }
     return call
@@ -58,6 +60,11 @@
     return this._connection === undefined || this._connection.getSilenceMs() < SUSPECT_SILENCE_MS
   }
 
+  /** Whether the other process grants credit for large request bodies; undefined until its first frame. */
+  get isBodyCreditGranted (): boolean | undefined {
+    return this._connection?.isBodyCreditGranted
+  }
+
   /** Sends a frame of an open call. */
   sendFrame (callId: number, frame: Frame): void {
     this._connection?.send({ callId, frame })
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,8 @@
 import { EndpointState, type CallClass, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { DEFAULT_WARMUP_MS, HangDetector, RunRegister } from '@lagoonswitch/traffic'
+import { BodyCreditAllocator, DEFAULT_WARMUP_MS, HangDetector, RunRegister } from '@lagoonswitch/traffic'
+import { LocalUpload } from './LocalUpload.js'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import type { NestedCalls } from './NestedCalls.js'
 import { TargetCall } from './TargetCall.js'
@@ -90,9 +91,16 @@
   private readonly _runs: RunRegister
   private readonly _reports: TargetReports
 
+  /** Grants credit for large bodies of calls to the targets of this VM. */
+  readonly bodyCredit: BodyCreditAllocator
+
   constructor (private readonly _options: ILocalTargetRegistryOptions) {
     this._runs = new RunRegister(_options.clock)
     this._reports = new TargetReports(_options.log, _options.metrics)
+    this.bodyCredit = new BodyCreditAllocator(_options.clock, limit => {
+      this._reports.reportWithheldCredit(limit, this.bodyCredit, _options.clock.readMonotonicMs())
+    })
+    this._reports.addBodyGauges(this.bodyCredit)
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
   }
 
@@ -156,7 +164,7 @@
       return true
     }
     registered.target.isDraining = true
-    registered.target.slotLimiter.refuseAll('draining')
+    registered.target.refuseWaiting('draining')
     this._publish(registered.target.announcement, EndpointState.ENDPOINT_STATE_DRAINING, true)
     this._options.log.info('target_draining', { target: id, in_flight: registered.target.slotLimiter.load.inFlight })
     return true
@@ -177,6 +185,8 @@
   }
 
   open (request: ICallRequest, events: ICallEvents): ICallHandle {
+    const isLocalUpload = request.isBulkBody === true && !request.isBodyComplete && events.onBodyCredit === undefined
+    if (isLocalUpload) return new LocalUpload(this, request, events)
     const target = this._targets.get(request.targetId)?.target
     const isServing = target !== undefined && !target.isDraining && !target.isLost && !this._isDraining &&
       target.announcement.service === request.service && target.announcement.version === request.version
@@ -228,7 +238,7 @@
   drain (): void {
     this._isDraining = true
     for (const { target } of this._targets.values()) {
-      target.slotLimiter.refuseAll('draining')
+      target.refuseWaiting('draining')
       if (!target.isDraining) this._publish(target.announcement, EndpointState.ENDPOINT_STATE_DRAINING)
     }
   }
@@ -374,7 +384,7 @@
   private _markLost (target: LocalTarget, reason: FailureReason): void {
     if (target.isLost || this._targets.get(target.announcement.id)?.target !== target) return
     target.isLost = true
-    target.slotLimiter.refuseAll('connect')
+    target.refuseWaiting('connect')
     this._options.metrics.count('targets_lost_total', reason)
     this._options.log.warn('target_lost', { target: target.announcement.id, reason })
     this._publish(target.announcement, EndpointState.ENDPOINT_STATE_GONE)
@@ -384,7 +394,7 @@
     const { clock, random, isServiceSlow } = this._options
     const { id, service } = announcement
     const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
-    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random)
+    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random, this.bodyCredit)
   }
 
   private _startLease (id: string): IDisposable {
--- a/packages/node/src/targets/TargetReports.ts
+++ b/packages/node/src/targets/TargetReports.ts
@@ -2,12 +2,17 @@
  * Log events and metrics of the behaviour of targets.
  */
 import type { ILog, Metrics } from '@lagoonswitch/common'
-import type { IHang } from '@lagoonswitch/traffic'
+import type { BodyCreditAllocator, CreditLimit, IHang } from '@lagoonswitch/traffic'
 import type { ICallRequest } from '../calls/CallTypes.js'
 import type { HangAction } from './TargetCall.js'
 
-/** Reports what targets of this VM did wrong. */
+/** Time between two log lines on full memory. */
+const MEMORY_LOG_INTERVAL_MS = 1_000
+
+/** Reports what targets of this VM did wrong, and when their node withholds credit for large bodies. */
 export class TargetReports {
+  private _nextMemoryLogMs = -Infinity
+
   constructor (private readonly _log: ILog, private readonly _metrics: Metrics) {}
 
   /**
@@ -56,4 +61,24 @@
   reportHangRefuted (): void {
     this._metrics.count('target_hangs_total', 'refuted')
   }
+
+  /** Adds the gauges of large bodies. */
+  addBodyGauges (bodyCredit: BodyCreditAllocator): void {
+    this._metrics.addGauge('body_bytes_waiting', () => bodyCredit.waitingBytes)
+    this._metrics.addGauge('body_bytes_in_transit', () => bodyCredit.transitBytes)
+    this._metrics.addGauge('bodies_open', () => bodyCredit.bodyCount)
+  }
+
+  /**
+   * Reports that credit for large bodies was withheld.
+   * @param limit - that was reached
+   * @param bodyCredit - state of the bodies
+   * @param nowMs - monotonic time in milliseconds
+   */
+  reportWithheldCredit (limit: CreditLimit, { bodyCount, waitingBytes }: BodyCreditAllocator, nowMs: number): void {
+    this._metrics.count('body_credit_withheld_total', limit)
+    if (limit !== 'memory' || nowMs < this._nextMemoryLogMs) return
+    this._nextMemoryLogMs = nowMs + MEMORY_LOG_INTERVAL_MS
+    this._log.warn('body_memory_full', { bodies: bodyCount, bytes: waitingBytes })
+  }
 }
