Slots: accounts share the slots of a target by their declared rates

Cause: an account's weight was the square root of its waiting calls, so an account gained by sending more. Change: its weight is its rate in the catalogue relative to the mean, at least 0.5, looked up by name at each decision; without declared rates the weights stay as they were. With rates, calls of an account count for its class no more than those of others do, and an account without waiting calls does not meet an overload.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -114,6 +114,7 @@
       dialect,
       isServiceSlow: settings.node.hangDetection ? (...wait) => this._pace.isSlow(...wait) : undefined,
       random,
+      findAccountWeight: account => this._getAccounts().findWeight(account),
       nestedCalls: isBalanced ? new NestedCalls({ clock, random, log, metrics, findRoute }) : undefined,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -2,7 +2,7 @@
  * A target on this VM: its announcement, slots and connections.
  */
 import type { IClock, IDisposable, IRandom } from '@lagoonswitch/common'
-import { SlotLimiter, type HangDetector } from '@lagoonswitch/traffic'
+import { SlotLimiter, type AccountWeightLookup, type HangDetector } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
 /** What a target announces about itself. */
@@ -39,12 +39,13 @@
    * @param onIdleOverrun - called when a connection was closed for surplus bytes that arrived while it had no call
    * @param hangDetector - recognizes calls that hang; undefined if they are not to be detected
    * @param random - spreads the times at which refused callers return
+   * @param findWeight - declared weights of accounts that compete for slots
    */
   constructor (
     readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, readonly hangDetector?: HangDetector,
-    random?: IRandom
+    random?: IRandom, findWeight?: AccountWeightLookup
   ) {
-    this.slotLimiter = new SlotLimiter(clock, announcement.slots, random)
+    this.slotLimiter = new SlotLimiter(clock, announcement.slots, random, findWeight)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
   }
 
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,7 @@
 import { EndpointState, type CallClass, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { DEFAULT_WARMUP_MS, HangDetector, RunRegister } from '@lagoonswitch/traffic'
+import { DEFAULT_WARMUP_MS, HangDetector, RunRegister, type AccountWeightLookup } from '@lagoonswitch/traffic'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import type { NestedCalls } from './NestedCalls.js'
 import { TargetCall } from './TargetCall.js'
@@ -44,6 +44,8 @@
   readonly dialect: CallDialect
   /** Spreads the times at which refused callers with an account return. */
   readonly random?: IRandom
+  /** Declared weights of accounts that compete for slots. */
+  readonly findAccountWeight?: AccountWeightLookup
   /** Decides which calls are not begun; without it all are. */
   readonly nestedCalls?: NestedCalls
   /** Returns false while a service that the targets call has no retry budget left here for the calls that a retry makes. */
@@ -384,7 +386,8 @@
     const { clock, random, isServiceSlow } = this._options
     const { id, service } = announcement
     const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
-    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random)
+    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random,
+      this._options.findAccountWeight)
   }
 
   private _startLease (id: string): IDisposable {
--- a/packages/traffic/src/slots/AccountShares.test.ts
+++ b/packages/traffic/src/slots/AccountShares.test.ts
@@ -1,8 +1,10 @@
 import { beforeEach, expect, test } from 'vitest'
 import { ManualClock, SeededRandom, type IRandom } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
+import { AccountIndex } from '../admission/AccountIndex.js'
 import { AccountShares } from './AccountShares.js'
 import { SlotLimiter, type ISlotTicket } from './SlotLimiter.js'
+import { SlotQueue, type IQueuedCall } from './SlotQueue.js'
 
 let clock: ManualClock
 let limiter: SlotLimiter
@@ -104,3 +106,42 @@
   for (let index = 0; index < 6_000; index++) shares.recordUncontended()
   expect(shares.hasLeads).toBe(false)
 })
+
+/** Takes slots while all accounts keep the given calls waiting, and counts the slots of each. */
+function countSlots (shares: AccountShares, slots: number, waiting: Record<string, number>): Record<string, number> {
+  const taken: Record<string, number> = {}
+  for (let slot = 0; slot < slots; slot++) {
+    const account = shares.takeAccount(new Map(Object.entries(waiting)))
+    taken[account] = (taken[account] ?? 0) + 1
+  }
+  return taken
+}
+
+test('declared rates decide in place of waiting calls, from the next slot after a change on', () => {
+  const createAccounts = (rates: Record<string, number>): AccountIndex =>
+    new AccountIndex(new Map(Object.entries(rates).map(([account, rate]) => [account, { account, key_digests: [], rate }])))
+  let accounts = createAccounts({ a: 30, b: 10, c: 0 })
+  const shares = new AccountShares(account => accounts.findWeight(account))
+  expect(countSlots(shares, 60, { a: 1, b: 30 })).toEqual({ a: 45, b: 15 })
+  expect(countSlots(shares, 60, { b: 1, c: 9, '': 30 })).toEqual({ b: 12, c: 24, '': 24 })
+  accounts = createAccounts({ a: 10, b: 10 })
+  // Leads from before the change are worked off first.
+  countSlots(shares, 60, { a: 1, b: 1 })
+  expect(countSlots(shares, 60, { a: 1, b: 30 })).toEqual({ a: 30, b: 30 })
+  accounts = createAccounts({ a: 0, b: 0 })
+  expect(countSlots(shares, 60, { a: 1, b: 4 })).toEqual({ a: 20, b: 40 })
+})
+
+test('with declared rates an account gains nothing for its class by sending more', () => {
+  const countHigh = (burst: number, findWeight?: () => number): number => {
+    const queue = new SlotQueue<IQueuedCall>(findWeight)
+    const add = (callClass: CallClass, account: string): void => { queue.add({ callClass, account, isTimely: true, timer: undefined }) }
+    for (let index = 0; index < burst; index++) add(CallClass.CALL_CLASS_HIGH, 'burst')
+    for (let index = 0; index < 6; index++) add(CallClass.CALL_CLASS_NORMAL, `account${index}`)
+    let high = 0
+    for (let slot = 0; slot < 6; slot++) if (queue.takeNext(false)?.callClass === CallClass.CALL_CLASS_HIGH) high++
+    return high
+  }
+  expect([countHigh(2, () => 1), countHigh(26, () => 1)]).toEqual([2, 2])
+  expect(countHigh(26)).toBeGreaterThan(4)
+})
--- a/packages/traffic/src/slots/AccountShares.ts
+++ b/packages/traffic/src/slots/AccountShares.ts
@@ -7,12 +7,24 @@
 /** Accounts whose lead is kept; beyond that all leads are forgotten. */
 const MAX_ACCOUNTS = 1_024
 /**
- * Weight of an account as a power of its waiting calls. In the model of AccountCompetition.test.ts, with one class and an overload by 1.8,
- * the account with a quarter of all calls is served 0.32 times as often as all with equal weights, and 0.42 times with these. With 1 an
- * account would gain by sending more.
+ * Lowest weight of an account, relative to the mean. In the model of AccountCompetition.test.ts, with one class and an overload by 1.8,
+ * the account served least gets 0.24 times the share of all with 0.25, since it waits too long for its next turn, and 0.54 with 0.5.
+ */
+const MIN_WEIGHT = 0.5
+/**
+ * Weight of an account as a power of its waiting calls, where no account has a declared rate. In the model of
+ * AccountCompetition.test.ts, with one class and an overload by 1.8, the account with a quarter of all calls is served 0.32 times as often
+ * as all with equal weights, and 0.42 times with these. With 1 an account would gain by sending more.
  */
 const WEIGHT_EXPONENT = 0.5
 
+/**
+ * Looks up the share of slots that an account is to get.
+ * @param account - name of the account; empty for calls without one
+ * @returns its weight relative to the mean of all accounts, or undefined if the weights are not declared
+ */
+export type AccountWeightLookup = (account: string) => number | undefined
+
 /**
  * Start-time fair queueing of accounts. The finish time of an account is kept only while it is ahead of the virtual time; an account
  * that has not waited for a while has neither credit nor debt.
@@ -21,6 +33,9 @@
   private readonly _finishTimes = new Map<string, number>()
   private _virtualTime = 0
 
+  /** @param _findWeight - declared weights, looked up at each decision; without it accounts are weighed by their waiting calls */
+  constructor (private readonly _findWeight: AccountWeightLookup = () => undefined) {}
+
   /** True while an account is ahead of the others. */
   get hasLeads (): boolean {
     return this._finishTimes.size > 0
@@ -41,7 +56,7 @@
       bestStart = start
     }
     this._virtualTime = bestStart
-    this._charge(best, 1 / computeWeight(counts.get(best) ?? 1))
+    this._charge(best, 1 / this._getWeight(best, counts.get(best) ?? 1))
     return best
   }
 
@@ -59,18 +74,23 @@
    */
   countAhead (account: string, counts: ReadonlyMap<string, number>): number {
     const own = counts.get(account) ?? 0
-    const ownWeight = computeWeight(own + 1)
+    const ownWeight = this._getWeight(account, own + 1)
     // The finish time of the arriving call when it is the last one of its account.
     const finish = this._getStart(account) + (own + 1) / ownWeight
     let ahead = own
     for (const [other, count] of counts) {
       if (other === account) continue
-      const share = (finish - this._getStart(other)) * computeWeight(count)
+      const share = (finish - this._getStart(other)) * this._getWeight(other, count)
       ahead += Math.min(count, Math.max(0, Math.floor(share)))
     }
     return ahead
   }
 
+  private _getWeight (account: string, waitingCalls: number): number {
+    const declared = this._findWeight(account)
+    return declared === undefined ? Math.max(1, waitingCalls) ** WEIGHT_EXPONENT : Math.max(MIN_WEIGHT, declared)
+  }
+
   private _getStart (account: string): number {
     return Math.max(this._virtualTime, this._finishTimes.get(account) ?? 0)
   }
@@ -87,7 +107,3 @@
     }
   }
 }
-
-function computeWeight (waitingCalls: number): number {
-  return Math.max(1, waitingCalls) ** WEIGHT_EXPONENT
-}
--- a/packages/traffic/src/slots/SlotLimiter.ts
+++ b/packages/traffic/src/slots/SlotLimiter.ts
@@ -4,6 +4,7 @@
 import type { IClock, IRandom } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
 import type { FailureReason, ITargetLoad } from '../CallLoad.js'
+import type { AccountWeightLookup } from './AccountShares.js'
 import { ReturnSchedule } from './ReturnSchedule.js'
 import { SlotQueue, type IQueuedCall } from './SlotQueue.js'
 
@@ -80,7 +81,7 @@
 
 /** Grants exactly as many slots as the target has; {@link SlotQueue} decides the order. */
 export class SlotLimiter {
-  private readonly _queue = new SlotQueue<IWaiter>()
+  private readonly _queue: SlotQueue<IWaiter>
   private _inFlight = 0
   private _averageServiceMs = 0
   private _served = 0
@@ -95,8 +96,10 @@
    * @param _clock - source of time
    * @param slots - calls that the target takes at once
    * @param random - spreads the times at which refused callers with an account return; without it they are not spread
+   * @param findWeight - declared weights of accounts; without it they are weighed by their waiting calls
    */
-  constructor (private readonly _clock: IClock, public slots: number, random?: IRandom) {
+  constructor (private readonly _clock: IClock, public slots: number, random?: IRandom, findWeight?: AccountWeightLookup) {
+    this._queue = new SlotQueue(findWeight)
     this._returns = random === undefined ? undefined : new ReturnSchedule(_clock, random)
   }
 
@@ -218,12 +221,13 @@
     const expectedMs = this._getExpectedMs(request)
     const limitMs = isTimely ? computeTimeLimitMs(request) : Math.min(request.remainingMs, (LATE_WAIT_RATIO + MIN_TIME_RATIO) * expectedMs)
     const maxWaitMs = limitMs - MIN_TIME_RATIO * expectedMs
-    if (!this._isOverloaded(maxWaitMs) || request.callClass === CallClass.CALL_CLASS_FIRST) return maxWaitMs
+    if (!this._isOverloaded(maxWaitMs, request.account) || request.callClass === CallClass.CALL_CLASS_FIRST) return maxWaitMs
     return isTimely ? Math.min(maxWaitMs, OVERLOAD_WAIT_RATIO * limitMs) : 0
   }
 
-  private _isOverloaded (maxWaitMs: number): boolean {
-    return this._queue.length > 0 && this._clock.readMonotonicMs() - this._nonEmptySinceMs > maxWaitMs
+  private _isOverloaded (maxWaitMs: number, account = ''): boolean {
+    if (this._queue.length === 0 || !this._queue.canMeetOverload(account)) return false
+    return this._clock.readMonotonicMs() - this._nonEmptySinceMs > maxWaitMs
   }
 
   private _getExpectedMs ({ expectedMs = 0 }: ISlotRequest): number {
@@ -250,7 +254,7 @@
     const intervalMs = this._averageServiceMs / Math.max(1, this.usableSlots)
     const passedMs = this._clock.readMonotonicMs() - arrivedAtMs
     const isLate = computeTimeLimitMs(request) - passedMs < this._getExpectedMs(request)
-    const backoffMs = isLate || this._isOverloaded(maxWaitMs) ? BACKOFF_RATIO * (request.remainingMs - passedMs) : 0
+    const backoffMs = isLate || this._isOverloaded(maxWaitMs, account) ? BACKOFF_RATIO * (request.remainingMs - passedMs) : 0
     if (this._returns === undefined || !this._queue.hasAccounts(request.callClass, account)) {
       return Math.max(MIN_BACKOFF_MS, (this._queue.length + 1) * intervalMs, backoffMs)
     }
--- a/packages/traffic/src/slots/SlotQueue.ts
+++ b/packages/traffic/src/slots/SlotQueue.ts
@@ -3,7 +3,7 @@
  */
 import type { IDisposable } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
-import { AccountShares } from './AccountShares.js'
+import { AccountShares, type AccountWeightLookup } from './AccountShares.js'
 
 /** Consecutive slots that go to calls of the first class while others wait, so that the others do not starve. */
 const MAX_CONSECUTIVE_FIRST_CLASS = 8
@@ -40,6 +40,9 @@
   private readonly _shares = new Map<CallClass, AccountShares>()
   private _consecutiveFirstClass = 0
 
+  /** @param _findWeight - declared weights of accounts */
+  constructor (private readonly _findWeight?: AccountWeightLookup) {}
+
   get length (): number {
     return this._waiting.length
   }
@@ -67,7 +70,8 @@
    */
   countAhead (callClass: CallClass, account = ''): number {
     const ofClass = this._waiting.filter(waiter => waiter.callClass === callClass)
-    const others = callClass === CallClass.CALL_CLASS_FIRST ? 0 : this._waiting.length - ofClass.length
+    const isFirst = callClass === CallClass.CALL_CLASS_FIRST
+    const others = isFirst ? 0 : this._countWeighing(this._waiting.filter(waiter => waiter.callClass !== callClass))
     if (!this.hasAccounts(callClass, account)) return others + ofClass.length
     return others + this._getShares(callClass).countAhead(account, countByAccount(ofClass))
   }
@@ -87,6 +91,14 @@
       this._waiting.some(waiter => waiter.callClass === callClass && waiter.account !== '')
   }
 
+  /**
+   * @param account - of an arriving call
+   * @returns false if weights are declared and no call of the account waits, since the order favours its call then
+   */
+  canMeetOverload (account: string): boolean {
+    return this._findWeight?.(account) === undefined || this._waiting.some(waiter => waiter.account === account)
+  }
+
   /**
    * Records a call that got a slot without waiting.
    * @param callClass - of the call
@@ -144,7 +156,7 @@
   private _getShares (callClass: CallClass): AccountShares {
     let shares = this._shares.get(callClass)
     if (shares === undefined) {
-      shares = new AccountShares()
+      shares = new AccountShares(this._findWeight)
       this._shares.set(callClass, shares)
     }
     return shares
@@ -174,10 +186,28 @@
     const virtualTime = this._getVirtualTime(best)
     // A class without waiting calls accumulates no credit.
     for (const callClass of counts.keys()) this._virtualTimes.set(callClass, Math.max(virtualTime, this._getVirtualTime(callClass)))
-    this._virtualTimes.set(best, virtualTime + 1 / ((CLASS_WEIGHTS[best] ?? 1) * (counts.get(best) ?? 1)))
+    const weighing = this._countWeighing(waiters.filter(waiter => waiter.callClass === best))
+    this._virtualTimes.set(best, virtualTime + 1 / ((CLASS_WEIGHTS[best] ?? 1) * weighing))
     return best
   }
 
+  /**
+   * Counts waiting calls as they weigh for their class. Where weights are declared, the calls of an account count for no more than those
+   * of the others do relative to their weights, so that it gains nothing for its class, and delays no other class, by sending more.
+   */
+  private _countWeighing (waiters: readonly T[]): number {
+    const counts = countByAccount(this._waiting)
+    const weights = new Map([...counts.keys()].map(account => [account, this._findWeight?.(account) ?? 0]))
+    const sum = [...weights.values()].reduce((total, weight) => total + weight, 0)
+    if (sum === 0) return waiters.length
+    return waiters.reduce((total, { account }) => {
+      const count = counts.get(account) ?? 1
+      const weight = weights.get(account) ?? 0
+      const limit = (this._waiting.length - count) * weight / (sum - weight)
+      return total + (counts.size === 1 ? 1 : Math.min(1, Math.max(1, limit) / count))
+    }, 0)
+  }
+
   private _compareVirtualTimes (a: CallClass, b: CallClass): number {
     return this._getVirtualTime(a) - this._getVirtualTime(b) || a - b
   }
--- a/packages/traffic/src/testing/CompetitionModel.ts
+++ b/packages/traffic/src/testing/CompetitionModel.ts
@@ -3,6 +3,7 @@
  */
 import { SeededRandom, type IRandom } from '@lagoonswitch/common'
 import { CallClass } from '@lagoonswitch/schema'
+import { AccountIndex } from '../admission/AccountIndex.js'
 import { SlotLimiter, type ISlotTicket } from '../slots/SlotLimiter.js'
 import { EventClock } from './EventClock.js'
 
@@ -15,6 +16,8 @@
 const BURST_START_MS = 15_000
 const BURST_MS = 6_000
 const BURST_FACTOR = 7
+/** Declared rate of an account relative to its usual demand. */
+const RATE_RATIO = 1.6
 /** Rank of the account that sends the burst; 5 has 4% of all calls. */
 const BURST_ACCOUNT = 5
 /** A caller returns only if asked to within this fraction of its remaining time. */
@@ -48,6 +51,10 @@
   readonly classes: readonly CallClass[]
   /** False to let calls compete without regard to their accounts. */
   readonly hasAccounts: boolean
+  /** True if each account declares a rate in proportion to its usual demand. */
+  readonly hasRates?: boolean
+  /** False to leave out the burst; true if omitted. */
+  readonly hasBurst?: boolean
 }
 
 /** What the callers of an account, class or kind got. */
@@ -63,7 +70,10 @@
 /** Results of a run. */
 export interface ICompetitionResult {
   readonly all: IGroupResult
-  /** By account, class and kind; the key begins with the kind of group. */
+  /**
+   * By account, class and kind, and `others` for calls of all accounts but the one that sends the burst, `others-meanwhile` for those of
+   * them that arrive during the burst; the key begins with the kind of group.
+   */
   readonly groups: ReadonlyMap<string, IGroupResult>
 }
 
@@ -77,6 +87,10 @@
 /** Runs calls of accounts by a Zipf law against targets that take calls in the order of {@link SlotLimiter}. */
 export class CompetitionModel {
   private readonly _clock = new EventClock()
+  /** Draws the usual calls, so that these are the same ones with and without a burst. */
+  private readonly _callRandom: IRandom
+  private readonly _burstRandom: IRandom
+  /** Draws targets. */
   private readonly _random: IRandom
   private readonly _targets: SlotLimiter[]
   private readonly _weights = Array.from({ length: ACCOUNTS }, (_, index) => (index + 1) ** -ZIPF_EXPONENT)
@@ -85,36 +99,50 @@
 
   /** @param _settings - demand and classes */
   constructor (private readonly _settings: ICompetitionSettings) {
-    this._random = new SeededRandom(_settings.seed)
-    const random = new SeededRandom(_settings.seed + 1)
-    this._targets = Array.from({ length: TARGETS }, () => new SlotLimiter(this._clock, SLOTS, random))
+    this._callRandom = new SeededRandom(_settings.seed)
+    this._burstRandom = new SeededRandom(_settings.seed + 2_000)
+    this._random = new SeededRandom(_settings.seed + 3_000)
+    const random = new SeededRandom(_settings.seed + 1_000)
+    const usual = this._computeCallsPerMs() * 1_000 / this._weights.reduce((sum, each) => sum + each, 0)
+    const accounts = new AccountIndex(new Map(this._weights.map((weight, index) => {
+      const name = `account-${index}`
+      return [name, { account: name, key_digests: [], rate: _settings.hasRates === true ? RATE_RATIO * usual * weight : 0 }]
+    })))
+    const findWeight = (account: string): number | undefined => accounts.findWeight(account)
+    this._targets = Array.from({ length: TARGETS }, () => new SlotLimiter(this._clock, SLOTS, random, findWeight))
   }
 
   /** @returns what the callers got */
   run (): ICompetitionResult {
-    const totalRate = KINDS.reduce((sum, kind) => sum + kind.ratePerS, 0)
-    const meanWorkMs = KINDS.reduce((sum, kind) => sum + kind.ratePerS * kind.workMs, 0) / totalRate
-    const callsPerMs = this._settings.load * TARGETS * SLOTS / meanWorkMs
+    const callsPerMs = this._computeCallsPerMs()
     const weight = this._weights.reduce((sum, each) => sum + each, 0)
-    this._scheduleArrivals(() => true, callsPerMs, () => this._pick(this._weights))
+    this._scheduleArrivals(this._callRandom, () => true, callsPerMs, () => this._pick(this._weights))
     const burstPerMs = callsPerMs * (this._weights[BURST_ACCOUNT - 1] ?? 0) / weight * (BURST_FACTOR - 1)
-    this._clock.schedule(BURST_START_MS, () => {
-      this._scheduleArrivals(nowMs => nowMs < BURST_START_MS + BURST_MS, burstPerMs, () => BURST_ACCOUNT - 1)
-    })
+    if (this._settings.hasBurst !== false) {
+      this._clock.schedule(BURST_START_MS, () => {
+        this._scheduleArrivals(this._burstRandom, isDuringBurst, burstPerMs, () => BURST_ACCOUNT - 1)
+      })
+    }
     this._clock.runUntil(RUN_MS + Math.max(...KINDS.map(kind => kind.deadlineMs)))
     return { all: this._all, groups: this._groups }
   }
 
-  private _scheduleArrivals (isOpen: (nowMs: number) => boolean, callsPerMs: number, pickAccount: () => number): void {
-    this._clock.schedule(-Math.log(1 - this._random.draw()) / callsPerMs, () => {
+  private _computeCallsPerMs (): number {
+    const totalRate = KINDS.reduce((sum, kind) => sum + kind.ratePerS, 0)
+    const meanWorkMs = KINDS.reduce((sum, kind) => sum + kind.ratePerS * kind.workMs, 0) / totalRate
+    return this._settings.load * TARGETS * SLOTS / meanWorkMs
+  }
+
+  private _scheduleArrivals (random: IRandom, isOpen: (nowMs: number) => boolean, callsPerMs: number, pickAccount: () => number): void {
+    this._clock.schedule(-Math.log(1 - random.draw()) / callsPerMs, () => {
       const nowMs = this._clock.readMonotonicMs()
       if (nowMs > RUN_MS || !isOpen(nowMs)) return
-      const kind = KINDS[this._pick(KINDS.map(({ ratePerS }) => ratePerS))] as IKind
-      const variation = FIXED_WORK_RATIO - (1 - FIXED_WORK_RATIO) * Math.log(1 - this._random.draw())
+      const kind = KINDS[this._pick(KINDS.map(({ ratePerS }) => ratePerS), random)] as IKind
+      const variation = FIXED_WORK_RATIO - (1 - FIXED_WORK_RATIO) * Math.log(1 - random.draw())
       const call = { account: pickAccount(), kind, arrivedMs: nowMs, workMs: kind.workMs * variation }
       for (const group of this._listGroups(call)) group.calls++
       this._tryTarget(call, 1, undefined)
-      this._scheduleArrivals(isOpen, callsPerMs, pickAccount)
+      this._scheduleArrivals(random, isOpen, callsPerMs, pickAccount)
     })
   }
 
@@ -165,8 +193,9 @@
     return a.load.inFlight + a.load.queued <= b.load.inFlight + b.load.queued ? a : b
   }
 
-  private _listGroups ({ account, kind }: ICall): IGroupResult[] {
+  private _listGroups ({ account, kind, arrivedMs }: ICall): IGroupResult[] {
     const names = [`account ${account + 1}`, `class ${CallClass[this._getClass(account)]}`, `kind ${kind.name}`]
+    if (account !== BURST_ACCOUNT - 1) names.push('others', ...isDuringBurst(arrivedMs) ? ['others-meanwhile'] : [])
     return [this._all, ...names.map(name => {
       const group = this._groups.get(name) ?? { calls: 0, served: 0, value: 0, refusals: 0, immediateRefusals: 0 }
       this._groups.set(name, group)
@@ -179,8 +208,12 @@
     return classes[account % classes.length] as CallClass
   }
 
-  private _pick (weights: readonly number[]): number {
-    let draw = this._random.draw() * weights.reduce((sum, weight) => sum + weight, 0)
+  private _pick (weights: readonly number[], random = this._callRandom): number {
+    let draw = random.draw() * weights.reduce((sum, weight) => sum + weight, 0)
     return Math.max(0, weights.findIndex(weight => (draw -= weight) < 0))
   }
 }
+
+function isDuringBurst (timeMs: number): boolean {
+  return timeMs >= BURST_START_MS && timeMs < BURST_START_MS + BURST_MS
+}
