--- a/bench/soak/SoakFleet.mjs
+++ b/bench/soak/SoakFleet.mjs
@@ -61,7 +61,7 @@
     this.starts.push({ name, atMs: child.startedMs })
     child.on('exit', (code, signal) => {
       if (child.expectsEnd) return
-      this.ownEnds.push(`${name}: code ${code}, signal ${signal}`)
+      this.ownEnds.push(`${name}: code ${code}, signal ${signal}, last signal of the soak: ${child.lastSignal}`)
       setTimeout(() => this.startProcess(name), RESTART_DELAY_MS)
     })
   }
@@ -101,6 +101,7 @@
   signal (name, signal) {
     if (!this.isRunning(name)) return
     const child = this._children.get(name)
+    child.lastSignal = `${signal} ${Math.round(performance.now() - child.startedMs)} ms after the start, handler of SIGHUP ${hasHangupHandler(child.pid)}`
     if (signal !== 'SIGHUP' || performance.now() - child.startedMs > BOOT_MS) child.kill(signal)
   }
 
@@ -160,3 +161,12 @@
 `
   }
 }
+
+/** @returns whether a process handles SIGHUP at this time; undefined where the system doesn't tell */
+function hasHangupHandler (pid) {
+  try {
+    return (BigInt(`0x${/SigCgt:\s*(\w+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))[1]}`) & 1n) === 1n
+  } catch {
+    return undefined
+  }
+}
