--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -2,7 +2,7 @@
  * A target on this VM: its announcement, slots and connections.
  */
 import type { IClock, IDisposable, IRandom } from '@lagoonswitch/common'
-import { BodyCreditAllocator, SlotLimiter, type FailureReason, type HangDetector } from '@lagoonswitch/traffic'
+import { BodyCreditAllocator, SlotLimiter, type AccountWeightLookup, type FailureReason, type HangDetector } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
 /** What a target announces about itself. */
@@ -47,12 +47,13 @@
    * @param hangDetector - recognizes calls that hang; undefined if they are not to be detected
    * @param random - spreads the times at which refused callers return
    * @param bodyCredit - grants credit for large bodies of calls to all targets of the VM
+   * @param findWeight - declared weights of accounts that compete for slots
    */
   constructor (
     readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, readonly hangDetector?: HangDetector,
-    random?: IRandom, readonly bodyCredit: BodyCreditAllocator = new BodyCreditAllocator(clock)
+    random?: IRandom, readonly bodyCredit: BodyCreditAllocator = new BodyCreditAllocator(clock), findWeight?: AccountWeightLookup
   ) {
-    this.slotLimiter = new SlotLimiter(clock, announcement.slots, random)
+    this.slotLimiter = new SlotLimiter(clock, announcement.slots, random, findWeight)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
   }
 
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,7 @@
 import { EndpointState, type CallClass, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { BodyCreditAllocator, DEFAULT_WARMUP_MS, HangDetector, RunRegister } from '@lagoonswitch/traffic'
+import { BodyCreditAllocator, DEFAULT_WARMUP_MS, HangDetector, RunRegister, type AccountWeightLookup } from '@lagoonswitch/traffic'
 import { LocalUpload } from './LocalUpload.js'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import type { NestedCalls } from './NestedCalls.js'
@@ -45,6 +45,8 @@
   readonly dialect: CallDialect
   /** Spreads the times at which refused callers with an account return. */
   readonly random?: IRandom
+  /** Declared weights of accounts that compete for slots. */
+  readonly findAccountWeight?: AccountWeightLookup
   /** Decides which calls are not begun; without it all are. */
   readonly nestedCalls?: NestedCalls
   /** Returns false while a service that the targets call has no retry budget left here for the calls that a retry makes. */
@@ -394,7 +396,8 @@
     const { clock, random, isServiceSlow } = this._options
     const { id, service } = announcement
     const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
-    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random, this.bodyCredit)
+    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random, this.bodyCredit,
+      this._options.findAccountWeight)
   }
 
   private _startLease (id: string): IDisposable {
