--- /dev/null
+++ b/packages/traffic/src/room/RoomPolicy.ts
@@ -0,0 +1,49 @@
+/**
+ * How many of its stated slots a target uses well, and how long its calls take now.
+ */
+
+/** A call that has ended at a target. */
+export interface IRunSample {
+  /** Key of the route; calls of one route have similar durations. */
+  readonly route: string
+  /** Time at which the call got its slot, in milliseconds of the monotonic clock. */
+  readonly startedMs: number
+  /** Time in the slot in milliseconds, less the time during which nested calls of the run were in progress. */
+  readonly ownMs: number
+  /** False for a run that failed, was cancelled, or waited for its caller to send or read a body: its duration is not the target's. */
+  readonly isComparable: boolean
+}
+
+/** Decides how many calls one target gets at once. Answers a load that fills targets of uneven speed, some of which slow down early. */
+export abstract class RoomPolicy {
+  /** @param sample - call that has ended */
+  abstract recordRun (sample: IRunSample): void
+
+  /**
+   * Computes how many calls the target may run at once.
+   * @param slots - slots that the target states
+   * @param isCongested - true while calls wait for a slot
+   * @returns a whole number from 1 to `slots`
+   */
+  abstract computeRoom (slots: number, isCongested: boolean): number
+
+  /**
+   * Computes the time of calls of a route at the present speed and load of the target.
+   * @param route - key of the route
+   * @returns time in a slot in milliseconds without nested calls, 0 if unknown
+   */
+  abstract computeExpectedMs (route: string): number
+}
+
+/** Uses all stated slots. */
+export class StatedRoom extends RoomPolicy {
+  recordRun (): void {}
+
+  computeRoom (slots: number): number {
+    return slots
+  }
+
+  computeExpectedMs (): number {
+    return 0
+  }
+}
