--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -15,6 +15,17 @@
 /** A call with this many calls above it in a chain is refused. */
 export const MAX_CALL_DEPTH = 16
 
+const MIN_FINAL_STATUS = 200
+const MAX_STATUS = 599
+
+/**
+ * @param status - of a response
+ * @returns true if it is the status of a final response
+ */
+export function isFinalStatus (status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_STATUS
+}
+
 /** A call as it is passed to the node of the target. */
 export interface ICallRequest {
   readonly service: string
@@ -33,7 +44,9 @@
   readonly objectiveMs: number
   /** Usual time that such a call holds a slot of the target, in milliseconds; 0 when unknown. */
   readonly expectedMs: number
-  /** True when the call may run more than once; it then fails early, to be retried, when the node of the target stops responding. */
+  /** Key of the route, for the times that its runs take; empty for a call whose node does not state it. */
+  readonly route: string
+  /** True when the call may run more than once; it then fails early, to be retried, when the target or its node stops responding. */
   readonly isRetryable: boolean
   /** True when the call may take a free slot but must not queue for one, since calls from other availability zones are costly. */
   readonly isSpareOnly: boolean
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -34,6 +34,7 @@
   callId: 'c1',
   objectiveMs: 0,
   expectedMs: 0,
+  route: '',
   isRetryable: false,
   isSpareOnly: false,
   isRepeat: false,
@@ -162,8 +163,22 @@
   expect(await call(port, new PlainCredentials())).toMatchObject({ reason: 'link-lost', isNotRun: false })
 })
 
-test('call to a silent process fails at its deadline', async () => {
+test('call to a process that was never heard of fails as unknown well before its deadline', async () => {
   const port = await listen(new PlainCredentials(), () => {})
+  const startedMs = performance.now()
+  expect(await call(port, new PlainCredentials())).toMatchObject({ reason: 'link-silent', isNotRun: false })
+  expect(performance.now() - startedMs).toBeLessThan(1_200)
+})
+
+test('call to a live process that does not answer fails at its deadline', async () => {
+  const port = await listen(new PlainCredentials(), socket => {
+    const frames: FrameSocket = new FrameSocket(socket, {
+      onFrame: ({ frame }) => {
+        if (frame?.$case === 'ping') frames.send({ callId: 0, frame: { $case: 'ping', value: { reply: true } } })
+      },
+      onClose: () => {}
+    })
+  })
   expect(await call(port, new PlainCredentials())).toMatchObject({ reason: 'deadline', isNotRun: false })
 })
 
@@ -204,3 +219,40 @@
   socket.destroy()
   expect(received).toEqual(Array.from({ length: 20 }, (_, index) => index + 1))
 })
+
+// A process of another version may pass on what its target sent.
+test.each([0, 99, 100, 199, 600, 999, 70_000])('head on a link with a status that is none is not passed on: %s', async status => {
+  const port = await listen(new PlainCredentials(), socket => {
+    const frames: FrameSocket = new FrameSocket(socket, {
+      onFrame: ({ callId, frame }) => {
+        if (frame?.$case !== 'open') return
+        frames.send({
+          callId,
+          frame: {
+            $case: 'head',
+            value: {
+              status, headers: [], body: Buffer.from('x'), end: true, inFlight: 0, slots: 1, queued: 0, served: 1, serviceMs: 1, repeatDenied: false
+            }
+          }
+        })
+      },
+      onClose: () => {}
+    })
+  })
+  expect(await call(port, new PlainCredentials())).toMatchObject({ reason: 'bad-status', isNotRun: false })
+})
+
+// A failure reason that this process does not know has no error response.
+test.each([[true, 503], [false, 502]])('failure on a link with an unknown reason keeps its run state: %s', async isNotRun => {
+  const port = await listen(new PlainCredentials(), socket => {
+    const frames: FrameSocket = new FrameSocket(socket, {
+      onFrame: ({ callId, frame }) => {
+        if (frame?.$case !== 'open') return
+        const failure = { reason: 'of-the-future', notRun: isNotRun, retryAfterMs: 0, inFlight: 0, slots: 1, queued: 0, cause: '' }
+        frames.send({ callId, frame: { $case: 'failure', value: failure } })
+      },
+      onClose: () => {}
+    })
+  })
+  expect(await call(port, new PlainCredentials())).toMatchObject({ reason: isNotRun ? 'draining' : 'broken', isNotRun })
+})
