Targets report the times of their calls, by which callers choose

Each node learned the speed of a target from its own calls only, about one in three seconds, and assumed one slowdown under load for all. With [node] reported_times the node beside the target measures all its calls, without the time of nested calls, and states the expected time of the route, the time that the call waited for nested calls and the usable slots in CallHead (11 to 13). Callers use them in place of their own estimate for a second and return to that with a half-life of 2 s. Off by default; processes of earlier versions ignore the fields and send none, which reads as 0.

Calls are not counted that failed, whose request was still being sent, that have no id or that a pause of the process fell into. The comparison with the usual pace for the detection of hangs stays with the caller's own estimate, which a slowdown doesn't change at once.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -17,7 +17,7 @@
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
 import {
-  AccountIndex, BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, RetryBudget, ServicePace, TargetPool
+  AccountIndex, BalancedDraws, CallerWaitEstimator, OwnerCallLimiter, ReportedTimes, RetryBudget, ServicePace, TargetPool
 } from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
@@ -103,6 +103,7 @@
       endpoints: this.endpoints,
       dialect,
       isServiceSlow: settings.node.hangDetection ? (...wait) => this._pace.isSlow(...wait) : undefined,
+      hasReportedTimes: settings.node.reportedTimes,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
@@ -124,7 +125,8 @@
         random,
         metrics,
         endpoints: this.endpoints,
-        isReachable: address => this._links.get(address)?.isReachable !== false
+        isReachable: address => this._links.get(address)?.isReachable !== false,
+        reportedTimes: settings.node.reportedTimes ? new ReportedTimes() : undefined
       }),
       claims: new ClaimsClient(leaderClient, settings.control.claimShards),
       evidence: this._evidence,
--- a/packages/node/src/calls/Attempt.test.ts
+++ b/packages/node/src/calls/Attempt.test.ts
@@ -20,7 +20,7 @@
     clock,
     metrics: new Metrics(),
     pace: new ServicePace(clock),
-    pool: { recordStart: () => {}, recordEnd: () => {}, recordLoad: () => {}, recordServiceTime: () => {}, computeExpectedMs: () => 0 },
+    pool: { recordStart: () => {}, recordEnd: () => {}, recordLoad: () => {}, recordServiceTime: () => {}, computeUsualMs: () => 0 },
     evidence: {
       recordOutcome: (_service: string, _version: string, _route: string, _target: string, _isFailure: boolean, latencyMs?: number) => {
         latencies.push(latencyMs)
--- a/packages/node/src/calls/Attempt.ts
+++ b/packages/node/src/calls/Attempt.ts
@@ -49,11 +49,11 @@
 
   onHead (status: number, headers: readonly string[], load: ITargetLoad): void {
     if (this._hasEnded) return
-    this._context.pool.recordLoad(this.target, load)
+    this._context.pool.recordLoad(this.target, load, this._route.key)
     this._isTargetWarm ||= load.served > WARMUP_CALLS
     this._serviceMs = load.serviceMs
     this._headReceivedMs = this._context.clock.readMonotonicMs()
-    this._pace.recordFirstByte(load.serviceMs, this._context.pool.computeExpectedMs(this.target, this._route.key))
+    this._pace.recordFirstByte(load.serviceMs, this._context.pool.computeUsualMs(this.target, this._route.key))
     const isFailed = status >= MIN_SERVER_ERROR_STATUS
     if (!isFailed) this._context.pool.recordServiceTime(this.target, this._route.key, load.serviceMs)
     this._recordOutcome(isFailed ? 'failed' : 'good', true)
@@ -78,7 +78,7 @@
   onFailure (failure: ICallFailure, load: ITargetLoad | undefined): void {
     if (this._hasEnded) return
     this._hasEnded = true
-    if (load !== undefined) this._context.pool.recordLoad(this.target, load)
+    if (load !== undefined) this._context.pool.recordLoad(this.target, load, this._route.key)
     if (!failure.isNotRun) {
       const { clock, pool } = this._context
       pool.recordRunTime(this.target, this._route.key, clock.readMonotonicMs() - this._startedMs)
--- a/packages/node/src/links/OutgoingCall.ts
+++ b/packages/node/src/links/OutgoingCall.ts
@@ -142,14 +142,14 @@
     if (this._hasEnded) return
     switch (frame.$case) {
       case 'head': {
-        const { status, headers, body, end, inFlight, slots, queued, served, serviceMs, repeatDenied } = frame.value
+        const { status, headers, body, end, repeatDenied, ...load } = frame.value
         if (!isFinalStatus(status)) {
           this._link.reportBadStatus(this._request, status)
           this._fail('bad-status', false)
           return
         }
         this._hasHead = true
-        this._events.onHead(status, headers, { inFlight, slots, queued, served, serviceMs, isRepeatDenied: repeatDenied })
+        this._events.onHead(status, headers, { ...load, isRepeatDenied: repeatDenied })
         if (body.length > 0) this._events.onData(body)
         if (end) this._end()
         return
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -218,7 +218,7 @@
     if (this._head === undefined || this._hasEnded) return
     const { status, headers, load } = this._head
     this._head = undefined
-    const { inFlight, slots, queued, served, serviceMs, isRepeatDenied } = load
+    const { inFlight, slots, queued, served, serviceMs, isRepeatDenied, expectedMs = 0, nestedMs = 0, room = 0 } = load
     const urgentLength = this._urgentBytes.take(body.length)
     const isWhole = urgentLength === body.length
     this._send({
@@ -233,7 +233,10 @@
         queued,
         served,
         serviceMs,
-        repeatDenied: isRepeatDenied
+        repeatDenied: isRepeatDenied,
+        expectedMs: Math.ceil(expectedMs),
+        nestedMs: Math.round(nestedMs),
+        room
       }
     })
     if (!isWhole) this._socket.sendBody(this._callId, body.subarray(urgentLength), end, true)
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -2,7 +2,7 @@
  * A target on this VM: its announcement, slots and connections.
  */
 import type { IClock, IDisposable } from '@lagoonswitch/common'
-import { SlotLimiter, type HangDetector } from '@lagoonswitch/traffic'
+import { SlotLimiter, type HangDetector, type RunMeter } from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
 /** What a target announces about itself. */
@@ -38,9 +38,11 @@
    * @param clock - source of time
    * @param onIdleOverrun - called when a connection was closed for surplus bytes that arrived while it had no call
    * @param hangDetector - recognizes calls that hang; undefined if they are not to be detected
+   * @param runMeter - measures the runs; undefined if their times are not to be reported
    */
   constructor (
-    readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, readonly hangDetector?: HangDetector
+    readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void,
+    readonly hangDetector?: HangDetector, readonly runMeter?: RunMeter
   ) {
     this.slotLimiter = new SlotLimiter(clock, announcement.slots)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,7 @@
 import { EndpointState, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { DEFAULT_WARMUP_MS, HangDetector, RunRegister } from '@lagoonswitch/traffic'
+import { DEFAULT_WARMUP_MS, HangDetector, PauseMeter, RunMeter, RunRegister } from '@lagoonswitch/traffic'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import { TargetCall } from './TargetCall.js'
 import { TargetReports } from './TargetReports.js'
@@ -48,6 +48,8 @@
    * be detected.
    */
   readonly isServiceSlow?: (service: string, targetId: string, sinceMs: number) => boolean
+  /** True if the times of runs are measured and reported to callers. */
+  readonly hasReportedTimes?: boolean
 }
 
 interface IRegisteredTarget {
@@ -84,9 +86,12 @@
   /** Calls that targets have received; a call that waits for a slot makes no nested calls. */
   private readonly _runs: RunRegister
   private readonly _reports: TargetReports
+  /** Undefined if the times of runs are not measured. */
+  private readonly _pauses: PauseMeter | undefined
 
   constructor (private readonly _options: ILocalTargetRegistryOptions) {
     this._runs = new RunRegister(_options.clock)
+    this._pauses = _options.hasReportedTimes === true ? this._store.add(new PauseMeter(_options.clock)) : undefined
     this._reports = new TargetReports(_options.log, _options.metrics)
     this._store.add(_options.endpoints.onChanged(({ records }) => this._refuteRemovals(records)))
   }
@@ -355,7 +360,8 @@
     const { clock, isServiceSlow } = this._options
     const { id, service } = announcement
     const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
-    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector)
+    const meter = this._pauses === undefined ? undefined : new RunMeter(clock, this._pauses)
+    return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, meter)
   }
 
   private _startLease (id: string): IDisposable {
--- a/packages/node/src/targets/TargetCall.ts
+++ b/packages/node/src/targets/TargetCall.ts
@@ -10,7 +10,7 @@
 import { copyResponseHeaders } from '../calls/Headers.js'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { LocalTarget } from './LocalTarget.js'
-import type { IHang, ISlotTicket } from '@lagoonswitch/traffic'
+import { NestedCalls, type IHang, type ISlotTicket, type ITargetLoad } from '@lagoonswitch/traffic'
 import type { IResponseHandler, TargetConnection } from './TargetConnections.js'
 
 const ABORT_GRACE_MS = 10
@@ -67,9 +67,9 @@
   isRepeatDenied = false
   /** Status of a response that can't have it; undefined if none arrived. */
   badStatus: number | undefined
-  /** Nested calls that the run waits for, and whether there was one since the last look. */
-  private _nestedCalls = 0
-  private _hadNestedCall = false
+  private readonly _nestedCalls: NestedCalls
+  /** True if the whole request was there when the call got its slot. */
+  private _isRequestWhole = false
   private _hangWatch: IDisposable | undefined
   /** True while the call waits on although it is considered hung. */
   private _isHung = false
@@ -83,6 +83,7 @@
     private readonly _reports: ITargetCallReports
   ) {
     this._isBodyEnded = _request.isBodyComplete
+    this._nestedCalls = new NestedCalls(_clock)
     this._deadlineAtMs = _clock.readMonotonicMs() + _request.remainingMs
     this._deadlineTimer = _clock.schedule(_request.remainingMs + DEADLINE_GRACE_MS, () => this._fail('deadline'))
     this._ticket = _target.slotLimiter.acquire({
@@ -136,13 +137,7 @@
    * @returns ends the nested call; further calls have no effect
    */
   startNestedCall (): () => void {
-    let isRunning = true
-    this._nestedCalls++
-    this._hadNestedCall = true
-    return () => {
-      if (isRunning) this._nestedCalls--
-      isRunning = false
-    }
+    return this._nestedCalls.start()
   }
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
@@ -184,7 +179,7 @@
     this._isFramed = this._isChunked || headers['content-length'] !== undefined
     const serviceMs = this._clock.readMonotonicMs() - this._grantedAtMs
     this._events.onHead(status, copyResponseHeaders(headers), {
-      ...this._target.slotLimiter.load, serviceMs: Math.ceil(serviceMs), isRepeatDenied: this.isRepeatDenied
+      ...this._target.slotLimiter.load, serviceMs: Math.ceil(serviceMs), isRepeatDenied: this.isRepeatDenied, ...this._measureRun(status)
     })
   }
 
@@ -242,6 +237,7 @@
     if (this._hasEnded) return
     const { method, path, headers, body, targetId, isRepeat } = this._request
     this._grantedAtMs = this._clock.readMonotonicMs()
+    this._isRequestWhole = this._isBodyEnded
     const leftMs = Math.max(1, this._computeLeftMs())
     const isEmpty = this._isBodyEnded && body.length === 0 && this._queuedBody.length === 0
     this._connection = this._target.connections.acquire()
@@ -268,8 +264,7 @@
 
   /** Tells whether the target has a reason not to answer yet: a nested call, or a request that has not been sent completely. */
   private _isBusy (): boolean {
-    const isNested = this._nestedCalls > 0 || this._hadNestedCall
-    this._hadNestedCall = false
+    const isNested = this._nestedCalls.takeActivity()
     const isSent = this._isBodyEnded && (this._body?.readableLength ?? 0) === 0 && this._connection?.hasUnsentBytes === false
     return isNested || !isSent
   }
@@ -292,6 +287,21 @@
     this._isHung = false
   }
 
+  /** Nested calls of a call without an ID can't be told from others. */
+  private _measureRun (status: number): Partial<ITargetLoad> {
+    const { route, callId } = this._request
+    const { runMeter, slotLimiter } = this._target
+    if (runMeter === undefined) return {}
+    const times = runMeter.recordRun({
+      route,
+      startedMs: this._grantedAtMs,
+      nestedMs: callId === '' ? undefined : this._nestedCalls.totalMs,
+      isRequestWhole: this._isRequestWhole,
+      status
+    })
+    return { ...times, room: slotLimiter.usableSlots }
+  }
+
   private _computeLeftMs (): number {
     return Math.max(0, Math.floor(this._deadlineAtMs - this._clock.readMonotonicMs()))
   }
--- a/packages/traffic/src/CallLoad.ts
+++ b/packages/traffic/src/CallLoad.ts
@@ -13,6 +13,12 @@
   readonly serviceMs: number
   /** True when a nested call of this run was denied a retry by its retry budget, which a retry of the whole run would bypass. */
   readonly isRepeatDenied: boolean
+  /** Time in milliseconds that such a call takes at the target now, without nested calls; 0 or omitted when unknown. */
+  readonly expectedMs?: number
+  /** Time in milliseconds for which this call waited for nested calls; 0 or omitted when unknown. */
+  readonly nestedMs?: number
+  /** Calls that the target handles well at once, at most its slots; 0 or omitted when unknown. */
+  readonly room?: number
 }
 
 /** Why a call got no complete response; also the labels of a counter. */
--- a/packages/traffic/src/placement/TargetPool.test.ts
+++ b/packages/traffic/src/placement/TargetPool.test.ts
@@ -142,7 +142,7 @@
   add('far', { availabilityZone: 'z2' })
   const far = pool.pickTarget('s', 'v1', new Set(['near']))
   if (far === undefined) throw new Error('no target')
-  pool.recordLoad(far, { inFlight: 4, slots: 4, queued: 0, served: 9, serviceMs: 0, isRepeatDenied: false })
+  pool.recordLoad(far, { inFlight: 4, slots: 4, queued: 0, served: 9, serviceMs: 0, isRepeatDenied: false }, 'r')
   const near = pick()
   for (let index = 0; index < 12; index++) pool.recordStart(near)
   expect(countPicks()).toEqual({ near: 200 })
--- a/packages/traffic/src/placement/TargetPool.ts
+++ b/packages/traffic/src/placement/TargetPool.ts
@@ -5,6 +5,7 @@
 import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
 import type { ITargetLoad } from '../CallLoad.js'
 import { computeSpareSlots } from '../slots/SlotLimiter.js'
+import type { ReportedTimes } from './ReportedTimes.js'
 import { COLD_FACTOR, FAILURE_WEIGHT, TargetState, DEFAULT_SERVICE_MS, computeDecayingMax } from './TargetState.js'
 
 export type { TargetState as ITargetState } from './TargetState.js'
@@ -84,6 +85,8 @@
   readonly endpoints: IEndpointSource
   /** False while the process at a link address does not respond. */
   readonly isReachable?: (linkAddress: string) => boolean
+  /** Evaluates the times and the room that targets report; undefined if only own measurements are to be used. */
+  readonly reportedTimes?: ReportedTimes
 }
 
 /** The targets of a service, all and by version. */
@@ -180,13 +183,24 @@
   /**
    * @param state - the target
    * @param route - key of the route
-   * @returns usual time of a call in a slot of the target in whole milliseconds, 0 if unknown
+   * @returns usual time of a call in a slot of the target in whole milliseconds by the calls from here, 0 if unknown; reports of the
+   * target, which follow a slowdown at once, don't count, so that a call can be compared with the time before the slowdown
    */
-  computeExpectedMs (state: TargetState, route: string): number {
+  computeUsualMs (state: TargetState, route: string): number {
     const usualMs = this._routeHistories.get(route)?.usualMs ?? 0
     return usualMs === 0 ? 0 : Math.ceil(state.computeServiceMs(usualMs, this._options.clock.readMonotonicMs()))
   }
 
+  /**
+   * @param state - the target
+   * @param route - key of the route
+   * @returns expected time of a call in a slot of the target in whole milliseconds, by its reports if they are recent; 0 if unknown
+   */
+  computeExpectedMs (state: TargetState, route: string): number {
+    const usualMs = this._routeHistories.get(route)?.usualMs ?? 0
+    return usualMs === 0 ? 0 : Math.ceil(this._computeServiceMs(state, route, usualMs, this._options.clock.readMonotonicMs()))
+  }
+
   /**
    * Records how long a run took until its end, even if it failed.
    * @param state - the target
@@ -254,9 +268,16 @@
     this._eject(state, 'unreachable')
   }
 
-  /** Records the load that a target's own process reported. */
-  recordLoad (state: TargetState, load: ITargetLoad): void {
-    state.recordLoad(load, this._options.clock.readMonotonicMs())
+  /**
+   * Records the load that a target's own process reported.
+   * @param state - the target
+   * @param load - the report
+   * @param route - key of the route of the call that it came with
+   */
+  recordLoad (state: TargetState, load: ITargetLoad, route: string): void {
+    const nowMs = this._options.clock.readMonotonicMs()
+    state.recordLoad(load, nowMs)
+    this._options.reportedTimes?.recordLoad(state, route, load, nowMs)
   }
 
   private _listStates (service: string, choice: string | IVersionChoice): readonly TargetState[] {
@@ -336,7 +357,7 @@
     const history = criteria === undefined ? undefined : this._routeHistories.get(criteria.route)
     const usualMs = history?.usualMs ?? 0
     const waitMs = state.computeWaitMs(nowMs)
-    const serviceMs = state.computeServiceMs(usualMs, nowMs)
+    const serviceMs = this._computeServiceMs(state, criteria?.route ?? '', usualMs, nowMs)
     const objectiveMs = criteria !== undefined && criteria.objectiveLeftMs > 0 && criteria.isLate !== true
       ? criteria.objectiveLeftMs
       : ASSUMED_OBJECTIVE_FACTOR * (usualMs > 0 ? usualMs : DEFAULT_SERVICE_MS)
@@ -352,7 +373,7 @@
     state: TargetState, criteria: IPickCriteria | undefined, callClass: CallClass, expectedValue: number, nowMs: number
   ): boolean {
     return expectedValue > 0 && criteria?.isSpareExcluded !== true &&
-      state.countActive(nowMs) < computeSpareSlots(state.record.slots, callClass)
+      state.countActive(nowMs) < computeSpareSlots(state.computeRoom(nowMs), callClass)
   }
 
   private _computeNetworkCost ({ record }: TargetState, history: IRouteHistory | undefined): number {
@@ -364,6 +385,11 @@
     return HOP_COST + zoneCost + (record.region === region ? 0 : REGION_COST)
   }
 
+  private _computeServiceMs (state: TargetState, route: string, usualMs: number, nowMs: number): number {
+    const learnedMs = state.computeServiceMs(usualMs, nowMs)
+    return this._options.reportedTimes?.computeServiceMs(state, route, learnedMs, nowMs) ?? learnedMs
+  }
+
   private _getHistory (route: string): IRouteHistory {
     let history = this._routeHistories.get(route)
     if (history === undefined) {
--- a/packages/traffic/src/placement/TargetState.ts
+++ b/packages/traffic/src/placement/TargetState.ts
@@ -26,6 +26,8 @@
 const FULL_LOAD_SLOWDOWN = 0.3
 /** Time for which a load report is used. */
 const LOAD_REPORT_LIFETIME_MS = 1_000
+/** Time for which the reported number of calls is used that a target handles well; it changes less often than the load. */
+const ROOM_LIFETIME_MS = 10_000
 
 /** Runs of the calls of one route. */
 export interface IRunTimes {
@@ -45,6 +47,10 @@
   ejectedUntilMs = 0
   ejections = 0
   latencyMs = 0
+  /** Time of calls relative to the average of all targets by the last report; undefined without one. */
+  reportedSpeed: { readonly slowness: number, readonly atMs: number } | undefined
+  /** Number of calls that the target handles well by the last report; undefined without one. */
+  reportedRoom: { readonly calls: number, readonly atMs: number } | undefined
   private _slowness = 1
   private _averageSlotMs = 0
   private _loadReport: ITargetLoad | undefined
@@ -146,9 +152,16 @@
     return Math.max(this.inFlight, reportedCalls)
   }
 
+  /** @returns calls that the target handles at once: those that it reported last if that is recent, else its slots */
+  computeRoom (nowMs: number): number {
+    const { slots } = this.record
+    if (this.reportedRoom === undefined || nowMs - this.reportedRoom.atMs >= ROOM_LIFETIME_MS) return slots
+    return Math.min(slots, this.reportedRoom.calls)
+  }
+
   /** @returns expected wait for a slot in milliseconds */
   computeWaitMs (nowMs: number): number {
-    const slots = Math.max(1, this.record.slots)
+    const slots = Math.max(1, this.computeRoom(nowMs))
     const excessCalls = this.countActive(nowMs) + 1 - slots
     return excessCalls <= 0 ? 0 : excessCalls / slots * (this._averageSlotMs > 0 ? this._averageSlotMs : DEFAULT_SERVICE_MS)
   }
@@ -158,7 +171,7 @@
    * @returns expected time in a slot in milliseconds
    */
   computeServiceMs (usualMs: number, nowMs: number): number {
-    const load = Math.min(1, this.countActive(nowMs) / Math.max(1, this.record.slots))
+    const load = Math.min(1, this.countActive(nowMs) / Math.max(1, this.computeRoom(nowMs)))
     const coldFactor = this.isWarm(nowMs) ? 1 : COLD_FACTOR
     const known = usualMs > 0 ? usualMs * this._slowness : this.latencyMs
     const base = known > 0 ? known : DEFAULT_SERVICE_MS
--- a/packages/traffic/src/room/LearnedRoom.ts
+++ b/packages/traffic/src/room/LearnedRoom.ts
@@ -54,7 +54,7 @@
  * calls the number in use doesn't matter, and nothing is changed.
  */
 export class LearnedRoom extends RoomPolicy {
-  private readonly _times = new RunTimes()
+  private readonly _times: RunTimes
   private _calls: number | undefined
   private _trial: ITrial | undefined
   private _isNextUp = false
@@ -67,6 +67,7 @@
   /** @param _clock - source of time */
   constructor (private readonly _clock: IClock) {
     super()
+    this._times = new RunTimes(_clock)
   }
 
   recordRun ({ route, startedMs, ownMs, isComparable }: IRunSample): void {
@@ -93,10 +94,6 @@
     return Math.min(slots, this._calls ?? slots)
   }
 
-  computeExpectedMs (route: string): number {
-    return this._times.computeExpectedMs(route)
-  }
-
   private _startTrial (calls: number, slots: number, nowMs: number): void {
     const isUp = calls < slots && (this._isNextUp || calls === 1)
     const steps = isUp ? STEPS_UP : STEPS_DOWN
--- a/packages/traffic/src/room/RoomPolicy.ts
+++ b/packages/traffic/src/room/RoomPolicy.ts
@@ -26,13 +26,6 @@
    * @returns a whole number from 1 to `slots`
    */
   abstract computeRoom (slots: number, isCongested: boolean): number
-
-  /**
-   * Computes the time of calls of a route at the present speed and load of the target.
-   * @param route - key of the route
-   * @returns time in a slot in milliseconds without nested calls, 0 if unknown
-   */
-  abstract computeExpectedMs (route: string): number
 }
 
 /** Uses all stated slots. */
@@ -42,8 +35,4 @@
   computeRoom (slots: number): number {
     return slots
   }
-
-  computeExpectedMs (): number {
-    return 0
-  }
 }
--- /dev/null
+++ b/tests/ReportedTimes.test.ts
@@ -0,0 +1,62 @@
+/**
+ * Targets of uneven speed, whose times callers learn from the reports of the targets.
+ */
+import type { Socket } from 'node:net'
+import { afterEach, expect, test } from 'vitest'
+import { PlatformDialect } from '@lagoonswitch/platform'
+import { DESK, World } from './support/World.js'
+
+const SLOTS = 4
+const CALLS = 20
+const DELAYS_MS: Readonly<Record<string, number>> = { fast: 20, slow: 200 }
+
+let world: World
+let calls = 0
+let runs: Record<string, number>
+
+/** Starts nodes that use reported times and others that don't; the targets are on the second one. */
+async function start (areReporting: readonly boolean[]): Promise<void> {
+  world = await World.start([], '', new PlatformDialect())
+  for (const [index, isReporting] of areReporting.entries()) {
+    await world.startNode(`n${index + 1}`, `[node]\nreported_times = ${isReporting}\n`)
+  }
+  await world.putEntry({ ...DESK, class: 'normal', limits: { ...DESK.limits, slots: SLOTS, queue: 20 } })
+  runs = {}
+  for (const [id, delayMs] of Object.entries(DELAYS_MS)) {
+    await world.addRawTarget('n2', id, 'v1', socket => serve(socket, id, delayMs), SLOTS)
+  }
+}
+
+function serve (socket: Socket, targetId: string, delayMs: number): void {
+  socket.on('data', data => {
+    const id = /x-attempt-id: (\S+)/i.exec(data.toString())?.[1]
+    if (id === undefined) return
+    runs[targetId] = (runs[targetId] ?? 0) + 1
+    setTimeout(() => socket.write(`HTTP/1.1 200 OK\r\nX-Attempt-Id: ${id}\r\nContent-Length: 2\r\n\r\nok`), delayMs)
+  })
+}
+
+async function call (node: string): Promise<number> {
+  const { status } = await world.call(node, 'GET', '/read', { 'x-attempt-id': `t${calls++}`, 'x-request-deadline': '3000' })
+  return status
+}
+
+afterEach(async () => { await world.stop() })
+
+test('node that sends few calls avoids a slow target by the times that the calls of another node took', async () => {
+  await start([true, true, true])
+  for (let round = 0; round < 12; round++) await Promise.all(Array.from({ length: 2 * SLOTS }, async () => await call('n3')))
+  // Both targets become known to the node.
+  await Promise.all(Array.from({ length: 2 * SLOTS }, async () => await call('n1')))
+  runs = {}
+  for (let index = 0; index < CALLS; index++) expect(await call('n1')).toBe(200)
+  expect(runs.slow ?? 0).toBeLessThanOrEqual(1)
+}, 20_000)
+
+test.each([
+  ['that reports no times', [true, false]], ['that uses none', [false, true]]
+])('calls between a process that uses reported times and one %s are served', async (_name, areReporting) => {
+  await start(areReporting)
+  for (let index = 0; index < CALLS; index++) expect(await call('n1')).toBe(200)
+  expect((runs.fast ?? 0) + (runs.slow ?? 0)).toBe(CALLS)
+}, 20_000)
