Placement: reported times fade into the usual speed of the target first

A report that faded into the caller's own estimate within seconds made targets without recent calls seem slower than one that had just reported that it is slow, since that estimate contains assumed slowdowns. Now the last report fades into the average of the target's reports, and that into the own estimate after 10 s; targets that are taken as cold are compared as before.

Tests: ReportedTimes (unit 7, end to end 3), placement and node calls pass.

--- a/packages/traffic/src/placement/ReportedTimes.ts
+++ b/packages/traffic/src/placement/ReportedTimes.ts
@@ -6,9 +6,14 @@
 
 /** Weight of the newest report in the averages. */
 const REPORT_WEIGHT = 0.05
-/** Age of a report up to which it alone counts, and half-life of its weight afterwards. */
+/** Weight of the newest report in the usual slowness of a target. */
+const USUAL_SLOWNESS_WEIGHT = 0.1
+/** Age up to which the last report alone counts, and half-life of its weight against the usual slowness afterwards. */
 const FRESH_MS = 1_000
 const HALF_LIFE_MS = 2_000
+/** Age of the last report up to which only reports count, and half-life of their weight afterwards. */
+const USUAL_FRESH_MS = 10_000
+const USUAL_HALF_LIFE_MS = 10_000
 
 interface IRouteAverage {
   ownMs: number
@@ -31,24 +36,32 @@
     if (room > 0) state.reportedRoom = { calls: room, atMs: nowMs }
     if (expectedMs <= 0) return
     const average = this._updateAverage(route, expectedMs, nestedMs)
-    state.reportedSpeed = { slowness: expectedMs / average.ownMs, atMs: nowMs }
+    const slowness = expectedMs / average.ownMs
+    const usual = state.reportedSpeed?.usualSlowness ?? slowness
+    state.reportedSpeed = { slowness, usualSlowness: usual + (slowness - usual) * USUAL_SLOWNESS_WEIGHT, atMs: nowMs }
   }
 
   /**
    * Computes the expected time of a call in a slot. Nested calls take the same time whichever target makes them, so their average
-   * over all targets counts.
+   * over all targets counts. As the last report grows old, the usual one of the target replaces it and later the learned time. The
+   * learned time alone would not do: it contains assumptions on load and warm-up, so that targets without calls from here would seem
+   * slower than one that has just reported that it is slow.
    * @param state - the target
    * @param route - key of the route
-   * @param learnedMs - expected time without reports, in milliseconds, which replaces the report gradually as that grows old
+   * @param learnedMs - expected time without reports, in milliseconds
    * @param nowMs - monotonic time in milliseconds
    * @returns milliseconds
    */
-  computeServiceMs ({ reportedSpeed }: TargetState, route: string, learnedMs: number, nowMs: number): number {
+  computeServiceMs (state: TargetState, route: string, learnedMs: number, nowMs: number): number {
+    const { reportedSpeed } = state
     const average = this._routes.get(route)
     if (average === undefined || reportedSpeed === undefined) return learnedMs
-    const weight = 0.5 ** (Math.max(0, nowMs - reportedSpeed.atMs - FRESH_MS) / HALF_LIFE_MS)
-    const reportedMs = average.ownMs * reportedSpeed.slowness + average.nestedMs
-    return learnedMs + (reportedMs - learnedMs) * weight
+    const { slowness, usualSlowness, atMs } = reportedSpeed
+    const weight = 0.5 ** (Math.max(0, nowMs - atMs - FRESH_MS) / HALF_LIFE_MS)
+    const reportedMs = average.ownMs * (usualSlowness + (slowness - usualSlowness) * weight) + average.nestedMs
+    const expectedMs = learnedMs + (reportedMs - learnedMs) * 0.5 ** (Math.max(0, nowMs - atMs - USUAL_FRESH_MS) / USUAL_HALF_LIFE_MS)
+    // Else the first targets to report of many cold ones would get all calls, as the others are assumed to be slow.
+    return state.isWarm(nowMs) ? expectedMs : Math.max(learnedMs, expectedMs)
   }
 
   private _updateAverage (route: string, expectedMs: number, nestedMs: number): IRouteAverage {
--- a/packages/traffic/src/placement/TargetState.ts
+++ b/packages/traffic/src/placement/TargetState.ts
@@ -47,8 +47,8 @@
   ejectedUntilMs = 0
   ejections = 0
   latencyMs = 0
-  /** Time of calls relative to the average of all targets by the last report; undefined without one. */
-  reportedSpeed: { readonly slowness: number, readonly atMs: number } | undefined
+  /** Times of calls relative to the average of all targets, by the last report and by the recent ones; undefined without one. */
+  reportedSpeed: { readonly slowness: number, readonly usualSlowness: number, readonly atMs: number } | undefined
   /** Number of calls that the target handles well by the last report; undefined without one. */
   reportedRoom: { readonly calls: number, readonly atMs: number } | undefined
   private _slowness = 1
