--- a/packages/traffic/src/room/LearnedRoom.ts
+++ b/packages/traffic/src/room/LearnedRoom.ts
@@ -1,161 +1,281 @@
 /**
- * Finds the number of calls at once with which a target under congestion completes most calls.
+ * Finds the number of calls at once with which a target under congestion completes most work.
  */
 import type { IClock } from '@lagoonswitch/common'
 import { RoomPolicy, type IRunSample } from './RoomPolicy.js'
-import { RunTimes } from './RunTimes.js'
+import { RouteWeights } from './RouteWeights.js'
+import { ThroughputCurve } from './ThroughputCurve.js'
 
-/**
- * Changes of the number of calls in trials, as fractions, at least one call. Near a steep decline of throughput only a large step shows
- * a clear gain; the best number itself is found by small ones.
- */
-const STEPS_DOWN = [0.4, 0.1, 0.2] as const
-const STEPS_UP = [0.1, 0.3] as const
-/** Length of a period in usual run times: most calls that start in it also end in it. */
-const PERIOD_RUNS = 2.5
-const MIN_PERIOD_MS = 100
-const MAX_PERIOD_MS = 2_000
-/** Time between trials: short at first and after a change, then doubled after each trial that changes nothing, so that trials cost little. */
-const FIRST_INTERVAL_MS = 500
-const MAX_INTERVAL_MS = 30_000
-/** Pairs of periods after which a trial that shows no clear gain ends. */
-const MAX_PAIRS = 6
-/** Calls of each kind of period before a trial is judged. */
-const MIN_SAMPLES = 12
-/** Standard errors by which a gain must differ from the one required (one-sided 95%). */
-const CONFIDENCE = 1.65
-/** Gain in log throughput that a lower number must show; where throughput is equal the higher number is kept. */
-const MIN_GAIN_DOWN = 0.04
-/** A higher number may show a slightly lower throughput within the error of a trial. */
-const MIN_GAIN_UP = -0.02
-/** Weight of the newest sample in the usual duration. */
-const DURATION_WEIGHT = 0.05
-
-interface ILogSums {
-  count: number
-  sum: number
-  sumOfSquares: number
+/** Runs measured at the present number of calls before a trial, and the number at which older ones are halved in weight. */
+const MIN_BASE_RUNS = 16
+const MAX_BASE_RUNS = 200
+/** Runs of a trial before it may end, and ratio to those before it above which more would change little. */
+const MIN_TRIAL_RUNS = 6
+const MAX_TRIAL_RATIO = 1.5
+/** Standard errors by which a gain, or a loss, must differ from 0 for a trial to end early; a loss isn't borne for long. */
+const GAIN_CONFIDENCE = 2
+const LOSS_CONFIDENCE = 2
+/** Time after which a trial ends in any case. */
+const MAX_TRIAL_MS = 4_000
+/** Time from a change of the number of calls until throughput is measured, in usual run times. */
+const SETTLE_RUNS = 0.7
+/** Steepness with which the value of a run falls around the time that was left for it. */
+const VALUE_EXPONENT = 4
+/** Value of a run that is far too late; without it, the few that are in time would decide, and these vary much. */
+const LATE_VALUE = 0.1
+/** Smallest relative standard deviation of one run; few runs may seem more alike than they are. */
+const MIN_RUN_DEVIATION = 0.5
+/** Change of the target's speed between two measurements, as standard deviation. */
+const DRIFT_DEVIATION = 0.2
+/** Difference of log throughput that must be expected for a change. */
+const MIN_GAIN = 0.02
+/** Standard deviations by which the throughput with fewer calls must exceed the present one. */
+const DOWN_CONFIDENCE = 1
+/** Time for which a better number is expected to be of use, in milliseconds. */
+const HORIZON_MS = 16_000
+/** Standard deviation of the result of a trial that is being planned. */
+const PLANNED_DEVIATION = 0.2
+/** Calls that trials may cost at first, and per completed call. */
+const FIRST_BUDGET = 60
+const BUDGET_RATIO = 0.015
+/** First number of calls that is tried, relative to the slots. */
+const FIRST_RATIO = 0.6
+/** Time until trials are considered again when none was worth its cost. */
+const IDLE_INTERVAL_MS = 500
+
+interface IThroughput {
+  /** Completed runs, weighted by the usual time of their route. */
+  work: number
+  runs: number
+  /** Time of all slots in use, in milliseconds. */
+  slotMs: number
+  /** Sums of squares and products of the work and the time of runs, for the error. */
+  workSquares: number
+  workMs: number
+  squareMs: number
 }
 
 interface ITrial {
   readonly calls: number
-  readonly base: ILogSums
-  readonly changed: ILogSums
-  /** True while the trial's own number of calls is in use, false in the periods between. */
-  isChanged: boolean
-  pairs: number
-  periodStartedMs: number
-  periodEndsMs: number
+  readonly startedMs: number
+  readonly measured: IThroughput
+  /** Time at which the number of calls at the target became that of the trial; undefined before. */
+  reachedMs: number | undefined
+  /** Runs that ended since the start of the trial, also those that are not measured. */
+  allRuns: number
 }
 
 /**
- * Compares the present number of calls with a higher or lower one in alternating periods. Since both are measured at the same time, a
- * target that is slow at any load, a cold start or a slow phase doesn't change the result. Answers congestion only: without waiting
- * calls the number in use doesn't matter, and nothing is changed.
+ * Tries another number of calls for a short time and keeps it if the target completes more. Compares throughput, not durations of runs
+ * that ended in the trial, since those that end first are the short ones.
  */
 export class LearnedRoom extends RoomPolicy {
-  private readonly _times: RunTimes
-  private _calls: number | undefined
+  private readonly _weights = new RouteWeights()
+  private _calls = Infinity
+  private _slots = Infinity
+  private _base: IThroughput = createThroughput()
+  private _isBaseReached = false
+  /** Runs that started before the present number of calls was reached. */
+  private _runsToSkip = 0
   private _trial: ITrial | undefined
-  private _isNextUp = false
+  private _curve = new ThroughputCurve(1)
+  private _curveMs = 0
   private _nextTrialMs = 0
-  private _intervalMs = FIRST_INTERVAL_MS
-  private _averageRunMs = 0
-  private _runs = 0
-  private _trials = 0
+  private _budget = FIRST_BUDGET
+  private _inFlight = 0
+  private _isCongested = false
+  private _loadedMs = 0
 
   /** @param _clock - source of time */
   constructor (private readonly _clock: IClock) {
     super()
-    this._times = new RunTimes(_clock)
   }
 
-  recordRun ({ route, startedMs, ownMs, isComparable }: IRunSample): void {
-    if (!isComparable || ownMs <= 0) return
-    this._runs++
-    this._averageRunMs += (ownMs - this._averageRunMs) * Math.max(DURATION_WEIGHT, 1 / this._runs)
-    const relative = this._times.recordRun(route, ownMs)
-    if (relative === undefined || this._trial === undefined || startedMs < this._trial.periodStartedMs) return
-    const sums = this._trial.isChanged ? this._trial.changed : this._trial.base
-    sums.count++
-    sums.sum += relative
-    sums.sumOfSquares += relative * relative
+  recordRun ({ route, ownMs, nestedMs, allowedMs, isComparable }: IRunSample): void {
+    this._budget += BUDGET_RATIO
+    this._runsToSkip -= this._isBaseReached && this._runsToSkip > 0 ? 1 : 0
+    const weight = this._weights.recordRun(route, ownMs, nestedMs, isComparable)
+    if (this._trial !== undefined) this._trial.allRuns++
+    const measured = this._findMeasured()
+    if (measured === undefined) return
+    addRun(measured, weight * computeValue(ownMs + nestedMs, allowedMs), ownMs + nestedMs)
+    if (this._trial !== undefined) this._decide(this._trial)
+    else if (measured.runs > MAX_BASE_RUNS) halve(measured)
   }
 
-  computeRoom (slots: number, isCongested: boolean): number {
-    const calls = Math.min(slots, this._calls ?? slots)
+  recordLoad (inFlight: number, isCongested: boolean): void {
     const nowMs = this._clock.readMonotonicMs()
-    if (this._trial === undefined) {
-      if (isCongested && nowMs >= this._nextTrialMs && this._runs >= MIN_SAMPLES) this._startTrial(calls, slots, nowMs)
-    } else if (nowMs >= this._trial.periodEndsMs) {
-      this._endPeriod(this._trial, calls, slots, nowMs, isCongested)
-    }
-    if (this._trial?.isChanged === true) return Math.min(slots, this._trial.calls)
-    return Math.min(slots, this._calls ?? slots)
-  }
-
-  private _startTrial (calls: number, slots: number, nowMs: number): void {
-    const isUp = calls < slots && (this._isNextUp || calls === 1)
-    const steps = isUp ? STEPS_UP : STEPS_DOWN
-    const step = Math.max(1, Math.round((steps[this._trials++ % steps.length] as number) * calls))
-    const changedCalls = isUp ? Math.min(slots, calls + step) : Math.max(1, calls - step)
-    if (changedCalls === calls) return
-    this._trial = {
-      calls: changedCalls,
-      base: { count: 0, sum: 0, sumOfSquares: 0 },
-      changed: { count: 0, sum: 0, sumOfSquares: 0 },
-      isChanged: false,
-      pairs: 0,
-      periodStartedMs: nowMs,
-      periodEndsMs: nowMs + this._computePeriodMs()
-    }
+    const measured = this._findMeasured()
+    if (measured !== undefined) measured.slotMs += this._inFlight * (nowMs - this._loadedMs)
+    this._loadedMs = nowMs
+    this._inFlight = inFlight
+    this._isCongested = isCongested
+    if (this._trial !== undefined) this._updateReached(this._trial, nowMs)
+    else if (inFlight >= this._baseCalls) this._isBaseReached = true
+  }
+
+  computeRoom (slots: number): number {
+    if (slots !== this._slots) this._restart(slots)
+    const nowMs = this._clock.readMonotonicMs()
+    if (this._trial === undefined) this._startTrial(nowMs)
+    else if (nowMs - this._trial.startedMs > MAX_TRIAL_MS) this._endTrial(this._trial)
+    return this._trial?.calls ?? this._baseCalls
+  }
+
+  private get _baseCalls (): number {
+    return Math.min(this._slots, this._calls)
+  }
+
+  private _restart (slots: number): void {
+    this._slots = slots
+    this._curve = new ThroughputCurve(slots)
+    this._curveMs = this._clock.readMonotonicMs()
+    this._trial = undefined
+    this._resetBase()
+  }
+
+  private _resetBase (): void {
+    this._base = createThroughput()
+    this._isBaseReached = false
+    this._runsToSkip = this._baseCalls
+  }
+
+  private _updateReached (trial: ITrial, nowMs: number): void {
+    const isReached = trial.calls < this._baseCalls ? this._inFlight <= trial.calls : this._inFlight >= trial.calls
+    if (isReached) trial.reachedMs ??= nowMs
+  }
+
+  /** Throughput is measured while all allowed calls are at the target. */
+  private _findMeasured (): IThroughput | undefined {
+    if (this._trial !== undefined) return this._isSettled(this._trial) ? this._trial.measured : undefined
+    return this._isBaseReached && this._runsToSkip === 0 && (this._isCongested || this._inFlight >= this._baseCalls - 1) ? this._base : undefined
+  }
+
+  /** Runs in progress at a change are all old or all new, so that they end at another rate than usual. */
+  private _isSettled ({ reachedMs = Infinity }: ITrial): boolean {
+    return this._clock.readMonotonicMs() - reachedMs > SETTLE_RUNS * this._base.slotMs / this._base.runs
   }
 
-  private _endPeriod (trial: ITrial, calls: number, slots: number, nowMs: number, isCongested: boolean): void {
-    trial.pairs += trial.isChanged ? 1 : 0
-    const decision = trial.isChanged || !isCongested ? decideTrial(trial, calls, isCongested) : undefined
-    if (decision === undefined) {
-      trial.isChanged = !trial.isChanged
-      trial.periodStartedMs = nowMs
-      trial.periodEndsMs = nowMs + this._computePeriodMs()
+  private _startTrial (nowMs: number): void {
+    if (!this._isCongested || nowMs < this._nextTrialMs || this._base.runs < MIN_BASE_RUNS || this._budget <= 0) return
+    this._curve.advance(nowMs - this._curveMs)
+    this._curveMs = nowMs
+    const calls = this._selectTrial()
+    if (calls === undefined) {
+      this._nextTrialMs = nowMs + IDLE_INTERVAL_MS
       return
     }
+    this._trial = { calls, startedMs: nowMs, measured: createThroughput(), reachedMs: undefined, allRuns: 0 }
+    this._updateReached(this._trial, nowMs)
+  }
+
+  /** Selects the trial that is expected to gain most over its cost. */
+  private _selectTrial (): number | undefined {
+    const base = this._baseCalls
+    const runMs = this._base.slotMs / this._base.runs
+    let best: number | undefined
+    let bestValue = 0
+    // The first one is far away, where a slowdown by load shows clearly.
+    if (!this._curve.isTried(base)) return Math.max(1, Math.round(FIRST_RATIO * base)) % base || undefined
+    const middle = this._curve.findMiddleAbove(base)
+    if (middle !== undefined) return middle
+    for (let calls = 1; calls <= this._slots; calls++) {
+      if (calls === base) continue
+      const { mean, variance } = this._curve.compare(calls, base)
+      const deviation = variance / Math.sqrt(variance + PLANNED_DEVIATION ** 2)
+      const trialMs = runMs * (SETTLE_RUNS + Math.abs(base - calls) / base + MIN_BASE_RUNS / calls)
+      const value = computeExpectedGain(mean, deviation) * HORIZON_MS - Math.max(0.02, 1 - Math.exp(mean)) * trialMs
+      if (value <= bestValue) continue
+      best = calls
+      bestValue = value
+    }
+    return best
+  }
+
+  private _decide (trial: ITrial): void {
+    const { measured } = trial
+    if (measured.runs < MIN_TRIAL_RUNS || measured.slotMs <= 0) return
+    const error = Math.hypot(computeError(measured), computeError(this._base))
+    const deviations = this._computeGain(trial) / error
+    const isClear = deviations > GAIN_CONFIDENCE || deviations < -LOSS_CONFIDENCE
+    if (isClear || measured.runs >= MAX_TRIAL_RATIO * this._base.runs) this._endTrial(trial)
+  }
+
+  private _computeGain ({ calls, measured }: ITrial): number {
+    const speed = measured.work / measured.slotMs / (this._base.work / this._base.slotMs)
+    return Math.log(calls / this._baseCalls * speed)
+  }
+
+  private _endTrial (trial: ITrial): void {
+    const nowMs = this._clock.readMonotonicMs()
     this._trial = undefined
-    const isUp = trial.calls > calls
-    if (decision === 'change') {
-      this._calls = trial.calls >= slots ? undefined : trial.calls
-      this._intervalMs = 0
-      this._isNextUp = isUp
-    } else {
-      this._intervalMs = Math.min(MAX_INTERVAL_MS, Math.max(FIRST_INTERVAL_MS, 2 * this._intervalMs))
-      this._isNextUp = !isUp
+    const { runs, slotMs } = this._base
+    this._budget -= Math.max(0, runs / slotMs * this._baseCalls * (nowMs - trial.startedMs) - trial.allRuns)
+    if (trial.measured.runs > 0 && trial.measured.slotMs > 0) {
+      const variance = computeError(trial.measured) ** 2 + computeError(this._base) ** 2 + DRIFT_DEVIATION ** 2
+      this._curve.recordComparison(trial.calls, this._baseCalls, { mean: this._computeGain(trial), variance })
     }
-    this._nextTrialMs = nowMs + this._intervalMs
+    const best = this._selectBest()
+    const isChanged = best !== this._baseCalls
+    this._calls = best >= this._slots ? Infinity : best
+    // Measured anew for each trial, so that the errors of comparisons don't depend on each other.
+    this._resetBase()
+    if (!isChanged) return
+    this._budget = Math.max(this._budget, FIRST_BUDGET)
   }
 
-  private _computePeriodMs (): number {
-    return Math.max(MIN_PERIOD_MS, Math.min(MAX_PERIOD_MS, PERIOD_RUNS * this._averageRunMs))
+  private _selectBest (): number {
+    let best = this._baseCalls
+    let bestGain = MIN_GAIN
+    for (let calls = 1; calls <= this._slots; calls++) {
+      const { mean, variance } = this._curve.compare(calls, this._baseCalls)
+      const margin = calls < this._baseCalls ? DOWN_CONFIDENCE * Math.sqrt(variance) : 0
+      if (mean <= bestGain || mean <= margin || !this._curve.isTried(calls)) continue
+      best = calls
+      bestGain = mean
+    }
+    return best
   }
 }
 
-/**
- * Judges a trial by its throughput: the number of calls at once divided by their duration.
- * @returns undefined while it is open
- */
-function decideTrial (trial: ITrial, calls: number, isCongested: boolean): 'change' | 'keep' | undefined {
-  if (!isCongested) return 'keep'
-  const { base, changed } = trial
-  const isLast = trial.pairs >= MAX_PAIRS
-  if (base.count < MIN_SAMPLES || changed.count < MIN_SAMPLES) return isLast ? 'keep' : undefined
-  const gain = Math.log(trial.calls / calls) - (changed.sum / changed.count - base.sum / base.count)
-  const error = Math.sqrt(computeVariance(base) / base.count + computeVariance(changed) / changed.count)
-  const required = trial.calls < calls ? MIN_GAIN_DOWN : MIN_GAIN_UP
-  if (gain - CONFIDENCE * error > required) return 'change'
-  if (gain + CONFIDENCE * error < required) return 'keep'
-  if (!isLast) return undefined
-  return trial.calls > calls && gain > required ? 'change' : 'keep'
+/** Expected gain over 0 of a normally distributed difference that is used only if it is positive. */
+function computeExpectedGain (mean: number, deviation: number): number {
+  if (deviation <= 0) return Math.max(0, mean)
+  const z = mean / deviation
+  const density = Math.exp(-z * z / 2) / Math.sqrt(2 * Math.PI)
+  // Logistic approximation of the normal distribution.
+  return deviation * density + mean / (1 + Math.exp(-1.702 * z))
+}
+
+/** Value of a run that took a time: near 1 if it was in time. Falls gradually, so that single runs decide less. */
+function computeValue (runMs: number, allowedMs: number): number {
+  return allowedMs <= 0 ? 1 : LATE_VALUE + (1 - LATE_VALUE) / (1 + (runMs / allowedMs) ** VALUE_EXPONENT)
+}
+
+function createThroughput (): IThroughput {
+  return { work: 0, runs: 0, slotMs: 0, workSquares: 0, workMs: 0, squareMs: 0 }
+}
+
+function addRun (measured: IThroughput, work: number, runMs: number): void {
+  measured.work += work
+  measured.runs++
+  measured.workSquares += work * work
+  measured.workMs += work * runMs
+  measured.squareMs += runMs * runMs
+}
+
+/** Relative standard error of the work per slot and time, as of a ratio of two sums. */
+function computeError ({ work, runs, slotMs, workSquares, workMs, squareMs }: IThroughput): number {
+  const rate = work / slotMs
+  const residuals = Math.max(0, workSquares - 2 * rate * workMs + rate * rate * squareMs)
+  return Math.max(MIN_RUN_DEVIATION * Math.sqrt(runs), Math.sqrt(residuals) / (work / runs)) / runs
 }
 
-function computeVariance ({ count, sum, sumOfSquares }: ILogSums): number {
-  return Math.max(0, sumOfSquares / count - (sum / count) ** 2)
+function halve (measured: IThroughput): void {
+  measured.work /= 2
+  measured.runs /= 2
+  measured.slotMs /= 2
+  measured.workSquares /= 2
+  measured.workMs /= 2
+  measured.squareMs /= 2
 }
--- a/packages/traffic/src/room/RoomPolicy.ts
+++ b/packages/traffic/src/room/RoomPolicy.ts
@@ -10,28 +10,40 @@
   readonly startedMs: number
   /** Time in the slot in milliseconds, less the time during which nested calls of the run were in progress. */
   readonly ownMs: number
+  /** Time during which nested calls of the run were in progress, in milliseconds. */
+  readonly nestedMs: number
+  /** Time that was left until the response loses value when the call got its slot, in milliseconds; 0 if unknown. */
+  readonly allowedMs: number
   /** False for a run that failed, was cancelled, or waited for its caller to send or read a body: its duration is not the target's. */
   readonly isComparable: boolean
 }
 
-/** Decides how many calls one target gets at once. Answers a load that fills targets of uneven speed, some of which slow down early. */
+/** Decides how many calls one target gets at once, under a load that fills targets of which some slow down before all slots are taken. */
 export abstract class RoomPolicy {
   /** @param sample - call that has ended */
   abstract recordRun (sample: IRunSample): void
 
+  /**
+   * Records the number of calls at the target, after each change.
+   * @param inFlight - calls that hold a slot
+   * @param isCongested - true while calls wait for a slot
+   */
+  abstract recordLoad (inFlight: number, isCongested: boolean): void
+
   /**
    * Computes how many calls the target may run at once.
    * @param slots - slots that the target states
-   * @param isCongested - true while calls wait for a slot
    * @returns a whole number from 1 to `slots`
    */
-  abstract computeRoom (slots: number, isCongested: boolean): number
+  abstract computeRoom (slots: number): number
 }
 
 /** Uses all stated slots. */
 export class StatedRoom extends RoomPolicy {
   recordRun (): void {}
 
+  recordLoad (): void {}
+
   computeRoom (slots: number): number {
     return slots
   }
