Operators see the reported times of targets

runs_measured_total counts the runs whose time is measured, and why others aren't; run_own_duration has the times of each target without nested calls; call_sent has the slowness that the caller used, its age and the room. A test guards that the comparison with the usual pace, by which the detection of hangs recognizes a slow service, doesn't use reports.

--- a/packages/node/src/calls/CallReport.ts
+++ b/packages/node/src/calls/CallReport.ts
@@ -60,7 +60,8 @@
   /** Logs an attempt if the call is sampled. */
   reportSend (target: ITargetState, leftMs: number): void {
     if (!this._isSampled) return
-    const { record } = target
+    const { record, reportedSpeed } = target
+    const nowMs = this._context.clock.readMonotonicMs()
     this._context.log.info('call_sent', {
       call: this._callId,
       route: this.route,
@@ -70,7 +71,11 @@
       known_as: `${record.incarnation}.${record.sequence}`,
       failure_rate: target.failureRate,
       in_flight: target.inFlight,
-      load_age_ms: target.getLoadReportAgeMs(this._context.clock.readMonotonicMs()),
+      load_age_ms: target.getLoadReportAgeMs(nowMs),
+      slowness: reportedSpeed?.slowness,
+      usual_slowness: reportedSpeed?.usualSlowness,
+      slowness_age_ms: reportedSpeed === undefined ? undefined : nowMs - reportedSpeed.atMs,
+      room: target.computeRoom(nowMs),
       send: this.retries?.sends,
       left_ms: leftMs
     })
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -360,7 +360,7 @@
     const { clock, isServiceSlow } = this._options
     const { id, service } = announcement
     const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
-    const meter = this._pauses === undefined ? undefined : new RunMeter(clock, this._pauses)
+    const meter = this._pauses === undefined ? undefined : new RunMeter(clock, this._pauses, this._options.metrics, id)
     return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, meter)
   }
 
--- a/packages/traffic/src/placement/TargetPool.test.ts
+++ b/packages/traffic/src/placement/TargetPool.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock, Metrics, SeededRandom } from '@lagoonswitch/common'
 import { EndpointView } from '@lagoonswitch/feed'
 import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
+import { ReportedTimes } from './ReportedTimes.js'
 import { TargetPool, type ITargetState } from './TargetPool.js'
 
 const NONE = new Set<string>()
@@ -170,3 +171,24 @@
   expect(pickFar(2_000)?.record.targetId).toBe('far')
   expect(pickFar(250)).toBeUndefined()
 })
+
+test('slowdown that a target reports shortens no comparison with its usual time, by which hangs of a slow service are told apart', async () => {
+  pool = new TargetPool({
+    region: 'r1',
+    availabilityZone: 'z1',
+    linkAddress: 'link-own',
+    clock,
+    random: new SeededRandom(1),
+    metrics: new Metrics(),
+    endpoints,
+    reportedTimes: new ReportedTimes()
+  })
+  add('a')
+  await clock.advance(WARM_MS)
+  const state = pick()
+  const load = { inFlight: 1, slots: 4, queued: 0, served: 9, serviceMs: 100, isRepeatDenied: false }
+  for (let index = 0; index < 50; index++) pool.recordServiceTime(state, 'r', 100)
+  pool.recordLoad(state, { ...load, expectedMs: 500 }, 'r')
+  expect(pool.computeExpectedMs(state, 'r')).toBe(500)
+  expect(pool.computeUsualMs(state, 'r')).toBeLessThan(150)
+})
--- a/packages/traffic/src/room/RunMeter.test.ts
+++ b/packages/traffic/src/room/RunMeter.test.ts
@@ -1,5 +1,5 @@
 import { beforeEach, expect, test } from 'vitest'
-import { ManualClock, SeededRandom } from '@lagoonswitch/common'
+import { ManualClock, Metrics, SeededRandom } from '@lagoonswitch/common'
 import { NestedCalls } from './NestedCalls.js'
 import { PauseMeter } from './PauseMeter.js'
 import { RunMeter, type IMeasuredRun } from './RunMeter.js'
@@ -7,10 +7,12 @@
 let clock: ManualClock
 let meter: RunMeter
 let random: SeededRandom
+let metrics: Metrics
 
 beforeEach(() => {
   clock = new ManualClock()
-  meter = new RunMeter(clock, new PauseMeter(clock))
+  metrics = new Metrics()
+  meter = new RunMeter(clock, new PauseMeter(clock), metrics, 't')
   random = new SeededRandom(1)
 })
 
@@ -45,11 +47,14 @@
   expect(restoredMs).toBeLessThan(130)
 })
 
-test.each<[string, Partial<IMeasuredRun>]>([
-  ['errors', { status: 500 }], ['requests that the caller sends slowly', { isRequestWhole: false }], ['calls without an id', { nestedMs: undefined }]
-])('%s don\'t make the target seem slow', async (_name, fields) => {
+test.each<[string, string, Partial<IMeasuredRun>]>([
+  ['errors', 'error', { status: 500 }],
+  ['requests that the caller sends slowly', 'request', { isRequestWhole: false }],
+  ['calls without an id', 'unknown', { nestedMs: undefined }]
+])('%s don\'t make the target seem slow and are counted', async (_name, reason, fields) => {
   await recordMany(50, 100)
   await recordMany(50, 1_000, fields)
+  expect(metrics.readCount('runs_measured_total', reason)).toBe(50)
   expect(await recordMany(1, 100)).toBeLessThan(130)
 })
 
--- a/packages/traffic/src/room/RunMeter.ts
+++ b/packages/traffic/src/room/RunMeter.ts
@@ -1,7 +1,7 @@
 /**
  * Measures the calls that one target runs, for the expected times that are reported to callers.
  */
-import type { IClock } from '@lagoonswitch/common'
+import type { IClock, Metrics } from '@lagoonswitch/common'
 import type { PauseMeter } from './PauseMeter.js'
 import { RunTimes } from './RunTimes.js'
 
@@ -37,8 +37,13 @@
   /**
    * @param _clock - source of time
    * @param _pauses - knows when this process stood still
+   * @param _metrics - for the times of runs, and the number of runs that are not measured
+   * @param _targetId - of the target
    */
-  constructor (private readonly _clock: IClock, private readonly _pauses: PauseMeter) {
+  constructor (
+    private readonly _clock: IClock, private readonly _pauses: PauseMeter, private readonly _metrics: Metrics,
+    private readonly _targetId: string
+  ) {
     this._times = new RunTimes(_clock)
   }
 
@@ -47,12 +52,24 @@
    * @param run - that has sent the head of its response
    * @returns times for the report to the caller
    */
-  recordRun ({ route, startedMs, nestedMs, isRequestWhole, status }: IMeasuredRun): IReportedTimes {
-    if (route === '' || nestedMs === undefined) return UNKNOWN_TIMES
+  recordRun (run: IMeasuredRun): IReportedTimes {
+    const { route, startedMs, nestedMs } = run
+    const obstacle = this._findObstacle(run)
+    this._metrics.count('runs_measured_total', obstacle ?? 'measured')
+    if (nestedMs === undefined || obstacle === 'unknown') return UNKNOWN_TIMES
     const ownMs = this._clock.readMonotonicMs() - startedMs - nestedMs
-    // Errors take another time than the work of the route.
-    const isComparable = isRequestWhole && status < FIRST_ERROR_STATUS && ownMs > 0 && !this._pauses.hasPausedSince(startedMs)
-    if (isComparable) this._times.recordRun(route, ownMs)
+    if (obstacle === undefined && ownMs > 0) {
+      this._times.recordRun(route, ownMs)
+      this._metrics.getLatencyFamily('run_own_duration', 'target').record(this._targetId, ownMs)
+    }
     return { expectedMs: this._times.computeExpectedMs(route), nestedMs }
   }
+
+  /** Finds why the time of a run says nothing about the target; errors take another time than the work of the route. */
+  private _findObstacle ({ route, startedMs, nestedMs, isRequestWhole, status }: IMeasuredRun): string | undefined {
+    if (route === '' || nestedMs === undefined) return 'unknown'
+    if (!isRequestWhole) return 'request'
+    if (status >= FIRST_ERROR_STATUS) return 'error'
+    return this._pauses.hasPausedSince(startedMs) ? 'pause' : undefined
+  }
 }
