--- a/packages/traffic/src/placement/ReportedTimes.test.ts
+++ b/packages/traffic/src/placement/ReportedTimes.test.ts
@@ -56,7 +56,7 @@
   expect(slowMs / fastMs).toBeGreaterThan(2.5)
 })
 
-test('nested calls that take longer at one target don\'t make it seem slow', () => {
+test('nested calls that take longer at one target do not make it seem slow', () => {
   report()
   times.recordLoad(slow, 'r', { ...LOAD, expectedMs: 100, nestedMs: 2_000 }, 0)
   const [fastMs, slowMs] = [fast, slow].map(state => times.computeServiceMs(state, 'r', LEARNED_MS, 0)) as [number, number]
--- a/packages/traffic/src/room/RunMeter.test.ts
+++ b/packages/traffic/src/room/RunMeter.test.ts
@@ -51,14 +51,14 @@
   ['errors', 'error', { status: 500 }],
   ['requests that the caller sends slowly', 'request', { isRequestWhole: false }],
   ['calls without an id', 'unknown', { nestedMs: undefined }]
-])('%s don\'t make the target seem slow and are counted', async (_name, reason, fields) => {
+])('%s do not make the target seem slow and are counted', async (_name, reason, fields) => {
   await recordMany(50, 100)
   await recordMany(50, 1_000, fields)
   expect(metrics.readCount('runs_measured_total', reason)).toBe(50)
   expect(await recordMany(1, 100)).toBeLessThan(130)
 })
 
-test('nested calls that become slow don\'t make the target seem slow', async () => {
+test('nested calls that become slow do not make the target seem slow', async () => {
   await recordMany(50, 100)
   const startedMs = clock.readMonotonicMs()
   const nested = new NestedCalls(clock)
@@ -73,13 +73,13 @@
   for (let index = 0; index < 30; index++) expect(record(0, { startedMs, nestedMs: nested.totalMs })).toBeLessThan(130)
 })
 
-test('slow route among fast ones doesn\'t make the target seem slow', async () => {
+test('slow route among fast ones does not make the target seem slow', async () => {
   await recordMany(50, 100)
   await recordMany(50, 2_000, { route: 'slow' })
   expect(await recordMany(1, 100)).toBeLessThan(140)
 })
 
-test('runs across a pause of the own process don\'t count, though they are read before the pause is noticed', async () => {
+test('runs across a pause of the own process do not count, though they are read before the pause is noticed', async () => {
   const paused = new ManualClock()
   const pauses = new PauseMeter(paused)
   await paused.advance(200)
