Placement: callers follow reported times only in part

With reports all callers know nearly the same, and all turned to the target that reported the shortest time. The expected time that the call states isn't changed.

--- a/packages/traffic/src/placement/ReportedTimes.test.ts
+++ b/packages/traffic/src/placement/ReportedTimes.test.ts
@@ -40,6 +40,19 @@
   expect([0, 3_000].map(nowMs => times.computeServiceMs(cold, 'r', LEARNED_MS, nowMs))).toEqual([LEARNED_MS, 100])
 })
 
+test('fast target that is full is not preferred to a slower one with free slots, to which otherwise no caller would turn', () => {
+  report()
+  const full = { ...LOAD, inFlight: 4, expectedMs: 100, nestedMs: 50 }
+  const less = { ...LOAD, inFlight: 0, expectedMs: 180, nestedMs: 50 }
+  times.recordLoad(fast, 'r', full, 0)
+  fast.recordLoad(full, 0)
+  times.recordLoad(slow, 'r', less, 0)
+  slow.recordLoad(less, 0)
+  const [fastMs, slowMs] = [fast, slow].map(state => times.computeChoiceMs(state, 'r', LEARNED_MS, 0)) as [number, number]
+  expect(slowMs).toBeLessThan(fastMs)
+  expect(times.computeServiceMs(slow, 'r', LEARNED_MS, 0)).toBeGreaterThan(times.computeServiceMs(fast, 'r', LEARNED_MS, 0))
+})
+
 test('slow phase in the last report is forgotten before the usual speed of the target', () => {
   report()
   times.recordLoad(fast, 'r', { ...LOAD, expectedMs: 300, nestedMs: 50 }, 0)
--- a/packages/traffic/src/placement/ReportedTimes.ts
+++ b/packages/traffic/src/placement/ReportedTimes.ts
@@ -6,6 +6,12 @@
 
 /** Weight of the newest report in the averages. */
 const REPORT_WEIGHT = 0.05
+/**
+ * Exponent of the slowness and slowdown by a full load, for the choice of a target. All callers see nearly the same reports; if they
+ * followed them fully, all would choose the target that reports the shortest time, and its queue would fill.
+ */
+const CHOICE_EXPONENT = 0.5
+const CHOICE_SLOWDOWN = 0.6
 /** Weight of the newest report in the usual slowness of a target. */
 const USUAL_SLOWNESS_WEIGHT = 0.1
 /** Age up to which the last report alone counts, and half-life of its weight against the usual slowness afterwards. */
@@ -53,12 +59,31 @@
    * @returns milliseconds
    */
   computeServiceMs (state: TargetState, route: string, learnedMs: number, nowMs: number): number {
+    return this._computeMs(state, route, learnedMs, nowMs, slowness => slowness)
+  }
+
+  /**
+   * Like {@link computeServiceMs}, for the comparison of targets: differences count less, and the load more.
+   * @param state - the target
+   * @param route - key of the route
+   * @param learnedMs - expected time without reports, in milliseconds
+   * @param nowMs - monotonic time in milliseconds
+   * @returns milliseconds
+   */
+  computeChoiceMs (state: TargetState, route: string, learnedMs: number, nowMs: number): number {
+    const load = Math.min(1, state.countActive(nowMs) / Math.max(1, state.computeRoom(nowMs)))
+    return this._computeMs(state, route, learnedMs, nowMs, slowness => slowness ** CHOICE_EXPONENT * (1 + CHOICE_SLOWDOWN * load))
+  }
+
+  private _computeMs (
+    state: TargetState, route: string, learnedMs: number, nowMs: number, weigh: (slowness: number) => number
+  ): number {
     const { reportedSpeed } = state
     const average = this._routes.get(route)
     if (average === undefined || reportedSpeed === undefined) return learnedMs
     const { slowness, usualSlowness, atMs } = reportedSpeed
     const weight = 0.5 ** (Math.max(0, nowMs - atMs - FRESH_MS) / HALF_LIFE_MS)
-    const reportedMs = average.ownMs * (usualSlowness + (slowness - usualSlowness) * weight) + average.nestedMs
+    const reportedMs = average.ownMs * weigh(usualSlowness + (slowness - usualSlowness) * weight) + average.nestedMs
     const expectedMs = learnedMs + (reportedMs - learnedMs) * 0.5 ** (Math.max(0, nowMs - atMs - USUAL_FRESH_MS) / USUAL_HALF_LIFE_MS)
     // Else the first targets to report of many cold ones would get all calls, as the others are assumed to be slow.
     return state.isWarm(nowMs) ? expectedMs : Math.max(learnedMs, expectedMs)
--- a/packages/traffic/src/placement/TargetPool.ts
+++ b/packages/traffic/src/placement/TargetPool.ts
@@ -198,7 +198,10 @@
    */
   computeExpectedMs (state: TargetState, route: string): number {
     const usualMs = this._routeHistories.get(route)?.usualMs ?? 0
-    return usualMs === 0 ? 0 : Math.ceil(this._computeServiceMs(state, route, usualMs, this._options.clock.readMonotonicMs()))
+    if (usualMs === 0) return 0
+    const nowMs = this._options.clock.readMonotonicMs()
+    const learnedMs = state.computeServiceMs(usualMs, nowMs)
+    return Math.ceil(this._options.reportedTimes?.computeServiceMs(state, route, learnedMs, nowMs) ?? learnedMs)
   }
 
   /**
@@ -357,7 +360,8 @@
     const history = criteria === undefined ? undefined : this._routeHistories.get(criteria.route)
     const usualMs = history?.usualMs ?? 0
     const waitMs = state.computeWaitMs(nowMs)
-    const serviceMs = this._computeServiceMs(state, criteria?.route ?? '', usualMs, nowMs)
+    const learnedMs = state.computeServiceMs(usualMs, nowMs)
+    const serviceMs = this._options.reportedTimes?.computeChoiceMs(state, criteria?.route ?? '', learnedMs, nowMs) ?? learnedMs
     const objectiveMs = criteria !== undefined && criteria.objectiveLeftMs > 0 && criteria.isLate !== true
       ? criteria.objectiveLeftMs
       : ASSUMED_OBJECTIVE_FACTOR * (usualMs > 0 ? usualMs : DEFAULT_SERVICE_MS)
@@ -385,11 +389,6 @@
     return HOP_COST + zoneCost + (record.region === region ? 0 : REGION_COST)
   }
 
-  private _computeServiceMs (state: TargetState, route: string, usualMs: number, nowMs: number): number {
-    const learnedMs = state.computeServiceMs(usualMs, nowMs)
-    return this._options.reportedTimes?.computeServiceMs(state, route, learnedMs, nowMs) ?? learnedMs
-  }
-
   private _getHistory (route: string): IRouteHistory {
     let history = this._routeHistories.get(route)
     if (history === undefined) {
