--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -126,7 +126,7 @@
         metrics,
         endpoints: this.endpoints,
         isReachable: address => this._links.get(address)?.isReachable !== false,
-        reportedTimes: settings.node.reportedTimes ? new ReportedTimes() : undefined
+        reportedTimes: settings.node.reportedTimes ? new ReportedTimes(random) : undefined
       }),
       claims: new ClaimsClient(leaderClient, settings.control.claimShards),
       evidence: this._evidence,
--- a/packages/traffic/src/placement/ReportedTimes.ts
+++ b/packages/traffic/src/placement/ReportedTimes.ts
@@ -1,17 +1,20 @@
 /**
  * Expected times of calls by the reports of the targets, which measure them from the calls of all callers.
  */
+import type { IRandom } from '@lagoonswitch/common'
 import type { ITargetLoad } from '../CallLoad.js'
 import type { TargetState } from './TargetState.js'
 
 /** Weight of the newest report in the averages. */
 const REPORT_WEIGHT = 0.05
 /**
- * Exponent of the slowness and slowdown by a full load, for the choice of a target. All callers see nearly the same reports; if they
- * followed them fully, all would choose the target that reports the shortest time, and its queue would fill.
+ * For the choice of a target: exponent of the slowness, slowdown by a full load, and width of the random term of the log time. All callers
+ * see nearly the same reports; if they followed them fully, all would choose the target that reports the shortest time, and its queue
+ * would fill.
  */
 const CHOICE_EXPONENT = 0.5
-const CHOICE_SLOWDOWN = 0.6
+const CHOICE_SLOWDOWN = 0.3
+const CHOICE_SPREAD = 0.8
 /** Weight of the newest report in the usual slowness of a target. */
 const USUAL_SLOWNESS_WEIGHT = 0.1
 /** Age up to which the last report alone counts, and half-life of its weight against the usual slowness afterwards. */
@@ -31,6 +34,9 @@
 export class ReportedTimes {
   private readonly _routes = new Map<string, IRouteAverage>()
 
+  /** @param _random - spreads the choices of callers that have the same reports */
+  constructor (private readonly _random: IRandom) {}
+
   /**
    * Records what a target reported with a response. A report without times, as of a process of an earlier version, changes nothing.
    * @param state - the target
@@ -63,7 +69,7 @@
   }
 
   /**
-   * Like {@link computeServiceMs}, for the comparison of targets: differences count less, and the load more.
+   * Like {@link computeServiceMs}, for the comparison of targets: differences count less, and the load and chance count as well.
    * @param state - the target
    * @param route - key of the route
    * @param learnedMs - expected time without reports, in milliseconds
@@ -72,7 +78,8 @@
    */
   computeChoiceMs (state: TargetState, route: string, learnedMs: number, nowMs: number): number {
     const load = Math.min(1, state.countActive(nowMs) / Math.max(1, state.computeRoom(nowMs)))
-    return this._computeMs(state, route, learnedMs, nowMs, slowness => slowness ** CHOICE_EXPONENT * (1 + CHOICE_SLOWDOWN * load))
+    const spread = Math.exp(CHOICE_SPREAD * (this._random.draw() - 0.5))
+    return this._computeMs(state, route, learnedMs, nowMs, slowness => slowness ** CHOICE_EXPONENT * (1 + CHOICE_SLOWDOWN * load) * spread)
   }
 
   private _computeMs (
