Tests: heads written by tests state the fields on reported times

The generated encoder takes whole messages only; heads without expected_ms, nested_ms and room failed with "invalid uint32" in Links (7) and CallerLeaves (4). With the fields added: Links, CallerLeaves, Calls, SilentLinks, SilentNodes, Platform, GracefulStop and AtMostOnce, 85 tests passed.

--- a/tests/CallerLeaves.test.ts
+++ b/tests/CallerLeaves.test.ts
@@ -15,7 +15,21 @@
 const NO_BYTES = Buffer.alloc(0)
 const RESPONSE_FRAME: PeerFrame['frame'] = {
   $case: 'head',
-  value: { status: 200, headers: [], body: NO_BYTES, end: true, inFlight: 0, slots: 4, queued: 0, served: 1, serviceMs: 1 }
+  value: {
+    status: 200,
+    headers: [],
+    body: NO_BYTES,
+    end: true,
+    inFlight: 0,
+    slots: 4,
+    queued: 0,
+    served: 1,
+    serviceMs: 1,
+    repeatDenied: false,
+    expectedMs: 0,
+    nestedMs: 0,
+    room: 0
+  }
 }
 const REFUSAL_FRAME: PeerFrame['frame'] = {
   $case: 'failure', value: { reason: 'draining', notRun: true, retryAfterMs: 0, inFlight: 0, slots: 4, queued: 0 }
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -231,7 +231,19 @@
           frame: {
             $case: 'head',
             value: {
-              status, headers: [], body: Buffer.from('x'), end: true, inFlight: 0, slots: 1, queued: 0, served: 1, serviceMs: 1, repeatDenied: false
+              status,
+              headers: [],
+              body: Buffer.from('x'),
+              end: true,
+              inFlight: 0,
+              slots: 1,
+              queued: 0,
+              served: 1,
+              serviceMs: 1,
+              repeatDenied: false,
+              expectedMs: 0,
+              nestedMs: 0,
+              room: 0
             }
           }
         })
