--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -18,8 +18,8 @@
 import { EvidenceCollector } from './moves/EvidenceCollector.js'
 import { NodeFeed } from './NodeFeed.js'
 import {
-  AccountIndex, BalancedDraws, BalancedPlacement, CallerWaitEstimator, LocalPlacement, OwnerCallLimiter, RetryBudget, ServicePace,
-  TargetPool
+  AccountIndex, BalancedDraws, BalancedPlacement, CallerWaitEstimator, LocalPlacement, OwnerCallLimiter, ReportedTimes, RetryBudget,
+  ServicePace, TargetPool
 } from '@lagoonswitch/traffic'
 import { RouteTable, type IRoutePart } from './routing/RouteTable.js'
 import { LocalTargetRegistry } from './targets/LocalTargetRegistry.js'
@@ -117,6 +117,7 @@
       random,
       findAccountWeight: account => this._getAccounts().findWeight(account),
       nestedCalls: isBalanced ? new NestedCalls({ clock, random, log, metrics, findRoute }) : undefined,
+      hasReportedTimes: settings.node.reportedTimes,
       canTakeRepeat: () => [...this._calledServices].every(service => this._retryBudgets.get(service)?.canSpend() !== false)
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
@@ -150,7 +151,8 @@
         metrics,
         endpoints: this.endpoints,
         isReachable: address => this._links.get(address)?.isReachable !== false,
-        placement: isBalanced ? new BalancedPlacement({ ...location, random }) : new LocalPlacement({ ...location, random })
+        placement: isBalanced ? new BalancedPlacement({ ...location, random }) : new LocalPlacement({ ...location, random }),
+        reportedTimes: settings.node.reportedTimes ? new ReportedTimes(random) : undefined
       }),
       claims: new ClaimsClient(leaderClient, settings.control.claimShards),
       caps,
--- a/packages/node/src/targets/LocalTarget.ts
+++ b/packages/node/src/targets/LocalTarget.ts
@@ -2,7 +2,9 @@
  * A target on this VM: its announcement, slots and connections.
  */
 import type { IClock, IDisposable, IRandom } from '@lagoonswitch/common'
-import { BodyCreditAllocator, SlotLimiter, type AccountWeightLookup, type FailureReason, type HangDetector } from '@lagoonswitch/traffic'
+import {
+  BodyCreditAllocator, SlotLimiter, type AccountWeightLookup, type FailureReason, type HangDetector, type RunMeter
+} from '@lagoonswitch/traffic'
 import { TargetConnections } from './TargetConnections.js'
 
 /** What a target announces about itself. */
@@ -48,10 +50,12 @@
    * @param random - spreads the times at which refused callers return
    * @param bodyCredit - grants credit for large bodies of calls to all targets of the VM
    * @param findWeight - declared weights of accounts that compete for slots
+   * @param runMeter - measures the runs; undefined if their times are not to be reported
    */
   constructor (
     readonly announcement: ITargetAnnouncement, clock: IClock, onIdleOverrun: () => void, readonly hangDetector?: HangDetector,
-    random?: IRandom, readonly bodyCredit: BodyCreditAllocator = new BodyCreditAllocator(clock), findWeight?: AccountWeightLookup
+    random?: IRandom, readonly bodyCredit: BodyCreditAllocator = new BodyCreditAllocator(clock), findWeight?: AccountWeightLookup,
+    readonly runMeter?: RunMeter
   ) {
     this.slotLimiter = new SlotLimiter(clock, announcement.slots, random, findWeight)
     this.connections = new TargetConnections(`http://${announcement.address}`, onIdleOverrun)
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -6,7 +6,9 @@
 import { EndpointState, type CallClass, type EndpointRecord, type WithdrawalRecord } from '@lagoonswitch/schema'
 import type { CallDialect } from '../calls/CallDialect.js'
 import type { FailureReason, ICallEvents, ICallHandle, ICallOpener, ICallRequest } from '../calls/CallTypes.js'
-import { BodyCreditAllocator, DEFAULT_WARMUP_MS, HangDetector, RunRegister, type AccountWeightLookup } from '@lagoonswitch/traffic'
+import {
+  BodyCreditAllocator, DEFAULT_WARMUP_MS, HangDetector, PauseMeter, RunMeter, RunRegister, type AccountWeightLookup
+} from '@lagoonswitch/traffic'
 import { LocalUpload } from './LocalUpload.js'
 import { LocalTarget, type ITargetAnnouncement } from './LocalTarget.js'
 import type { NestedCalls } from './NestedCalls.js'
@@ -56,6 +58,8 @@
    * be detected.
    */
   readonly isServiceSlow?: (service: string, targetId: string, sinceMs: number) => boolean
+  /** True if the times of runs are measured and reported to callers. */
+  readonly hasReportedTimes?: boolean
 }
 
 interface IRegisteredTarget {
@@ -92,12 +96,15 @@
   /** Calls that targets have received; a call that waits for a slot makes no nested calls. */
   private readonly _runs: RunRegister
   private readonly _reports: TargetReports
+  /** Undefined if the times of runs are not measured. */
+  private readonly _pauses: PauseMeter | undefined
 
   /** Grants credit for large bodies of calls to the targets of this VM. */
   readonly bodyCredit: BodyCreditAllocator
 
   constructor (private readonly _options: ILocalTargetRegistryOptions) {
     this._runs = new RunRegister(_options.clock)
+    this._pauses = _options.hasReportedTimes === true ? this._store.add(new PauseMeter(_options.clock)) : undefined
     this._reports = new TargetReports(_options.log, _options.metrics)
     this.bodyCredit = new BodyCreditAllocator(_options.clock, limit => {
       this._reports.reportWithheldCredit(limit, this.bodyCredit, _options.clock.readMonotonicMs())
@@ -396,8 +403,9 @@
     const { clock, random, isServiceSlow } = this._options
     const { id, service } = announcement
     const detector = isServiceSlow === undefined ? undefined : new HangDetector(clock, sinceMs => isServiceSlow(service, id, sinceMs))
+    const meter = this._pauses === undefined ? undefined : new RunMeter(clock, this._pauses, this._options.metrics, id)
     return new LocalTarget(announcement, clock, () => this._reports.reportOverrun(id, 'idle'), detector, random, this.bodyCredit,
-      this._options.findAccountWeight)
+      this._options.findAccountWeight, meter)
   }
 
   private _startLease (id: string): IDisposable {
--- a/packages/traffic/src/placement/LocalPlacement.ts
+++ b/packages/traffic/src/placement/LocalPlacement.ts
@@ -44,7 +44,8 @@
 
   /** Another zone is used if the response is worth more than its transfer and a slot may be free; a refused request costs traffic too. */
   private _isWorthCrossingZones (state: TargetState, call: IPlacementCall, expectedValue: number, nowMs: number): boolean {
-    return expectedValue > 0 && !call.isSpareExcluded && state.countActive(nowMs) < computeSpareSlots(state.record.slots, call.callClass)
+    const spareSlots = computeSpareSlots(state.computeRoom(nowMs), call.callClass)
+    return expectedValue > 0 && !call.isSpareExcluded && state.countActive(nowMs) < spareSlots
   }
 
   private _computeNetworkCost (state: TargetState, { responseBytes, isLate }: IPlacementCall): number {
--- a/packages/traffic/src/placement/PlacementPolicy.ts
+++ b/packages/traffic/src/placement/PlacementPolicy.ts
@@ -32,6 +32,8 @@
   readonly callClass: CallClass
   /** Usual time of its route in a slot, 0 if unknown. */
   readonly usualMs: number
+  /** Computes the expected time in a slot of a target in milliseconds. */
+  readonly computeServiceMs: (state: TargetState) => number
   /** Usual size of a response of its route. */
   readonly responseBytes: number
   /** Time within which the response is expected, stated or assumed. */
@@ -106,7 +108,7 @@
    * @returns value, 1 for a certain response in no time
    */
   protected _computeValue (state: TargetState, call: IPlacementCall, waitMs: number, networkMs: number, nowMs: number): number {
-    const serviceMs = state.computeServiceMs(call.usualMs, nowMs)
+    const serviceMs = call.computeServiceMs(state)
     const leftMs = Math.max(0, call.objectiveMs - waitMs - networkMs)
     const inTimeProbability = 1 - Math.exp(-((leftMs / serviceMs) ** WEIBULL_SHAPE))
     const delayRatio = Math.min(1, (waitMs + serviceMs) / call.objectiveMs)
--- a/packages/traffic/src/placement/TargetPool.ts
+++ b/packages/traffic/src/placement/TargetPool.ts
@@ -6,6 +6,7 @@
 import type { FailureReason, ITargetLoad } from '../CallLoad.js'
 import { LocalPlacement } from './LocalPlacement.js'
 import type { IPlacementCall, PlacementPolicy } from './PlacementPolicy.js'
+import type { ReportedTimes } from './ReportedTimes.js'
 import { COLD_FACTOR, FAILURE_WEIGHT, TargetState, DEFAULT_SERVICE_MS, computeDecayingMax } from './TargetState.js'
 
 export type { TargetState as ITargetState } from './TargetState.js'
@@ -70,6 +71,8 @@
   readonly isReachable?: (linkAddress: string) => boolean
   /** Chooses among the targets that can be called; {@link LocalPlacement} if omitted. */
   readonly placement?: PlacementPolicy
+  /** Evaluates the times and the room that targets report; undefined if only own measurements are to be used. */
+  readonly reportedTimes?: ReportedTimes
 }
 
 /** The targets of a service, all and by version. */
@@ -169,13 +172,27 @@
   /**
    * @param state - the target
    * @param route - key of the route
-   * @returns usual time of a call in a slot of the target in whole milliseconds, 0 if unknown
+   * @returns usual time of a call in a slot of the target in whole milliseconds by the calls from here, 0 if unknown; reports of the
+   * target, which follow a slowdown at once, don't count, so that a call can be compared with the time before the slowdown
    */
-  computeExpectedMs (state: TargetState, route: string): number {
+  computeUsualMs (state: TargetState, route: string): number {
     const usualMs = this._routeHistories.get(route)?.usualMs ?? 0
     return usualMs === 0 ? 0 : Math.ceil(state.computeServiceMs(usualMs, this._options.clock.readMonotonicMs()))
   }
 
+  /**
+   * @param state - the target
+   * @param route - key of the route
+   * @returns expected time of a call in a slot of the target in whole milliseconds, by its reports if they are recent; 0 if unknown
+   */
+  computeExpectedMs (state: TargetState, route: string): number {
+    const usualMs = this._routeHistories.get(route)?.usualMs ?? 0
+    if (usualMs === 0) return 0
+    const nowMs = this._options.clock.readMonotonicMs()
+    const learnedMs = state.computeServiceMs(usualMs, nowMs)
+    return Math.ceil(this._options.reportedTimes?.computeServiceMs(state, route, learnedMs, nowMs) ?? learnedMs)
+  }
+
   /**
    * Records how long a run took until its end, even if it failed.
    * @param state - the target
@@ -243,13 +260,6 @@
     this._eject(state, 'unreachable')
   }
 
-  /** Records the load that a target's own process reported. */
-  recordLoad (state: TargetState, load: ITargetLoad): void {
-    const nowMs = this._options.clock.readMonotonicMs()
-    state.recordLoad(load, nowMs)
-    this._placement.recordLoad(state, nowMs)
-  }
-
   /**
    * Records that a target did not take a call.
    * @param state - the target
@@ -259,6 +269,19 @@
     this._placement.recordRefusal(state, reason, this._options.clock.readMonotonicMs())
   }
 
+  /**
+   * Records the load that a target's own process reported.
+   * @param state - the target
+   * @param load - the report
+   * @param route - key of the route of the call that it came with
+   */
+  recordLoad (state: TargetState, load: ITargetLoad, route: string): void {
+    const nowMs = this._options.clock.readMonotonicMs()
+    state.recordLoad(load, nowMs)
+    this._options.reportedTimes?.recordLoad(state, route, load, nowMs)
+    this._placement.recordLoad(state, nowMs)
+  }
+
   private _listStates (service: string, choice: string | IVersionChoice): readonly TargetState[] {
     const targets = this._services.get(service)
     if (targets === undefined) return NO_STATES
@@ -326,6 +349,7 @@
     const call: IPlacementCall = {
       callClass,
       usualMs,
+      computeServiceMs: this._createServiceTimes(criteria?.route ?? '', usualMs, nowMs),
       responseBytes: history?.responseBytes ?? 0,
       objectiveMs,
       isLate,
@@ -336,6 +360,15 @@
     return placement?.state
   }
 
+  /** Expected times at targets, by what they report if that is used. */
+  private _createServiceTimes (route: string, usualMs: number, nowMs: number): (state: TargetState) => number {
+    const { reportedTimes } = this._options
+    return state => {
+      const learnedMs = state.computeServiceMs(usualMs, nowMs)
+      return reportedTimes?.computeChoiceMs(state, route, learnedMs, nowMs) ?? learnedMs
+    }
+  }
+
   private _getHistory (route: string): IRouteHistory {
     let history = this._routeHistories.get(route)
     if (history === undefined) {
