--- a/packages/node/src/calls/Attempt.test.ts
+++ b/packages/node/src/calls/Attempt.test.ts
@@ -49,6 +49,7 @@
       recordServiceTime: () => {},
       recordRunTime: () => {},
       computeExpectedMs: () => 0,
+      computeUsualMs: () => 0,
       recordResponseBytes: (route: string, bytes: number) => recorded.push([route, bytes])
     },
     evidence: { recordOutcome: () => {} }
