--- a/bench/soak/SoakFleet.mjs
+++ b/bench/soak/SoakFleet.mjs
@@ -2,7 +2,7 @@
  * The processes of one soak: control VMs and nodes of the platform's program, each on its own loopback address.
  */
 import { spawn } from 'node:child_process'
-import { appendFileSync, mkdirSync, mkdtempSync, openSync, closeSync, rmSync, writeFileSync } from 'node:fs'
+import { appendFileSync, mkdirSync, mkdtempSync, openSync, closeSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
@@ -13,8 +13,11 @@
 export const STOP_TIMEOUT_MS = 3_000
 /** Time after which a process that ended by itself is started again, as the platform does. */
 const RESTART_DELAY_MS = 300
-/** Time that Node.js takes to run the first line of a program; until then a SIGHUP ends any process. */
-const BOOT_MS = 150
+/**
+ * Time in which a process must have installed its handler of SIGHUP. Until Node.js has run the first line of the program, which does so,
+ * a SIGHUP ends any process; on a busy machine that takes up to 0.8 s. After this time a process without a handler gets it all the same.
+ */
+const MAX_BOOT_MS = 2_000
 
 /** Starts, signals and restarts processes, and records those that end by themselves. */
 export class SoakFleet {
@@ -31,6 +34,8 @@
     this.vms = new Map([...this.controls, ...this.nodes].map(vm => [vm.name, vm]))
     /** Ends of processes that no signal of the soak explains. */
     this.ownEnds = []
+    /** Name and time of each start. */
+    this.starts = []
     this._children = new Map()
   }
 
@@ -56,9 +61,10 @@
     this._children.set(name, child)
     child.expectsEnd = false
     child.startedMs = performance.now()
+    this.starts.push({ name, atMs: child.startedMs })
     child.on('exit', (code, signal) => {
       if (child.expectsEnd) return
-      this.ownEnds.push(`${name}: code ${code}, signal ${signal}`)
+      this.ownEnds.push(`${name}: code ${code}, signal ${signal}, last signal of the soak: ${child.lastSignal}`)
       setTimeout(() => this.startProcess(name), RESTART_DELAY_MS)
     })
   }
@@ -98,7 +104,9 @@
   signal (name, signal) {
     if (!this.isRunning(name)) return
     const child = this._children.get(name)
-    if (signal !== 'SIGHUP' || performance.now() - child.startedMs > BOOT_MS) child.kill(signal)
+    child.lastSignal = `${signal} ${Math.round(performance.now() - child.startedMs)} ms after the start, handler of SIGHUP ${hasHangupHandler(child.pid)}`
+    const canHandle = hasHangupHandler(child.pid) === true || performance.now() - child.startedMs > MAX_BOOT_MS
+    if (signal !== 'SIGHUP' || canHandle) child.kill(signal)
   }
 
   /** Deletes the data folder of a control VM that isn't running. */
@@ -106,6 +114,11 @@
     rmSync(join(this.folder, name, 'data'), { recursive: true, force: true })
   }
 
+  /** @returns all that a process has logged */
+  readLog (name) {
+    return readFileSync(join(this.folder, name, 'log.txt'), 'utf8')
+  }
+
   /** Notes an event of the soak in the log of a process, between its own lines. */
   note (name, event) {
     appendFileSync(join(this.folder, name, 'log.txt'), `soak time=${new Date().toISOString()} ${event}\n`)
@@ -148,6 +161,16 @@
 election_timeout = 800ms
 [node]
 target_heartbeat = 300ms
+hang_detection = true
 `
   }
 }
+
+/** @returns whether a process handles SIGHUP at this time; undefined where the system doesn't tell */
+function hasHangupHandler (pid) {
+  try {
+    return (BigInt(`0x${/SigCgt:\s*(\w+)/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))[1]}`) & 1n) === 1n
+  } catch {
+    return undefined
+  }
+}
--- a/packages/node/src/calls/CallReport.ts
+++ b/packages/node/src/calls/CallReport.ts
@@ -11,7 +11,7 @@
 /** Route label of calls that matched no route. */
 const NO_ROUTE_LABEL = 'none'
 /** Refusals that depend on how new the catalogue of this process is. */
-const ROUTE_REFUSALS: ReadonlySet<string> = new Set(['no-route', 'not-current'])
+const ROUTE_REFUSALS: ReadonlySet<string> = new Set(['no-route', 'not-current', 'credentials-unknown', 'accounts-not-current'])
 
 /** How a call ended. */
 export interface ICallEnd {
@@ -29,6 +29,8 @@
   private readonly _isSampled: boolean
   /** Key of the matched route; empty until one is found. */
   route = ''
+  /** Name of the client account; empty for a call without one. */
+  account = ''
   /** Attempt counters; undefined until the request head has been accepted. */
   retries: CallRetries | undefined
 
@@ -58,16 +60,22 @@
   /** Logs an attempt if the call is sampled. */
   reportSend (target: ITargetState, leftMs: number): void {
     if (!this._isSampled) return
-    const { record } = target
+    const { record, reportedSpeed } = target
+    const nowMs = this._context.clock.readMonotonicMs()
     this._context.log.info('call_sent', {
       call: this._callId,
       route: this.route,
+      account: this._getAccountField(),
       target: record.targetId,
       node: record.node,
       known_as: `${record.incarnation}.${record.sequence}`,
       failure_rate: target.failureRate,
       in_flight: target.inFlight,
-      load_age_ms: target.getLoadReportAgeMs(this._context.clock.readMonotonicMs()),
+      load_age_ms: target.getLoadReportAgeMs(nowMs),
+      slowness: reportedSpeed?.slowness,
+      usual_slowness: reportedSpeed?.usualSlowness,
+      slowness_age_ms: reportedSpeed === undefined ? undefined : nowMs - reportedSpeed.atMs,
+      room: target.computeRoom(nowMs),
       send: this.retries?.sends,
       left_ms: leftMs
     })
@@ -86,6 +94,7 @@
       run,
       status,
       route: this.route,
+      account: this._getAccountField(),
       target: lastTarget?.record.targetId,
       sends: this.retries?.sends ?? 0,
       runs: this.retries?.runs ?? 0,
@@ -96,6 +105,10 @@
     })
   }
 
+  private _getAccountField (): string | undefined {
+    return this.account === '' ? undefined : this.account
+  }
+
   private _describeFeed (): ILogFields {
     const { source, level, sourceMs, currentMs } = this._context.getFeedStatus()
     return {
--- a/packages/node/src/calls/CallTypes.ts
+++ b/packages/node/src/calls/CallTypes.ts
@@ -15,6 +15,17 @@
 /** A call with this many calls above it in a chain is refused. */
 export const MAX_CALL_DEPTH = 16
 
+const MIN_FINAL_STATUS = 200
+const MAX_STATUS = 599
+
+/**
+ * @param status - of a response
+ * @returns true if it is the status of a final response
+ */
+export function isFinalStatus (status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_STATUS
+}
+
 /** A call as it is passed to the node of the target. */
 export interface ICallRequest {
   readonly service: string
@@ -33,7 +44,9 @@
   readonly objectiveMs: number
   /** Usual time that such a call holds a slot of the target, in milliseconds; 0 when unknown. */
   readonly expectedMs: number
-  /** True when the call may run more than once; it then fails early, to be retried, when the node of the target stops responding. */
+  /** Key of the route, for the times that its runs take; empty for a call whose node does not state it. */
+  readonly route: string
+  /** True when the call may run more than once; it then fails early, to be retried, when the target or its node stops responding. */
   readonly isRetryable: boolean
   /** True when the call may take a free slot but must not queue for one, since calls from other availability zones are costly. */
   readonly isSpareOnly: boolean
@@ -47,6 +60,10 @@
   /** The body, or its start. */
   readonly body: Buffer
   readonly isBodyComplete: boolean
+  /** True when the body is declared as large; unless it is complete, it is sent as credit allows. */
+  readonly isBulkBody?: boolean
+  /** Length of the whole body, 0 or omitted when unknown. */
+  readonly bodyBytes?: number
   /** Limits of the entry; they apply in addition to those that the target announced. */
   readonly slots: number
   readonly connections: number
@@ -69,6 +86,11 @@
   onFailure (failure: ICallFailure, load: ITargetLoad | undefined): void
   /** More of the body may be sent after {@link ICallHandle.sendBody} returned false. */
   onBodyDrain (): void
+  /**
+   * Credit for a large body was granted to the other side of a link; a call without this method is on the VM of its target.
+   * @param bytes - that may be sent in addition
+   */
+  onBodyCredit? (bytes: number): void
 }
 
 /** The sending side of one call. */
@@ -80,6 +102,11 @@
    */
   sendBody (chunk: Buffer): boolean
   endBody (): void
+  /**
+   * Announces a part of a large body, which may be sent once there is credit for it.
+   * @param bytes - that are ready in addition
+   */
+  offerBody? (bytes: number): void
   /** Cancels the call; no event follows. */
   cancel (): void
   /** Cancels the call if the target has not received it yet, which fails it as not run; otherwise it continues. */
--- a/packages/node/src/calls/Refusal.ts
+++ b/packages/node/src/calls/Refusal.ts
@@ -3,13 +3,16 @@
  */
 import type { ServerResponse } from 'node:http'
 import type { CallDialect } from './CallDialect.js'
+import type { AuthorizationRefusal } from '@lagoonswitch/traffic'
 import type { ClaimResult } from '../claims/ClaimsClient.js'
 import type { FailureReason } from './CallTypes.js'
 
 /** Why a call was refused; the label of the refusal counter. */
-export type RefusalReason = FailureReason |
+export type RefusalReason = FailureReason | AuthorizationRefusal |
+  'credentials-withdrawn' |
   'not-ready' | 'not-current' | 'no-route' | 'too-deep' | 'bad-header' | 'key-missing' | 'key-mismatch' | 'key-in-progress' |
-  'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'head-too-large' | 'owner-limit' | 'process-draining'
+  'key-unknown' | 'keys-full' | 'no-quorum' | 'body-too-large' | 'head-too-large' | 'owner-limit' | 'process-draining' |
+  'usage-cap' | 'cap-undecided'
 
 /** Whether the target ran the request, as far as is known. */
 export type RunState = 'not-run' | 'unknown' | 'run-earlier'
@@ -36,13 +39,25 @@
   'bad-frame': { status: 502, title: 'a process of the system broke its protocol', remedy: 'update the processes' },
   'target-busy': { status: 503, title: 'the target took no more calls', remedy: 'retry after the stated time' },
   'target-replaced': { status: 503, title: 'another target has the address', remedy: 'retry' },
+  'bad-status': { status: 502, title: 'the target sent a status that no response can have', remedy: 'check whether the request took effect' },
+  hung: { status: 504, title: 'the target seems to hang', remedy: 'check whether the request took effect; compare the slots of the target with its capacity' },
   crossed: { status: 502, title: 'the target sent the answer to another call', remedy: 'check whether the request took effect' },
   'link-silent': { status: 502, title: 'the process beside the target fell silent', remedy: 'check whether the request took effect' },
   'no-spare': { status: 503, title: 'targets of other zones have no free slot', remedy: 'retry after the stated time' },
   'no-budget': { status: 503, title: 'the services that the target calls bear no more repeats', remedy: 'retry after the stated time' },
+  'needed-refused': { status: 503, title: 'a service that the target calls refuses most calls', remedy: 'retry after the stated time' },
   'not-ready': { status: 503, title: 'this process has no confirmed catalogue yet', remedy: 'retry; check the control VMs' },
   'not-current': { status: 503, title: 'no route matches, but this process may not have the newest catalogue', remedy: 'retry; check its source' },
   'no-route': { status: 404, title: 'no route matches', remedy: 'declare a route or correct the path and the method' },
+  'credentials-missing': { status: 401, title: 'this route needs the key of an account', remedy: 'send Authorization: Bearer KEY' },
+  'credentials-unknown': { status: 401, title: 'no account has the key', remedy: 'use a key of an account' },
+  'credentials-withdrawn': { status: 401, title: 'the key was withdrawn while the call waited', remedy: 'use another key of the account' },
+  'accounts-not-current': {
+    status: 503, title: 'the key can\'t be judged, as this process may not have the newest catalogue', remedy: 'retry; check its source'
+  },
+  'parent-unknown': {
+    status: 503, title: 'this process has started too recently to know the call that this one belongs to', remedy: 'retry'
+  },
   'too-deep': { status: 508, title: 'the chain of calls is too deep', remedy: 'look for a loop between services' },
   'bad-header': { status: 400, title: 'a header can\'t be used', remedy: 'correct the header' },
   'key-missing': { status: 428, title: 'this route needs an idempotency key', remedy: 'send the header Idempotency-Key' },
@@ -54,12 +69,16 @@
   'body-too-large': { status: 413, title: 'the body is too large', remedy: 'shorten it or raise the limit' },
   'head-too-large': { status: 431, title: 'the head is too large', remedy: 'send fewer or shorter headers' },
   'owner-limit': { status: 429, title: 'the owner has too many calls running', remedy: 'retry after the stated time' },
-  'process-draining': { status: 503, title: 'this process is stopping', remedy: 'use another process' }
+  'process-draining': { status: 503, title: 'this process is stopping', remedy: 'use another process' },
+  'usage-cap': { status: 429, title: 'the account has used up its rate', remedy: 'retry after the stated time' },
+  'cap-undecided': { status: 503, title: 'the usage of the account can\'t be checked now', remedy: 'retry; check the control VMs' }
 }
 
 /** Statuses from which a caller may conclude that the request was not run. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
+const UNAUTHORIZED_STATUS = 401
 const BAD_GATEWAY_STATUS = 502
+const UNAVAILABLE_STATUS = 503
 const RETRY_AFTER_MS = 1_000
 
 /** Content of an error response. */
@@ -94,7 +113,9 @@
 ): number {
   const problemType = PROBLEM_TYPES[refusal.reason]
   const isPossiblyRun = refusal.run !== 'not-run' && NOT_RUN_STATUSES.has(problemType.status)
-  const status = isPossiblyRun ? BAD_GATEWAY_STATUS : problemType.status
+  // The same reason can apply before the target could receive the request, which callers read from the status.
+  const isCertainlyNotRun = refusal.run === 'not-run' && problemType.status === BAD_GATEWAY_STATUS
+  const status = isPossiblyRun ? BAD_GATEWAY_STATUS : isCertainlyNotRun ? UNAVAILABLE_STATUS : problemType.status
   const body = Buffer.from(JSON.stringify({
     type: `urn:lagoonswitch:problem:${refusal.reason}`,
     title: problemType.title,
@@ -109,6 +130,7 @@
     'content-length': body.length,
     'lagoon-run': refusal.run
   }
+  if (status === UNAUTHORIZED_STATUS) headers['www-authenticate'] = 'Bearer'
   if (refusal.retryAfterMs > 0) headers['retry-after'] = dialect.formatRetryAfter(refusal.retryAfterMs)
   if (isClosing) headers.connection = 'close'
   response.writeHead(status, headers)
--- a/packages/traffic/src/placement/TargetPool.test.ts
+++ b/packages/traffic/src/placement/TargetPool.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock, Metrics, SeededRandom } from '@lagoonswitch/common'
 import { EndpointView } from '@lagoonswitch/feed'
 import { CallClass, EndpointState, type EndpointRecord } from '@lagoonswitch/schema'
+import { ReportedTimes } from './ReportedTimes.js'
 import { TargetPool, type ITargetState } from './TargetPool.js'
 
 const NONE = new Set<string>()
@@ -142,7 +143,7 @@
   add('far', { availabilityZone: 'z2' })
   const far = pool.pickTarget('s', 'v1', new Set(['near']))
   if (far === undefined) throw new Error('no target')
-  pool.recordLoad(far, { inFlight: 4, slots: 4, queued: 0, served: 9, serviceMs: 0, isRepeatDenied: false })
+  pool.recordLoad(far, { inFlight: 4, slots: 4, queued: 0, served: 9, serviceMs: 0, isRepeatDenied: false }, 'r')
   const near = pick()
   for (let index = 0; index < 12; index++) pool.recordStart(near)
   expect(countPicks()).toEqual({ near: 200 })
@@ -170,3 +171,24 @@
   expect(pickFar(2_000)?.record.targetId).toBe('far')
   expect(pickFar(250)).toBeUndefined()
 })
+
+test('slowdown that a target reports shortens no comparison with its usual time, by which hangs of a slow service are told apart', async () => {
+  pool = new TargetPool({
+    region: 'r1',
+    availabilityZone: 'z1',
+    linkAddress: 'link-own',
+    clock,
+    random: new SeededRandom(1),
+    metrics: new Metrics(),
+    endpoints,
+    reportedTimes: new ReportedTimes(new SeededRandom(1))
+  })
+  add('a')
+  await clock.advance(WARM_MS)
+  const state = pick()
+  const load = { inFlight: 1, slots: 4, queued: 0, served: 9, serviceMs: 100, isRepeatDenied: false }
+  for (let index = 0; index < 50; index++) pool.recordServiceTime(state, 'r', 100)
+  pool.recordLoad(state, { ...load, expectedMs: 500 }, 'r')
+  expect(pool.computeExpectedMs(state, 'r')).toBe(500)
+  expect(pool.computeUsualMs(state, 'r')).toBeLessThan(150)
+})
--- a/packages/traffic/src/placement/TargetState.ts
+++ b/packages/traffic/src/placement/TargetState.ts
@@ -26,6 +26,13 @@
 const FULL_LOAD_SLOWDOWN = 0.3
 /** Time for which a load report is used. */
 const LOAD_REPORT_LIFETIME_MS = 1_000
+/**
+ * Time after which a load report counts half against what is known of the zone. Calls take some hundred milliseconds, so after a second
+ * most of those that it counted have ended.
+ */
+const LOAD_REPORT_HALF_LIFE_MS = 500
+/** Time for which the reported number of calls is used that a target handles well; it changes less often than the load. */
+const ROOM_LIFETIME_MS = 10_000
 
 /** Runs of the calls of one route. */
 export interface IRunTimes {
@@ -45,10 +52,16 @@
   ejectedUntilMs = 0
   ejections = 0
   latencyMs = 0
+  /** Times of calls relative to the average of all targets, by the last report and by the recent ones; undefined without one. */
+  reportedSpeed: { readonly slowness: number, readonly usualSlowness: number, readonly atMs: number } | undefined
+  /** Number of calls that the target handles well by the last report; undefined without one. */
+  reportedRoom: { readonly calls: number, readonly atMs: number } | undefined
   private _slowness = 1
   private _averageSlotMs = 0
   private _loadReport: ITargetLoad | undefined
   private _loadReportedMs = 0
+  /** Calls sent from here that had not ended when the load was reported. */
+  private _inFlightAtReport = 0
   private readonly _warmAtMs: number
   /** By route. */
   private readonly _runs = new Map<string, IRunTimes>()
@@ -98,6 +111,7 @@
   recordLoad (load: ITargetLoad, nowMs: number): void {
     this._loadReport = load
     this._loadReportedMs = nowMs
+    this._inFlightAtReport = this.inFlight
   }
 
   /** Records the time to the first byte of a response. */
@@ -146,10 +160,43 @@
     return Math.max(this.inFlight, reportedCalls)
   }
 
-  /** @returns expected wait for a slot in milliseconds */
-  computeWaitMs (nowMs: number): number {
-    const slots = Math.max(1, this.record.slots)
-    const excessCalls = this.countActive(nowMs) + 1 - slots
+  /** Calls per slot that were last reported; undefined when there was no report. */
+  get reportedUtilization (): number | undefined {
+    if (this._loadReport === undefined) return undefined
+    return (this._loadReport.inFlight + this._loadReport.queued) / Math.max(1, this.record.slots)
+  }
+
+  /**
+   * Estimates the calls that hold or await a slot from the last report, the calls sent from here since, and the load of the zone, which
+   * counts the more, the older the report is.
+   * @param zoneUtilization - calls per slot at the targets of its zone
+   * @param nowMs - monotonic time in milliseconds
+   * @returns number of calls, possibly fractional
+   */
+  computeActive (zoneUtilization: number, nowMs: number): number {
+    const zoneCalls = zoneUtilization * this.record.slots
+    if (this._loadReport === undefined) return Math.max(this.inFlight, zoneCalls)
+    const weight = 0.5 ** ((nowMs - this._loadReportedMs) / LOAD_REPORT_HALF_LIFE_MS)
+    const { inFlight, queued } = this._loadReport
+    const reported = Math.max(0, inFlight + queued + this.inFlight - this._inFlightAtReport)
+    return Math.max(this.inFlight, weight * reported + (1 - weight) * zoneCalls)
+  }
+
+  /** @returns calls that the target handles at once: those that it reported last if that is recent, else its slots */
+  computeRoom (nowMs: number): number {
+    const { slots } = this.record
+    if (this.reportedRoom === undefined || nowMs - this.reportedRoom.atMs >= ROOM_LIFETIME_MS) return slots
+    return Math.min(slots, this.reportedRoom.calls)
+  }
+
+  /**
+   * @param nowMs - monotonic time in milliseconds
+   * @param activeCalls - that hold or await a slot
+   * @returns expected wait for a slot in milliseconds
+   */
+  computeWaitMs (nowMs: number, activeCalls = this.countActive(nowMs)): number {
+    const slots = Math.max(1, this.computeRoom(nowMs))
+    const excessCalls = activeCalls + 1 - slots
     return excessCalls <= 0 ? 0 : excessCalls / slots * (this._averageSlotMs > 0 ? this._averageSlotMs : DEFAULT_SERVICE_MS)
   }
 
@@ -158,7 +205,7 @@
    * @returns expected time in a slot in milliseconds
    */
   computeServiceMs (usualMs: number, nowMs: number): number {
-    const load = Math.min(1, this.countActive(nowMs) / Math.max(1, this.record.slots))
+    const load = Math.min(1, this.countActive(nowMs) / Math.max(1, this.computeRoom(nowMs)))
     const coldFactor = this.isWarm(nowMs) ? 1 : COLD_FACTOR
     const known = usualMs > 0 ? usualMs * this._slowness : this.latencyMs
     const base = known > 0 ? known : DEFAULT_SERVICE_MS
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -17,8 +17,12 @@
 /** Receives the events of a socket. */
 export interface IFrameListener {
   onFrame (frame: PeerFrame): void
+  /** Called when bytes arrive, also those of frames that are incomplete or not passed on. */
+  onBytes? (): void
   /** Called once, with the reason; not called after {@link FrameSocket.dispose}. */
   onClose (cause: string): void
+  /** Called once, when the first frame tells whether the peer grants credit for large request bodies. */
+  onBodyCreditKnown? (isGranted: boolean): void
 }
 
 /**
@@ -29,10 +33,13 @@
   private readonly _bulkQueue = new BulkQueue()
   /** Bytes of bulk chunks that the peer has not reported as received. */
   private _bulkBytesInTransit = 0
+  /** Bytes of all bulk chunks that were sent, less those that the peer has reported; also of chunks sent before its first report. */
+  private _unreportedSentBytes = 0
   /** Received bytes of bulk chunks that are not reported yet. */
   private _unreportedBytes = 0
   /** False for a peer that does not report what it receives, to which everything is sent at once. */
   private _isPeerReporting = false
+  private _isBodyCreditKnown = false
   private _outgoing: Uint8Array[] = []
   private _isFlushing = false
   private _incoming: Buffer = Buffer.alloc(0)
@@ -97,6 +104,16 @@
     return !this._isClosed && (!this._bulkQueue.isEmpty || this._outgoing.length > 0 || this._socket.writableLength > 0)
   }
 
+  /** Bytes of bulk chunks that the peer has not reported as received; 0 if it reports nothing. */
+  get unreportedBytes (): number {
+    return this._isPeerReporting ? this._unreportedSentBytes : 0
+  }
+
+  /** Bytes of frames that the network has not taken. */
+  get unsentBytes (): number {
+    return this._socket.writableLength
+  }
+
   /** Sends everything that waits and closes the connection. */
   dispose (): void {
     for (let next = this._bulkQueue.take(); next !== undefined; next = this._bulkQueue.take()) this._sendBulkChunk(next)
@@ -122,6 +139,7 @@
   }
 
   private _sendBulkChunk ({ callId, chunk, isEnd }: IBulkChunk): void {
+    this._unreportedSentBytes += chunk.length
     if (this._isPeerReporting) this._bulkBytesInTransit += chunk.length
     this.send({ callId, frame: { $case: 'data', value: { chunk, end: isEnd, bulk: true } } })
   }
@@ -131,11 +149,12 @@
   }
 
   private _sendReport (bytes: number): void {
-    this.send({ callId: 0, frame: { $case: 'received', value: { bytes } } })
+    this.send({ callId: 0, frame: { $case: 'received', value: { bytes, bodyCredit: true } } })
   }
 
   private _handleReport (bytes: number): void {
     this._isPeerReporting = true
+    this._unreportedSentBytes = Math.max(0, this._unreportedSentBytes - bytes)
     this._bulkBytesInTransit = Math.max(0, this._bulkBytesInTransit - bytes)
     this._sendBulkChunks()
   }
@@ -157,6 +176,7 @@
   }
 
   private _receive (chunk: Buffer): void {
+    this._listener.onBytes?.()
     let data = this._incoming.length === 0 ? chunk : Buffer.concat([this._incoming, chunk])
     while (data.length > 0 && !this._isClosed) {
       const prefix = readLengthPrefix(data)
@@ -181,6 +201,11 @@
       this._fail('a frame can\'t be decoded')
       return false
     }
+    if (!this._isBodyCreditKnown) {
+      // Each process sends a report first, or none if its version does not report at all.
+      this._isBodyCreditKnown = true
+      this._listener.onBodyCreditKnown?.(frame.frame?.$case === 'received' && frame.frame.value.bodyCredit)
+    }
     if (frame.frame?.$case === 'received') {
       this._handleReport(frame.frame.value.bytes)
       return true
