Usage caps: calls go on by recent use while no leader decides in time

Only calls within leases and a small reserve were served. Change: a node goes on at 0.8 of the tokens that the leader granted to it in the window before, unless an account was refused within the window; the leader charges these calls to the account's bucket, which may owe twice its depth.

--- a/packages/traffic/src/caps/AccountLedger.ts
+++ b/packages/traffic/src/caps/AccountLedger.ts
@@ -106,6 +106,7 @@
     if (nowMs - this._plannedMs >= PLAN_INTERVAL_MS) this._plan(nowMs)
     const lease = this._handleLease(use, context)
     this._fillSpare(isRecovering, nowMs)
+    if (use.continued > 0) this._spare.charge(use.continued, nowMs)
     if (use.returned > 0) this._spare.putBack(use.returned, nowMs - use.returnedAgeMs, nowMs)
     const tokens = use.asked > 0 ? this._spare.take(use.asked, nowMs) : 0
     const waitMs = tokens < use.asked ? Math.ceil(Math.min(MAX_WAIT_MS, this._spare.computeWaitMs(nowMs))) : 0
--- a/packages/traffic/src/caps/NodeCaps.ts
+++ b/packages/traffic/src/caps/NodeCaps.ts
@@ -59,6 +59,7 @@
   readonly countNodes: () => number
 }
 
+const RECENT: ICapDecision = { kind: 'admitted', source: 'recent', waitMs: 0 }
 const UNDECIDED: ICapDecision = { kind: 'undecided', source: 'none', waitMs: 1_000 }
 
 /**
@@ -271,9 +272,13 @@
   }
 
   private _applyTokens (lease: NodeLease, asked: number, tokens: number, waitMs: number, nowMs: number): void {
-    const unused = tokens - this._decide(lease, tokens, () => ({ kind: 'admitted', source: 'spare', waitMs: 0 }))
+    const unused = tokens - this._decide(lease, tokens, () => {
+      lease.recentUse.recordGrant(nowMs)
+      return { kind: 'admitted', source: 'spare', waitMs: 0 }
+    })
     for (let token = 0; token < unused; token++) lease.returnToken('spare', nowMs, nowMs)
     if (tokens >= asked) return
+    lease.recentUse.recordRefusal(nowMs)
     const pauseMs = Math.min(MAX_ASK_PAUSE_MS, Math.max(ASK_INTERVAL_MS, waitMs))
     lease.nextAskMs = nowMs + pauseMs
     // Calls that came after the message can't wait for a pause that is longer than their wait.
@@ -283,6 +288,7 @@
 
   private _decideWithoutLeader (lease: NodeLease, isWhole: boolean, nowMs: number): ICapDecision {
     const { tolerance, random } = this._node
+    if (!isWhole && this._takeRecent(lease, nowMs)) return RECENT
     const waitMs = lease.takeShare({ isWhole, nodes: this._countNodes(), tolerance, lostMs: this._lostMs ?? nowMs, random }, nowMs)
     if (waitMs === 0) return { kind: 'admitted', source: 'fallback', waitMs }
     return isWhole ? { kind: 'refused', source: 'fallback', waitMs } : this._decideAlone(lease, nowMs)
@@ -290,10 +296,16 @@
 
   /** Decides on a call of which no leader has decided in time. */
   private _decideAlone (lease: NodeLease, nowMs: number): ICapDecision {
+    if (this._takeRecent(lease, nowMs)) return RECENT
     const isTaken = lease.takeReserve(this._node.tolerance, this._countNodes(), nowMs)
     return isTaken ? { kind: 'admitted', source: 'reserve', waitMs: 0 } : UNDECIDED
   }
 
+  private _takeRecent (lease: NodeLease, nowMs: number): boolean {
+    const { tolerance, random } = this._node
+    return lease.recentUse.take(tolerance.windowMs, this._lostMs ?? nowMs, nowMs, random)
+  }
+
   /** A node that is cut off knows fewer and fewer others, so the number never falls. */
   private _countNodes (): number {
     this._nodes = Math.max(this._nodes, this._node.countNodes())
--- a/packages/traffic/src/caps/NodeLease.ts
+++ b/packages/traffic/src/caps/NodeLease.ts
@@ -3,6 +3,7 @@
  */
 import type { IRandom } from '@lagoonswitch/common'
 import type { AccountUse, UsageLease } from '@lagoonswitch/schema'
+import { RecentUse } from './RecentUse.js'
 import { RateShare } from './RateShare.js'
 import { TokenBucket } from './TokenBucket.js'
 import { LEASE_VALIDITY_MS, computeLeasableRate, computeReserve, type ICap, type ICapTolerance } from './CapRules.js'
@@ -22,7 +23,7 @@
 export interface ICapDecision {
   readonly kind: 'admitted' | 'refused' | 'undecided'
   /** Where the token came from. */
-  readonly source: 'lease' | 'spare' | 'reserve' | 'fallback' | 'none'
+  readonly source: 'lease' | 'spare' | 'recent' | 'reserve' | 'fallback' | 'none'
   /** Time until a token is expected, in milliseconds; 0 if admitted. */
   readonly waitMs: number
 }
@@ -60,6 +61,8 @@
   private _returnedMs = 0
   private _calls = 0
   readonly waiters: ICapWaiter[] = []
+  /** Tokens that leaders granted lately. */
+  readonly recentUse = new RecentUse()
   /** Time before which no token is asked for, in milliseconds. */
   nextAskMs = -Infinity
 
@@ -154,6 +157,8 @@
   returnToken (source: ICapDecision['source'], takenMs: number, nowMs: number): void {
     if (source === 'lease' && this._bucket.depth >= 1) {
       this._bucket.putBack(1, takenMs, nowMs)
+    } else if (source === 'recent') {
+      this.recentUse.giveBack()
     } else if (source === 'reserve') {
       this._reserveUsed = Math.max(0, this._reserveUsed - 1)
     } else if (source === 'spare' || source === 'lease') {
@@ -180,7 +185,8 @@
       asked: nowMs >= this.nextAskMs ? this.waiters.length : 0,
       returned: this._returned,
       returnedAgeMs: this._returned === 0 ? 0 : Math.max(0, Math.floor(nowMs - this._returnedMs)),
-      epoch: this._epoch
+      epoch: this._epoch,
+      continued: this.recentUse.takeUnreported()
     }
     if (isReport) this._calls = 0
     this._returned = 0
--- a/packages/traffic/src/caps/TokenBucket.ts
+++ b/packages/traffic/src/caps/TokenBucket.ts
@@ -5,6 +5,8 @@
 const MS_PER_SECOND = 1_000
 /** Covers rounding errors of the fill, so that a caller that waits exactly as long as it was told finds its token. */
 const ROUNDING = 1e-6
+/** Largest debt in multiples of the depth; a larger one would stop an account for long after a loss of the leader. */
+const MAX_DEBT_RATIO = 2
 
 /** Tokens of one account at one place; starts empty. */
 export class TokenBucket {
@@ -77,11 +79,20 @@
    * @returns number of tokens taken, a whole number up to the wanted one
    */
   take (wanted: number, nowMs: number): number {
-    const taken = Math.min(wanted, Math.floor(this.readTokens(nowMs) + ROUNDING))
-    this._tokens = Math.max(0, this._tokens - taken)
+    const taken = Math.max(0, Math.min(wanted, Math.floor(this.readTokens(nowMs) + ROUNDING)))
+    if (taken > 0) this._tokens = Math.max(0, this._tokens - taken)
     return taken
   }
 
+  /**
+   * Charges tokens that were used without asking; the bucket may owe up to its depth and as much again.
+   * @param count - number of tokens
+   * @param nowMs - current time in milliseconds
+   */
+  charge (count: number, nowMs: number): void {
+    this._tokens = Math.max(-MAX_DEBT_RATIO * this._depth, this.readTokens(nowMs) - count)
+  }
+
   /**
    * Puts back tokens that were not used. If the bucket has been full since they were taken, it would hold no more with them.
    * @param count - number of tokens
