Usage caps: calls of accounts well below their caps go on for 0.6 s; a waiting call is asked for once

Change: answers list the accounts near their caps; calls of the others go on without a decision until 0.6 s after the loss of the leader. A call is asked for again after 40 ms only.

--- a/packages/control/src/caps/UsageServer.ts
+++ b/packages/control/src/caps/UsageServer.ts
@@ -59,7 +59,7 @@
     const isSure = group.isReadyLeader && group.contactAgeMs < SURE_SHARE * settings.control.electionTimeoutMs
     if (!isSure || this._ledger === undefined) {
       metrics.count('caps_messages_total', 'not-leading')
-      return { leads: false, leaderAddress: group.isReadyLeader ? '' : group.getStatus().leaderAddress, epoch: 0, accounts: [], nodes: 0 }
+      return { leads: false, leaderAddress: group.isReadyLeader ? '' : group.getStatus().leaderAddress, epoch: 0, accounts: [], nodes: 0, demandKnown: false, busyAccounts: [] }
     }
     metrics.count('caps_messages_total', request.intervalMs > 0 ? 'report' : 'ask')
     const { accounts } = store.view
--- a/packages/traffic/src/caps/AccountLedger.ts
+++ b/packages/traffic/src/caps/AccountLedger.ts
@@ -17,6 +17,8 @@
 /** Covers the difference between the speeds of the clocks of node and leader. */
 const CLOCK_MARGIN_MS = 100
 const MAX_WAIT_MS = 10_000
+/** Share of the rate up to which the demand counts as well below the cap; usual demand is about 0.63 of it. */
+const CALM_DEMAND_SHARE = 0.75
 
 /** A message of a node and its circumstances. */
 export interface IUseContext {
@@ -82,6 +84,14 @@
     return this._spare.readTokens(nowMs)
   }
 
+  /**
+   * @param nowMs - current time in milliseconds
+   * @returns true if the demand of all nodes is not well below the cap, or tokens are owed
+   */
+  isBusy (nowMs: number): boolean {
+    return this._demand > CALM_DEMAND_SHARE * this._cap.rate || this._spare.readTokens(nowMs) < 1
+  }
+
   /**
    * Applies a changed cap.
    * @param cap - of the account
--- a/packages/traffic/src/caps/NodeCaps.ts
+++ b/packages/traffic/src/caps/NodeCaps.ts
@@ -59,6 +59,11 @@
   readonly countNodes: () => number
 }
 
+/**
+ * Time without a leader for which calls of accounts well below their caps go on. A flood of 7.5 times the usual that begins with the loss
+ * adds four times the rate in each second, of which a window that was used to 0.75 before bears 0.75 s.
+ */
+const MAX_CALM_LOSS_MS = 600
 const RECENT: ICapDecision = { kind: 'admitted', source: 'recent', waitMs: 0 }
 const UNDECIDED: ICapDecision = { kind: 'undecided', source: 'none', waitMs: 1_000 }
 
@@ -82,6 +87,8 @@
   private _sentMs = -Infinity
   private _notBeforeMs = 0
   private _isConfirmDue = false
+  /** Accounts near their caps by the last answer; undefined while the demand of all nodes is not known. */
+  private _busyAccounts: ReadonlySet<string> | undefined
 
   /**
    * @param _node - identity
@@ -199,9 +206,9 @@
     let nextMs = Infinity
     const sendableMs = this._computeSendableMs()
     const askableMs = Math.max(sendableMs, nowMs + this._askBucket.computeWaitMs(nowMs))
-    for (const { waiters, nextAskMs } of this._asking) {
-      nextMs = Math.min(nextMs, (waiters[0]?.sinceMs ?? Infinity) + MAX_WAIT_MS)
-      nextMs = Math.min(nextMs, Math.max(nextAskMs, askableMs))
+    for (const lease of this._asking) {
+      nextMs = Math.min(nextMs, (lease.waiters[0]?.sinceMs ?? Infinity) + MAX_WAIT_MS)
+      nextMs = Math.min(nextMs, Math.max(lease.computeAskMs(), askableMs))
     }
     if (this._inUse.size === 0) return nextMs
     return Math.min(nextMs, Math.max(this._isConfirmDue ? nowMs : this._reportedMs + REPORT_INTERVAL_MS, sendableMs))
@@ -221,7 +228,7 @@
       for (const lease of this._inUse) accounts.push(lease.createUse(isReport, nowMs))
     } else if (this._askBucket.readTokens(nowMs) >= 1 - ROUNDING) {
       for (const lease of this._asking) {
-        if (lease.nextAskMs <= nowMs && lease.waiters.length > 0) accounts.push(lease.createUse(false, nowMs))
+        if (lease.computeAskMs() <= nowMs) accounts.push(lease.createUse(false, nowMs))
       }
     }
     if (accounts.length === 0) return undefined
@@ -248,6 +255,7 @@
       this._lostMs = undefined
       for (const lease of this._leases.values()) lease.endShare()
     }
+    this._busyAccounts = reply.demandKnown ? new Set(reply.busyAccounts) : undefined
     request.accounts.forEach((use, index) => {
       const answer = reply.accounts[index]
       const lease = this._leases.get(use.account)
@@ -303,6 +311,11 @@
 
   private _takeRecent (lease: NodeLease, nowMs: number): boolean {
     const { tolerance, random } = this._node
+    const lostForMs = this._lostMs === undefined ? 0 : nowMs - this._lostMs
+    if (lostForMs <= MAX_CALM_LOSS_MS && this._busyAccounts?.has(lease.name) === false) {
+      lease.recentUse.recordContinued(nowMs)
+      return true
+    }
     return lease.recentUse.take(tolerance.windowMs, this._lostMs ?? nowMs, nowMs, random)
   }
 
--- a/packages/traffic/src/caps/NodeLease.ts
+++ b/packages/traffic/src/caps/NodeLease.ts
@@ -10,12 +10,16 @@
 
 /** Longest time over which unused tokens of a lease are collected; a little more than the time between two reports. */
 const MAX_OVERFLOW_AGE_MS = 600
+/** Time after which a token is asked for again, as the message or its answer is probably lost. */
+const REPEAT_ASK_MS = 40
 
 /** A call that waits for a token. */
 export interface ICapWaiter {
   readonly sinceMs: number
   /** True once the call has ended or was decided. */
   isDone: boolean
+  /** When a token was last asked for, in milliseconds; undefined if none was. */
+  askedMs?: number
   readonly onDecided: (decision: ICapDecision) => void
 }
 
@@ -97,6 +101,19 @@
     this._applyScale(nowMs)
   }
 
+  /**
+   * Computes when a token must be asked for. A call is not asked for again while its answer may be under way: the second message would
+   * take another token, or be refused, and the refusal would stop the calls behind it.
+   * @returns time in milliseconds; Infinity if no call waits
+   */
+  computeAskMs (): number {
+    let askMs = Infinity
+    for (const { isDone, askedMs } of this.waiters) {
+      if (!isDone) askMs = Math.min(askMs, askedMs === undefined ? -Infinity : askedMs + REPEAT_ASK_MS)
+    }
+    return Math.max(this.nextAskMs, askMs)
+  }
+
   /** Counts a call that requests admission. */
   countCall (): void {
     this._calls++
@@ -182,7 +199,7 @@
       sequence: this._sequence,
       rate: this._bucket.rate,
       burst: this._bucket.depth,
-      asked: nowMs >= this.nextAskMs ? this.waiters.length : 0,
+      asked: nowMs >= this.nextAskMs ? this._markAsked(nowMs) : 0,
       returned: this._returned,
       returnedAgeMs: this._returned === 0 ? 0 : Math.max(0, Math.floor(nowMs - this._returnedMs)),
       epoch: this._epoch,
@@ -232,6 +249,16 @@
     this._bucket.change(0, 0, nowMs)
   }
 
+  private _markAsked (nowMs: number): number {
+    let count = 0
+    for (const waiter of this.waiters) {
+      if (waiter.isDone || (waiter.askedMs !== undefined && nowMs - waiter.askedMs < REPEAT_ASK_MS)) continue
+      waiter.askedMs = nowMs
+      count++
+    }
+    return count
+  }
+
   /** Gives tokens that the lease did not use since the last report to the spare bucket, if that report is recent. */
   private _returnOverflow (nowMs: number): void {
     const overflow = this._bucket.takeOverflow(nowMs)
--- a/packages/traffic/src/caps/RecentUse.ts
+++ b/packages/traffic/src/caps/RecentUse.ts
@@ -57,9 +57,17 @@
     const recent = this._continuedMs.filter(atMs => atMs >= shortStartMs).length
     if (limit >= MIN_SHORT_LIMIT && recent >= SHORT_LIMIT_SHARE * limit) return false
     if (random.draw() >= limit - this._continuedMs.length) return false
+    this.recordContinued(nowMs)
+    return true
+  }
+
+  /**
+   * Records a call that goes on without a decision.
+   * @param nowMs - current time in milliseconds
+   */
+  recordContinued (nowMs: number): void {
     this._continuedMs.push(nowMs)
     this._unreported++
-    return true
   }
 
   /** Gives back the token of a call that did not run. */
--- a/packages/traffic/src/caps/UsageLedger.ts
+++ b/packages/traffic/src/caps/UsageLedger.ts
@@ -5,6 +5,11 @@
 import { AccountLedger } from './AccountLedger.js'
 import { LEASE_VALIDITY_MS, type ICap, type ICapTolerance } from './CapRules.js'
 
+/** Time after the start of a leadership by which all nodes have reported twice. */
+const DEMAND_KNOWN_MS = 1_000
+/** Interval at which the accounts are looked through for those near their caps, in milliseconds. */
+const BUSY_LIST_INTERVAL_MS = 100
+
 /**
  * Ledgers of all accounts during one leadership. Answers a change of the leader under load: for as long as leases of the earlier
  * leader may be in use, it confirms what nodes hold and grants tokens only from the part of the rate that is never leased.
@@ -15,6 +20,8 @@
   readonly recoveredMs: number
   private readonly _nodesHeardMs = new Map<string, number>()
   private _countedMs = -Infinity
+  private _busyAccounts: string[] = []
+  private _listedMs = -Infinity
   private _sequence = 0
 
   /**
@@ -65,7 +72,23 @@
       }
       return this._getLedger(use.account, cap, isRecovering, nowMs).handleUse(use, context)
     })
-    return { leads: true, leaderAddress: '', epoch: this.epoch, accounts, nodes: this._countNodes(nowMs) }
+    return {
+      leads: true,
+      leaderAddress: '',
+      epoch: this.epoch,
+      accounts,
+      nodes: this._countNodes(nowMs),
+      demandKnown: nowMs - this._startedMs >= DEMAND_KNOWN_MS,
+      busyAccounts: this._listBusyAccounts(nowMs)
+    }
+  }
+
+  private _listBusyAccounts (nowMs: number): string[] {
+    if (nowMs - this._listedMs >= BUSY_LIST_INTERVAL_MS) {
+      this._listedMs = nowMs
+      this._busyAccounts = [...this._ledgers].filter(([, ledger]) => ledger.isBusy(nowMs)).map(([account]) => account)
+    }
+    return this._busyAccounts
   }
 
   private _countNodes (nowMs: number): number {
