--- a/packages/traffic/src/caps/NodeCaps.ts
+++ b/packages/traffic/src/caps/NodeCaps.ts
@@ -59,6 +59,12 @@
   readonly countNodes: () => number
 }
 
+/**
+ * Time without a leader for which calls of accounts well below their caps go on. A flood of 7.5 times the usual that begins with the loss
+ * adds four times the rate in each second, of which a window that was used to 0.75 before bears 0.75 s.
+ */
+const MAX_CALM_LOSS_MS = 600
+const RECENT: ICapDecision = { kind: 'admitted', source: 'recent', waitMs: 0 }
 const UNDECIDED: ICapDecision = { kind: 'undecided', source: 'none', waitMs: 1_000 }
 
 /**
@@ -81,6 +87,8 @@
   private _sentMs = -Infinity
   private _notBeforeMs = 0
   private _isConfirmDue = false
+  /** Accounts near their caps by the last answer; undefined while the demand of all nodes is not known. */
+  private _busyAccounts: ReadonlySet<string> | undefined
 
   /**
    * @param _node - identity
@@ -198,9 +206,9 @@
     let nextMs = Infinity
     const sendableMs = this._computeSendableMs()
     const askableMs = Math.max(sendableMs, nowMs + this._askBucket.computeWaitMs(nowMs))
-    for (const { waiters, nextAskMs } of this._asking) {
-      nextMs = Math.min(nextMs, (waiters[0]?.sinceMs ?? Infinity) + MAX_WAIT_MS)
-      nextMs = Math.min(nextMs, Math.max(nextAskMs, askableMs))
+    for (const lease of this._asking) {
+      nextMs = Math.min(nextMs, (lease.waiters[0]?.sinceMs ?? Infinity) + MAX_WAIT_MS)
+      nextMs = Math.min(nextMs, Math.max(lease.computeAskMs(), askableMs))
     }
     if (this._inUse.size === 0) return nextMs
     return Math.min(nextMs, Math.max(this._isConfirmDue ? nowMs : this._reportedMs + REPORT_INTERVAL_MS, sendableMs))
@@ -220,7 +228,7 @@
       for (const lease of this._inUse) accounts.push(lease.createUse(isReport, nowMs))
     } else if (this._askBucket.readTokens(nowMs) >= 1 - ROUNDING) {
       for (const lease of this._asking) {
-        if (lease.nextAskMs <= nowMs && lease.waiters.length > 0) accounts.push(lease.createUse(false, nowMs))
+        if (lease.computeAskMs() <= nowMs) accounts.push(lease.createUse(false, nowMs))
       }
     }
     if (accounts.length === 0) return undefined
@@ -247,6 +255,7 @@
       this._lostMs = undefined
       for (const lease of this._leases.values()) lease.endShare()
     }
+    this._busyAccounts = reply.demandKnown ? new Set(reply.busyAccounts) : undefined
     request.accounts.forEach((use, index) => {
       const answer = reply.accounts[index]
       const lease = this._leases.get(use.account)
@@ -271,9 +280,13 @@
   }
 
   private _applyTokens (lease: NodeLease, asked: number, tokens: number, waitMs: number, nowMs: number): void {
-    const unused = tokens - this._decide(lease, tokens, () => ({ kind: 'admitted', source: 'spare', waitMs: 0 }))
+    const unused = tokens - this._decide(lease, tokens, () => {
+      lease.recentUse.recordGrant(nowMs)
+      return { kind: 'admitted', source: 'spare', waitMs: 0 }
+    })
     for (let token = 0; token < unused; token++) lease.returnToken('spare', nowMs, nowMs)
     if (tokens >= asked) return
+    lease.recentUse.recordRefusal(nowMs)
     const pauseMs = Math.min(MAX_ASK_PAUSE_MS, Math.max(ASK_INTERVAL_MS, waitMs))
     lease.nextAskMs = nowMs + pauseMs
     // Calls that came after the message can't wait for a pause that is longer than their wait.
@@ -283,6 +296,7 @@
 
   private _decideWithoutLeader (lease: NodeLease, isWhole: boolean, nowMs: number): ICapDecision {
     const { tolerance, random } = this._node
+    if (!isWhole && this._takeRecent(lease, nowMs)) return RECENT
     const waitMs = lease.takeShare({ isWhole, nodes: this._countNodes(), tolerance, lostMs: this._lostMs ?? nowMs, random }, nowMs)
     if (waitMs === 0) return { kind: 'admitted', source: 'fallback', waitMs }
     return isWhole ? { kind: 'refused', source: 'fallback', waitMs } : this._decideAlone(lease, nowMs)
@@ -290,10 +304,21 @@
 
   /** Decides on a call of which no leader has decided in time. */
   private _decideAlone (lease: NodeLease, nowMs: number): ICapDecision {
+    if (this._takeRecent(lease, nowMs)) return RECENT
     const isTaken = lease.takeReserve(this._node.tolerance, this._countNodes(), nowMs)
     return isTaken ? { kind: 'admitted', source: 'reserve', waitMs: 0 } : UNDECIDED
   }
 
+  private _takeRecent (lease: NodeLease, nowMs: number): boolean {
+    const { tolerance, random } = this._node
+    const lostForMs = this._lostMs === undefined ? 0 : nowMs - this._lostMs
+    if (lostForMs <= MAX_CALM_LOSS_MS && this._busyAccounts?.has(lease.name) === false) {
+      lease.recentUse.recordContinued(nowMs)
+      return true
+    }
+    return lease.recentUse.take(tolerance.windowMs, this._lostMs ?? nowMs, nowMs, random)
+  }
+
   /** A node that is cut off knows fewer and fewer others, so the number never falls. */
   private _countNodes (): number {
     this._nodes = Math.max(this._nodes, this._node.countNodes())
