Usage caps: recent use is forgotten after the window and the validity of leases

Cause: found in the review of the diff: the times of granted tokens were dropped only when a call went on without a decision, so the memory of a node grew with each call while leaders answered. Change: they are dropped as tokens are recorded.

--- a/packages/traffic/src/caps/NodeCaps.ts
+++ b/packages/traffic/src/caps/NodeCaps.ts
@@ -281,7 +281,7 @@
 
   private _applyTokens (lease: NodeLease, asked: number, tokens: number, waitMs: number, nowMs: number): void {
     const unused = tokens - this._decide(lease, tokens, () => {
-      lease.recentUse.recordGrant(nowMs)
+      lease.recentUse.recordGrant(this._node.tolerance.windowMs, nowMs)
       return { kind: 'admitted', source: 'spare', waitMs: 0 }
     })
     for (let token = 0; token < unused; token++) lease.returnToken('spare', nowMs, nowMs)
@@ -313,7 +313,7 @@
     const { tolerance, random } = this._node
     const lostForMs = this._lostMs === undefined ? 0 : nowMs - this._lostMs
     if (lostForMs <= MAX_CALM_LOSS_MS && this._busyAccounts?.has(lease.name) === false) {
-      lease.recentUse.recordContinued(nowMs)
+      lease.recentUse.recordContinued(tolerance.windowMs, nowMs)
       return true
     }
     return lease.recentUse.take(tolerance.windowMs, this._lostMs ?? nowMs, nowMs, random)
--- a/packages/traffic/src/caps/RecentUse.test.ts
+++ b/packages/traffic/src/caps/RecentUse.test.ts
@@ -6,7 +6,7 @@
 
 function createUse (grants: number): RecentUse {
   const use = new RecentUse()
-  for (let index = 0; index < grants; index++) use.recordGrant(index * WINDOW_MS / grants)
+  for (let index = 0; index < grants; index++) use.recordGrant(WINDOW_MS, index * WINDOW_MS / grants)
   return use
 }
 
@@ -55,3 +55,13 @@
   expect(use.takeUnreported()).toBe(1)
   expect(use.takeUnreported()).toBe(0)
 })
+
+// Guards against memory that grows with each call while leaders answer, and so no call goes on without a decision.
+test('calls of the past are forgotten', () => {
+  const use = new RecentUse()
+  for (let nowMs = 0; nowMs < 600_000; nowMs += 10) {
+    use.recordGrant(WINDOW_MS, nowMs)
+    use.recordContinued(WINDOW_MS, nowMs)
+  }
+  expect(use.size).toBeLessThanOrEqual(2_005)
+})
--- a/packages/traffic/src/caps/RecentUse.ts
+++ b/packages/traffic/src/caps/RecentUse.ts
@@ -2,6 +2,7 @@
  * Tokens that leaders granted to a node lately for one account, by which it goes on while no leader decides in time.
  */
 import type { IRandom } from '@lagoonswitch/common'
+import { LEASE_VALIDITY_MS } from './CapRules.js'
 
 /**
  * Part of the recent use that goes on without a decision. All nodes together then stay below the rate and burst of the account, also in a
@@ -24,11 +25,19 @@
   private _refusedMs = -Infinity
   private _unreported = 0
 
+  /** Number of calls that are remembered. */
+  get size (): number {
+    return this._grantedMs.length + this._continuedMs.length
+  }
+
   /**
    * Records a token that a leader granted and a call used.
+   * @param windowMs - window of the caps in milliseconds
    * @param nowMs - current time in milliseconds
    */
-  recordGrant (nowMs: number): void {
+  recordGrant (windowMs: number, nowMs: number): void {
+    // While no leader decides, the window before its loss is needed for as long as leases are valid.
+    dropBefore(this._grantedMs, nowMs - windowMs - LEASE_VALIDITY_MS)
     this._grantedMs.push(nowMs)
   }
 
@@ -57,15 +66,17 @@
     const recent = this._continuedMs.filter(atMs => atMs >= shortStartMs).length
     if (limit >= MIN_SHORT_LIMIT && recent >= SHORT_LIMIT_SHARE * limit) return false
     if (random.draw() >= limit - this._continuedMs.length) return false
-    this.recordContinued(nowMs)
+    this.recordContinued(windowMs, nowMs)
     return true
   }
 
   /**
    * Records a call that goes on without a decision.
+   * @param windowMs - window of the caps in milliseconds
    * @param nowMs - current time in milliseconds
    */
-  recordContinued (nowMs: number): void {
+  recordContinued (windowMs: number, nowMs: number): void {
+    dropBefore(this._continuedMs, nowMs - windowMs)
     this._continuedMs.push(nowMs)
     this._unreported++
   }
