Usage caps: a token that is given back doesn't count as recent use

On the way: a token given back stayed in the recent use, which would let more go on. Change: the token is removed; the test counts both ways of admission, the checks of the returned token are as before.

--- a/packages/traffic/src/caps/NodeLease.ts
+++ b/packages/traffic/src/caps/NodeLease.ts
@@ -179,6 +179,7 @@
     } else if (source === 'reserve') {
       this._reserveUsed = Math.max(0, this._reserveUsed - 1)
     } else if (source === 'spare' || source === 'lease') {
+      if (source === 'spare') this.recentUse.removeGrant()
       this._returnedMs = this._returned === 0 ? takenMs : Math.min(this._returnedMs, takenMs)
       this._returned++
     }
--- a/packages/traffic/src/caps/RecentUse.ts
+++ b/packages/traffic/src/caps/RecentUse.ts
@@ -41,6 +41,11 @@
     this._grantedMs.push(nowMs)
   }
 
+  /** Removes the last granted token, as its call did not run. */
+  removeGrant (): void {
+    this._grantedMs.pop()
+  }
+
   /**
    * Records that a leader had no token.
    * @param nowMs - current time in milliseconds
--- a/tests/UsageCaps.test.ts
+++ b/tests/UsageCaps.test.ts
@@ -75,15 +75,17 @@
   await startWorld(['n1'], 0.4, 1)
   await world.addTarget('n1', 't1', 'v1', (_, response) => response.end('ok'))
   const { port, metrics } = world.getNode('n1')
+  // A call goes on by recent use when the leader takes more than 100 ms, as on a busy machine.
+  const countAdmitted = (): number => metrics.readCount('caps_calls_total', 'spare') + metrics.readCount('caps_calls_total', 'recent')
   await sleep(3_000)
   for (let repeat = 0; repeat < REPEATS; repeat++) {
-    const admitted = metrics.readCount('caps_calls_total', 'spare')
+    const admitted = countAdmitted()
     const outgoing = openRequest({
       host: '127.0.0.1', port, method: 'POST', path: '/read', headers: { ...CAPPED, 'content-length': 10 }, agent: false
     })
     outgoing.on('error', () => undefined)
     outgoing.flushHeaders()
-    await waitFor('admission', () => metrics.readCount('caps_calls_total', 'spare') > admitted)
+    await waitFor('admission', () => countAdmitted() > admitted)
     const returned = metrics.readCount('caps_calls_total', 'returned')
     outgoing.destroy()
     await waitFor('the return', () => metrics.readCount('caps_calls_total', 'returned') > returned)
