--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -e
 cd "$(dirname "$0")"
 test -f ../target/lagoonswitch.cjs
-for file in lib-2/*.mjs [6-9]/*.mjs 10/*.mjs; do
+for file in lib-2/*.mjs lib-3/*.mjs [6-9]/*.mjs 10/*.mjs; do
   [ ! -e "$file" ] || node --check "$file"
 done
