Members: no change makes the quorum larger while a voter is lost

Cause: a successor became a voter before the lost replica was removed.

The operator's replacement had the same fault in a group of three: RaftGroup.test.ts, successor that is lost at its write 2, failed before.

Change: a lost voter is removed first, which leaves the quorum of five at three; a quorum grows only while all voters answer. Four voters are never reduced to three where five are desired, so each entry stays on three disks. members_changed names the member and the reason.

--- a/packages/control/src/raft/GroupMembership.ts
+++ b/packages/control/src/raft/GroupMembership.ts
@@ -6,7 +6,7 @@
   type IdentifyReply, type JoinReply, type JoinRequest, type LogEntry, type Member
 } from '@lagoonswitch/schema'
 import { GroupCreation } from './GroupCreation.js'
-import { MembershipPlanner } from './MembershipPlanner.js'
+import { MembershipPlanner, type IMembershipView } from './MembershipPlanner.js'
 import type { RaftError } from './RaftGroup.js'
 import type { RaftLeader } from './RaftLeader.js'
 import type { IAutomaticMembership, IRaftOptions } from './RaftTypes.js'
@@ -39,7 +39,7 @@
     private readonly _options: IRaftOptions, private readonly _replica: Replica, private readonly _host: IMembershipHost,
     private readonly _stopping: AbortSignal
   ) {
-    this._planner = new MembershipPlanner(_options.automatic?.desiredVoters ?? 1)
+    this._planner = new MembershipPlanner(_options.automatic?.desiredVoters ?? 1, _options.heartbeatMs)
     this._creation = new GroupCreation(_options, _replica, {
       identify: async address => await this._identify(address),
       getIdentity: () => this.handleIdentify(),
@@ -79,7 +79,7 @@
 
   /**
    * Adds a VM as a learner, waits until it has caught up and makes it a voter. A voter with the
-   * same name and another replica id is removed only after that.
+   * same name and another replica id is removed after that, or before it if that voter is lost.
    * @param name - name of the VM
    * @param address - its peer address
    * @returns nothing, or why the change was not made
@@ -96,6 +96,8 @@
     if (added.err) return added
     const caughtUp = await this._waitCaughtUp(replicaId)
     if (caughtUp.err) return caughtUp
+    const removedFirst = await this._removeLost(name, replicaId)
+    if (removedFirst.err) return removedFirst
     const promoted = await this._changeMembers(() => [...others(), { ...learner, voter: true }])
     if (promoted.err) return promoted
     const isOld = (member: Member): boolean => member.name === name && member.replicaId !== replicaId
@@ -112,6 +114,15 @@
     return await this._changeMembers(() => this._replica.members.filter(member => member.name !== name))
   }
 
+  /** Removes the voter of a VM that is lost, if it is to be removed before its successor becomes a voter. */
+  private async _removeLost (name: string, successorId: string): Promise<Result<void, RaftError>> {
+    const leader = this._host.getLeader()
+    if (leader === undefined) return Err(this._host.createNotLeaderError())
+    const old = this._replica.members.find(member => member.name === name && member.replicaId !== successorId && member.voter)
+    if (old === undefined || !this._planner.isRemovedFirst(this._createView(leader), old.replicaId)) return Ok(undefined)
+    return await this._changeMembers(() => this._replica.members.filter(({ replicaId }) => replicaId !== old.replicaId))
+  }
+
   private async _changeMembers (computeMembers: () => readonly Member[]): Promise<Result<void, RaftError>> {
     const leader = this._host.getLeader()
     if (leader === undefined) return Err(this._host.createNotLeaderError())
@@ -145,25 +156,35 @@
       await clock.sleep(MEMBER_CHECK_INTERVAL_MS, this._stopping)
       const leader = this._host.getLeader()
       if (leader === undefined || !leader.canChangeMembers()) continue
-      const next = this._planner.planChange({
-        selfId: this._replica.replicaId,
-        members: this._replica.members,
-        getSilenceMs: id => leader.getSilenceMs(id),
-        isReplaced: id => leader.isReplaced(id),
-        isCaughtUp: id => leader.getMatchIndex(id) + MAX_PROMOTION_LAG_ENTRIES >= this._replica.commitIndex && leader.getMatchIndex(id) > 0
-      }, clock.readMonotonicMs())
-      if (next === undefined) continue
-      const entry = leader.appendMembers(next)
+      const change = this._planner.planChange(this._createView(leader), clock.readMonotonicMs())
+      if (change === undefined) continue
+      const { members, subject, reason } = change
+      const silenceMs = leader.getSilenceMs(subject.replicaId)
+      const entry = leader.appendMembers(members)
       log.info('members_changed', {
         group,
         index: entry.index,
-        voters: next.filter(member => member.voter).map(member => member.name).join('+'),
-        learners: next.filter(member => !member.voter).map(member => member.name).join('+')
+        reason,
+        member: subject.name,
+        replica: subject.replicaId,
+        silence_ms: Math.round(silenceMs),
+        voters: members.filter(member => member.voter).map(member => member.name).join('+'),
+        learners: members.filter(member => !member.voter).map(member => member.name).join('+')
       })
       await this._host.waitApplied(entry)
     }
   }
 
+  private _createView (leader: RaftLeader): IMembershipView {
+    return {
+      selfId: this._replica.replicaId,
+      members: this._replica.members,
+      getSilenceMs: id => leader.getSilenceMs(id),
+      isReplaced: id => leader.isReplaced(id),
+      isCaughtUp: id => leader.getMatchIndex(id) + MAX_PROMOTION_LAG_ENTRIES >= this._replica.commitIndex && leader.getMatchIndex(id) > 0
+    }
+  }
+
   /** Asks to join while this replica is not a voter or has no contact with a leader. */
   private async _runJoin (automatic: IAutomaticMembership): Promise<void> {
     const { clock, name, log, group } = this._options
--- a/packages/control/src/raft/RaftGroup.test.ts
+++ b/packages/control/src/raft/RaftGroup.test.ts
@@ -205,6 +205,22 @@
   expect(cluster.getVm(lost ?? '').stateMachine.commands).toEqual(['x', 'y'])
 })
 
+// Guards against an operator's replacement of a lost VM that needs the successor for a quorum before it has proved to last.
+test.each([2, 3, 4, 5])('successor that is lost at its write %i leaves a quorum', async writes => {
+  await startCluster()
+  const leader = await cluster.waitLeader()
+  const lost = listOthers(leader.name)[0] ?? ''
+  cluster.kill(lost)
+  const vm = cluster.getVm(lost)
+  vm.loseDisk()
+  await cluster.start(lost, false)
+  let left = writes
+  vm.storage.onWrite = async () => { if (--left <= 0) cluster.kill(lost) }
+  await cluster.advanceUntilSettled(leader.group?.membership.replaceMember(lost, lost) ?? Promise.reject(new Error('no group')))
+  const successor = await cluster.waitLeader()
+  expect(await cluster.propose(successor, 'x')).toBe(true)
+})
+
 test('member that is far behind catches up through a snapshot', async () => {
   await startCluster(NAMES, 1, 20)
   const leader = await cluster.waitLeader()
--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -11,6 +11,7 @@
   type LogEntry, type Member, type VoteReply, type VoteRequest
 } from '@lagoonswitch/schema'
 import { GroupMembership } from './GroupMembership.js'
+import { computeQuorum } from './Quorum.js'
 import { RaftLeader } from './RaftLeader.js'
 import { Replica } from './Replica.js'
 import type { IRaftOptions, IRaftStatus, RaftRole } from './RaftTypes.js'
@@ -346,7 +347,7 @@
     const request = {
       group, term, candidate: replicaId, lastIndex: log.lastIndex, lastTerm: log.lastTerm, preVote
     }
-    const quorum = Math.floor(voters.length / 2) + 1
+    const quorum = computeQuorum(voters.length)
     let granted = 1
     let pendingVotes = voters.length - 1
     if (granted >= quorum) return true
