Members: silence of a learner counts from when it was added

A VM that needs longer than 200 ms for its first answer was removed at the next check and added again, as the age of the leadership counted as its silence. An operator's replacement never ended if the new VM was lost before it had caught up.

Evidence: "learner whose first answer takes 3 s becomes a voter" and "replacement fails when the successor stops answering" failed before.

Change: the silence of a peer begins when the leader adds it; only a replica that has answered supersedes another one at its address; the replacement ends with an error after 5 s of silence.

--- a/packages/control/src/raft/GroupMembership.ts
+++ b/packages/control/src/raft/GroupMembership.ts
@@ -6,7 +6,7 @@
   type IdentifyReply, type JoinReply, type JoinRequest, type LogEntry, type Member
 } from '@lagoonswitch/schema'
 import { GroupCreation } from './GroupCreation.js'
-import { MembershipPlanner, type IMembershipView } from './MembershipPlanner.js'
+import { MAX_LEARNER_SILENCE_MS, MembershipPlanner, type IMembershipView } from './MembershipPlanner.js'
 import type { RaftError } from './RaftGroup.js'
 import type { RaftLeader } from './RaftLeader.js'
 import type { IAutomaticMembership, IRaftOptions } from './RaftTypes.js'
@@ -94,7 +94,7 @@
     const others = (): readonly Member[] => this._replica.members.filter(member => member.replicaId !== replicaId)
     const added = await this._changeMembers(() => [...others(), learner])
     if (added.err) return added
-    const caughtUp = await this._waitCaughtUp(replicaId)
+    const caughtUp = await this._waitCaughtUp(learner)
     if (caughtUp.err) return caughtUp
     const removedFirst = await this._removeLost(name, replicaId)
     if (removedFirst.err) return removedFirst
@@ -131,10 +131,13 @@
     return done.ok ? Ok(undefined) : done
   }
 
-  private async _waitCaughtUp (replicaId: string): Promise<Result<void, RaftError>> {
+  private async _waitCaughtUp ({ replicaId, name, address }: Member): Promise<Result<void, RaftError>> {
     const goalIndex = this._replica.commitIndex
     for (let leader = this._host.getLeader(); leader !== undefined && !this._stopping.aborted; leader = this._host.getLeader()) {
       if (leader.getMatchIndex(replicaId) >= goalIndex) return Ok(undefined)
+      if (leader.getSilenceMs(replicaId) > MAX_LEARNER_SILENCE_MS) {
+        return Err(new StorageError(`${name} at ${address} stopped answering before it had caught up`, 'start it and repeat the command'))
+      }
       await this._options.clock.sleep(this._options.heartbeatMs, this._stopping)
     }
     return Err(this._host.createNotLeaderError())
@@ -180,6 +183,7 @@
       selfId: this._replica.replicaId,
       members: this._replica.members,
       getSilenceMs: id => leader.getSilenceMs(id),
+      hasAnswered: id => leader.hasAnswered(id),
       isReplaced: id => leader.isReplaced(id),
       isCaughtUp: id => leader.getMatchIndex(id) + MAX_PROMOTION_LAG_ENTRIES >= this._replica.commitIndex && leader.getMatchIndex(id) > 0
     }
--- a/packages/control/src/raft/Membership.test.ts
+++ b/packages/control/src/raft/Membership.test.ts
@@ -101,6 +101,23 @@
   expect(countVoters()).toBe(5)
 })
 
+// Guards against a learner that is removed before its first answer, since the time in which others were silent counts as its own.
+test('learner whose first answer takes 3 s becomes a voter', async () => {
+  await cluster.clock.advance(10_000)
+  const { storage } = cluster.getVm('f')
+  let isSlow = true
+  storage.onWrite = async () => { if (isSlow) await cluster.clock.sleep(3_000) }
+  await cluster.start('f')
+  const hasLearner = (): boolean => cluster.findLeader()?.group?.getStatus().members.some(({ name }) => name === 'f') === true
+  await cluster.waitFor('the learner', hasLearner)
+  for (let passedMs = 0; passedMs < 3_000; passedMs += 200) {
+    await cluster.clock.advance(200)
+    expect(hasLearner()).toBe(true)
+  }
+  isSlow = false
+  await cluster.waitFor('six voters', () => countVoters() === 6)
+})
+
 test('removed VM that was isolated joins again without a new term', async () => {
   const leader = await cluster.waitLeader()
   const isolated = listOthers(leader.name)[0] ?? ''
--- a/packages/control/src/raft/MembershipPlanner.ts
+++ b/packages/control/src/raft/MembershipPlanner.ts
@@ -16,7 +16,7 @@
 /** Time without an answer after which a voter is replaced by a learner that is ready, or removed if it is a surplus one. */
 const MAX_VOTER_SILENCE_MS = 1_500
 /** Time without an answer after which a learner is removed. */
-const MAX_LEARNER_SILENCE_MS = 5_000
+export const MAX_LEARNER_SILENCE_MS = 5_000
 /** Time for which a join request is valid; a replica repeats it until it is a voter. */
 const PENDING_JOIN_LIFETIME_MS = 2_000
 /** Heartbeats within which a voter in contact answers. */
@@ -27,8 +27,10 @@
 export interface IMembershipView {
   readonly selfId: string
   readonly members: readonly Member[]
-  /** Time since a peer last answered, in milliseconds. */
+  /** Time since a peer last answered, or since it was added, in milliseconds. */
   readonly getSilenceMs: (replicaId: string) => number
+  /** True once a peer has answered this leader. */
+  readonly hasAnswered: (replicaId: string) => boolean
   /** True if another replica answers at the address of the peer, which means that the peer's disk is gone. */
   readonly isReplaced: (replicaId: string) => boolean
   /** True if the peer holds enough of the committed entries to become a voter. */
@@ -170,11 +172,11 @@
 }
 
 /** Tells whether another replica has taken the place of a member at its address. */
-function isSuperseded ({ members, isReplaced, getSilenceMs }: IMembershipView, replicaId: string): boolean {
+function isSuperseded ({ members, isReplaced, hasAnswered, getSilenceMs }: IMembershipView, replicaId: string): boolean {
   if (isReplaced(replicaId)) return true
   const member = members.find(other => other.replicaId === replicaId)
   return members.some(other => other.address === member?.address && other.replicaId !== replicaId &&
-    getSilenceMs(other.replicaId) < getSilenceMs(replicaId))
+    hasAnswered(other.replicaId) && getSilenceMs(other.replicaId) < getSilenceMs(replicaId))
 }
 
 function planRemoval (members: readonly Member[], removed: Member, reason: MemberChangeReason): IMemberChange {
--- a/packages/control/src/raft/RaftGroup.test.ts
+++ b/packages/control/src/raft/RaftGroup.test.ts
@@ -221,6 +221,21 @@
   expect(await cluster.propose(successor, 'x')).toBe(true)
 })
 
+// Guards against an operator's command that never ends, since the new VM is lost before it has caught up.
+test('replacement fails when the successor stops answering', async () => {
+  await startCluster()
+  const leader = await cluster.waitLeader()
+  const lost = listOthers(leader.name)[0] ?? ''
+  cluster.kill(lost)
+  cluster.getVm(lost).loseDisk()
+  await cluster.start(lost, false)
+  cluster.getVm(lost).storage.onWrite = async () => cluster.kill(lost)
+  let error = ''
+  void leader.group?.membership.replaceMember(lost, lost).then(result => { if (result.err) error = result.val.message })
+  await cluster.waitFor('the error', () => error !== '', 8_000)
+  expect(error).toContain(`${lost} at ${lost} stopped answering before it had caught up`)
+})
+
 test('member that is far behind catches up through a snapshot', async () => {
   await startCluster(NAMES, 1, 20)
   const leader = await cluster.waitLeader()
--- a/packages/control/src/raft/RaftLeader.ts
+++ b/packages/control/src/raft/RaftLeader.ts
@@ -16,6 +16,8 @@
   matchIndex: number
   /** Monotonic time at which the last answered request was sent. */
   lastAckedSendMs: number
+  /** Monotonic time at which this leader began to replicate to the peer. */
+  readonly addedMs: number
   readonly wakeSignal: Signal
   isActive: boolean
   /** True if a replica with another id answered at the address. */
@@ -111,12 +113,22 @@
 
   /**
    * @param replicaId - a peer
-   * @returns time since it last answered, or since the start of this leadership, in milliseconds
+   * @returns time since it last answered, or since it was added if it has not answered this leader yet, in milliseconds
    */
   getSilenceMs (replicaId: string): number {
     if (replicaId === this._replica.replicaId) return 0
-    const lastAckedMs = this._peers.get(replicaId)?.lastAckedSendMs ?? -Infinity
-    return this._replica.options.clock.readMonotonicMs() - Math.max(lastAckedMs, this._startedMs)
+    const peer = this._peers.get(replicaId)
+    const sinceMs = peer === undefined ? this._startedMs : Math.max(peer.lastAckedSendMs, peer.addedMs)
+    return this._replica.options.clock.readMonotonicMs() - sinceMs
+  }
+
+  /**
+   * @param replicaId - a peer
+   * @returns true once it has answered this leader
+   */
+  hasAnswered (replicaId: string): boolean {
+    const lastAckedMs = this._peers.get(replicaId)?.lastAckedSendMs
+    return lastAckedMs !== undefined && lastAckedMs > -Infinity
   }
 
   /**
@@ -148,6 +160,7 @@
         nextIndex: this._replica.log.lastIndex + 1,
         matchIndex: 0,
         lastAckedSendMs: -Infinity,
+        addedMs: this._replica.options.clock.readMonotonicMs(),
         wakeSignal: new Signal(),
         isActive: true,
         isReplaced: false
