--- a/packages/node/src/targets/LocalTargetRegistry.test.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.test.ts
@@ -1,7 +1,8 @@
 import { beforeEach, expect, test } from 'vitest'
-import { ManualClock, Metrics, NullLog } from '@lagoonswitch/common'
+import { ManualClock, Metrics, NullLog, SeededRandom } from '@lagoonswitch/common'
 import { EndpointView } from '@lagoonswitch/feed'
 import { EndpointState } from '@lagoonswitch/schema'
+import { TargetPool } from '@lagoonswitch/traffic'
 import { LagoonDialect } from '../calls/CallDialect.js'
 import type { ITargetAnnouncement } from './LocalTarget.js'
 import { LocalTargetRegistry } from './LocalTargetRegistry.js'
@@ -183,3 +184,16 @@
   if (record !== undefined) endpoints.markGone([record])
   expect(getState()).toBe(READY)
 })
+
+// Guards against a node that refuses all calls to its own target for good: the pool learnt of the refutation before the removal.
+test('target whose removal is refuted stays in the pool of its own node', () => {
+  const pool = new TargetPool({
+    region: 'r1', availabilityZone: 'z1', linkAddress: 'link', clock, random: new SeededRandom(1), metrics: new Metrics(), endpoints
+  })
+  announce()
+  expect(pool.countTargets('desk', 'v1')).toBe(1)
+  const record = endpoints.getRecord('t1')
+  if (record !== undefined) endpoints.markGone([record])
+  expect(getState()).toBe(READY)
+  expect(pool.countTargets('desk', 'v1')).toBe(1)
+})
