Feed: a lost subscriber takes along only what it has announced itself

A node leaves a silent connection and announces its target through a new one; when its former source finds the old connection lost, all processes drop the target for a moment, until the node refutes it.

Cause: the hub took note of the targets of a lost subscriber as they were by then, with what had come through the new connection.

Evidence: "target that was announced again elsewhere outlives the connection that its node left" failed before.

Change: the hub keeps the newest record of each target by subscriber, and removes a target only if no newer one has come.

--- a/packages/feed/src/EndpointView.ts
+++ b/packages/feed/src/EndpointView.ts
@@ -63,7 +63,7 @@
 
   /**
    * Marks targets as gone unless a newer record has arrived in the meantime.
-   * @param lostRecords - the records at the time when the connection was lost
+   * @param lostRecords - the records as the lost connection announced them
    */
   markGone (lostRecords: readonly EndpointRecord[]): void {
     const gone: EndpointRecord[] = []
--- a/packages/feed/src/FeedHub.ts
+++ b/packages/feed/src/FeedHub.ts
@@ -12,7 +12,7 @@
 import { createUnaryHandler } from '@lagoonswitch/transport'
 import type { CatalogueStore } from './CatalogueStore.js'
 import type { ControlDirectory } from './ControlDirectory.js'
-import type { EndpointView } from './EndpointView.js'
+import { EndpointView } from './EndpointView.js'
 
 /** Interval of the beats; below one level of relays the age of a catalogue stays under the 1 s from which on it counts as old. */
 const BEAT_INTERVAL_MS = 250
@@ -79,7 +79,8 @@
   hello: Hello | undefined
   sentVersion: ICatalogueVersion
   readonly pendingEndpoints: Map<string, EndpointRecord>
-  readonly learnedTargetIds: Set<string>
+  /** Newest record of each target that this subscriber has announced. */
+  readonly announced: EndpointView
   flushTimer: IDisposable | undefined
   fleet: IFleetStatus
 }
@@ -167,7 +168,7 @@
       hello: undefined,
       sentVersion: NO_VERSION,
       pendingEndpoints: new Map(),
-      learnedTargetIds: new Set(),
+      announced: new EndpointView(),
       flushTimer: undefined,
       fleet: { nodes: 0, lowest: NO_VERSION }
     }
@@ -194,7 +195,7 @@
         return
       case 'endpoints':
         if (!this._subscribers.has(subscriber)) return
-        for (const record of frame.value.records) subscriber.learnedTargetIds.add(record.targetId)
+        subscriber.announced.merge(frame.value.records)
         this._options.endpoints.merge(frame.value.records, subscriber)
         return
       case 'evidence':
@@ -274,11 +275,8 @@
     subscriber.flushTimer?.dispose()
     subscriber.stream.end()
     if (!this._subscribers.delete(subscriber)) return
-    const lostRecords: EndpointRecord[] = []
-    for (const id of subscriber.learnedTargetIds) {
-      const record = this._options.endpoints.getRecord(id)
-      if (record !== undefined) lostRecords.push(record)
-    }
+    // A target with a newer record than these has been announced through another connection.
+    const lostRecords = subscriber.announced.getRecords()
     if (lostRecords.length === 0) return
     this._disposables.add(this._options.clock.schedule(GONE_DELAY_MS, () => this._options.endpoints.markGone(lostRecords)))
   }
