Calls: the end of a body that came before the body was streamed is passed on

Callers saw: uploads of 16 to 64 kB that never reach their target; the caller leaves after its time (call_ended outcome=caller-gone sends=1 runs=0).

Cause: a body that has arrived whole before it is read lets the stream emit its end although CallBody has paused it. stream() listens two turns later, so the target's node waited for an end that had been missed. A call begins to read late behind an earlier call of its connection, while its account is admitted, and on a busy thread.

Change: stream() passes the end on if it has come.

--- a/packages/node/src/calls/CallBody.ts
+++ b/packages/node/src/calls/CallBody.ts
@@ -70,16 +70,22 @@
   }
 
   /**
-   * Streams the rest of a body that was not buffered completely; this can be done only once.
+   * Streams the rest of a body that was not buffered completely; this can be done only once. The body may have ended before, since a
+   * stream whose last bytes have been read ends although it is paused.
    * @param getHandle - finds the handle of the current attempt
    */
   stream (getHandle: () => ICallHandle | undefined): void {
     if (this.isComplete || this._isStreaming) return
     this._isStreaming = true
+    const end = (): void => { if (!this._isDiscarding && this.readBytes <= this._maxBytes) getHandle()?.endBody() }
+    if (this._request.readableEnded) {
+      end()
+      return
+    }
     this._request.on('data', (chunk: Buffer) => {
       if (!this._isDiscarding && !this._isTooLarge(chunk) && getHandle()?.sendBody(chunk) === false) this._request.pause()
     })
-    this._request.on('end', () => { if (!this._isDiscarding && this.readBytes <= this._maxBytes) getHandle()?.endBody() })
+    this._request.on('end', end)
     this._request.resume()
   }
 
--- a/tests/Uploads.test.ts
+++ b/tests/Uploads.test.ts
@@ -117,6 +117,30 @@
   expect(countWaitingBytes(node)).toBe(0)
 })
 
+// Guards against an upload that never reaches its target: it waits behind an earlier call, and its body has arrived before it is read.
+test.each(NODES)('uploads behind an earlier call of their connection arrive whole, target on %s', async node => {
+  await world.addTarget(node, 't1', 'v1', (incoming, response) => {
+    if (incoming.method === 'POST') return answer(incoming, response)
+    setTimeout(() => {
+      response.setHeader('x-attempt-id', incoming.headers['x-attempt-id'] ?? '')
+      response.end()
+    }, 50)
+  })
+  const lengths = [17_000, 40_000, 63_000]
+  for (const bytes of lengths) {
+    const socket = connect(world.getNode('n1').port, '127.0.0.1')
+    let text = ''
+    socket.on('data', chunk => { text += String(chunk) })
+    const head = (): string => `host: x\r\nx-attempt-id: u${calls++}\r\nx-request-deadline: 2000\r\n`
+    socket.write(`GET /read HTTP/1.1\r\n${head()}\r\nPOST /upload HTTP/1.1\r\n${head()}content-length: ${bytes}\r\n\r\n`)
+    socket.write(BODY.subarray(0, bytes))
+    await waitFor('both responses', () => text.split('HTTP/1.1 ').length === 3)
+    expect(text.split('HTTP/1.1 ').slice(1).map(part => part.slice(0, 3))).toEqual(['200', '200'])
+    socket.destroy()
+  }
+  expect(received.map(({ bytes, isEqual }) => [bytes, isEqual])).toEqual(lengths.map(bytes => [bytes, true]))
+})
+
 test('body in chunks of a byte is held without overhead and arrives whole', async () => {
   await world.addTarget('n2', 't1', 'v1', answer)
   const socket = connect(world.getNode('n1').port, '127.0.0.1')
