--- a/packages/node/src/calls/Call.ts
+++ b/packages/node/src/calls/Call.ts
@@ -217,6 +217,7 @@
     this._endNestedCall = this._context.startNestedCall(head.val.parentId)
     this._report.route = head.val.route.key
     this._report.account = head.val.account
+    if (head.val.route.isBulkBody) this._report.body = this._body
     this._report.retries = this._retries
     this._deadlineMs = this._startedMs + head.val.timeoutMs
     this._stop = new AttemptStop(this._context, head.val.route.key, this._deadlineMs)
--- a/packages/node/src/calls/CallBody.test.ts
+++ b/packages/node/src/calls/CallBody.test.ts
@@ -59,7 +59,7 @@
   await settle()
   body.stream(() => handle)
   await settle()
-  expect([body.bytes.length, handle.bytes, handle.ends]).toEqual([20_000, 0, 1])
+  expect([body.bytes.length, handle.bytes, handle.ends, body.hasEnded]).toEqual([20_000, 0, 1, true])
 })
 
 test('end that comes while the body is streamed is passed on once', async () => {
@@ -119,6 +119,7 @@
   const clock = new ManualClock()
   const body = new CallBody(createRequest([BODY], false))
   await buffer(body)
+  expect(body.hasEnded).toBe(false)
   body.discard(clock, 1_000)
   await clock.advance(10_000)
   expect(isSocketClosed).toBe(true)
--- a/packages/node/src/calls/CallBody.ts
+++ b/packages/node/src/calls/CallBody.ts
@@ -31,6 +31,11 @@
     return Number(this._request.headers['content-length'] ?? 0)
   }
 
+  /** True once the caller has sent the whole body. */
+  get hasEnded (): boolean {
+    return this.isComplete || this._request.readableEnded
+  }
+
   /**
    * Limits a body whose length need not be stated.
    * @param maxBytes - largest body in bytes
@@ -95,7 +100,7 @@
    * @param remainingMs - time left for the call in milliseconds; the connection is closed if the body takes longer
    */
   discard (clock: IClock, remainingMs: number): void {
-    if (this.isComplete || this._request.readableEnded) return
+    if (this.hasEnded) return
     this._isDiscarding = true
     const timer = clock.schedule(Math.max(MIN_DISCARD_MS, remainingMs), () => this._request.socket.destroy())
     this._request.on('close', () => timer.dispose())
--- a/packages/node/src/calls/CallReport.ts
+++ b/packages/node/src/calls/CallReport.ts
@@ -3,6 +3,7 @@
  */
 import type { ILogFields } from '@lagoonswitch/common'
 import type { ITargetState } from '@lagoonswitch/traffic'
+import type { CallBody } from './CallBody.js'
 import type { ICallContext } from './CallContext.js'
 import type { CallRetries } from './CallRetries.js'
 import { isSampled } from './CallSampling.js'
@@ -31,6 +32,8 @@
   route = ''
   /** Name of the client account; empty for a call without one. */
   account = ''
+  /** Body of a call on a route with large ones; undefined on others. */
+  body: CallBody | undefined
   /** Attempt counters; undefined until the request head has been accepted. */
   retries: CallRetries | undefined
 
@@ -101,6 +104,7 @@
       took_ms: Math.round(tookMs),
       left_ms: leftMs,
       catalogue: this._context.getCatalogueVersion(),
+      ...(this.body === undefined ? {} : describeBody(this.body)),
       ...(ROUTE_REFUSALS.has(reason) ? this._describeFeed() : {})
     })
   }
@@ -120,3 +124,7 @@
     }
   }
 }
+
+function describeBody ({ readBytes, statedBytes, hasEnded }: CallBody): ILogFields {
+  return { body_bytes: readBytes, body_stated: statedBytes, body_ended: hasEnded }
+}
