Log: large parts are sized by what the link carries, beside heartbeats

Cause: a batch of up to 1 MiB had to be answered within the election timeout; otherwise its connection was closed and all of it sent again, and heartbeats waited behind it. A learner that received steadily counted as silent, and a slow voter began elections.

Change: parts are halved after a timeout and doubled after a fast answer, go over a connection of their own with heartbeats beside them, and a part that can't be smaller gets up to 10 s.

--- a/packages/control/src/raft/GrpcTransport.ts
+++ b/packages/control/src/raft/GrpcTransport.ts
@@ -12,6 +12,9 @@
 
 const SNAPSHOT_TIMEOUT_MS = 10_000
 
+/** Has a connection of its own, as clients are kept by their class. */
+class BulkClient extends RaftClient {}
+
 /** Sends over the channels of this process. */
 export class GrpcTransport extends RaftTransport {
   /**
@@ -30,9 +33,13 @@
     return await this._send<AppendRequest, AppendReply>(address, client => client.append.bind(client), request)
   }
 
+  override async sendBulk (address: string, request: AppendRequest, timeoutMs: number): Promise<AppendReply> {
+    return await this._send<AppendRequest, AppendReply>(address, client => client.append.bind(client), request, timeoutMs, BulkClient)
+  }
+
   async sendSnapshot (address: string, request: InstallSnapshotRequest): Promise<InstallSnapshotReply> {
     return await this._send<InstallSnapshotRequest, InstallSnapshotReply>(
-      address, client => client.installSnapshot.bind(client), request, SNAPSHOT_TIMEOUT_MS)
+      address, client => client.installSnapshot.bind(client), request, SNAPSHOT_TIMEOUT_MS, BulkClient)
   }
 
   async sendIdentify (address: string, request: IdentifyRequest): Promise<IdentifyReply> {
@@ -45,19 +52,16 @@
 
   /** Closes a connection on which a reply timed out, as it may stay silent forever; the next call opens a new one. */
   private async _send<Q, R> (
-    address: string, bindMethod: (client: RaftClient) => UnaryMethod<Q, R>, request: Q, timeoutMs = this._timeoutMs
+    address: string, bindMethod: (client: RaftClient) => UnaryMethod<Q, R>, request: Q, timeoutMs = this._timeoutMs,
+    clientClass = RaftClient
   ): Promise<R> {
     try {
-      return await sendUnary<Q, R>(bindMethod(this._getClient(address)), request, timeoutMs)
+      return await sendUnary<Q, R>(bindMethod(this._channels.getClient(clientClass, address)), request, timeoutMs)
     } catch (error) {
-      if (isTimeout(error)) this._channels.closeClient(RaftClient, address)
+      if (isTimeout(error)) this._channels.closeClient(clientClass, address)
       throw error
     }
   }
-
-  private _getClient (address: string): RaftClient {
-    return this._channels.getClient(RaftClient, address)
-  }
 }
 
 /**
--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -6,12 +6,13 @@
   waitAtMost, type IDisposable, type Result
 } from '@lagoonswitch/common'
 import {
-  LogEntryKind, SnapshotFile,
+  LogEntryKind,
   type AppendReply, type AppendRequest, type InstallSnapshotReply, type InstallSnapshotRequest,
   type LogEntry, type Member, type VoteReply, type VoteRequest
 } from '@lagoonswitch/schema'
 import { GroupMembership } from './GroupMembership.js'
 import { computeQuorum } from './Quorum.js'
+import { IncomingSnapshot } from './IncomingSnapshot.js'
 import { RaftLeader } from './RaftLeader.js'
 import { Replica } from './Replica.js'
 import type { IRaftOptions, IRaftStatus, RaftRole } from './RaftTypes.js'
@@ -48,7 +49,7 @@
   private _lastLeaderContactMs = -Infinity
   private _hasHeardLeader = false
   private _electionDueMs = 0
-  private _snapshotChunks: Uint8Array[] = []
+  private readonly _incomingSnapshot = new IncomingSnapshot()
   private _closed: Promise<void> | undefined
 
   /** Fires when the role changes. */
@@ -200,13 +201,9 @@
       const isRefused = replica.hasFailed || request.toReplica !== replica.replicaId || request.term < replica.term
       if (isRefused) return { term: replica.term, success: false }
       await this._followLeader(request.term, request.leader)
-      if (request.offset === 0) this._snapshotChunks = []
-      const received = this._snapshotChunks.reduce((sum, chunk) => sum + chunk.length, 0)
-      if (received !== request.offset) return { term: replica.term, success: false }
-      this._snapshotChunks.push(request.chunk)
-      if (!request.last) return { term: replica.term, success: true }
-      const file = SnapshotFile.decode(Buffer.concat(this._snapshotChunks))
-      this._snapshotChunks = []
+      const outcome = this._incomingSnapshot.add(request)
+      if (outcome !== 'complete') return { term: replica.term, success: outcome === 'kept' }
+      const file = this._incomingSnapshot.take()
       if (file.header === undefined) return { term: replica.term, success: false }
       if (file.header.lastIndex > replica.commitIndex) {
         await replica.installSnapshot({ header: file.header, state: file.state })
--- a/packages/control/src/raft/RaftLeader.ts
+++ b/packages/control/src/raft/RaftLeader.ts
@@ -2,27 +2,15 @@
  * The leader of a group for one term: one task writes entries to the disk, and one task per peer replicates them.
  */
 import { Signal, waitAtMost, type IDisposable } from '@lagoonswitch/common'
-import { LogEntryKind, Members, SnapshotFile, type LogEntry, type Member } from '@lagoonswitch/schema'
+import {
+  LogEntryKind, Members, SnapshotFile, type AppendReply, type AppendRequest, type LogEntry, type Member
+} from '@lagoonswitch/schema'
+import { RaftPeer } from './RaftPeer.js'
 import type { Replica } from './Replica.js'
 
-const MAX_BATCH_ENTRIES = 1_024
-const MAX_BATCH_BYTES = 1_048_576
+/** Size from which on a batch is sent on a connection of its own, with heartbeats beside it. */
+const MIN_BULK_BYTES = 16_384
 const SNAPSHOT_TIMEOUT_MS = 10_000
-const SNAPSHOT_CHUNK_BYTES = 524_288
-
-interface IPeer {
-  member: Member
-  nextIndex: number
-  matchIndex: number
-  /** Monotonic time at which the last answered request was sent. */
-  lastAckedSendMs: number
-  /** Monotonic time at which this leader began to replicate to the peer. */
-  readonly addedMs: number
-  readonly wakeSignal: Signal
-  isActive: boolean
-  /** True if a replica with another id answered at the address. */
-  isReplaced: boolean
-}
 
 interface IReadBarrier {
   readonly createdMs: number
@@ -31,7 +19,7 @@
 
 /** Leads until it is disposed; replies that arrive later have no effect. */
 export class RaftLeader implements IDisposable {
-  private readonly _peers = new Map<string, IPeer>()
+  private readonly _peers = new Map<string, RaftPeer>()
   private readonly _writeSignal = new Signal()
   private readonly _readBarriers = new Set<IReadBarrier>()
   private readonly _startedMs: number
@@ -117,9 +105,8 @@
    */
   getSilenceMs (replicaId: string): number {
     if (replicaId === this._replica.replicaId) return 0
-    const peer = this._peers.get(replicaId)
-    const sinceMs = peer === undefined ? this._startedMs : Math.max(peer.lastAckedSendMs, peer.addedMs)
-    return this._replica.options.clock.readMonotonicMs() - sinceMs
+    const nowMs = this._replica.options.clock.readMonotonicMs()
+    return this._peers.get(replicaId)?.getSilenceMs(nowMs) ?? nowMs - this._startedMs
   }
 
   /**
@@ -127,8 +114,7 @@
    * @returns true once it has answered this leader
    */
   hasAnswered (replicaId: string): boolean {
-    const lastAckedMs = this._peers.get(replicaId)?.lastAckedSendMs
-    return lastAckedMs !== undefined && lastAckedMs > -Infinity
+    return this._peers.get(replicaId)?.hasAnswered === true
   }
 
   /**
@@ -144,8 +130,7 @@
     const membersById = new Map(this._replica.members.map(member => [member.replicaId, member]))
     for (const [id, peer] of this._peers) {
       if (membersById.has(id)) continue
-      peer.isActive = false
-      peer.wakeSignal.notify()
+      peer.stop()
       this._peers.delete(id)
     }
     for (const member of membersById.values()) {
@@ -155,16 +140,8 @@
         known.member = member
         continue
       }
-      const peer: IPeer = {
-        member,
-        nextIndex: this._replica.log.lastIndex + 1,
-        matchIndex: 0,
-        lastAckedSendMs: -Infinity,
-        addedMs: this._replica.options.clock.readMonotonicMs(),
-        wakeSignal: new Signal(),
-        isActive: true,
-        isReplaced: false
-      }
+      const { log, options: { clock, electionTimeoutMs } } = this._replica
+      const peer = new RaftPeer(member, log.lastIndex + 1, clock.readMonotonicMs(), electionTimeoutMs)
       this._peers.set(member.replicaId, peer)
       void this._runPeer(peer)
     }
@@ -172,10 +149,7 @@
 
   dispose (): void {
     this._isActive = false
-    for (const peer of this._peers.values()) {
-      peer.isActive = false
-      peer.wakeSignal.notify()
-    }
+    for (const peer of this._peers.values()) peer.stop()
     this._writeSignal.notify()
     for (const barrier of this._readBarriers) barrier.resolve(false)
     this._readBarriers.clear()
@@ -204,7 +178,7 @@
     await this._replica.syncEntries(log.getRange(syncedIndex + 1, log.lastIndex))
   }
 
-  private async _runPeer (peer: IPeer): Promise<void> {
+  private async _runPeer (peer: RaftPeer): Promise<void> {
     const { clock, heartbeatMs } = this._replica.options
     while (peer.isActive && this._isActive) {
       const isAnswered = await this._replicateTo(peer)
@@ -221,14 +195,14 @@
     }
   }
 
-  private _hasWaitingReadBarrier (peer: IPeer): boolean {
+  private _hasWaitingReadBarrier (peer: RaftPeer): boolean {
     for (const barrier of this._readBarriers) {
       if (barrier.createdMs > peer.lastAckedSendMs) return true
     }
     return false
   }
 
-  private async _replicateTo (peer: IPeer): Promise<boolean> {
+  private async _replicateTo (peer: RaftPeer): Promise<boolean> {
     const sentMs = this._replica.options.clock.readMonotonicMs()
     try {
       const isDone = peer.nextIndex <= this._replica.log.baseIndex
@@ -239,58 +213,103 @@
       return false
     }
     if (!this._isActive) return false
-    peer.lastAckedSendMs = sentMs
-    this._advanceCommit()
-    this._resolveReadBarriers()
+    this._recordAnswer(peer, sentMs)
     return true
   }
 
-  private async _sendEntries (peer: IPeer): Promise<boolean> {
-    const { log, commitIndex, options, replicaId } = this._replica
+  private async _sendEntries (peer: RaftPeer): Promise<boolean> {
+    const { options } = this._replica
     const prevIndex = peer.nextIndex - 1
-    const entries = this._pickBatch(peer.nextIndex)
-    const reply = await waitAtMost(options.clock, options.electionTimeoutMs, options.transport.sendAppend(peer.member.address, {
+    const entries = peer.pickBatch(this._replica.log)
+    const request = this._createAppend(peer, prevIndex, entries)
+    const bytes = entries.reduce((sum, { data }) => sum + data.length, 0)
+    const { pace, member: { address } } = peer
+    const reply = bytes < MIN_BULK_BYTES
+      ? await waitAtMost(options.clock, options.electionTimeoutMs, options.transport.sendAppend(address, request))
+      : await this._sendPart(peer, bytes, pace.timeoutMs, options.transport.sendBulk(address, request, pace.timeoutMs))
+    if (!this._isAccepted(peer, reply)) return false
+    if (reply.success) {
+      peer.matchIndex = Math.max(peer.matchIndex, prevIndex + entries.length)
+      peer.nextIndex = peer.matchIndex + 1
+    } else {
+      peer.nextIndex = Math.max(1, Math.min(prevIndex, reply.matchIndex + 1))
+    }
+    return true
+  }
+
+  private _createAppend ({ member }: RaftPeer, prevIndex: number, entries: LogEntry[]): AppendRequest {
+    const { log, commitIndex, options, replicaId } = this._replica
+    return {
       group: options.group,
-      toReplica: peer.member.replicaId,
+      toReplica: member.replicaId,
       term: this._term,
       leader: replicaId,
       prevIndex,
       prevTerm: log.getTerm(prevIndex) ?? 0,
       entries,
       commitIndex
-    }))
+    }
+  }
+
+  /** Tells whether the peer is the addressed replica and in this term. */
+  private _isAccepted (peer: RaftPeer, reply: AppendReply): boolean {
     peer.isReplaced = !reply.known
-    if (!reply.known) return false
-    if (reply.term > this._term) {
-      this._onHigherTerm(reply.term)
-      return false
+    if (reply.known && reply.term > this._term) this._onHigherTerm(reply.term)
+    return reply.known && reply.term <= this._term
+  }
+
+  /** Waits for the answer to a part that may take long, while heartbeats show both sides that the other one is there. */
+  private async _sendPart<T> (peer: RaftPeer, bytes: number, timeoutMs: number, answer: Promise<T>): Promise<T> {
+    const { clock } = this._replica.options
+    const sentMs = clock.readMonotonicMs()
+    const ended = new AbortController()
+    void this._runHeartbeats(peer, ended.signal)
+    try {
+      const reply = await waitAtMost(clock, timeoutMs, answer)
+      peer.pace.recordAnswer(bytes, clock.readMonotonicMs() - sentMs)
+      return reply
+    } catch (error) {
+      peer.pace.recordTimeout(bytes)
+      throw error
+    } finally {
+      ended.abort()
     }
-    if (reply.success) {
-      peer.matchIndex = Math.max(peer.matchIndex, prevIndex + entries.length)
-      peer.nextIndex = peer.matchIndex + 1
-    } else {
-      peer.nextIndex = Math.max(1, Math.min(prevIndex, reply.matchIndex + 1))
+  }
+
+  private async _runHeartbeats (peer: RaftPeer, ended: AbortSignal): Promise<void> {
+    const { clock, heartbeatMs, electionTimeoutMs, transport } = this._replica.options
+    for (;;) {
+      await clock.sleep(heartbeatMs, ended)
+      if (ended.aborted || !peer.isActive || !this._isActive) return
+      const sentMs = clock.readMonotonicMs()
+      try {
+        const beat = transport.sendAppend(peer.member.address, this._createAppend(peer, peer.matchIndex, []))
+        const reply = await waitAtMost(clock, electionTimeoutMs, beat)
+        if (!this._isActive || !this._isAccepted(peer, reply)) return
+        this._recordAnswer(peer, sentMs)
+      } catch {
+        // The peer counts as silent until a later heartbeat or the part is answered.
+      }
     }
-    return true
   }
 
-  private _pickBatch (from: number): LogEntry[] {
-    const entries = this._replica.log.getRange(from, from + MAX_BATCH_ENTRIES - 1)
-    let bytes = 0
-    const end = entries.findIndex(entry => {
-      bytes += entry.data.length
-      return bytes > MAX_BATCH_BYTES
-    })
-    return end > 0 ? entries.slice(0, end) : entries.slice(0, end === 0 ? 1 : entries.length)
+  private _recordAnswer (peer: RaftPeer, sentMs: number): void {
+    peer.lastAckedSendMs = Math.max(peer.lastAckedSendMs, sentMs)
+    this._advanceCommit()
+    this._resolveReadBarriers()
   }
 
-  private async _sendSnapshot (peer: IPeer): Promise<boolean> {
+  private async _sendSnapshot (peer: RaftPeer): Promise<boolean> {
     const { snapshot, options, replicaId } = this._replica
     if (snapshot === undefined) return false
     const file = SnapshotFile.encode(snapshot).finish()
-    for (let offset = 0; offset < file.length || offset === 0; offset += SNAPSHOT_CHUNK_BYTES) {
-      const chunk = file.subarray(offset, offset + SNAPSHOT_CHUNK_BYTES)
-      const reply = await waitAtMost(options.clock, SNAPSHOT_TIMEOUT_MS, options.transport.sendSnapshot(peer.member.address, {
+    const { lastIndex } = snapshot.header
+    if (peer.snapshot?.lastIndex !== lastIndex) peer.snapshot = { lastIndex, offset: 0 }
+    const progress = peer.snapshot
+    do {
+      const { offset } = progress
+      const chunk = file.subarray(offset, offset + peer.pace.partBytes)
+      const reply = await this._sendPart(peer, chunk.length, SNAPSHOT_TIMEOUT_MS, options.transport.sendSnapshot(peer.member.address, {
         group: options.group,
         toReplica: peer.member.replicaId,
         term: this._term,
@@ -304,8 +323,10 @@
         this._onHigherTerm(reply.term)
         return false
       }
-      if (!reply.success) return false
-    }
+      progress.offset = reply.success ? offset + chunk.length : 0
+      if (!reply.success || !peer.isActive || !this._isActive) return false
+    } while (progress.offset < file.length)
+    peer.snapshot = undefined
     peer.matchIndex = Math.max(peer.matchIndex, snapshot.header.lastIndex)
     peer.nextIndex = peer.matchIndex + 1
     return true
--- a/packages/control/src/raft/RaftTransport.ts
+++ b/packages/control/src/raft/RaftTransport.ts
@@ -10,6 +10,19 @@
 export abstract class RaftTransport {
   abstract sendVote (address: string, request: VoteRequest): Promise<VoteReply>
   abstract sendAppend (address: string, request: AppendRequest): Promise<AppendReply>
+
+  /**
+   * Sends entries that may take long, on a connection of their own if the transport has connections, so that heartbeats and votes
+   * do not wait behind them.
+   * @param address - of the replica
+   * @param request - entries for it
+   * @param _timeoutMs - longest wait for the reply, in milliseconds
+   * @returns the reply
+   */
+  async sendBulk (address: string, request: AppendRequest, _timeoutMs: number): Promise<AppendReply> {
+    return await this.sendAppend(address, request)
+  }
+
   abstract sendSnapshot (address: string, request: InstallSnapshotRequest): Promise<InstallSnapshotReply>
   abstract sendIdentify (address: string, request: IdentifyRequest): Promise<IdentifyReply>
   abstract sendJoin (address: string, request: JoinRequest): Promise<JoinReply>
--- a/packages/control/src/testing/FakeCluster.ts
+++ b/packages/control/src/testing/FakeCluster.ts
@@ -14,6 +14,7 @@
 
 const HEARTBEAT_MS = 100
 const ELECTION_TIMEOUT_MS = 1_000
+const SNAPSHOT_TIMEOUT_MS = 10_000
 const CLOCK_STEP_MS = 50
 const DESIRED_VOTERS = 5
 
@@ -63,11 +64,15 @@
   }
 
   async sendAppend (address: string, request: AppendRequest): Promise<AppendReply> {
-    return await this._deliver(address, group => group.handleAppend(request))
+    return await this._sendEntries(address, request, ELECTION_TIMEOUT_MS)
+  }
+
+  override async sendBulk (address: string, request: AppendRequest, timeoutMs: number): Promise<AppendReply> {
+    return await this._sendEntries(address, request, timeoutMs)
   }
 
   async sendSnapshot (address: string, request: InstallSnapshotRequest): Promise<InstallSnapshotReply> {
-    return await this._deliver(address, group => group.handleInstallSnapshot(request))
+    return await this._deliver(address, group => group.handleInstallSnapshot(request), request.chunk.length, SNAPSHOT_TIMEOUT_MS)
   }
 
   async sendIdentify (address: string, _request: IdentifyRequest): Promise<IdentifyReply> {
@@ -78,8 +83,16 @@
     return await this._deliver(address, async group => group.membership.handleJoin(request))
   }
 
-  private async _deliver<T> (address: string, handle: (group: RaftGroup) => Promise<T>): Promise<T> {
+  private async _sendEntries (address: string, request: AppendRequest, timeoutMs: number): Promise<AppendReply> {
+    const bytes = request.entries.reduce((sum, { data }) => sum + data.length, 0)
+    return await this._deliver(address, group => group.handleAppend(request), bytes, timeoutMs)
+  }
+
+  private async _deliver<T> (
+    address: string, handle: (group: RaftGroup) => Promise<T>, bytes = 0, timeoutMs = ELECTION_TIMEOUT_MS
+  ): Promise<T> {
     this._throwIfLost(this._from, address)
+    if (bytes > 0) await this._cluster.carry(address, bytes, timeoutMs)
     const group = this._cluster.getVm(address).group
     if (group === undefined) throw new Error('refused')
     const reply = await handle(group)
@@ -93,6 +106,16 @@
   }
 }
 
+/** A link on which a lost packet is sent again after a timeout. */
+export interface ISlowLink {
+  readonly bytesPerSecond: number
+  /** Fraction of the packets that are lost. */
+  readonly packetLoss: number
+}
+
+const PACKET_BYTES = 1_400
+const RETRANSMISSION_MS = 200
+
 /** A group of replicas that a test controls. */
 export class FakeCluster {
   readonly clock = new ManualClock()
@@ -100,6 +123,8 @@
   /** Cut directions as FROM>TO. */
   readonly cutDirections = new Set<string>()
   lossRate = 0
+  /** Links to VMs that carry little; others carry everything at once. */
+  readonly slowLinks = new Map<string, ISlowLink>()
   private _isGroupCreated = false
   private readonly _vms = new Map<string, FakeVm>()
 
@@ -165,6 +190,17 @@
     this._isGroupCreated = true
   }
 
+  /** Waits while a link carries a message; one that takes longer than the timeout is lost, as its connection is closed. */
+  async carry (to: string, bytes: number, timeoutMs: number): Promise<void> {
+    const link = this.slowLinks.get(to)
+    if (link === undefined) return
+    let lost = 0
+    for (let sent = 0; sent < bytes; sent += PACKET_BYTES) if (this.random.draw() < link.packetLoss) lost++
+    const neededMs = 1_000 * bytes / link.bytesPerSecond + lost * RETRANSMISSION_MS
+    await this.clock.sleep(Math.min(neededMs, timeoutMs))
+    if (neededMs > timeoutMs) throw new Error('timeout')
+  }
+
   kill (name: string): void {
     const vm = this.getVm(name)
     vm.group?.dispose()
