Tests: a control VM that gets an order is waited for

"move and claims continue after the leader of three control VMs is killed" failed once (ECONNREFUSED at the operators' listener of a, load average 17 of 8 cores). It waited for the node only, which is ready with any two of the control VMs; with the start of a delayed by 2.5 s on a scratch copy it failed with the same error, and passes with this wait. Nothing else is checked less: if a never answers, the test fails.

--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -113,6 +113,8 @@
     await replicatedFleet.plan([...['a', 'b', 'c'].map(name => ({ name, roles: 'control' })), { name: 'n1', roles: 'node' }])
     for (const name of replicatedFleet.vms.keys()) replicatedFleet.startVm(name)
     await replicatedFleet.waitReady('n1')
+    // The node is ready with any two of the control VMs; the order below goes to this one.
+    await waitUntil('the operators of a', async () => (await replicatedFleet.sendOperatorRequest('a', 'GET', '/v1/status')).status === 200)
     const { local, calls } = replicatedFleet.vms.get('n1')
     const [first, second] = await findPorts(2)
     replicatedFleet.startScript('t1', 'bench/stand-in-target.mjs', 't1', 'desk', 'v1', first, local)
