Targets: an announcement without a start is stale where one was stated

Cause: the age of an announcement was compared only if it stated a start; without one it counted as another, newer instance.

Change: a target that has stated a start is known by it. A withdrawal by a heartbeat without one is refused, and so not acknowledged.

--- a/packages/node/src/targets/LocalTargetRegistry.test.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.test.ts
@@ -1,4 +1,5 @@
 import { beforeEach, expect, test } from 'vitest'
+import fc from 'fast-check'
 import { ManualClock, Metrics, NullLog, SeededRandom } from '@lagoonswitch/common'
 import { EndpointView } from '@lagoonswitch/feed'
 import { EndpointState } from '@lagoonswitch/schema'
@@ -197,3 +198,25 @@
   expect(getState()).toBe(READY)
   expect(pool.countTargets('desk', 'v1')).toBe(1)
 })
+
+// Guards against calls to a target that has withdrawn: an announcement without a start seemed newer than any other one.
+test.each([
+  'ready', 'withdrawn', 'gone', 'of an earlier process', 'recorded as withdrawn'
+])('announcement without a start is stale: target %s', async state => {
+  if (state === 'recorded as withdrawn') {
+    registry.restoreWithdrawals([{ targetId: 't1', node: 'n1', targetBorn: 1_000, instance: '', withdrawnMs: 5_000, recordedMs: 5_000 }])
+  } else {
+    announce({ sequence: 5 })
+  }
+  if (state === 'withdrawn') registry.withdraw('t1', 1_000, 6)
+  if (state === 'gone') await clock.advance(LEASE_MS + 1)
+  if (state === 'of an earlier process') {
+    registry.dispose()
+    registry = createRegistry(11)
+  }
+  const before = endpoints.getRecord('t1')
+  expect(registry.announce({
+    id: 't1', service: 'desk', version: 'v1', address: '127.0.0.1:1', slots: 9, connections: 9, instance: '', sequence: 1
+  })).toBe('stale')
+  expect(endpoints.getRecord('t1')).toEqual(before)
+})
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -342,17 +342,29 @@
     if (this._withdrawals.size > MAX_WITHDRAWALS && oldest !== undefined) this._withdrawals.delete(oldest)
   }
 
+  /**
+   * Tells whether a target is known by the time of its start. What states no start then comes from another sender, or can't be told
+   * from what an earlier instance has sent.
+   * @param id - id of the target
+   * @returns true if its announcement, its withdrawal or its record states a start
+   */
+  hasStatedStart (id: string): boolean {
+    return this._targets.get(id)?.target.announcement.bornMs !== undefined || this._withdrawals.get(id)?.bornMs !== undefined ||
+      (this._options.endpoints.getRecord(id)?.targetBorn ?? 0) !== 0
+  }
+
   private _isStale ({ id, bornMs, sequence }: ITargetAnnouncement, registered: IRegisteredTarget | undefined): boolean {
+    if (bornMs === undefined) return this.hasStatedStart(id)
     const withdrawal = this._withdrawals.get(id)
-    if (withdrawal !== undefined && bornMs !== undefined && bornMs <= (withdrawal.bornMs ?? withdrawal.atMs)) return true
+    if (withdrawal !== undefined && bornMs <= (withdrawal.bornMs ?? withdrawal.atMs)) return true
     const registeredBornMs = registered?.target.announcement.bornMs ?? 0
-    if (registered !== undefined && bornMs !== undefined) {
+    if (registered !== undefined) {
       if (bornMs < registeredBornMs) return true
       if (bornMs === registeredBornMs && (sequence ?? Infinity) <= registered.sequence) return true
     }
     // After a restart of this process the feed returns the records that it published before.
     const record = this._options.endpoints.getRecord(id)
-    if (record === undefined || bornMs === undefined || record.targetBorn === 0) return false
+    if (record === undefined || record.targetBorn === 0) return false
     if (bornMs !== record.targetBorn) return bornMs < record.targetBorn
     return record.withdrawn || (sequence ?? Infinity) < record.targetSequence
   }
--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -8,7 +8,7 @@
 import { NullLog } from '@lagoonswitch/common'
 import { LagoonProcess } from '@lagoonswitch/lagoonswitch'
 import { PlatformDialect, PlatformSurface } from '@lagoonswitch/platform'
-import { parseSettings } from '@lagoonswitch/schema'
+import { EndpointState, parseSettings } from '@lagoonswitch/schema'
 import { findPorts, waitFor } from './support/World.js'
 
 const HEARTBEAT = {
@@ -120,6 +120,23 @@
   expect((await send(readyUrl, 'GET')).status).toBe(200)
 }, 30_000)
 
+// Guards against a target that another sender withdraws, or that is used again after it has withdrawn.
+test('heartbeat without a start changes nothing at a target that has stated one, and no withdrawal is acknowledged by it', async () => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
+  const put = async (state: string, sequence: number, fields: object): Promise<number> =>
+    (await send(`${localUrl}/-/instances/t1`, 'PUT', { ...HEARTBEAT, status: { state, sequence }, ...fields })).status
+  const getState = (): EndpointState | undefined => node.node?.endpoints.getRecord('t1')?.state
+  expect(await put('ready', 5, { born: 1_000 })).toBe(200)
+  expect(await put('draining', 9, { born: undefined })).toBe(400)
+  expect(getState()).toBe(EndpointState.ENDPOINT_STATE_READY)
+  expect(await put('draining', 6, { born: 1_000 })).toBe(200)
+  expect(await put('ready', 9, { born: undefined })).toBe(200)
+  expect(getState()).toBe(EndpointState.ENDPOINT_STATE_DRAINING)
+  expect(await put('ready', 1, { born: 2_000 })).toBe(200)
+  expect(getState()).toBe(EndpointState.ENDPOINT_STATE_READY)
+}, 30_000)
+
 test.each(['a%0d%0ab', 'a%20b', 'x'.repeat(99)])('heartbeat under an id that no header can carry, or up to the limit: %s', async id => {
   await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
   await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
