Settings: a change while a process starts is applied

Cause: the first read of the watcher, after the start, only remembered the text. What had changed since the process read its settings was lost, with a signal and without.

Evidence: "change while the process starts is applied once" fails in both forms with the first read put back as it was.

Change: the watcher compares with the text that the process was started with.

--- a/packages/lagoonswitch/src/Runner.ts
+++ b/packages/lagoonswitch/src/Runner.ts
@@ -1,8 +1,8 @@
 /**
  * Runs a process with the settings of a file until it receives a stop signal or fails.
  */
-import { SystemClock, formatError } from '@lagoonswitch/common'
-import { readSettings } from '@lagoonswitch/schema'
+import { SystemClock, formatError, type SettingsError } from '@lagoonswitch/common'
+import { parseSettings, readSettingsText } from '@lagoonswitch/schema'
 import { LagoonProcess, tryStart, type IPlatformAdapter } from './LagoonProcess.js'
 import { PinoLog } from './PinoLog.js'
 import { SettingsWatcher } from './SettingsWatcher.js'
@@ -18,14 +18,13 @@
  * @param adapter - replacements for the default dialect and surface
  */
 export async function runProcess (file: string, adapter: IPlatformAdapter = {}): Promise<void> {
-  const settings = await readSettings(file)
-  if (settings.err) {
-    for (const error of settings.val) console.error(error.message)
-    process.exit(EXIT_SETTINGS)
-  }
+  const text = await readSettingsText(file)
+  if (text.err) exitForSettings(text.val)
+  const settings = parseSettings(text.val, file)
+  if (settings.err) exitForSettings(settings.val)
   const log = new PinoLog(settings.val.log.level)
   const instance = new LagoonProcess(settings.val, log, adapter)
-  const watcher = new SettingsWatcher(file, new SystemClock(), log, next => instance.applySettings(next))
+  const watcher = new SettingsWatcher(file, text.val, new SystemClock(), log, next => instance.applySettings(next))
   const stop = async (code: number): Promise<void> => {
     watcher.stop()
     await instance.stop()
@@ -57,3 +56,8 @@
   }
   watcher.start()
 }
+
+function exitForSettings (errors: readonly SettingsError[]): never {
+  for (const error of errors) console.error(error.message)
+  process.exit(EXIT_SETTINGS)
+}
--- a/packages/lagoonswitch/src/SettingsWatcher.test.ts
+++ b/packages/lagoonswitch/src/SettingsWatcher.test.ts
@@ -15,13 +15,17 @@
   return `[process]\nname = n\nregion = r\navailability_zone = z\nservice = ${service}\n[control]\nseeds = ${seed}\n`
 }
 
+/** Creates the watcher of a process that was started with the first settings. */
+function createWatcher (): SettingsWatcher {
+  return new SettingsWatcher(file, formatSettings('desk'), new ManualClock(), new NullLog(), settings => changes.push(settings))
+}
+
 beforeEach(async () => {
   folder = await mkdtemp(join(tmpdir(), 'watcher-'))
   file = join(folder, 'n.ini')
   changes = []
   await writeFile(file, formatSettings('desk'))
-  watcher = new SettingsWatcher(file, new ManualClock(), new NullLog(), settings => changes.push(settings))
-  await watcher.refresh()
+  watcher = createWatcher()
 })
 
 afterEach(async () => {
@@ -42,7 +46,7 @@
 
 // The file is empty for a moment while it is written again in place.
 test('change after a read of the empty file is applied', async () => {
-  const started = new SettingsWatcher(file, new ManualClock(), new NullLog(), settings => changes.push(settings))
+  const started = createWatcher()
   await writeFile(file, '')
   started.refresh()
   await writeFile(file, formatSettings('press'))
@@ -60,3 +64,23 @@
   await watcher.refresh()
   expect(changes.length).toBe(1)
 })
+
+// Guards against settings that are never applied, since they changed after the process had read them and before it watched the file.
+test.each(['with a signal', 'without a signal'])('change while the process starts is applied once, %s', async signal => {
+  const started = createWatcher()
+  await writeFile(file, formatSettings('press'))
+  if (signal === 'with a signal') started.refresh()
+  started.start()
+  started.refresh()
+  started.stop()
+  expect(changes.map(({ process }) => process.service)).toEqual(['press'])
+})
+
+test('change while the process starts that is taken back changes nothing', async () => {
+  const started = createWatcher()
+  await writeFile(file, formatSettings('press'))
+  await writeFile(file, formatSettings('desk'))
+  started.start()
+  started.stop()
+  expect(changes).toEqual([])
+})
--- a/packages/lagoonswitch/src/SettingsWatcher.ts
+++ b/packages/lagoonswitch/src/SettingsWatcher.ts
@@ -11,17 +11,16 @@
 /** Reads the settings file periodically and reports changed settings. */
 export class SettingsWatcher {
   private readonly _abortController = new AbortController()
-  /** Undefined until the first read. */
-  private _lastText: string | undefined
 
   /**
    * @param _file - path of the settings file
+   * @param _lastText - text of the settings that the process was started with; the file may have changed since
    * @param _clock - source of time
    * @param _log - receives events
    * @param _onChanged - called with the validated settings after a change
    */
   constructor (
-    private readonly _file: string, private readonly _clock: IClock, private readonly _log: ILog,
+    private readonly _file: string, private _lastText: string, private readonly _clock: IClock, private readonly _log: ILog,
     private readonly _onChanged: (settings: ISettings) => void
   ) {}
 
@@ -30,15 +29,13 @@
     void this._poll()
   }
 
-  /** Reads the file immediately. The first read only remembers the text; later invalid settings are logged and ignored. */
+  /** Reads the file immediately; invalid settings are logged and ignored. */
   refresh (): void {
     try {
       // Synchronous: each of the four steps of an asynchronous read wakes two threads, every second in every process.
       const text = readFileSync(this._file, 'utf8')
       if (text === this._lastText) return
-      const isFirst = this._lastText === undefined
       this._lastText = text
-      if (isFirst) return
       const settings = parseSettings(text, this._file)
       if (settings.ok) {
         this._log.info('settings_reloaded', { file: this._file })
--- a/packages/schema/src/settings/SettingsReader.ts
+++ b/packages/schema/src/settings/SettingsReader.ts
@@ -14,8 +14,18 @@
  * @returns the settings, or one error per problem
  */
 export async function readSettings (file: string): Promise<Result<ISettings, SettingsError[]>> {
+  const text = await readSettingsText(file)
+  return text.err ? text : parseSettings(text.val, file)
+}
+
+/**
+ * Reads the text of a settings file.
+ * @param file - path of the INI file
+ * @returns the text, or an error if the file cannot be read
+ */
+export async function readSettingsText (file: string): Promise<Result<string, SettingsError[]>> {
   try {
-    return parseSettings(await readFile(file, 'utf8'), file)
+    return Ok(await readFile(file, 'utf8'))
   } catch (error) {
     return Err([new SettingsError(file, 0, 'file', formatError(error), 'name a readable INI file')])
   }
