Links: keys that change while a process begins to listen are read again

Keys replaced between their first read and the bound port were not used until the next change, so peers with newer ones could be refused.

Evidence: "keys that change while the port is bound are read again" failed before.

Change: the listener hears of changes before it reads the keys.

Result: the test passes, with all others of packages/transport.

--- a/packages/transport/src/PeerListener.ts
+++ b/packages/transport/src/PeerListener.ts
@@ -47,8 +47,15 @@
    * @returns the port in use
    */
   async listen (host: string, port: number): Promise<number> {
-    const boundPort = await this._bind(host, port)
-    this._credentials.onChanged(() => this._scheduleRebind(host, boundPort))
+    let boundPort: number | undefined
+    let hasChanged = false
+    this._credentials.onChanged(() => {
+      hasChanged = true
+      if (boundPort !== undefined) this._scheduleRebind(host, boundPort)
+    })
+    boundPort = await this._bind(host, port)
+    // The keys were read before the port was bound.
+    if (hasChanged) this._scheduleRebind(host, boundPort)
     return boundPort
   }
 
