--- a/packages/transport/src/PeerListener.ts
+++ b/packages/transport/src/PeerListener.ts
@@ -47,11 +47,11 @@
    * @returns the port in use
    */
   async listen (host: string, port: number): Promise<number> {
-    let boundPort: number | undefined
+    let boundPort = 0
     let hasChanged = false
     this._credentials.onChanged(() => {
       hasChanged = true
-      if (boundPort !== undefined) this._scheduleRebind(host, boundPort)
+      if (boundPort !== 0) this._scheduleRebind(host, boundPort)
     })
     boundPort = await this._bind(host, port)
     // The keys were read before the port was bound.
