--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -171,6 +171,25 @@
   expect((await send(`${operatorUrl}/-/rollouts`, 'POST', order)).status).toBe(400)
 }, 30_000)
 
+// Guards against a process that runs out of memory while it parses a body which no sender of that interface needs.
+test.each(['with its length', 'in chunks'])('heartbeat and order beyond the limit are refused while they arrive, %s', async kind => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
+  const large = `{"a":[${'1,'.repeat(8_000_000)}`
+  const sendLarge = async (url: string, method: string): Promise<{ status: number, text: string }> => {
+    const body = kind === 'in chunks' ? new Blob([large]).stream() : large
+    const response = await fetch(url, { method, body, duplex: 'half' } as RequestInit)
+    return { status: response.status, text: await response.text() }
+  }
+  for (const [url, method] of [[`${localUrl}/-/instances/t1`, 'PUT'], [`${operatorUrl}/-/rollouts`, 'POST']] as const) {
+    // A connection that is closed while the body is still being sent may hide the answer from this client.
+    const response = await sendLarge(url, method).catch(() => undefined)
+    if (response !== undefined) expect(response).toMatchObject({ status: 413, text: expect.stringContaining('more than 262144 bytes') })
+  }
+  expect((await send(`${metricsUrl}/metrics`, 'GET')).text).toMatch(/bodies_refused_total\{[^}]*too-large[^}]*\} [1-9]/)
+  expect((await send(`${localUrl}/-/instances/t1`, 'PUT', HEARTBEAT)).status).toBe(200)
+}, 30_000)
+
 test('each listener refuses invalid input with a message', async () => {
   await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
   await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
