Catalogue: hosts are compared without case and port

Cause: the check compared hosts as written, while calls find them in lower case and without a port.

Evidence: "routes of one host conflict also if it is written as" failed in all three forms before.

Change: one function for both.

--- a/packages/node/src/routing/RouteTable.ts
+++ b/packages/node/src/routing/RouteTable.ts
@@ -3,7 +3,9 @@
  */
 import { MAX_TIMER_MS, parseDurationMs } from '@lagoonswitch/common'
 import type { ICatalogueView } from '@lagoonswitch/feed'
-import { CALL_CLASSES, CallClass, MoveStatus, listWeightedServices, type IEntry, type IRoute, type MoveRecord } from '@lagoonswitch/schema'
+import {
+  CALL_CLASSES, CallClass, MoveStatus, listWeightedServices, parseHost, type IEntry, type IRoute, type MoveRecord
+} from '@lagoonswitch/schema'
 
 /** Share of a version that takes all calls, in parts per million. */
 export const FULL_SHARE_PPM = 1_000_000
@@ -207,10 +209,6 @@
   return route.methods === undefined || route.methods.includes(method as 'GET')
 }
 
-function parseHost (host: string): string {
-  return host.toLowerCase().replace(/:\d+$/, '')
-}
-
 function getFirstSegment (path: string): string {
   const end = path.indexOf('/', 1)
   return end < 0 ? path : path.slice(0, end)
--- a/packages/schema/src/catalogue/CatalogueChecks.test.ts
+++ b/packages/schema/src/catalogue/CatalogueChecks.test.ts
@@ -28,6 +28,12 @@
   expect(listProblems(createEntry('a', 'h', '/p/'), createEntry('b', 'h', '/p/', ['GET'])).length).toBe(1)
 })
 
+// Guards against two routes of which one is never used, since calls find hosts without case and port.
+test.each(['H', 'h:80', 'H:8080'])('routes of one host conflict also if it is written as %s', host => {
+  expect(listProblems(createEntry('a', 'h', '/p/', ['GET']), createEntry('b', host, '/p/', ['GET'])).length).toBe(1)
+  expect(listProblems(createEntry('a', 'h', '/p/', ['GET']), createEntry('b', host, '/q/', ['GET']))).toEqual([])
+})
+
 test('routes with different hosts, paths or methods do not conflict', () => {
   expect(listProblems(createEntry('a', 'h', '/p/'), createEntry('b', 'i', '/p/'), createEntry('c', 'h', '/q/'))).toEqual([])
   expect(listProblems(createEntry('a', 'h', '/p/', ['GET']), createEntry('b', 'h', '/p/', ['POST']))).toEqual([])
--- a/packages/schema/src/catalogue/CatalogueChecks.ts
+++ b/packages/schema/src/catalogue/CatalogueChecks.ts
@@ -3,6 +3,7 @@
  */
 import { DeclarationError, Err, Ok, parseDurationMs, type Result } from '@lagoonswitch/common'
 import { ALL_METHODS, ENTRY_SCHEMA, type IEntry, type IRoute } from './EntrySchema.js'
+import { parseHost } from './HostName.js'
 
 const MIN_MOVE_MS = 1_000
 
@@ -87,7 +88,7 @@
         errors.push(new DeclarationError(`${formatDeclarationPath(entry, route)}.service`, `no entry is named ${service}`,
           `add the entry ${service} or correct the reference`))
       }
-      const hostAndPath = `${entry.host ?? '*'} ${route.path}`
+      const hostAndPath = `${parseHost(entry.host ?? '*')} ${route.path}`
       const others = routesByHostAndPath.get(hostAndPath)
       if (others === undefined) {
         routesByHostAndPath.set(hostAndPath, [{ entry, route }])
