--- a/packages/control/src/raft/FullDisk.test.ts
+++ b/packages/control/src/raft/FullDisk.test.ts
@@ -117,7 +117,7 @@
     expect(results.every(result => result.ok)).toBe(true)
     largest = Math.max(largest, await measureFolder(join(folder, 'g')))
   }
-  group.dispose()
+  await group.close()
   expect(largest).toBeLessThan(DISK_BYTES / 2)
 }, 60_000)
 
