Members: new replicas are added first, all in one change

Evidence: "all replicas that ask are added in one change, before anything else" failed before.

Change: learners come first and together, so that they catch up while the lost voters are removed, and a change follows the one before at once.

--- a/packages/control/src/raft/GroupMembership.ts
+++ b/packages/control/src/raft/GroupMembership.ts
@@ -15,6 +15,8 @@
 /** Interval of membership decisions, and of join requests. */
 const MEMBER_CHECK_INTERVAL_MS = 200
 const JOIN_INTERVAL_MS = 300
+/** Changes that may follow one another without a pause; a group of five needs fewer to replace two members. */
+const MAX_SUCCESSIVE_CHANGES = 8
 /** Entries that a learner may still lack when it becomes a voter; they are being sent to it. */
 const MAX_PROMOTION_LAG_ENTRIES = 8
 
@@ -154,30 +156,36 @@
 
   /** Makes the planned membership changes one after the other while this replica leads. */
   private async _runMemberChanges (): Promise<void> {
-    const { clock, log, group } = this._options
     while (!this._stopping.aborted) {
-      await clock.sleep(MEMBER_CHECK_INTERVAL_MS, this._stopping)
-      const leader = this._host.getLeader()
-      if (leader === undefined || !leader.canChangeMembers()) continue
-      const change = this._planner.planChange(this._createView(leader), clock.readMonotonicMs())
-      if (change === undefined) continue
-      const { members, subject, reason } = change
-      const silenceMs = leader.getSilenceMs(subject.replicaId)
-      const entry = leader.appendMembers(members)
-      log.info('members_changed', {
-        group,
-        index: entry.index,
-        reason,
-        member: subject.name,
-        replica: subject.replicaId,
-        silence_ms: Math.round(silenceMs),
-        voters: members.filter(member => member.voter).map(member => member.name).join('+'),
-        learners: members.filter(member => !member.voter).map(member => member.name).join('+')
-      })
-      await this._host.waitApplied(entry)
+      await this._options.clock.sleep(MEMBER_CHECK_INTERVAL_MS, this._stopping)
+      for (let changes = 0; changes < MAX_SUCCESSIVE_CHANGES && await this._makeNextChange(); changes++);
     }
   }
 
+  /** @returns true if a change was committed, so that the next one may follow at once */
+  private async _makeNextChange (): Promise<boolean> {
+    const { clock, log, group } = this._options
+    const leader = this._host.getLeader()
+    if (this._stopping.aborted || leader === undefined || !leader.canChangeMembers()) return false
+    const change = this._planner.planChange(this._createView(leader), clock.readMonotonicMs())
+    if (change === undefined) return false
+    const { members, subjects, reason } = change
+    const silenceMs = reason === 'joined' ? undefined : Math.round(Math.max(...subjects.map(({ replicaId }) => leader.getSilenceMs(replicaId))))
+    const entry = leader.appendMembers(members)
+    log.info('members_changed', {
+      group,
+      index: entry.index,
+      reason,
+      member: formatNames(subjects),
+      replica: subjects.map(({ replicaId }) => replicaId).join('+'),
+      silence_ms: silenceMs,
+      voters: formatNames(members.filter(member => member.voter)),
+      learners: formatNames(members.filter(member => !member.voter))
+    })
+    const applied = await this._host.waitApplied(entry)
+    return applied.ok
+  }
+
   private _createView (leader: RaftLeader): IMembershipView {
     return {
       selfId: this._replica.replicaId,
@@ -225,3 +233,7 @@
     }
   }
 }
+
+function formatNames (members: readonly Member[]): string {
+  return members.map(({ name }) => name).join('+')
+}
--- a/packages/control/src/raft/MembershipPlanner.ts
+++ b/packages/control/src/raft/MembershipPlanner.ts
@@ -44,8 +44,8 @@
 export interface IMemberChange {
   /** The new list. */
   readonly members: Member[]
-  /** The member that is added, changed or removed. */
-  readonly subject: Member
+  /** The members that are added, changed or removed. */
+  readonly subjects: readonly Member[]
   readonly reason: MemberChangeReason
 }
 
@@ -78,14 +78,14 @@
   }
 
   /**
-   * Plans the next change.
+   * Plans the next change. New members come first, as they catch up while the other changes are made.
    * @param view - the leader's knowledge of the members
    * @param nowMs - monotonic time
    * @returns the change, or undefined if none is needed
    */
   planChange (view: IMembershipView, nowMs: number): IMemberChange | undefined {
     this._removeExpiredJoins(nowMs)
-    return this._removeReplaced(view) ?? this._promoteLearner(view) ?? this._removeSilent(view) ?? this._addLearner(view)
+    return this._addLearners(view) ?? this._removeReplaced(view) ?? this._promoteLearner(view) ?? this._removeSilent(view)
   }
 
   /**
@@ -132,7 +132,7 @@
     }
     return {
       members: members.map(member => member === ready ? { ...member, voter: true } : member),
-      subject: ready,
+      subjects: [ready],
       reason: 'caught-up'
     }
   }
@@ -156,14 +156,14 @@
     return silent === undefined ? undefined : planRemoval(members, silent, 'silent')
   }
 
-  private _addLearner ({ members }: IMembershipView): IMemberChange | undefined {
-    if (members.length - countVoters(members) >= MAX_LEARNERS) return undefined
-    for (const { member } of this._pendingJoins.values()) {
-      if (members.some(({ replicaId }) => replicaId === member.replicaId)) continue
-      const learner = { ...member, voter: false }
-      return { members: [...members, learner], subject: learner, reason: 'joined' }
-    }
-    return undefined
+  /** Adds all replicas that have asked; learners count for no quorum, so that several can come in one change. */
+  private _addLearners ({ members }: IMembershipView): IMemberChange | undefined {
+    const room = MAX_LEARNERS - members.length + countVoters(members)
+    const added = [...this._pendingJoins.values()]
+      .filter(({ member }) => members.every(({ replicaId }) => replicaId !== member.replicaId))
+      .slice(0, Math.max(0, room))
+      .map(({ member }) => ({ ...member, voter: false }))
+    return added.length === 0 ? undefined : { members: [...members, ...added], subjects: added, reason: 'joined' }
   }
 }
 
@@ -180,5 +180,5 @@
 }
 
 function planRemoval (members: readonly Member[], removed: Member, reason: MemberChangeReason): IMemberChange {
-  return { members: members.filter(member => member !== removed), subject: removed, reason }
+  return { members: members.filter(member => member !== removed), subjects: [removed], reason }
 }
