Log: a refused connection says nothing about what a link carries

While a VM was down, each refused connection halved the parts for it and doubled the wait, up to 16 kB and 10 s, with which it was met on its return.

Change: only a failure after half of the wait counts.

--- a/packages/control/src/raft/BulkPace.ts
+++ b/packages/control/src/raft/BulkPace.ts
@@ -10,8 +10,10 @@
 const MAX_TIMEOUT_MS = 10_000
 /** Fraction of the timeout within which an answer shows that the link carries larger parts. */
 const FAST_FRACTION = 0.25
+/** Fraction of the timeout before which a failure, such as a refused connection, says nothing about the link. */
+const FAILED_AT_ONCE_FRACTION = 0.5
 
-/** Halves the parts after a timeout and doubles them after a fast answer, so that what has arrived stays arrived. */
+/** Halves the parts after a slow failure and doubles them after a fast answer, so that what has arrived stays arrived. */
 export class BulkPace {
   private _partBytes = FIRST_PART_BYTES
   private _timeoutMs: number
@@ -43,10 +45,12 @@
   }
 
   /**
-   * Records that a part was not answered in time.
+   * Records that a part was not answered.
    * @param bytes - size of the part
+   * @param tookMs - time until the failure, in milliseconds
    */
-  recordTimeout (bytes: number): void {
+  recordFailure (bytes: number, tookMs: number): void {
+    if (tookMs < this._timeoutMs * FAILED_AT_ONCE_FRACTION) return
     const isSmallest = bytes > this._partBytes || this._partBytes === MIN_PART_BYTES
     this._partBytes = Math.max(MIN_PART_BYTES, this._partBytes / 2)
     if (isSmallest) this._timeoutMs = Math.min(MAX_TIMEOUT_MS, this._timeoutMs * 2)
--- a/packages/control/src/raft/RaftLeader.ts
+++ b/packages/control/src/raft/RaftLeader.ts
@@ -269,7 +269,7 @@
       peer.pace.recordAnswer(bytes, clock.readMonotonicMs() - sentMs)
       return reply
     } catch (error) {
-      peer.pace.recordTimeout(bytes)
+      peer.pace.recordFailure(bytes, clock.readMonotonicMs() - sentMs)
       throw error
     } finally {
       ended.abort()
