Tests: folders are removed once the storage is closed

Seen: "processes start with bounds of any size: 0.001" failed once after its checks, ENOTEMPTY on the folder of the catalogue, in a full run.

Cause: a stop timeout of a millisecond ends the stop while the disk is still being written, as it should. Traced with the log of the process: it says storage_not_closed at the bounds 1e-7 and 0.001, in the same run that passes, and at no other bound.

Change: both files that run processes in a shared folder wait for the storage before they remove it. No check changes.

--- a/tests/PlatformSettings.test.ts
+++ b/tests/PlatformSettings.test.ts
@@ -53,7 +53,11 @@
 })
 
 afterEach(async () => {
-  for (const process of processes.splice(0)) await process.stop()
+  for (const process of processes.splice(0)) {
+    await process.stop()
+    // A stop timeout of a millisecond ends the stop while the disk is still being written.
+    await process.control?.close()
+  }
   await rm(folder, { recursive: true })
 })
 
--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -68,6 +68,8 @@
 afterEach(async () => {
   await node.stop()
   await control.stop()
+  // A stop whose timeout passes leaves the storage open.
+  await control.control?.close()
   await rm(folder, { recursive: true })
 })
 
