Links: a draining link is closed when its other process falls silent

Callers saw: nothing yet; read by a review and shown here. After a VM had lost its power during the graceful stop of its process, peers refused all calls to its successor at the same address with 503 (draining), until TCP gave up the connection.

Cause: pings are sent only while calls are open, and a draining link refuses each call at once.

Evidence: "link whose other process stopped silently is closed, and calls reach the successor" failed before: no call got through within 30 s.

Change: on a draining link an answer is always awaited, so pings are sent and the connection is closed after 3 s of silence.

--- a/packages/node/src/links/LinkConnection.ts
+++ b/packages/node/src/links/LinkConnection.ts
@@ -132,7 +132,7 @@
 
   private _sendPingIfDue (): void {
     const nowMs = this._context.clock.readMonotonicMs()
-    const isAnswerAwaited = this._events.hasCalls() || this._meter.isAwaiting
+    const isAnswerAwaited = this._events.isAnswerAwaited() || this._meter.isAwaiting
     if (!isAnswerAwaited || this._meter.quietMs < PING_INTERVAL_MS || nowMs - this._lastPingMs < PING_INTERVAL_MS) return
     this._lastPingMs = nowMs
     // The ping arrives behind these bytes; those that follow it do not delay it.
--- a/packages/node/src/links/LinkTypes.ts
+++ b/packages/node/src/links/LinkTypes.ts
@@ -20,8 +20,8 @@
   onOpen (): void
   onFrame (frame: PeerFrame): void
   onClose (): void
-  /** Returns true while calls are open, in which case silence indicates a fault. */
-  hasCalls (): boolean
+  /** Returns true while calls are open or the other process is stopping, in which case silence indicates a fault. */
+  isAnswerAwaited (): boolean
   /** Called repeatedly while the connection has not opened within the time after which a link counts as silent; it may still open. */
   onSlowOpen (): void
   /** Called repeatedly while the other process is silent for longer than the time that calls wait for it. */
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -46,7 +46,7 @@
         onOpen: () => this._handleOpen(),
         onFrame: frame => this._handleFrame(frame),
         onClose: () => this._handleClose(),
-        hasCalls: () => this._calls.size > 0,
+        isAnswerAwaited: () => this._calls.size > 0 || this._isDraining,
         onSlowOpen: () => this._handleSlowOpen(),
         onSilent: () => this._handleSilence(),
         onBodyCreditKnown: () => { for (const call of this._calls.values()) call.applyBodyCredit() }
--- a/tests/SilentLinks.test.ts
+++ b/tests/SilentLinks.test.ts
@@ -17,6 +17,8 @@
 const SUSPECT_MS = 450
 const GIVE_UP_MS = 650
 const CHECK_MS = 350
+/** Silence after which the connection is closed. */
+const MAX_SILENCE_MS = 3_000
 const LOAD = { inFlight: 0, slots: 1, queued: 0, served: 1, serviceMs: 1, isRepeatDenied: false }
 
 interface IOutcome {
@@ -29,6 +31,7 @@
 let cancelled: string[]
 let metrics: Metrics
 let listener: LinkListener
+let server: PeerServer
 let proxy: HoldingProxy
 let link: PeerLink
 /** Answers the call with a path. */
@@ -48,7 +51,7 @@
 }
 
 async function start (credentials: LinkCredentials): Promise<void> {
-  const server = new PeerServer(opener)
+  server = new PeerServer(opener)
   listener = new LinkListener(credentials, socket => server.serve(socket))
   proxy = new HoldingProxy(await listener.listen('127.0.0.1', 0))
   const port = await proxy.listen()
@@ -226,6 +229,20 @@
   expect(opened).toEqual(['first'])
 })
 
+// A VM that loses power while its process stops never closes its connections. Its successor at the same address got no calls.
+test('link whose other process stopped silently is closed, and calls reach the successor', async () => {
+  await openLink()
+  server.drain()
+  while ((await call('draining')).failure?.reason !== 'draining') await sleep(5)
+  proxy.hold()
+  await sleep(MAX_SILENCE_MS + CHECK_MS)
+  server = new PeerServer(opener)
+  proxy.release()
+  const [next] = await openCall('b')
+  answer.get('b')?.()
+  expect((await next)?.text).toBe('b')
+})
+
 test('call goes on when its own process stood still', async () => {
   await openLink()
   const [running] = await openCall('a')
