--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -205,7 +205,7 @@
       if (outcome !== 'complete') return { term: replica.term, success: outcome === 'kept' }
       const file = this._incomingSnapshot.take()
       if (file.header === undefined) return { term: replica.term, success: false }
-      if (file.header.lastIndex > replica.commitIndex) {
+      if (file.header.lastIndex > Math.min(replica.commitIndex, replica.log.lastIndex)) {
         await replica.installSnapshot({ header: file.header, state: file.state })
         this._onCommitted.fire()
       }
--- a/packages/control/src/raft/RaftLeader.ts
+++ b/packages/control/src/raft/RaftLeader.ts
@@ -183,7 +183,7 @@
     while (peer.isActive && this._isActive) {
       const isAnswered = await this._replicateTo(peer)
       if (!peer.isActive || !this._isActive) return
-      if (!isAnswered) {
+      if (!isAnswered || peer.isLackingAcknowledged) {
         await clock.sleep(heartbeatMs)
         continue
       }
@@ -228,6 +228,7 @@
       ? await waitAtMost(options.clock, options.electionTimeoutMs, options.transport.sendAppend(address, request))
       : await this._sendPart(peer, bytes, pace.timeoutMs, options.transport.sendBulk(address, request, pace.timeoutMs))
     if (!this._isAccepted(peer, reply)) return false
+    peer.isLackingAcknowledged = !reply.success && reply.matchIndex < peer.matchIndex
     if (reply.success) {
       peer.matchIndex = Math.max(peer.matchIndex, prevIndex + entries.length)
       peer.nextIndex = peer.matchIndex + 1
--- a/packages/control/src/raft/RaftPeer.ts
+++ b/packages/control/src/raft/RaftPeer.ts
@@ -17,6 +17,8 @@
   isActive = true
   /** True if a replica with another id answered at the address. */
   isReplaced = false
+  /** True while the peer lacks entries that it has acknowledged to this leader; it is then sent them with pauses. */
+  isLackingAcknowledged = false
   readonly pace: BulkPace
   /** Snapshot that is being sent, and how much of it the peer holds; kept while parts of it fail. */
   snapshot: { readonly lastIndex: number, offset: number } | undefined
--- a/packages/control/src/raft/Replica.test.ts
+++ b/packages/control/src/raft/Replica.test.ts
@@ -31,11 +31,15 @@
   return { index, term: 1, kind: LogEntryKind.LOG_ENTRY_KIND_COMMAND, data: Buffer.from(`c${index}`) }
 }
 
-/** Suspends the writes of a disk until the returned function is called. */
-function stallDisk ({ storage }: FakeVm): () => void {
+/** Suspends the writes of a disk, from the first one of a kind on, until the returned function is called. */
+function stallDisk ({ storage }: FakeVm, fromKind?: 'snapshot'): () => void {
   let resume = (): void => {}
   const resumed = new Promise<void>(resolve => { resume = resolve })
-  storage.onWrite = async () => { await resumed }
+  let isStalled = false
+  storage.onWrite = async kind => {
+    isStalled ||= fromKind === undefined || kind === fromKind
+    if (isStalled) await resumed
+  }
   return () => {
     storage.onWrite = async () => {}
     resume()
@@ -86,6 +90,34 @@
   expect(leader.stateMachine.commands).toEqual([...before, ...during, ...after, 'last'])
 })
 
+// What the others committed while its disk stalled is applied but not in its log. A snapshot below what it had applied was then passed over
+// again and again, and counted as stored.
+test('former leader whose log ends below its commit index catches up from a snapshot', async () => {
+  cluster = new FakeCluster(NAMES, 1, SNAPSHOT_ENTRIES)
+  await cluster.startAll()
+  const former = await cluster.waitLeader()
+  const resume = stallDisk(former, 'snapshot')
+  const commands = createCommands('y', 3 * SNAPSHOT_ENTRIES + 6)
+  await proposeAll(cluster, former, commands)
+  cluster.isolate(former.name)
+  await cluster.clock.advance(3_000)
+  resume()
+  await cluster.clock.advance(1_000)
+  const { entries } = await former.storage.load()
+  expect(entries.length).toBeLessThan(SNAPSHOT_ENTRIES)
+  cluster.heal()
+  const leader = await cluster.waitLeader()
+  const other = NAMES.find(name => name !== leader.name && name !== former.name) ?? ''
+  await cluster.clock.advance(2_000)
+  // Both that are left have to store it.
+  cluster.kill(other)
+  await proposeAll(cluster, leader, ['last'])
+  await cluster.clock.advance(2_000)
+  expect(former.stateMachine.commands).toEqual([...commands, 'last'])
+  const stored = await former.storage.load()
+  expect(stored.baseIndex + stored.entries.length).toBe(former.group?.getStatus().lastIndex)
+})
+
 test('entry that does not follow the last one on the disk is refused and stops the replica', async () => {
   const storage = new MemoryStorage('a')
   const replica = createReplica(storage)
--- a/packages/control/src/raft/Replica.ts
+++ b/packages/control/src/raft/Replica.ts
@@ -184,12 +184,14 @@
   }
 
   /**
-   * Replaces state and log by a snapshot from the leader; the lock must be held.
-   * @param snapshot - a snapshot beyond the commit index
+   * Replaces the log by a snapshot from the leader, and the state unless it is newer; the lock must be held. A former leader has applied
+   * entries that only the others had stored, and lacks them in its log.
+   * @param snapshot - a snapshot beyond the commit index, or beyond the end of the log
    */
   async installSnapshot (snapshot: ISnapshot): Promise<void> {
     await this._replaceLog(snapshot)
-    this._restore(snapshot)
+    if (snapshot.header.lastIndex > this._appliedIndex) this._restore(snapshot)
+    else this._snapshot = snapshot
     this.updateMembers()
   }
 
