Settings: a file that is being written at the start is read again

A process that starts while its settings file is empty, missing or cut off ends with code 2.

Cause: the file was read once.

A part of a file that is valid by itself is still taken.

--- a/packages/lagoonswitch/src/Runner.ts
+++ b/packages/lagoonswitch/src/Runner.ts
@@ -2,10 +2,10 @@
  * Runs a process with the settings of a file until it receives a stop signal or fails.
  */
 import { SystemClock, formatError, type SettingsError } from '@lagoonswitch/common'
-import { parseSettings, readSettingsText } from '@lagoonswitch/schema'
 import { LagoonProcess, tryStart, type IPlatformAdapter } from './LagoonProcess.js'
 import { PinoLog } from './PinoLog.js'
 import { SettingsWatcher } from './SettingsWatcher.js'
+import { loadStartSettings } from './StartSettings.js'
 
 const EXIT_OK = 0
 const EXIT_FAILED = 1
@@ -18,13 +18,13 @@
  * @param adapter - replacements for the default dialect and surface
  */
 export async function runProcess (file: string, adapter: IPlatformAdapter = {}): Promise<void> {
-  const text = await readSettingsText(file)
-  if (text.err) exitForSettings(text.val)
-  const settings = parseSettings(text.val, file)
-  if (settings.err) exitForSettings(settings.val)
-  const log = new PinoLog(settings.val.log.level)
-  const instance = new LagoonProcess(settings.val, log, adapter)
-  const watcher = new SettingsWatcher(file, text.val, new SystemClock(), log, next => instance.applySettings(next))
+  const clock = new SystemClock()
+  const loaded = await loadStartSettings(file, clock)
+  if (loaded.err) exitForSettings(loaded.val)
+  const { text, settings } = loaded.val
+  const log = new PinoLog(settings.log.level)
+  const instance = new LagoonProcess(settings, log, adapter)
+  const watcher = new SettingsWatcher(file, text, clock, log, next => instance.applySettings(next))
   const stop = async (code: number): Promise<void> => {
     watcher.stop()
     await instance.stop()
