Publications: a change that fits into no message is refused

Callers saw: nothing yet; read while the limits of input were looked at.

Cause: nothing compared the change with the largest message.

Evidence: "change that does not fit into a message is refused and never proposed" fails without the check.

Change: the publisher refuses it as invalid, with its size and the limit.

--- a/packages/control/src/catalogue/Publisher.test.ts
+++ b/packages/control/src/catalogue/Publisher.test.ts
@@ -2,6 +2,7 @@
 import { Err, ManualClock, NoQuorumError, NullLog, Ok } from '@lagoonswitch/common'
 import { CatalogueStore } from '@lagoonswitch/feed'
 import { CatalogueCommand } from '@lagoonswitch/schema'
+import { MAX_MESSAGE_BYTES } from '@lagoonswitch/transport'
 import type { RaftGroup } from '../raft/RaftGroup.js'
 import { CatalogueStateMachine } from './CatalogueStateMachine.js'
 import { Publisher, listPublished, type IPublicationDraft, type OrderOutcome } from './Publisher.js'
@@ -65,6 +66,7 @@
   machine.apply(CatalogueCommand.encode({ nowMs: 1, command: { $case: 'bootstrap', value: { epoch: 1 } } }).finish())
   role = 'leader'
   hasQuorum = true
+  proposedBytes = 0
   publisher = createPublisher()
 })
 
@@ -130,6 +132,13 @@
   expect(store.view.publication).toBeUndefined()
 })
 
+// Between control VMs it would never arrive, so that nothing after it could be committed either.
+test('change that does not fit into a message is refused and never proposed', async () => {
+  expect(await publish({ ...createDraft(1, 0, ['a']), annotation: 'x'.repeat(MAX_MESSAGE_BYTES) })).toBe('invalid')
+  expect(proposedBytes).toBe(0)
+  expect(await publish({ ...createDraft(1, 0, ['a']), annotation: 'x'.repeat(MAX_MESSAGE_BYTES - 131_072) })).toBe('accepted')
+})
+
 test('follower returns the address of the leader, and a missing quorum is not a refusal', async () => {
   role = 'follower'
   expect(await publisher.publish(createDraft(1, 0, ['a']))).toMatchObject({ val: { kind: 'elsewhere', leaderAddress: '10.0.0.2:1' } })
--- a/packages/control/src/catalogue/Publisher.ts
+++ b/packages/control/src/catalogue/Publisher.ts
@@ -8,11 +8,14 @@
   splitDeclarations, type CallerLimits, type EntryEdit, type EntryRecord, type IDeclaration, type Publication
 } from '@lagoonswitch/schema'
 import type { CatalogueStore } from '@lagoonswitch/feed'
+import { MAX_MESSAGE_BYTES } from '@lagoonswitch/transport'
 import type { RaftGroup } from '../raft/RaftGroup.js'
 import type { CatalogueStateMachine } from './CatalogueStateMachine.js'
 
 /** Size above which edits are deflated. */
 const MIN_DEFLATE_BYTES = 2_048
+/** Largest change; it is sent between control VMs in one message, with the fields of the log around it. */
+const MAX_COMMAND_BYTES = MAX_MESSAGE_BYTES - 65_536
 /** Attempts to publish when other changes are accepted meanwhile; each one computes the edits again. */
 const MAX_ATTEMPTS = 4
 
@@ -96,6 +99,9 @@
         continue
       }
       const command = createCommand(draft, requestId, entries, store)
+      if (command.length > MAX_COMMAND_BYTES) {
+        return Ok({ kind: 'invalid', message: `the change has ${command.length} bytes, at most ${MAX_COMMAND_BYTES} fit into a message; publish less at once` })
+      }
       const proposed = await group.propose(command)
       if (proposed.err) return Err(proposed.val instanceof NoQuorumError ? proposed.val : new NoQuorumError(false))
       const reply = ChangeReply.decode(proposed.val)
