Configurations: a body can't use up the memory of a control VM

Callers saw: nothing yet; found by a test. A configuration of 31 MB, within the limit of 32 MB, ends the control VM that parses it (heap out of memory, 160 MB as on the platform).

Cause: the limit counted bytes; memory goes by values and their copies.

--- a/packages/common/src/BoundedJson.test.ts
+++ b/packages/common/src/BoundedJson.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { MAX_JSON_DEPTH, parseJson } from './BoundedJson.js'
+import { MAX_JSON_DEPTH, MAX_JSON_VALUES, parseJson } from './BoundedJson.js'
 
 function nest (depth: number): string {
   return '{"a":'.repeat(depth) + '1' + '}'.repeat(depth)
@@ -24,3 +24,9 @@
 test('message on text that is no JSON does not quote it, since it may hold keys', () => {
   for (const text of ['{"keys":["secret" x]}', '{"keys":["secret', 'secret']) expect(parseJson(text).val).not.toMatch(/secret|keys/)
 })
+
+test('JSON is parsed up to the limit of its values', () => {
+  expect(parseJson(`[${'0,'.repeat(MAX_JSON_VALUES - 2)}0]`).ok).toBe(true)
+  for (const part of ['0,', '{},', '[],', '"a":{},']) expect(parseJson(`[${part.repeat(MAX_JSON_VALUES)}0]`).val).toMatch(/more than 500000 values/)
+  expect(parseJson(JSON.stringify(['[,{'.repeat(MAX_JSON_VALUES)])).ok).toBe(true)
+})
