Elections: a voter whose answer is lost is asked again

A candidate asked each voter once. If one answer was lost, or a voter still counted on the leader that was gone, the candidate waited for another whole election timeout.

Change: a candidate asks again about once a heartbeat, for at most an election timeout, and ends as soon as a quorum can't be reached.

--- a/packages/control/src/raft/RaftGroup.ts
+++ b/packages/control/src/raft/RaftGroup.ts
@@ -11,11 +11,11 @@
   type LogEntry, type Member, type VoteReply, type VoteRequest
 } from '@lagoonswitch/schema'
 import { GroupMembership } from './GroupMembership.js'
-import { computeQuorum } from './Quorum.js'
 import { IncomingSnapshot } from './IncomingSnapshot.js'
 import { RaftLeader } from './RaftLeader.js'
 import { Replica } from './Replica.js'
 import type { IRaftOptions, IRaftStatus, RaftRole } from './RaftTypes.js'
+import { VoteCollector } from './VoteCollector.js'
 
 /** Reason why a proposal or a read has no result. */
 export type RaftError = NotLeaderError | NoQuorumError | StorageError
@@ -38,6 +38,7 @@
   private readonly _disposables = new DisposableStore()
   private readonly _replica: Replica
   private readonly _membership: GroupMembership
+  private readonly _votes: VoteCollector
   private readonly _onMembersChanged = new Emitter<readonly Member[]>()
   private readonly _pendingProposals = new Map<number, IPendingProposal>()
   private readonly _stopping = new AbortController()
@@ -61,6 +62,7 @@
 
   constructor (private readonly _options: IRaftOptions) {
     this._replica = new Replica(_options)
+    this._votes = new VoteCollector(_options, this._replica, () => this._role === 'candidate', higherTerm => this._stepDown(higherTerm))
     this._membership = new GroupMembership(_options, this._replica, {
       getLeader: () => this._leader,
       getLeaderAddress: () => this.getStatus().leaderAddress,
@@ -318,14 +320,14 @@
     this._setRole('candidate')
     this._resetElectionTimer()
     const preTerm = this._replica.term + 1
-    if (!await this._collectVotes(preTerm, true) || this._stopping.signal.aborted) return
+    if (!await this._votes.collect(preTerm, true) || this._stopping.signal.aborted) return
     const term = await this._replica.lock.run(async () => {
       if (this._hasLeaderContact() || this._role !== 'candidate' || this._replica.term !== preTerm - 1) return undefined
       this._replica.dropUnsynced()
       await this._replica.saveTermAndVote(preTerm, this._replica.replicaId)
       return preTerm
     })
-    if (term === undefined || !await this._collectVotes(term, false)) return
+    if (term === undefined || !await this._votes.collect(term, false)) return
     if (this._replica.term !== term || this._role !== 'candidate' || this._stopping.signal.aborted) return
     this._becomeLeader(term)
   }
@@ -338,32 +340,6 @@
     this._options.log.info('leader_elected', { group: this.group, term, name: this._options.name })
   }
 
-  private async _collectVotes (term: number, preVote: boolean): Promise<boolean> {
-    const { clock, electionTimeoutMs, group, transport } = this._options
-    const { replicaId, log, voters } = this._replica
-    const request = {
-      group, term, candidate: replicaId, lastIndex: log.lastIndex, lastTerm: log.lastTerm, preVote
-    }
-    const quorum = computeQuorum(voters.length)
-    let granted = 1
-    let pendingVotes = voters.length - 1
-    if (granted >= quorum) return true
-    return await new Promise<boolean>(resolve => {
-      for (const voter of voters) {
-        if (voter.replicaId === replicaId) continue
-        const vote = transport.sendVote(voter.address, { ...request, toReplica: voter.replicaId })
-        waitAtMost(clock, electionTimeoutMs, vote).then(reply => {
-          if (reply.granted) granted++
-          else if (reply.term > this._replica.term) this._stepDown(reply.term)
-        }, () => undefined).finally(() => {
-          pendingVotes--
-          if (granted >= quorum) resolve(true)
-          else if (pendingVotes === 0) resolve(false)
-        })
-      }
-    })
-  }
-
   /** Becomes a follower at once; the new term is synced as soon as the storage is free. */
   private _stepDown (term: number): void {
     this._becomeFollower()
