--- a/packages/control/src/raft/VoteCollector.test.ts
+++ b/packages/control/src/raft/VoteCollector.test.ts
@@ -22,8 +22,8 @@
   return times.sort((a, b) => a - b)
 }
 
-// Each of the three that are left is needed. A candidate whose question or answer was lost, or that asked while another voter still heard of
-// the leader, waited for a whole election timeout again.
+// Each of the three that are left is needed. A candidate whose question or answer was lost, or that asked while another voter still heard
+// of the leader, waited for a whole election timeout again.
 test.each([0, 0.04])('leader is there within 2.5 election timeouts after two of five are lost, at a loss of %s', async lossRate => {
   const times = await measureElections(60, lossRate)
   expect(times.at(-1)).toBeLessThan(2_500)
