--- a/packages/control/src/raft/VoteCollector.ts
+++ b/packages/control/src/raft/VoteCollector.ts
@@ -46,7 +46,7 @@
     return await new Promise<boolean>(resolve => {
       for (const voter of voters) {
         if (voter.replicaId === replicaId) continue
-        void this._ask(voter, question, endMs, ended.signal).then(isGranted => {
+        void this._requestVote(voter, question, endMs, ended.signal).then(isGranted => {
           if (isGranted) granted++
           pending--
           if (granted >= quorum) resolve(true)
@@ -60,7 +60,7 @@
    * Asks a voter again while its answer is lost, and while it refuses a pre-vote, as it may only be still in contact with a leader that
    * is gone.
    */
-  private async _ask (voter: Member, question: Question, endMs: number, ended: AbortSignal): Promise<boolean> {
+  private async _requestVote (voter: Member, question: Question, endMs: number, ended: AbortSignal): Promise<boolean> {
     const { clock, heartbeatMs, random, transport } = this._options
     while (!ended.aborted && this._isCandidate() && clock.readMonotonicMs() < endMs) {
       try {
