--- a/packages/control/src/raft/GroupMembership.ts
+++ b/packages/control/src/raft/GroupMembership.ts
@@ -13,7 +13,7 @@
 import type { Replica } from './Replica.js'
 
 /** Interval of membership decisions, and of join requests. */
-const MEMBER_CHECK_INTERVAL_MS = 100
+const MEMBER_CHECK_INTERVAL_MS = 200
 const JOIN_INTERVAL_MS = 300
 /** Changes that may follow one another without a pause; a group of five needs fewer to replace two members. */
 const MAX_SUCCESSIVE_CHANGES = 8
@@ -211,10 +211,7 @@
       const { replicaId } = this._replica
       const { address, availabilityZone } = automatic
       const member: Member = { name, replicaId, address, voter: false, availabilityZone }
-      const askedAddress = leaderAddressHint === '' ? this._selectJoinAddress(automatic) : leaderAddressHint
-      leaderAddressHint = await this._sendJoin(askedAddress, member)
-      const isRedirected = leaderAddressHint !== '' && leaderAddressHint !== askedAddress
-      if (isRedirected) leaderAddressHint = await this._sendJoin(leaderAddressHint, member)
+      leaderAddressHint = await this._sendJoin(leaderAddressHint === '' ? this._selectJoinAddress(automatic) : leaderAddressHint, member)
     }
   }
 
