Log: connections whose caller may lack a response when they are closed

The listener for callers now tells at its close how many connections are open, and for each of those whose response may not have arrived the last call, its bytes and their age (connections_closed, connection_cut, counter connections_cut_total). Whether it arrived is estimated: 1 s for a round trip and a retransmission, and the time of the bytes at 0.5 Mbit/s, unless the caller has sent its next request since. No logic is changed.

--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { HttpConnections } from '@lagoonswitch/transport'
 import type { Call } from './Call.js'
 import type { ICallContext } from './CallContext.js'
 import { CallerConnection } from './CallerConnection.js'
@@ -23,6 +24,7 @@
   private readonly _server: Server
   private readonly _calls = new Set<Call>()
   private readonly _connections = new WeakMap<Socket, CallerConnection>()
+  private readonly _httpConnections: HttpConnections
   private _lastCallMs = -Infinity
   /** Responses that have not been sent completely, including those of running calls. */
   private _unsentResponses = 0
@@ -39,6 +41,8 @@
       insecureHTTPParser: false
     }, (request, response) => this._handleRequest(request, response))
     this._server.maxConnections = callerConnections
+    const { clock, log, metrics } = _context
+    this._httpConnections = new HttpConnections(this._server, { listener: 'calls', clock, log, metrics })
     this._server.on('checkContinue', (request, response) => {
       response.writeContinue()
       this._handleRequest(request, response)
@@ -95,6 +99,7 @@
 
   /** Cuts running calls and closes all connections. */
   async close (): Promise<void> {
+    this._httpConnections.reportClose()
     const closed = new Promise<void>(resolve => this._server.close(() => resolve()))
     if (this._calls.size > 0) {
       for (const call of [...this._calls]) call.cut()
@@ -106,6 +111,7 @@
 
   private _handleRequest (request: IncomingMessage, response: ServerResponse): void {
     this._lastCallMs = this._context.clock.readMonotonicMs()
+    this._httpConnections.addResponse(response, this._context.dialect.readCallId(request.headers))
     this._findConnection(request.socket).add(request, response)
   }
 
--- /dev/null
+++ b/packages/transport/src/HttpConnection.ts
@@ -0,0 +1,92 @@
+/**
+ * One connection of an HTTP listener and the responses on it.
+ */
+import type { ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { IClock } from '@lagoonswitch/common'
+
+/** Speed of the slowest path to a client on which a response is expected to arrive in time: 0.5 Mbit/s. */
+const SLOWEST_PATH_BYTES_PER_MS = 62.5
+/** Time for the round trip and one retransmission. */
+const ROUND_TRIP_MARGIN_MS = 1_000
+
+/** What a connection carried last. */
+export interface ILastResponse {
+  /** Name of the request, such as the ID of a call. */
+  readonly request: string
+  /** Bytes that the client may not have received. */
+  readonly bytes: number
+  /** Time since the network took the last of them, in milliseconds. */
+  readonly ageMs: number
+}
+
+/**
+ * Tells whether the client may still be receiving a response. Node.js reports a response as sent when the kernel has it; how much the
+ * client has received can only be estimated.
+ */
+export class HttpConnection {
+  private _unsentResponses = 0
+  /** True once the client has sent a request without waiting for the response to an earlier one. */
+  private _isPipelined = false
+  private _countedBytes = 0
+  private _unconfirmedBytes = 0
+  private _sentMs = -Infinity
+  private _arrivedByMs = -Infinity
+  private _lastRequest = ''
+
+  /**
+   * @param _socket - of the client
+   * @param _clock - source of time
+   */
+  constructor (private readonly _socket: Socket, private readonly _clock: IClock) {}
+
+  /** True while a response is missing or not completely sent. */
+  get hasUnsentResponse (): boolean {
+    return this._unsentResponses > 0
+  }
+
+  /** Time by which the client has received all responses even on a slow path, on the monotonic clock. */
+  get arrivedByMs (): number {
+    return this._arrivedByMs
+  }
+
+  /** True while the client may not have received all responses. */
+  get hasUnreceivedResponse (): boolean {
+    return this.hasUnsentResponse || this._clock.readMonotonicMs() < this._arrivedByMs
+  }
+
+  /** The last response, for the log. */
+  get lastResponse (): ILastResponse {
+    return { request: this._lastRequest, bytes: this._unconfirmedBytes, ageMs: this._clock.readMonotonicMs() - this._sentMs }
+  }
+
+  /**
+   * Adds a response that the client is waiting for.
+   * @param response - nothing of it has been sent
+   * @param request - name of the request for the log
+   */
+  addResponse (response: ServerResponse, request: string): void {
+    if (this._unsentResponses > 0) this._isPipelined = true
+    // A client that does not pipeline has received a response before it sends the next request.
+    else if (!this._isPipelined) this._confirm()
+    this._unsentResponses++
+    this._lastRequest = request
+    response.once('close', () => {
+      this._unsentResponses--
+      this._countSent()
+    })
+  }
+
+  private _confirm (): void {
+    this._unconfirmedBytes = 0
+    this._arrivedByMs = -Infinity
+  }
+
+  private _countSent (): void {
+    const bytes = this._socket.bytesWritten - this._countedBytes
+    this._countedBytes += bytes
+    this._unconfirmedBytes += bytes
+    this._sentMs = this._clock.readMonotonicMs()
+    this._arrivedByMs = Math.max(this._arrivedByMs, this._sentMs + ROUND_TRIP_MARGIN_MS) + bytes / SLOWEST_PATH_BYTES_PER_MS
+  }
+}
