Tests: responses that a caller has not received when a stopping node closes

Both fail on this code: a response of 600,000 bytes that the node has handed to the kernel is cut at 128,001 bytes if the caller sends another request after the close, and the stop ends while 419,297 bytes are at a caller that reads 150 kB/s.

--- /dev/null
+++ b/tests/GracefulStopDelivery.test.ts
@@ -0,0 +1,75 @@
+/**
+ * Responses that callers have not received yet when a stopping node has nothing left to send.
+ */
+import { connect, type Socket } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { afterEach, beforeEach, expect, test } from 'vitest'
+import { ShapedProxy } from './support/ShapedProxy.js'
+import { DESK, World } from './support/World.js'
+
+const STOP_MS = 6_000
+/** Small enough for the buffers of a connection, so that the node has sent it although nobody reads. */
+const RESPONSE_BYTES = 600_000
+let world: World
+let proxy: ShapedProxy | undefined
+
+beforeEach(async () => {
+  world = await World.start(['n1', 'n2'])
+  await world.putEntry({ ...DESK, class: 'normal', limits: { ...DESK.limits, deadline: '10s' } })
+  await world.addTarget('n2', 't1', 'v1', (request, response) => {
+    response.end(Buffer.alloc(Number(request.headers['x-bytes']), 'a'))
+  })
+})
+
+afterEach(async () => {
+  proxy?.close()
+  proxy = undefined
+  await world.stop()
+})
+
+/** A caller at the level of sockets. */
+class RawCaller {
+  readonly socket: Socket
+  receivedBytes = 0
+  readonly closed: Promise<void>
+
+  constructor (port: number) {
+    this.socket = connect(port, '127.0.0.1')
+    this.socket.on('error', () => undefined)
+    this.closed = new Promise(resolve => this.socket.on('close', () => resolve()))
+    this.socket.pause()
+  }
+
+  send (bytes: number): void {
+    this.socket.write(`GET /read HTTP/1.1\r\nhost: a\r\nx-bytes: ${bytes}\r\n\r\n`)
+  }
+
+  read (): void {
+    this.socket.on('data', (chunk: Buffer) => { this.receivedBytes += chunk.length })
+    this.socket.resume()
+  }
+}
+
+test('unread response survives a request that crosses the close of its connection at a graceful stop', async () => {
+  const caller = new RawCaller(world.getNode('n1').port)
+  caller.send(RESPONSE_BYTES)
+  await sleep(300)
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  // The node closes 2.5 s after the beginning of the stop.
+  await sleep(2_800)
+  caller.send(1)
+  await sleep(200)
+  caller.read()
+  await Promise.all([caller.closed, stopping])
+  expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
+}, 20_000)
+
+test('graceful stop lasts until a caller on a slow path has its response', async () => {
+  proxy = new ShapedProxy(world.getNode('n1').port, RESPONSE_BYTES / 4)
+  const caller = new RawCaller(await proxy.listen())
+  caller.read()
+  caller.send(RESPONSE_BYTES)
+  await sleep(300)
+  await world.getNode('n1').role.stop(STOP_MS)
+  expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
+}, 20_000)
