Planned stop: a connection stays open until its caller has the response

Cause: sent means that the kernel has the bytes. The node destroyed all connections the moment no call ran, so what callers had not received was left to a kernel whose process was gone, which drops it if the caller sends anything.

Each connection is now closed in stages: its sending side is ended, what still arrives is read and dropped, and the process waits until the caller closes its side, at most as long as the response can need (1 s, and its bytes at 0.5 Mbit/s) and never beyond the end of the stop. A caller that sent its next request has the response before, so idle connections are not waited for.

A stop beside a caller that has its response and never closes ends as before, within half of the timeout (6 s).

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -277,7 +277,7 @@
     // The listener stays open until the last call has ended, so that callers that connect are told when to retry.
     await waitWhile(isBusy, stop.cutAtMs)
     this._logStopStep('closing', getElapsedMs())
-    await this._callServer.close()
+    await this._callServer.close(stop.cutAtMs)
     this._peerServer.closeLinks()
   }
 
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -97,21 +97,20 @@
     return this._unsentResponses
   }
 
-  /** Cuts running calls and closes all connections. */
-  async close (): Promise<void> {
-    this._httpConnections.reportClose()
-    const closed = new Promise<void>(resolve => this._server.close(() => resolve()))
-    if (this._calls.size > 0) {
-      for (const call of [...this._calls]) call.cut()
-      await Promise.race([closed, this._context.clock.sleep(RESPONSE_GRACE_MS)])
-    }
-    this._server.closeAllConnections()
-    await closed
+  /**
+   * Cuts running calls and closes all connections, each once its caller has received the responses.
+   * @param endMs - time on the monotonic clock after which the remaining connections are destroyed
+   */
+  async close (endMs: number): Promise<void> {
+    const graceMs = this._calls.size > 0 ? RESPONSE_GRACE_MS : 0
+    for (const call of [...this._calls]) call.cut()
+    const closeListener = async (): Promise<void> => await new Promise(resolve => this._server.close(() => resolve()))
+    await this._httpConnections.close(closeListener, Math.max(graceMs, endMs - this._context.clock.readMonotonicMs()))
   }
 
   private _handleRequest (request: IncomingMessage, response: ServerResponse): void {
     this._lastCallMs = this._context.clock.readMonotonicMs()
-    this._httpConnections.addResponse(response, this._context.dialect.readCallId(request.headers))
+    this._httpConnections.addResponse(request, response, this._context.dialect.readCallId(request.headers))
     this._findConnection(request.socket).add(request, response)
   }
 
--- a/packages/transport/src/HttpConnection.ts
+++ b/packages/transport/src/HttpConnection.ts
@@ -1,9 +1,9 @@
 /**
- * One connection of an HTTP listener and the responses on it.
+ * One connection of an HTTP listener: the responses on it, and its close.
  */
 import type { ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { IClock } from '@lagoonswitch/common'
+import type { IClock, IDisposable } from '@lagoonswitch/common'
 
 /** Speed of the slowest path to a client on which a response is expected to arrive in time: 0.5 Mbit/s. */
 const SLOWEST_PATH_BYTES_PER_MS = 62.5
@@ -21,8 +21,8 @@
 }
 
 /**
- * Tells whether the client may still be receiving a response. Node.js reports a response as sent when the kernel has it; how much the
- * client has received can only be estimated.
+ * Closes a connection in stages (RFC 9112, section 9.6), so that the client receives its responses. Node.js reports a response as sent when
+ * the kernel has it; how much the client has received can only be estimated until the client closes its side.
  */
 export class HttpConnection {
   private _unsentResponses = 0
@@ -31,25 +31,24 @@
   private _countedBytes = 0
   private _unconfirmedBytes = 0
   private _sentMs = -Infinity
+  /** Time by which the client has received all responses even on a slow path. */
   private _arrivedByMs = -Infinity
   private _lastRequest = ''
+  private _closeTimer: IDisposable | undefined
 
   /**
    * @param _socket - of the client
    * @param _clock - source of time
    */
-  constructor (private readonly _socket: Socket, private readonly _clock: IClock) {}
+  constructor (private readonly _socket: Socket, private readonly _clock: IClock) {
+    _socket.once('close', () => this._closeTimer?.dispose())
+  }
 
   /** True while a response is missing or not completely sent. */
   get hasUnsentResponse (): boolean {
     return this._unsentResponses > 0
   }
 
-  /** Time by which the client has received all responses even on a slow path, on the monotonic clock. */
-  get arrivedByMs (): number {
-    return this._arrivedByMs
-  }
-
   /** True while the client may not have received all responses. */
   get hasUnreceivedResponse (): boolean {
     return this.hasUnsentResponse || this._clock.readMonotonicMs() < this._arrivedByMs
@@ -77,6 +76,26 @@
     })
   }
 
+  /**
+   * Ends the sending side and reads on until the client closes its side or must have received the responses. A connection that is closed
+   * at once is reset by the kernel if the client sends anything, and a reset discards what the client has not received.
+   */
+  close (): void {
+    if (this._closeTimer !== undefined) return
+    this._countSent()
+    // Without the listener of the HTTP parser, no further request is handled.
+    this._socket.removeAllListeners('data')
+    this._socket.on('data', () => undefined)
+    this._socket.resume()
+    this._socket.end()
+    this._closeTimer = this._clock.schedule(Math.max(0, this._arrivedByMs - this._clock.readMonotonicMs()), () => this._socket.destroy())
+  }
+
+  /** Closes the connection at once; responses that the client has not received may be lost. */
+  destroy (): void {
+    this._socket.destroy()
+  }
+
   private _confirm (): void {
     this._unconfirmedBytes = 0
     this._arrivedByMs = -Infinity
@@ -84,6 +103,7 @@
 
   private _countSent (): void {
     const bytes = this._socket.bytesWritten - this._countedBytes
+    if (bytes === 0) return
     this._countedBytes += bytes
     this._unconfirmedBytes += bytes
     this._sentMs = this._clock.readMonotonicMs()
--- a/packages/transport/src/HttpConnections.ts
+++ b/packages/transport/src/HttpConnections.ts
@@ -1,7 +1,7 @@
 /**
  * The connections of an HTTP listener.
  */
-import type { Server, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { IClock, ILog, Metrics } from '@lagoonswitch/common'
 import { HttpConnection } from './HttpConnection.js'
@@ -15,9 +15,10 @@
   readonly metrics: Metrics
 }
 
-/** Keeps the open connections of a listener, and reports how they end when it is closed. */
+/** Keeps the open connections of a listener, and closes them so that clients receive their responses. */
 export class HttpConnections {
   private readonly _connections = new Map<Socket, HttpConnection>()
+  private _isClosing = false
 
   /**
    * @param server - the listener, not listening yet
@@ -28,26 +29,66 @@
       this._connections.set(socket, new HttpConnection(socket, _context.clock))
       socket.once('close', () => this._connections.delete(socket))
     })
+    // Called by Node.js when the listener is closed; it would destroy them, also those whose response has not left the process.
+    server.closeIdleConnections = () => this._closeIdle()
   }
 
   /**
    * Adds a response that a client is waiting for.
+   * @param request - whose head has been read
    * @param response - nothing of it has been sent
-   * @param request - name of the request for the log
+   * @param name - of the request, for the log
    */
-  addResponse (response: ServerResponse, request: string): void {
-    const { socket } = response
-    if (socket !== null) this._connections.get(socket)?.addResponse(response, request)
+  addResponse (request: IncomingMessage, response: ServerResponse, name: string): void {
+    const connection = this._connections.get(request.socket)
+    connection?.addResponse(response, name)
+    response.once('close', () => {
+      if (this._isClosing && connection?.hasUnsentResponse === false) connection.close()
+    })
   }
 
-  /** Reports the connections that are about to be closed by this process. */
-  reportClose (): void {
-    const { listener, log, metrics } = this._context
-    const cut = [...this._connections.values()].filter(connection => connection.hasUnreceivedResponse)
-    log.info('connections_closed', { listener, open: this._connections.size, cut: cut.length })
-    for (const { lastResponse: { request, bytes, ageMs }, hasUnsentResponse } of cut) {
-      metrics.count('connections_cut_total', listener)
-      log.info('connection_cut', { listener, call: request, bytes, sent: !hasUnsentResponse, sent_ms: Math.round(ageMs) })
+  /**
+   * Closes the listener, and each connection once its responses are sent and the client has closed its side or must have received them.
+   * @param closeListener - closes the listener and resolves when no connection is open any more
+   * @param timeoutMs - time in milliseconds after which the remaining connections are destroyed
+   */
+  async close (closeListener: () => Promise<unknown>, timeoutMs: number): Promise<void> {
+    const { listener, clock, log } = this._context
+    const startedMs = clock.readMonotonicMs()
+    const openCount = this._connections.size
+    let cutCount = 0
+    this._isClosing = true
+    const timer = clock.schedule(timeoutMs, () => { cutCount = this._destroyAll() })
+    try {
+      await closeListener()
+    } finally {
+      timer.dispose()
+    }
+    log.info('connections_closed', { listener, open: openCount, cut: cutCount, took_ms: Math.round(clock.readMonotonicMs() - startedMs) })
+  }
+
+  private _closeIdle (): void {
+    for (const connection of this._connections.values()) {
+      if (!connection.hasUnsentResponse) connection.close()
     }
   }
+
+  /** @returns number of connections whose client may not have received a response */
+  private _destroyAll (): number {
+    let cutCount = 0
+    for (const connection of [...this._connections.values()]) {
+      if (connection.hasUnreceivedResponse) {
+        this._reportCut(connection)
+        cutCount++
+      }
+      connection.destroy()
+    }
+    return cutCount
+  }
+
+  private _reportCut ({ lastResponse: { request, bytes, ageMs }, hasUnsentResponse }: HttpConnection): void {
+    const { listener, log, metrics } = this._context
+    metrics.count('connections_cut_total', listener)
+    log.info('connection_cut', { listener, request, bytes, sent: !hasUnsentResponse, sent_ms: Math.round(ageMs) })
+  }
 }
--- a/tests/GracefulStopDelivery.test.ts
+++ b/tests/GracefulStopDelivery.test.ts
@@ -33,8 +33,8 @@
   receivedBytes = 0
   readonly closed: Promise<void>
 
-  constructor (port: number) {
-    this.socket = connect(port, '127.0.0.1')
+  constructor (port: number, isHalfOpen = false) {
+    this.socket = connect({ port, host: '127.0.0.1', allowHalfOpen: isHalfOpen })
     this.socket.on('error', () => undefined)
     this.closed = new Promise(resolve => this.socket.on('close', () => resolve()))
     this.socket.pause()
@@ -73,3 +73,13 @@
   await world.getNode('n1').role.stop(STOP_MS)
   expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
 }, 20_000)
+
+test('graceful stop is not longer for a caller that has its response and keeps the connection', async () => {
+  const caller = new RawCaller(world.getNode('n1').port, true)
+  caller.read()
+  caller.send(5_000)
+  await sleep(300)
+  const startMs = performance.now()
+  await world.getNode('n1').role.stop(STOP_MS)
+  expect(performance.now() - startMs).toBeLessThan(STOP_MS / 2)
+}, 20_000)
