Refusals: a caller that is still sending its body receives the response

Callers that were refused while they sent a body (an unknown route, no target, too little time for an upload) could see a reset instead of the response, and could not tell that their call had not run. Cause: a response that closes the connection made Node.js destroy it once it was sent; unread bytes of the body make that a reset, which discards the response at the caller.

Such a connection is closed in the same stages as at a planned stop: what the caller still sends is read and dropped for at most the time that the response needs.

--- a/packages/transport/src/HttpConnection.ts
+++ b/packages/transport/src/HttpConnection.ts
@@ -42,6 +42,8 @@
    */
   constructor (private readonly _socket: Socket, private readonly _clock: IClock) {
     _socket.once('close', () => this._closeTimer?.dispose())
+    // Called by Node.js after a response that closes the connection; it would not read what the client still sends.
+    _socket.destroySoon = () => this.close()
   }
 
   /** True while a response is missing or not completely sent. */
