Control VM: a stop lets operators and targets receive their responses

An operator that read the configuration while its control VM stopped could get a part of it (3,919,696 of 4,118,036 bytes in the test), and any unread response was lost when something else was sent. All HTTP listeners of a process now close their connections in stages.

--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -77,7 +77,14 @@
     await this.control?.start()
     await this.node?.start()
     this._surface = this._adapter.surface ?? await loadProductSurface()
-    await this._surface.start({ settings: this._settings, metrics: this._metrics, node: this.node, control: this.control })
+    await this._surface.start({
+      settings: this._settings,
+      clock: this._clock,
+      log: this._log,
+      metrics: this._metrics,
+      node: this.node,
+      control: this.control
+    })
     this._warnOfLinksWithoutTls()
     this._log.info('process_started', { name: process.name, roles: process.roles.join('+') })
     return Ok(undefined)
--- a/packages/lagoonswitch/src/http/HttpApp.ts
+++ b/packages/lagoonswitch/src/http/HttpApp.ts
@@ -2,9 +2,11 @@
  * HTTP listeners on Nest and Fastify.
  */
 import 'reflect-metadata'
+import type { Server } from 'node:http'
 import { Module, type DynamicModule, type INestApplication, type Provider, type Type } from '@nestjs/common'
 import { NestFactory } from '@nestjs/core'
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify'
+import { HttpConnections, type IHttpConnectionsContext } from '@lagoonswitch/transport'
 
 const BODY_LIMIT_BYTES = 4 * 1_048_576
 
@@ -16,15 +18,17 @@
  * @param controllers - controllers that handle its requests
  * @param providers - services injected into the controllers
  * @param address - listen address
- * @returns the application, which the caller must close, and its port
+ * @param context - name of the listener, clock, log and metrics
+ * @returns the application, which the caller must close, its connections, and its port
  */
 export async function startHttpApp (
-  controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number }
-): Promise<{ app: INestApplication, port: number }> {
+  controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number }, context: IHttpConnectionsContext
+): Promise<{ app: INestApplication, connections: HttpConnections, port: number }> {
   const module: DynamicModule = { module: HttpModule, controllers, providers }
   const adapter = new FastifyAdapter({ bodyLimit: BODY_LIMIT_BYTES, forceCloseConnections: 'idle' })
   const app = await NestFactory.create<NestFastifyApplication>(module, adapter, { logger: false })
+  const connections = HttpConnections.watch(app.getHttpServer() as Server, context)
   await app.listen(address.port, address.host)
   const bound = app.getHttpServer().address()
-  return { app, port: typeof bound === 'object' && bound !== null ? bound.port : address.port }
+  return { app, connections, port: typeof bound === 'object' && bound !== null ? bound.port : address.port }
 }
--- a/packages/lagoonswitch/src/http/ProductSurface.ts
+++ b/packages/lagoonswitch/src/http/ProductSurface.ts
@@ -1,9 +1,9 @@
 /**
  * Default HTTP interfaces of a process, with Nest on Fastify.
  */
-import type { Server } from 'node:http'
 import type { INestApplication, Provider, Type } from '@nestjs/common'
-import { ProcessSurface, closeWithin, type ISurfaceContext } from '../ProcessSurface.js'
+import type { HttpConnections, IHttpConnectionsContext } from '@lagoonswitch/transport'
+import { ProcessSurface, type ISurfaceContext } from '../ProcessSurface.js'
 import { HomesController } from './HomesController.js'
 import { startHttpApp } from './HttpApp.js'
 import { HealthController, MetricsController, TargetsController } from './LocalController.js'
@@ -13,17 +13,18 @@
 
 /** Serves targets, home proxies, operators and metrics. */
 export class ProductSurface extends ProcessSurface {
-  private readonly _apps: INestApplication[] = []
+  private readonly _apps: Array<{ app: INestApplication, connections: HttpConnections }> = []
 
-  async start ({ settings, metrics, node, control }: ISurfaceContext): Promise<void> {
+  async start (context: ISurfaceContext): Promise<void> {
+    const { settings, metrics, node, control } = context
     const tokens = await OperatorTokens.read(control === undefined ? '' : settings.control.tokenFile)
     if (tokens.err) throw tokens.val
     const { listen } = settings
     const providers: Provider[] = [{ provide: METRICS, useValue: metrics }]
     if (node !== undefined) {
       const nodeProviders = [...providers, { provide: NODE_ROLE, useValue: node }]
-      await this._startApp([TargetsController, HealthController, MetricsController], nodeProviders, listen.local)
-      await this._startApp([HomesController], nodeProviders, listen.homes)
+      await this._startApp([TargetsController, HealthController, MetricsController], nodeProviders, listen.local, { ...context, listener: 'local' })
+      await this._startApp([HomesController], nodeProviders, listen.homes, { ...context, listener: 'homes' })
     }
     if (control !== undefined) {
       const controlProviders = [
@@ -31,19 +32,18 @@
         { provide: CONTROL_ROLE, useValue: control },
         { provide: OPERATOR_TOKENS, useValue: tokens.val }
       ]
-      await this._startApp([OperatorController, MetricsController], controlProviders, listen.operators)
+      await this._startApp([OperatorController, MetricsController], controlProviders, listen.operators, { ...context, listener: 'operators' })
     }
   }
 
   async stop (timeoutMs: number): Promise<void> {
-    await Promise.all(this._apps.map(async app =>
-      await closeWithin(app.getHttpServer() as Server, async () => await app.close(), timeoutMs)))
+    await Promise.all(this._apps.map(async ({ app, connections }) => await connections.close(async () => await app.close(), timeoutMs)))
   }
 
   private async _startApp (
-    controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number }
+    controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number },
+    context: IHttpConnectionsContext
   ): Promise<void> {
-    const { app } = await startHttpApp(controllers, providers, address)
-    this._apps.push(app)
+    this._apps.push(await startHttpApp(controllers, providers, address, context))
   }
 }
--- a/packages/transport/src/HttpConnections.ts
+++ b/packages/transport/src/HttpConnections.ts
@@ -33,6 +33,20 @@
     server.closeIdleConnections = () => this._closeIdle()
   }
 
+  /**
+   * Keeps the connections of a listener, and all responses on them.
+   * @param server - the listener, not listening yet
+   * @param context - name of the listener, clock, log and metrics
+   * @returns the connections
+   */
+  static watch (server: Server, context: IHttpConnectionsContext): HttpConnections {
+    const connections = new HttpConnections(server, context)
+    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+      connections.addResponse(request, response, `${request.method} ${request.url}`)
+    })
+    return connections
+  }
+
   /**
    * Adds a response that a client is waiting for.
    * @param request - whose head has been read
