--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -114,11 +114,12 @@
     const getRemainingMs = (): number => Math.max(0, endMs - this._clock.readMonotonicMs())
     this._log.info('process_stopping', { name })
     await this.node?.stop(stopTimeoutMs)
-    await this._surface?.stop(getRemainingMs())
+    const surface = await this._surface?.stop(getRemainingMs())
     this.node?.dispose()
     this.control?.dispose()
     await this._peerListener.stop(Math.min(PEER_LISTENER_STOP_TIMEOUT_MS, getRemainingMs()))
     this._channels.dispose()
+    await surface?.closed
     await this._closeStorage(getRemainingMs())
     this._log.info('process_stopped', { name })
   }
--- a/packages/lagoonswitch/src/http/ProductSurface.ts
+++ b/packages/lagoonswitch/src/http/ProductSurface.ts
@@ -2,8 +2,8 @@
  * Default HTTP interfaces of a process, with Nest on Fastify.
  */
 import type { INestApplication, Provider, Type } from '@nestjs/common'
-import type { HttpConnections, IHttpConnectionsContext } from '@lagoonswitch/transport'
-import { ProcessSurface, type ISurfaceContext } from '../ProcessSurface.js'
+import type { HttpConnections, IClosingConnections, IHttpConnectionsContext } from '@lagoonswitch/transport'
+import { ProcessSurface, closeAll, type ISurfaceContext } from '../ProcessSurface.js'
 import { HomesController } from './HomesController.js'
 import { startHttpApp } from './HttpApp.js'
 import { HealthController, MetricsController, TargetsController } from './LocalController.js'
@@ -36,8 +36,8 @@
     }
   }
 
-  async stop (timeoutMs: number): Promise<void> {
-    await Promise.all(this._apps.map(async ({ app, connections }) => await connections.close(async () => await app.close(), timeoutMs)))
+  async stop (timeoutMs: number): Promise<IClosingConnections> {
+    return await closeAll(this._apps.map(async ({ app, connections }) => await connections.close(async () => await app.close(), timeoutMs)))
   }
 
   private async _startApp (
--- a/packages/node/src/calls/CallServer.ts
+++ b/packages/node/src/calls/CallServer.ts
@@ -105,7 +105,9 @@
     const graceMs = this._calls.size > 0 ? RESPONSE_GRACE_MS : 0
     for (const call of [...this._calls]) call.cut()
     const closeListener = async (): Promise<void> => await new Promise(resolve => this._server.close(() => resolve()))
-    await this._httpConnections.close(closeListener, Math.max(graceMs, endMs - this._context.clock.readMonotonicMs()))
+    const limitMs = Math.max(graceMs, endMs - this._context.clock.readMonotonicMs())
+    const { closed } = await this._httpConnections.close(closeListener, limitMs)
+    await closed
   }
 
   private _handleRequest (request: IncomingMessage, response: ServerResponse): void {
--- a/packages/transport/src/HttpConnection.ts
+++ b/packages/transport/src/HttpConnection.ts
@@ -5,10 +5,12 @@
 import type { Socket } from 'node:net'
 import type { IClock, IDisposable } from '@lagoonswitch/common'
 
-/** Speed of the slowest path to a client on which a response is expected to arrive in time: 0.5 Mbit/s. */
-const SLOWEST_PATH_BYTES_PER_MS = 62.5
+/** Speed of the slowest path to a client on which a response is expected to arrive in time: 1 Mbit/s. */
+const SLOWEST_PATH_BYTES_PER_MS = 125
 /** Time for the round trip and one retransmission. */
 const ROUND_TRIP_MARGIN_MS = 1_000
+/** Bytes that a client's kernel takes although the client does not read. */
+const MAX_UNREAD_BYTES = 65_536
 
 /** What a connection carried last. */
 export interface ILastResponse {
@@ -26,9 +28,9 @@
  */
 export class HttpConnection {
   private _unsentResponses = 0
-  /** True once the client has sent a request without waiting for the response to an earlier one. */
-  private _isPipelined = false
   private _countedBytes = 0
+  /** Bytes sent since the last request that came when no response was missing. */
+  private _recentBytes = 0
   private _unconfirmedBytes = 0
   private _sentMs = -Infinity
   /** Time by which the client has received all responses even on a slow path. */
@@ -39,11 +41,12 @@
   /**
    * @param _socket - of the client
    * @param _clock - source of time
+   * @param _onLingering - called once the sending side is ended
    */
-  constructor (private readonly _socket: Socket, private readonly _clock: IClock) {
+  constructor (private readonly _socket: Socket, private readonly _clock: IClock, private readonly _onLingering: () => void) {
     _socket.once('close', () => this._closeTimer?.dispose())
     // Called by Node.js after a response that closes the connection; it would not read what the client still sends.
-    _socket.destroySoon = () => this.close()
+    _socket.destroySoon = () => this.close(ROUND_TRIP_MARGIN_MS)
   }
 
   /** True while a response is missing or not completely sent. */
@@ -67,9 +70,7 @@
    * @param request - name of the request for the log
    */
   addResponse (response: ServerResponse, request: string): void {
-    if (this._unsentResponses > 0) this._isPipelined = true
-    // A client that does not pipeline has received a response before it sends the next request.
-    else if (!this._isPipelined) this._confirm()
+    if (this._unsentResponses === 0) this._confirm()
     this._unsentResponses++
     this._lastRequest = request
     response.once('close', () => {
@@ -81,8 +82,9 @@
   /**
    * Ends the sending side and reads on until the client closes its side or must have received the responses. A connection that is closed
    * at once is reset by the kernel if the client sends anything, and a reset discards what the client has not received.
+   * @param minMs - time in milliseconds for which a client that does not close its side is waited for at least
    */
-  close (): void {
+  close (minMs = 0): void {
     if (this._closeTimer !== undefined) return
     this._countSent()
     // Without the listener of the HTTP parser, no further request is handled.
@@ -90,7 +92,9 @@
     this._socket.on('data', () => undefined)
     this._socket.resume()
     this._socket.end()
-    this._closeTimer = this._clock.schedule(Math.max(0, this._arrivedByMs - this._clock.readMonotonicMs()), () => this._socket.destroy())
+    const leftMs = this._arrivedByMs - this._clock.readMonotonicMs()
+    this._closeTimer = this._clock.schedule(Math.max(minMs, leftMs), () => this._socket.destroy())
+    this._onLingering()
   }
 
   /** Closes the connection at once; responses that the client has not received may be lost. */
@@ -98,15 +102,22 @@
     this._socket.destroy()
   }
 
+  /**
+   * Drops what the client must have received, as it sends its next request. It may do so before it has read the last responses, which are
+   * still on their way if they are large.
+   */
   private _confirm (): void {
-    this._unconfirmedBytes = 0
-    this._arrivedByMs = -Infinity
+    const isConfirmed = this._recentBytes <= MAX_UNREAD_BYTES
+    this._unconfirmedBytes = isConfirmed ? 0 : this._recentBytes
+    this._arrivedByMs = isConfirmed ? -Infinity : this._sentMs + ROUND_TRIP_MARGIN_MS + this._recentBytes / SLOWEST_PATH_BYTES_PER_MS
+    this._recentBytes = 0
   }
 
   private _countSent (): void {
     const bytes = this._socket.bytesWritten - this._countedBytes
     if (bytes === 0) return
     this._countedBytes += bytes
+    this._recentBytes += bytes
     this._unconfirmedBytes += bytes
     this._sentMs = this._clock.readMonotonicMs()
     this._arrivedByMs = Math.max(this._arrivedByMs, this._sentMs + ROUND_TRIP_MARGIN_MS) + bytes / SLOWEST_PATH_BYTES_PER_MS
--- a/packages/transport/src/HttpConnections.ts
+++ b/packages/transport/src/HttpConnections.ts
@@ -6,6 +6,9 @@
 import type { IClock, ILog, Metrics } from '@lagoonswitch/common'
 import { HttpConnection } from './HttpConnection.js'
 
+/** Connections that are closed one by one and whose clients are waited for; beyond it, the oldest is destroyed. */
+const MAX_LINGERING_CONNECTIONS = 64
+
 /** Dependencies of the connections of a listener. */
 export interface IHttpConnectionsContext {
   /** Name of the listener in the log and in metrics. */
@@ -15,10 +18,19 @@
   readonly metrics: Metrics
 }
 
+/** Connections of a listener that is closed. */
+export interface IClosingConnections {
+  /** Resolves when none of them is open any more. */
+  readonly closed: Promise<void>
+}
+
 /** Keeps the open connections of a listener, and closes them so that clients receive their responses. */
 export class HttpConnections {
   private readonly _connections = new Map<Socket, HttpConnection>()
+  /** Connections whose sending side has been ended, the oldest first. */
+  private readonly _lingering = new Set<HttpConnection>()
   private _isClosing = false
+  private _onAnswered: (() => void) | undefined
 
   /**
    * @param server - the listener, not listening yet
@@ -26,8 +38,13 @@
    */
   constructor (server: Server, private readonly _context: IHttpConnectionsContext) {
     server.on('connection', (socket: Socket) => {
-      this._connections.set(socket, new HttpConnection(socket, _context.clock))
-      socket.once('close', () => this._connections.delete(socket))
+      const connection = new HttpConnection(socket, _context.clock, () => this._addLingering(connection))
+      this._connections.set(socket, connection)
+      socket.once('close', () => {
+        this._connections.delete(socket)
+        this._lingering.delete(connection)
+        if (this._isClosing) this._checkAnswered()
+      })
     })
     // Called by Node.js when the listener is closed; it would destroy them, also those whose response has not left the process.
     server.closeIdleConnections = () => this._closeIdle()
@@ -57,7 +74,9 @@
     const connection = this._connections.get(request.socket)
     connection?.addResponse(response, name)
     response.once('close', () => {
-      if (this._isClosing && connection?.hasUnsentResponse === false) connection.close()
+      if (!this._isClosing) return
+      if (connection?.hasUnsentResponse === false) connection.close()
+      this._checkAnswered()
     })
   }
 
@@ -65,13 +84,22 @@
    * Closes the listener, and each connection once its responses are sent and the client has closed its side or must have received them.
    * @param closeListener - closes the listener and resolves when no connection is open any more
    * @param timeoutMs - time in milliseconds after which the remaining connections are destroyed
+   * @returns resolves when all requests are answered; the connections may stay open for longer
    */
-  async close (closeListener: () => Promise<unknown>, timeoutMs: number): Promise<void> {
+  async close (closeListener: () => Promise<unknown>, timeoutMs: number): Promise<IClosingConnections> {
+    this._isClosing = true
+    const answered = new Promise<void>(resolve => { this._onAnswered = resolve })
+    const closed = this._closeAll(closeListener, timeoutMs)
+    this._checkAnswered()
+    await Promise.race([answered, closed])
+    return { closed }
+  }
+
+  private async _closeAll (closeListener: () => Promise<unknown>, timeoutMs: number): Promise<void> {
     const { listener, clock, log } = this._context
     const startedMs = clock.readMonotonicMs()
     const openCount = this._connections.size
     let cutCount = 0
-    this._isClosing = true
     const timer = clock.schedule(timeoutMs, () => { cutCount = this._destroyAll() })
     try {
       await closeListener()
@@ -81,6 +109,17 @@
     log.info('connections_closed', { listener, open: openCount, cut: cutCount, took_ms: Math.round(clock.readMonotonicMs() - startedMs) })
   }
 
+  private _checkAnswered (): void {
+    if ([...this._connections.values()].every(connection => !connection.hasUnsentResponse)) this._onAnswered?.()
+  }
+
+  /** Keeps clients that do not close their side from using up the connections of the listener. */
+  private _addLingering (connection: HttpConnection): void {
+    this._lingering.add(connection)
+    const [oldest] = this._lingering
+    if (!this._isClosing && this._lingering.size > MAX_LINGERING_CONNECTIONS) oldest?.destroy()
+  }
+
   private _closeIdle (): void {
     for (const connection of this._connections.values()) {
       if (!connection.hasUnsentResponse) connection.close()
--- a/tests/GracefulStopDelivery.test.ts
+++ b/tests/GracefulStopDelivery.test.ts
@@ -74,6 +74,17 @@
   expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
 }, 20_000)
 
+test('graceful stop lasts until a caller has a large response although it has sent its next request before', async () => {
+  proxy = new ShapedProxy(world.getNode('n1').port, RESPONSE_BYTES / 4)
+  const caller = new RawCaller(await proxy.listen())
+  caller.read()
+  caller.send(RESPONSE_BYTES)
+  await sleep(300)
+  caller.send(1)
+  await world.getNode('n1').role.stop(STOP_MS)
+  expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
+}, 20_000)
+
 test('graceful stop is not longer for a caller that has its response and keeps the connection', async () => {
   const caller = new RawCaller(world.getNode('n1').port, true)
   caller.read()
