Early responses: a caller that sends on beyond the deadline receives its response

A caller whose target had answered early lost the whole response (0 of 1 arrived) if it was still sending its body at the deadline and had not read by then: the node destroyed the connection, and the kernel answered the rest of the body with a reset.

--- a/packages/node/src/calls/CallBody.ts
+++ b/packages/node/src/calls/CallBody.ts
@@ -102,7 +102,7 @@
   discard (clock: IClock, remainingMs: number): void {
     if (this.hasEnded) return
     this._isDiscarding = true
-    const timer = clock.schedule(Math.max(MIN_DISCARD_MS, remainingMs), () => this._request.socket.destroy())
+    const timer = clock.schedule(Math.max(MIN_DISCARD_MS, remainingMs), () => this._request.socket.destroySoon())
     this._request.on('close', () => timer.dispose())
     this._request.resume()
   }
--- a/tests/EarlyAnswers.test.ts
+++ b/tests/EarlyAnswers.test.ts
@@ -72,3 +72,15 @@
   expect(isClosed).toBe(false)
   await waitFor('the end of the connection', () => isClosed)
 })
+
+test('early response survives the close of a connection whose caller sends on beyond the deadline and reads late', async () => {
+  await addTarget('n1')
+  socket.pause()
+  sendHead('long', `Content-Length: ${BODY_BYTES}\r\n`)
+  const timer = setInterval(() => socket.write(Buffer.alloc(1_000, 'a')), 50)
+  await sleep(DEADLINE_MS + 500)
+  clearInterval(timer)
+  socket.resume()
+  await waitFor('the end of the connection', () => isClosed)
+  expect(countResponses()).toBe(1)
+})
