--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -14,6 +14,8 @@
 const PEER_LISTENER_STOP_TIMEOUT_MS = 2_000
 /** Part of the stop timeout reserved for the peer listener and the log. */
 const STOP_RESERVE_MS = 100
+/** Part of the stop timeout after the last time at which clients are waited for. */
+const CLIENT_RESERVE_MS = 200
 
 /** Replacements of a platform for the default dialect and surface. */
 export interface IPlatformAdapter {
@@ -114,7 +116,7 @@
     const getRemainingMs = (): number => Math.max(0, endMs - this._clock.readMonotonicMs())
     this._log.info('process_stopping', { name })
     await this.node?.stop(stopTimeoutMs)
-    const surface = await this._surface?.stop(getRemainingMs())
+    const surface = await this._surface?.stop(Math.max(0, getRemainingMs() - CLIENT_RESERVE_MS + STOP_RESERVE_MS))
     this.node?.dispose()
     this.control?.dispose()
     await this._peerListener.stop(Math.min(PEER_LISTENER_STOP_TIMEOUT_MS, getRemainingMs()))
--- a/packages/transport/src/HttpConnection.ts
+++ b/packages/transport/src/HttpConnection.ts
@@ -9,6 +9,8 @@
 const SLOWEST_PATH_BYTES_PER_MS = 125
 /** Time for the round trip and one retransmission. */
 const ROUND_TRIP_MARGIN_MS = 1_000
+/** Time for which a client that sends on is waited for after a response that closes the connection. */
+const LINGER_MS = 5_000
 /** Bytes that a client's kernel takes although the client does not read. */
 const MAX_UNREAD_BYTES = 65_536
 
@@ -46,7 +48,7 @@
   constructor (private readonly _socket: Socket, private readonly _clock: IClock, private readonly _onLingering: () => void) {
     _socket.once('close', () => this._closeTimer?.dispose())
     // Called by Node.js after a response that closes the connection; it would not read what the client still sends.
-    _socket.destroySoon = () => this.close(ROUND_TRIP_MARGIN_MS)
+    _socket.destroySoon = () => this.close()
   }
 
   /** True while a response is missing or not completely sent. */
@@ -56,7 +58,12 @@
 
   /** True while the client may not have received all responses. */
   get hasUnreceivedResponse (): boolean {
-    return this.hasUnsentResponse || this._clock.readMonotonicMs() < this._arrivedByMs
+    return this.hasUnsentResponse || this.leftMs > 0
+  }
+
+  /** Time until the client must have received the responses that are sent, in milliseconds; not positive once it must have them. */
+  get leftMs (): number {
+    return this._arrivedByMs - this._clock.readMonotonicMs()
   }
 
   /** The last response, for the log. */
@@ -80,21 +87,24 @@
   }
 
   /**
-   * Ends the sending side and reads on until the client closes its side or must have received the responses. A connection that is closed
-   * at once is reset by the kernel if the client sends anything, and a reset discards what the client has not received.
-   * @param minMs - time in milliseconds for which a client that does not close its side is waited for at least
+   * Ends the sending side and reads on until the client closes its side, for at least {@link LINGER_MS} and as long as the client may not
+   * have the responses. A connection that is closed at once is reset by the kernel if the client sends anything, and a reset discards what
+   * the client has not received.
    */
-  close (minMs = 0): void {
-    if (this._closeTimer !== undefined) return
-    this._countSent()
+  close (): void {
+    if (!this._endSending()) return
     // Without the listener of the HTTP parser, no further request is handled.
     this._socket.removeAllListeners('data')
     this._socket.on('data', () => undefined)
     this._socket.resume()
-    this._socket.end()
-    const leftMs = this._arrivedByMs - this._clock.readMonotonicMs()
-    this._closeTimer = this._clock.schedule(Math.max(minMs, leftMs), () => this._socket.destroy())
-    this._onLingering()
+  }
+
+  /**
+   * Ends the sending side of a connection whose client has all responses, and reads no more: a client may repeat a request that crosses the
+   * close, since it has not been read.
+   */
+  closeUnread (): void {
+    if (this._endSending()) this._socket.pause()
   }
 
   /** Closes the connection at once; responses that the client has not received may be lost. */
@@ -102,6 +112,16 @@
     this._socket.destroy()
   }
 
+  /** @returns false if the connection is being closed already */
+  private _endSending (): boolean {
+    if (this._closeTimer !== undefined) return false
+    this._countSent()
+    this._socket.end()
+    this._closeTimer = this._clock.schedule(Math.max(LINGER_MS, this.leftMs), () => this._socket.destroy())
+    this._onLingering()
+    return true
+  }
+
   /**
    * Drops what the client must have received, as it sends its next request. It may do so before it has read the last responses, which are
    * still on their way if they are large.
--- a/packages/transport/src/HttpConnections.ts
+++ b/packages/transport/src/HttpConnections.ts
@@ -3,7 +3,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { IClock, ILog, Metrics } from '@lagoonswitch/common'
+import type { IClock, IDisposable, ILog, Metrics } from '@lagoonswitch/common'
 import { HttpConnection } from './HttpConnection.js'
 
 /** Connections that are closed one by one and whose clients are waited for; beyond it, the oldest is destroyed. */
@@ -13,6 +13,8 @@
 export interface IHttpConnectionsContext {
   /** Name of the listener in the log and in metrics. */
   readonly listener: string
+  /** True if clients need not receive their responses once the process ends, such as probes. */
+  readonly isProbed?: boolean
   readonly clock: IClock
   readonly log: ILog
   readonly metrics: Metrics
@@ -31,6 +33,7 @@
   private readonly _lingering = new Set<HttpConnection>()
   private _isClosing = false
   private _onAnswered: (() => void) | undefined
+  private _destroyTimer: IDisposable | undefined
 
   /**
    * @param server - the listener, not listening yet
@@ -43,7 +46,7 @@
       socket.once('close', () => {
         this._connections.delete(socket)
         this._lingering.delete(connection)
-        if (this._isClosing) this._checkAnswered()
+        if (this._isClosing) this._checkClosing()
       })
     })
     // Called by Node.js when the listener is closed; it would destroy them, also those whose response has not left the process.
@@ -76,12 +79,13 @@
     response.once('close', () => {
       if (!this._isClosing) return
       if (connection?.hasUnsentResponse === false) connection.close()
-      this._checkAnswered()
+      this._checkClosing()
     })
   }
 
   /**
-   * Closes the listener, and each connection once its responses are sent and the client has closed its side or must have received them.
+   * Closes the listener and ends the sending side of each connection once its responses are sent. The connections are destroyed together
+   * when all clients have closed their side or must have received the responses, so that nothing is reset before.
    * @param closeListener - closes the listener and resolves when no connection is open any more
    * @param timeoutMs - time in milliseconds after which the remaining connections are destroyed
    * @returns resolves when all requests are answered; the connections may stay open for longer
@@ -90,7 +94,7 @@
     this._isClosing = true
     const answered = new Promise<void>(resolve => { this._onAnswered = resolve })
     const closed = this._closeAll(closeListener, timeoutMs)
-    this._checkAnswered()
+    this._checkClosing()
     await Promise.race([answered, closed])
     return { closed }
   }
@@ -105,12 +109,28 @@
       await closeListener()
     } finally {
       timer.dispose()
+      this._destroyTimer?.dispose()
     }
     log.info('connections_closed', { listener, open: openCount, cut: cutCount, took_ms: Math.round(clock.readMonotonicMs() - startedMs) })
   }
 
-  private _checkAnswered (): void {
-    if ([...this._connections.values()].every(connection => !connection.hasUnsentResponse)) this._onAnswered?.()
+  /** Reports that all requests are answered, and destroys the connections once all clients must have received the responses. */
+  private _checkClosing (): void {
+    const connections = [...this._connections.values()]
+    if (connections.some(connection => connection.hasUnsentResponse)) return
+    this._onAnswered?.()
+    this._destroyTimer?.dispose()
+    const leftMs = this._context.isProbed === true ? 0 : Math.max(0, ...connections.map(connection => connection.leftMs))
+    this._destroyTimer = this._context.clock.schedule(leftMs, () => this._destroyReceived())
+  }
+
+  /** A request may have come on a kept connection meanwhile. */
+  private _destroyReceived (): void {
+    const connections = [...this._connections.values()]
+    const isMissing = (connection: HttpConnection): boolean =>
+      this._context.isProbed === true ? connection.hasUnsentResponse : connection.hasUnreceivedResponse
+    if (connections.some(isMissing)) this._checkClosing()
+    else for (const connection of connections) connection.destroy()
   }
 
   /** Keeps clients that do not close their side from using up the connections of the listener. */
@@ -122,7 +142,8 @@
 
   private _closeIdle (): void {
     for (const connection of this._connections.values()) {
-      if (!connection.hasUnsentResponse) connection.close()
+      if (!connection.hasUnreceivedResponse) connection.closeUnread()
+      else if (!connection.hasUnsentResponse) connection.close()
     }
   }
 
--- a/tests/GracefulStopDelivery.test.ts
+++ b/tests/GracefulStopDelivery.test.ts
@@ -4,14 +4,14 @@
 import { connect, type Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
-import { ShapedProxy } from './support/ShapedProxy.js'
 import { DESK, World } from './support/World.js'
 
 const STOP_MS = 6_000
 /** Small enough for the buffers of a connection, so that the node has sent it although nobody reads. */
 const RESPONSE_BYTES = 600_000
+/** Later than the end of a stop that waits for no caller. */
+const READ_AFTER_MS = 3_500
 let world: World
-let proxy: ShapedProxy | undefined
 
 beforeEach(async () => {
   world = await World.start(['n1', 'n2'])
@@ -21,11 +21,7 @@
   })
 })
 
-afterEach(async () => {
-  proxy?.close()
-  proxy = undefined
-  await world.stop()
-})
+afterEach(async () => { await world.stop() })
 
 /** A caller at the level of sockets. */
 class RawCaller {
@@ -64,27 +60,47 @@
   expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
 }, 20_000)
 
-test('graceful stop lasts until a caller on a slow path has its response', async () => {
-  proxy = new ShapedProxy(world.getNode('n1').port, RESPONSE_BYTES / 4)
-  const caller = new RawCaller(await proxy.listen())
-  caller.read()
+test('graceful stop lasts until a caller that reads late has its response', async () => {
+  const caller = new RawCaller(world.getNode('n1').port)
   caller.send(RESPONSE_BYTES)
   await sleep(300)
-  await world.getNode('n1').role.stop(STOP_MS)
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await Promise.race([sleep(READ_AFTER_MS), stopping])
+  caller.read()
+  await stopping
   expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
 }, 20_000)
 
 test('graceful stop lasts until a caller has a large response although it has sent its next request before', async () => {
-  proxy = new ShapedProxy(world.getNode('n1').port, RESPONSE_BYTES / 4)
-  const caller = new RawCaller(await proxy.listen())
-  caller.read()
+  const caller = new RawCaller(world.getNode('n1').port)
   caller.send(RESPONSE_BYTES)
   await sleep(300)
   caller.send(1)
-  await world.getNode('n1').role.stop(STOP_MS)
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await Promise.race([sleep(READ_AFTER_MS), stopping])
+  caller.read()
+  await stopping
   expect(caller.receivedBytes).toBeGreaterThan(RESPONSE_BYTES)
 }, 20_000)
 
+// The first caller's response is so old that it is not waited for, the second one's is not.
+test('connection with an unread response is not reset while a graceful stop waits for another caller', async () => {
+  const { port } = world.getNode('n1')
+  const callers = [new RawCaller(port), new RawCaller(port)]
+  callers[0]?.send(5_000)
+  callers[1]?.send(RESPONSE_BYTES)
+  await sleep(300)
+  const stopping = world.getNode('n1').role.stop(STOP_MS)
+  await sleep(2_800)
+  callers[0]?.send(1)
+  await sleep(200)
+  callers[0]?.send(1)
+  await sleep(200)
+  for (const caller of callers) caller.read()
+  await Promise.all([...callers.map(async ({ closed }) => await closed), stopping])
+  expect(callers[0]?.receivedBytes).toBeGreaterThan(5_000)
+}, 20_000)
+
 test('graceful stop is not longer for a caller that has its response and keeps the connection', async () => {
   const caller = new RawCaller(world.getNode('n1').port, true)
   caller.read()
