Links: a stopping node waits until its peers have closed their links

Callers saw: a call at another node's target ends as link-lost, with 502 and run unknown or a body that breaks off, when the node beside the target stops and the network has not delivered the response yet.

Cause: the node ended and destroyed its links as soon as the kernel had taken all bytes, and exited. What the peer sends on the link after that (pings, windows, reports) is answered with a reset, and the kernel drops what it has not delivered.

Change: closeLinks ends the sending side, reads on and waits for the peer's close, at most until the cut time of the stop, and 0.2 s for a peer that has been silent for 3 s. The link listener accepts no more meanwhile. links_closed, link_not_closed and links_closed_total tell how links ended; link_calls_lost tells at the other process which links took calls with them. PeerServer takes clock, log and metrics, which its tests now pass.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -122,7 +122,7 @@
     }))
     const leaderClient = new LeaderClient(channels, clock, () => this.directory.listAddresses())
     this.withdrawals = new WithdrawalRecorder({ node: name, targets: this.targets, leaderClient, clock, log, metrics })
-    this._peerServer = new PeerServer(this.targets)
+    this._peerServer = new PeerServer(this.targets, _options)
     this._linkListener = new LinkListener(_options.credentials, socket => this._peerServer.serve(socket))
     const location = { region, availabilityZone, linkAddress: this._linkAddress }
     const caps = this._disposables.add(new UsageClient({
@@ -277,8 +277,10 @@
     // The listener stays open until the last call has ended, so that callers that connect are told when to retry.
     await waitWhile(isBusy, stop.cutAtMs)
     this._logStopStep('closing', getElapsedMs())
+    this._linkListener.stopListening()
+    const closing = this._peerServer.closeLinks(stop.cutAtMs)
     await this._callServer.close(stop.cutAtMs)
-    this._peerServer.closeLinks()
+    await closing
   }
 
   dispose (): void {
--- a/packages/node/src/links/LinkConnection.ts
+++ b/packages/node/src/links/LinkConnection.ts
@@ -19,7 +19,7 @@
 /** Size of a body in an opening frame above which its time in transit is estimated; below, it is short beside a ping interval. */
 const MIN_LARGE_BYTES = 16_384
 /** Silence after which the connection is closed. */
-const MAX_SILENCE_MS = 3_000
+export const MAX_SILENCE_MS = 3_000
 
 /** One connection of a link; detects a silent peer with pings. */
 export class LinkConnection implements IFrameListener, IDisposable {
@@ -77,7 +77,7 @@
     this._stopping.abort()
     this._context.metrics.count('links_lost_total', this.isOpen ? 'lost' : 'not-opened')
     this._context.log.debug('link_lost', { address: this._address, cause })
-    this._events.onClose()
+    this._events.onClose(cause)
   }
 
   dispose (): void {
--- a/packages/node/src/links/LinkTypes.ts
+++ b/packages/node/src/links/LinkTypes.ts
@@ -19,7 +19,8 @@
 export interface IConnectionEvents {
   onOpen (): void
   onFrame (frame: PeerFrame): void
-  onClose (): void
+  /** Called once when the connection was lost, with the reason. */
+  onClose (cause: string): void
   /** Returns true while calls are open or the other process is stopping, in which case silence indicates a fault. */
   isAnswerAwaited (): boolean
   /** Called repeatedly while the connection has not opened within the time after which a link counts as silent; it may still open. */
--- a/packages/node/src/links/PeerLink.ts
+++ b/packages/node/src/links/PeerLink.ts
@@ -45,7 +45,7 @@
       this._connection ??= new LinkConnection(this._address, this._context, {
         onOpen: () => this._handleOpen(),
         onFrame: frame => this._handleFrame(frame),
-        onClose: () => this._handleClose(),
+        onClose: cause => this._handleClose(cause),
         isAnswerAwaited: () => this._calls.size > 0 || this._isDraining,
         onSlowOpen: () => this._handleSlowOpen(),
         onSilent: () => this._handleSilence(),
@@ -126,11 +126,14 @@
     for (const call of [...this._calls.values()]) call.handleSilence()
   }
 
-  private _handleClose (): void {
+  private _handleClose (cause: string): void {
+    const calls = [...this._calls.values()]
+    if (calls.length > 0) {
+      this._context.log.warn('link_calls_lost', { address: this._address, calls: calls.length, cause, draining: this._isDraining })
+    }
     this._connection = undefined
     this._isDraining = false
     this._callsAwaitingOpen = []
-    const calls = [...this._calls.values()]
     this._calls.clear()
     for (const call of calls) call.handleLinkLost()
   }
--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -2,15 +2,23 @@
  * Accepts calls from other processes to the targets of this VM.
  */
 import type { Socket } from 'node:net'
+import type { IClock } from '@lagoonswitch/common'
 import type { CallOpen, PeerFrame } from '@lagoonswitch/schema'
 import { FrameSocket, type IFrameListener } from '@lagoonswitch/transport'
 import type { ICallEvents, ICallFailure, ICallHandle, ICallOpener, ITargetLoad } from '../calls/CallTypes.js'
 import { encodeFailure } from './FailureFrames.js'
 import { UrgentBytes, WindowUpdates } from './FlowControl.js'
+import { MAX_SILENCE_MS } from './LinkConnection.js'
+import type { ILinkContext } from './LinkTypes.js'
 
 const MAX_CALLS_PER_LINK = 4_096
 const MAX_REMAINING_MS = 3_600_000
 const NO_BYTES = Buffer.alloc(0)
+/** Time in which a peer closes its side of a link although nothing has come from it for long. */
+const MIN_CLOSE_MS = 200
+
+/** How a link ended that this process closes: its peer closed it as well, has been silent for too long, or the time was over. */
+type LinkEnd = 'peer' | 'silent' | 'cut'
 
 type Frame = NonNullable<PeerFrame['frame']>
 
@@ -19,12 +27,15 @@
   private readonly _links = new Set<IncomingLink>()
   private _isDraining = false
 
-  /** @param _opener - the targets of this VM */
-  constructor (private readonly _opener: ICallOpener) {}
+  /**
+   * @param _opener - the targets of this VM
+   * @param _context - shared by all links
+   */
+  constructor (private readonly _opener: ICallOpener, private readonly _context: Pick<ILinkContext, 'clock' | 'log' | 'metrics'>) {}
 
   /** @param socket - connection accepted from another process */
   serve (socket: Socket): void {
-    const link: IncomingLink = new IncomingLink(socket, this._opener, () => this._links.delete(link))
+    const link: IncomingLink = new IncomingLink(socket, this._opener, this._context.clock, () => this._links.delete(link))
     this._links.add(link)
     if (this._isDraining) link.drain()
   }
@@ -40,9 +51,22 @@
     return [...this._links].some(link => link.hasUnsentBytes)
   }
 
-  /** Closes all links; the calls on them have ended by then. */
-  closeLinks (): void {
-    for (const link of this._links) link.close()
+  /**
+   * Closes all links; the calls on them have ended by then. Waits until the other processes have received everything and closed their
+   * side, since what the network has not delivered when this process exits may be lost.
+   * @param endMs - time on the monotonic clock until which it waits at most
+   */
+  async closeLinks (endMs: number): Promise<void> {
+    const { clock, log, metrics } = this._context
+    const startedMs = clock.readMonotonicMs()
+    const counts = { peer: 0, silent: 0, cut: 0 }
+    await Promise.all([...this._links].map(async link => {
+      const end = await link.close(endMs)
+      counts[end]++
+      metrics.count('links_closed_total', end)
+      if (end !== 'peer') log.warn('link_not_closed', { reason: end, ...link.describe() })
+    }))
+    log.info('links_closed', { ...counts, took_ms: Math.round(clock.readMonotonicMs() - startedMs) })
   }
 }
 
@@ -50,8 +74,14 @@
 class IncomingLink implements IFrameListener {
   private readonly _calls = new Map<number, IncomingCall>()
   private readonly _socket: FrameSocket
+  private readonly _address: string
+  private _heardMs: number
 
-  constructor (socket: Socket, private readonly _opener: ICallOpener, private readonly _onClosed: () => void) {
+  constructor (
+    socket: Socket, private readonly _opener: ICallOpener, private readonly _clock: IClock, private readonly _onClosed: () => void
+  ) {
+    this._address = `${socket.remoteAddress}:${socket.remotePort}`
+    this._heardMs = _clock.readMonotonicMs()
     this._socket = new FrameSocket(socket, this)
   }
 
@@ -59,14 +89,44 @@
     return this._socket.hasUnsentBytes
   }
 
-  close (): void {
+  /**
+   * Sends what waits, and reads on until the peer has closed the link as well, or has been silent for too long.
+   * @param endMs - time on the monotonic clock until which it waits at most
+   * @returns how the link ended
+   */
+  async close (endMs: number): Promise<LinkEnd> {
+    const earliestMs = this._clock.readMonotonicMs() + MIN_CLOSE_MS
+    const waiting = new AbortController()
+    void this._socket.closed.then(() => waiting.abort())
     this._socket.dispose()
+    while (!waiting.signal.aborted) {
+      const silentMs = Math.max(earliestMs, this._heardMs + MAX_SILENCE_MS)
+      const leftMs = Math.min(endMs, silentMs) - this._clock.readMonotonicMs()
+      if (leftMs <= 0) return silentMs < endMs ? 'silent' : 'cut'
+      await this._clock.sleep(leftMs, waiting.signal)
+    }
+    return 'peer'
+  }
+
+  /** @returns fields for the log */
+  describe (): Record<string, string | number> {
+    return {
+      address: this._address,
+      calls: this._calls.size,
+      unsent: this._socket.unsentBytes,
+      unreported: this._socket.unreportedBytes,
+      silent_ms: Math.round(this._clock.readMonotonicMs() - this._heardMs)
+    }
   }
 
   drain (): void {
     this._socket.send({ callId: 0, frame: { $case: 'drain', value: {} } })
   }
 
+  onBytes (): void {
+    this._heardMs = this._clock.readMonotonicMs()
+  }
+
   onFrame ({ callId, frame }: PeerFrame): void {
     if (frame === undefined) return
     switch (frame.$case) {
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -44,6 +44,8 @@
   private _isFlushing = false
   private _incoming: Buffer = Buffer.alloc(0)
   private _isClosed = false
+  /** Resolves once the connection is closed on both sides, or lost. */
+  readonly closed: Promise<void>
 
   /**
    * @param _socket - a connected or connecting socket
@@ -58,6 +60,7 @@
     _socket.on('error', error => this._close(error.message))
     _socket.on('close', () => this._close('closed'))
     _socket.on('end', () => this._close('ended'))
+    this.closed = new Promise(resolve => _socket.once('close', () => resolve()))
     this._sendReport(0)
   }
 
@@ -114,7 +117,10 @@
     return this._socket.writableLength
   }
 
-  /** Sends everything that waits and closes the connection. */
+  /**
+   * Sends everything that waits and closes the own side of the connection. What the peer still sends is read and dropped until it has
+   * closed its side as well: the kernel answers bytes that nobody reads with a reset, which loses what the peer has not received.
+   */
   dispose (): void {
     for (let next = this._bulkQueue.take(); next !== undefined; next = this._bulkQueue.take()) this._sendBulkChunk(next)
     this._flush()
@@ -177,6 +183,7 @@
 
   private _receive (chunk: Buffer): void {
     this._listener.onBytes?.()
+    if (this._isClosed) return
     let data = this._incoming.length === 0 ? chunk : Buffer.concat([this._incoming, chunk])
     while (data.length > 0 && !this._isClosed) {
       const prefix = readLengthPrefix(data)
--- a/packages/transport/src/LinkSockets.ts
+++ b/packages/transport/src/LinkSockets.ts
@@ -62,6 +62,11 @@
     })
   }
 
+  /** Accepts no more links; those that are open stay open. */
+  stopListening (): void {
+    this._server.close()
+  }
+
   /** Closes the listener and all sockets. */
   close (): void {
     this._server.close()
--- a/tests/CallerFloods.test.ts
+++ b/tests/CallerFloods.test.ts
@@ -4,6 +4,7 @@
 import { connect, type Socket } from 'node:net'
 import { once } from 'node:events'
 import { afterEach, beforeEach, expect, test } from 'vitest'
+import { Metrics, NullLog, SystemClock } from '@lagoonswitch/common'
 import { LinkListener, PlainCredentials } from '@lagoonswitch/transport'
 import { PeerServer } from '@lagoonswitch/node'
 import { PlatformDialect } from '@lagoonswitch/platform'
@@ -44,7 +45,8 @@
 }
 
 async function listenForLinks (): Promise<number> {
-  const server = new PeerServer({ open: () => { throw new Error('no call was sent') } })
+  const context = { clock: new SystemClock(), log: new NullLog(), metrics: new Metrics() }
+  const server = new PeerServer({ open: () => { throw new Error('no call was sent') } }, context)
   const listener = new LinkListener(new PlainCredentials(), socket => server.serve(socket))
   close = () => listener.close()
   return await listener.listen('127.0.0.1', 0)
--- a/tests/Downloads.test.ts
+++ b/tests/Downloads.test.ts
@@ -90,7 +90,7 @@
 
 beforeEach(async () => {
   const credentials = new PlainCredentials()
-  server = new PeerServer(opener)
+  server = new PeerServer(opener, { clock: new SystemClock(), log: new NullLog(), metrics: new Metrics() })
   listener = new LinkListener(credentials, socket => server.serve(socket))
   proxy = new ShapedProxy(await listener.listen('127.0.0.1', 0), LINK_BYTES_PER_SECOND)
   link = new PeerLink(`127.0.0.1:${await proxy.listen()}`, {
--- a/tests/LinkTransit.test.ts
+++ b/tests/LinkTransit.test.ts
@@ -96,7 +96,7 @@
   isGranting = true
   grants = []
   metrics = new Metrics()
-  const server = new PeerServer(opener)
+  const server = new PeerServer(opener, { clock: new SystemClock(), log: new NullLog(), metrics: new Metrics() })
   const credentials = new PlainCredentials()
   listener = new LinkListener(credentials, socket => server.serve(socket))
   uplink = new ShapedUplink(await listener.listen('127.0.0.1', 0), LINK_BYTES_PER_SECOND)
--- a/tests/Links.test.ts
+++ b/tests/Links.test.ts
@@ -58,7 +58,7 @@
 const links: PeerLink[] = []
 
 async function listen (credentials: LinkCredentials, onSocket?: (socket: Socket) => void): Promise<number> {
-  const server = new PeerServer(opener)
+  const server = new PeerServer(opener, { clock: new SystemClock(), log: new NullLog(), metrics: new Metrics() })
   listener = new LinkListener(credentials, onSocket ?? (socket => server.serve(socket)))
   return await listener.listen('127.0.0.1', 0)
 }
--- a/tests/SilentLinks.test.ts
+++ b/tests/SilentLinks.test.ts
@@ -51,7 +51,7 @@
 }
 
 async function start (credentials: LinkCredentials): Promise<void> {
-  server = new PeerServer(opener)
+  server = new PeerServer(opener, { clock: new SystemClock(), log: new NullLog(), metrics: new Metrics() })
   listener = new LinkListener(credentials, socket => server.serve(socket))
   proxy = new HoldingProxy(await listener.listen('127.0.0.1', 0))
   const port = await proxy.listen()
@@ -236,7 +236,7 @@
   while ((await call('draining')).failure?.reason !== 'draining') await sleep(5)
   proxy.hold()
   await sleep(MAX_SILENCE_MS + CHECK_MS)
-  server = new PeerServer(opener)
+  server = new PeerServer(opener, { clock: new SystemClock(), log: new NullLog(), metrics: new Metrics() })
   proxy.release()
   const [next] = await openCall('b')
   answer.get('b')?.()
--- a/tests/UploadLinks.test.ts
+++ b/tests/UploadLinks.test.ts
@@ -199,7 +199,7 @@
     if (message.frame?.$case === 'offer') message.frame = undefined
     return message
   })
-  const server = new PeerServer(opener)
+  const server = new PeerServer(opener, { clock: new SystemClock(), log: new NullLog(), metrics: new Metrics() })
   const listener = new LinkListener(new PlainCredentials(), socket => server.serve(socket))
   const link = new PeerLink(`127.0.0.1:${await listener.listen('127.0.0.1', 0)}`, {
     credentials: new PlainCredentials(), clock: new SystemClock(), log: new NullLog(), metrics: new Metrics()
