Claims: a stopping node waits until the outcomes of its calls are recorded

Callers saw: an order that was answered with 200 is not repeated from its record: repeats with its key get 409, key-in-progress and then key-unknown for good, if its node was stopped while the claim shard had no leader.

Cause: outcomes are recorded after the response, and the stop did not wait for it; the process exits while it still looks for a leader.

In a trial with the same times, five repeats 1.5 s apart got key-in-progress, all later ones key-unknown; with a control VM that stays up the answer was recorded before the exit.

Change: the stop waits for unsettled claims, at most until its cut time; gauge claims_unsettled, event claims_not_settled.

A stop without unsettled claims waits for nothing more.

--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -63,6 +63,7 @@
   private readonly _evidence: EvidenceCollector
   private readonly _callServer: CallServer
   private readonly _peerServer: PeerServer
+  private readonly _claims: ClaimsClient
   private readonly _linkListener: LinkListener
   private readonly _linkAddress: string
   private _routes: RouteTable | undefined
@@ -137,6 +138,7 @@
       listAddresses: () => this.directory.listAddresses(),
       countNodes: () => this._countNodes()
     }))
+    this._claims = new ClaimsClient(leaderClient, settings.control.claimShards)
     this._callServer = new CallServer({
       clock,
       random,
@@ -154,7 +156,7 @@
         placement: isBalanced ? new BalancedPlacement({ ...location, random }) : new LocalPlacement({ ...location, random }),
         reportedTimes: settings.node.reportedTimes ? new ReportedTimes(random) : undefined
       }),
-      claims: new ClaimsClient(leaderClient, settings.control.claimShards),
+      claims: this._claims,
       caps,
       evidence: this._evidence,
       ownerCallLimiter: new OwnerCallLimiter(),
@@ -190,6 +192,7 @@
       caps.applyCatalogue()
     }))
     metrics.addGauge('calls_running', () => this._callServer.getRunningCount())
+    metrics.addGauge('claims_unsettled', () => this._claims.unsettledCount)
     metrics.addGauge('responses_unsent', () => this._callServer.getUnsentResponseCount())
     for (const [name, callClass] of WAITING_CLASSES) metrics.addGauge(`calls_waiting_${name}`, () => this.targets.countWaiting(callClass))
     metrics.addGauge('feed_level', () => this.feed.level)
@@ -254,7 +257,7 @@
    * @param timeoutMs - time in milliseconds within which everything has ended
    */
   async stop (timeoutMs: number): Promise<void> {
-    const { clock } = this._options
+    const { clock, log } = this._options
     const stop = new GracefulStop(clock.readMonotonicMs(), timeoutMs)
     const getElapsedMs = (): number => clock.readMonotonicMs() - stop.startedMs
     const waitWhile = async (check: () => boolean, endMs: number): Promise<void> => {
@@ -281,6 +284,8 @@
     const closing = this._peerServer.closeLinks(stop.cutAtMs)
     await this._callServer.close(stop.cutAtMs)
     await closing
+    await waitWhile(() => this._claims.unsettledCount > 0, stop.cutAtMs)
+    if (this._claims.unsettledCount > 0) log.warn('claims_not_settled', { claims: this._claims.unsettledCount })
   }
 
   dispose (): void {
--- a/packages/node/src/claims/ClaimsClient.ts
+++ b/packages/node/src/claims/ClaimsClient.ts
@@ -26,12 +26,19 @@
 
 /** Claims keys and settles claims. */
 export class ClaimsClient {
+  private _unsettledCount = 0
+
   /**
    * @param _leaderClient - finds the leader of a shard
    * @param _shards - number of shards; the same in every process
    */
   constructor (private readonly _leaderClient: LeaderClient, private readonly _shards: number) {}
 
+  /** Number of outcomes that are not recorded yet. */
+  get unsettledCount (): number {
+    return this._unsettledCount
+  }
+
   /**
    * Claims a key. The call may be sent to a target only if the claim is granted.
    * @param scope - service, route and account, within which an idempotency key is unique
@@ -71,8 +78,13 @@
       nowMs: 0,
       command: { $case: 'settle', value: { key: claim.key, token: claim.token, status, answer } }
     }).finish()
-    const result = await this._leaderClient.propose(claim.group, command, SETTLE_TIMEOUT_MS)
-    return result.ok
+    this._unsettledCount++
+    try {
+      const result = await this._leaderClient.propose(claim.group, command, SETTLE_TIMEOUT_MS)
+      return result.ok
+    } finally {
+      this._unsettledCount--
+    }
   }
 
   private _findGroup (key: string): string {
--- a/tests/Processes.test.ts
+++ b/tests/Processes.test.ts
@@ -1,11 +1,16 @@
 import { spawn } from 'node:child_process'
 import { rmSync, writeFileSync } from 'node:fs'
 import { dirname, join } from 'node:path'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 // @ts-expect-error the benchmark harness is plain JavaScript
 import { Fleet, findPorts, waitUntil } from '../bench/harness.mjs'
 
 const MOVE_MS = 6_000
+/** Time that a target takes for an order. */
+const ORDER_MS = 600
+/** Longer than the shortest stop of a node. */
+const LEADERLESS_MS = 3_000
 const ENTRY = {
   entry: 'desk',
   owner: 'beaulieu',
@@ -107,6 +112,25 @@
   expect(await countRuns(port)).toEqual([1, 1])
 }, 60_000)
 
+test('answer to an order is recorded although no control VM is up when its node begins to stop', async () => {
+  const [port] = await findPorts(1)
+  fleet.startScript('t1', 'bench/stand-in-target.mjs', 't1', 'desk', 'v1', port, fleet.vms.get('n1').local, 9, ORDER_MS)
+  expect(await runCtl('apply', writeDeclaration(ENTRY))).toMatchObject({ code: 0 })
+  await waitUntil('an order', async () => await sendOrder('first') === 'run')
+  const order = sendOrder('kept')
+  await sleep(ORDER_MS / 2)
+  await fleet.kill('c1', 'SIGKILL')
+  expect(await order).toBe('run')
+  const stopping = fleet.kill('n1')
+  await sleep(LEADERLESS_MS)
+  fleet.startVm('c1')
+  expect(await stopping).toBe(0)
+  fleet.startVm('n1')
+  await fleet.waitReady('n1')
+  await waitUntil('the target', async () => await sendOrder('next') === 'run')
+  expect(await sendOrder('kept')).toBe('repeated')
+}, 60_000)
+
 test('move and claims continue after the leader of three control VMs is killed', async () => {
   const replicatedFleet = new Fleet()
   try {
