Planned stop: waiting for connections to close leaves the reserve at the end

Callers, links, claims and other clients are waited for until twice the reserve before the timeout. The stub in CallBody.test.ts has the method by which the connection is closed now; the test still fails if none is called.

--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -15,7 +15,7 @@
 /** Part of the stop timeout reserved for the peer listener and the log. */
 const STOP_RESERVE_MS = 100
 /** Part of the stop timeout after the last time at which clients are waited for. */
-const CLIENT_RESERVE_MS = 200
+const CLIENT_RESERVE_MS = 400
 
 /** Replacements of a platform for the default dialect and surface. */
 export interface IPlatformAdapter {
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -281,10 +281,10 @@
     await waitWhile(isBusy, stop.cutAtMs)
     this._logStopStep('closing', getElapsedMs())
     this._linkListener.stopListening()
-    const closing = this._peerServer.closeLinks(stop.cutAtMs)
-    await this._callServer.close(stop.cutAtMs)
+    const closing = this._peerServer.closeLinks(stop.awaitClosedUntilMs)
+    await this._callServer.close(stop.awaitClosedUntilMs)
     await closing
-    await waitWhile(() => this._claims.unsettledCount > 0, stop.cutAtMs)
+    await waitWhile(() => this._claims.unsettledCount > 0, stop.awaitClosedUntilMs)
     if (this._claims.unsettledCount > 0) log.warn('claims_not_settled', { claims: this._claims.unsettledCount })
   }
 
--- a/packages/node/src/calls/CallBody.test.ts
+++ b/packages/node/src/calls/CallBody.test.ts
@@ -35,7 +35,7 @@
   const stream = new Readable({ read: () => {} })
   for (const part of parts) stream.push(part)
   if (isWhole) stream.push(null)
-  return Object.assign(stream, { headers: {}, socket: { destroy: () => { isSocketClosed = true } } }) as unknown as IncomingMessage
+  return Object.assign(stream, { headers: {}, socket: { destroySoon: () => { isSocketClosed = true } } }) as unknown as IncomingMessage
 }
 
 /** Lets a stream emit what it has. */
--- a/packages/node/src/calls/GracefulStop.test.ts
+++ b/packages/node/src/calls/GracefulStop.test.ts
@@ -35,3 +35,8 @@
   expect(stop.computeRetryAfterMs(STARTED_MS + 3_000)).toBe(3_800)
   expect(stop.computeRetryAfterMs(STARTED_MS + 5_900)).toBe(1_000)
 })
+
+test('process has time left once it waits for nobody any more', () => {
+  expect(stop.awaitClosedUntilMs).toBe(STARTED_MS + 5_600)
+  expect(new GracefulStop(STARTED_MS, 0).awaitClosedUntilMs).toBe(STARTED_MS)
+})
--- a/packages/node/src/calls/GracefulStop.ts
+++ b/packages/node/src/calls/GracefulStop.ts
@@ -30,6 +30,8 @@
   readonly refuseAtMs: number
   /** Time at which calls that are still running are cut. */
   readonly cutAtMs: number
+  /** Time until which the process waits for callers and other processes to close their connections; what follows needs the reserve. */
+  readonly awaitClosedUntilMs: number
   private readonly _unconditionalStartUntilMs: number
   private _isRefusing = false
 
@@ -39,7 +41,9 @@
    */
   constructor (readonly startedMs: number, timeoutMs: number) {
     this.refuseAtMs = startedMs + REFUSE_FRACTION * timeoutMs
-    this.cutAtMs = startedMs + timeoutMs - Math.min(MAX_RESERVE_MS, MAX_RESERVE_FRACTION * timeoutMs)
+    const reserveMs = Math.min(MAX_RESERVE_MS, MAX_RESERVE_FRACTION * timeoutMs)
+    this.cutAtMs = startedMs + timeoutMs - reserveMs
+    this.awaitClosedUntilMs = this.cutAtMs - reserveMs
     this._unconditionalStartUntilMs = startedMs + UNCONDITIONAL_START_FRACTION * timeoutMs
   }
 
