--- a/packages/node/src/targets/LocalTargetRegistry.test.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.test.ts
@@ -85,6 +85,18 @@
   expect(getState()).toBeUndefined()
 })
 
+// Guards against calls to a target that a restarted node knows by its record only, if the clock was set back since the target started.
+test('withdrawal without a start holds for the recorded start, even if that is in the future', () => {
+  const bornMs = clock.readWallTime().getTime()
+  announce({ bornMs })
+  registry.dispose()
+  clock.stepWall(-60_000)
+  registry = createRegistry(11)
+  registry.withdraw('t1')
+  expect(announce({ bornMs, sequence: 9 })).toBe('stale')
+  expect(announce({ bornMs: bornMs + 1 })).toBe('taken')
+})
+
 test('withdrawal of an earlier instance does not affect the current one', () => {
   announce({ bornMs: 2_000 })
   registry.withdraw('t1', 1_000)
--- a/packages/node/src/targets/LocalTargetRegistry.ts
+++ b/packages/node/src/targets/LocalTargetRegistry.ts
@@ -163,7 +163,7 @@
     const registered = this._targets.get(id)
     const registeredBornMs = registered?.target.announcement.bornMs
     if (bornMs !== undefined && registeredBornMs !== undefined && bornMs < registeredBornMs) return true
-    const atMs = this._options.clock.readWallTime().getTime()
+    const atMs = Math.max(this._options.clock.readWallTime().getTime(), this.getRecordedStartMs(id))
     this._rememberWithdrawal(id, { bornMs: bornMs ?? registeredBornMs, atMs, earlierInstance: '' })
     if (registered === undefined) return false
     registered.sequence = Math.max(registered.sequence, sequence ?? 0)
@@ -179,6 +179,15 @@
     return true
   }
 
+  /**
+   * Tells the start of a target by the feed, which may be in the future if the clock was set back since.
+   * @param id - id of the target
+   * @returns wall-clock time in milliseconds, 0 if there is none
+   */
+  getRecordedStartMs (id: string): number {
+    return this._options.endpoints.getRecord(id)?.targetBorn ?? 0
+  }
+
   /**
    * Restores withdrawals that were recorded before this process was started.
    * @param records - withdrawals of targets of this VM
@@ -352,7 +361,7 @@
    */
   hasStatedStart (id: string): boolean {
     return this._targets.get(id)?.target.announcement.bornMs !== undefined || this._withdrawals.get(id)?.bornMs !== undefined ||
-      (this._options.endpoints.getRecord(id)?.targetBorn ?? 0) !== 0
+      this.getRecordedStartMs(id) !== 0
   }
 
   private _isStale ({ id, bornMs, sequence }: ITargetAnnouncement, registered: IRegisteredTarget | undefined): boolean {
--- a/packages/node/src/targets/WithdrawalRecorder.test.ts
+++ b/packages/node/src/targets/WithdrawalRecorder.test.ts
@@ -7,6 +7,7 @@
 import { WithdrawalRecorder } from './WithdrawalRecorder.js'
 
 let announced: Partial<ITargetAnnouncement> | undefined
+let recordedStartMs: number
 let proposed: WithdrawalRecord[]
 let result: Promise<Result<Uint8Array, NoQuorumError>>
 let recorder: WithdrawalRecorder
@@ -17,11 +18,14 @@
 
 beforeEach(() => {
   announced = { bornMs: 7, instance: 'run-1' }
+  recordedStartMs = 0
   proposed = []
   result = createResult(ChangeOutcome.CHANGE_OUTCOME_ACCEPTED)
   recorder = new WithdrawalRecorder({
     node: 'n1',
-    targets: { getAnnouncement: () => announced, withdraw: () => true } as unknown as LocalTargetRegistry,
+    targets: {
+      getAnnouncement: () => announced, withdraw: () => true, getRecordedStartMs: () => recordedStartMs
+    } as unknown as LocalTargetRegistry,
     leaderClient: {
       propose: async (_group: string, bytes: Uint8Array) => {
         const { command } = CatalogueCommand.decode(bytes)
@@ -51,6 +55,13 @@
   expect(proposed).toMatchObject([{ targetBorn: 0, instance: '' }])
 })
 
+test('withdrawal of a target that is known by its record only is recorded as covering its start', async () => {
+  announced = undefined
+  recordedStartMs = Number.MAX_SAFE_INTEGER
+  await recorder.withdraw('t1')
+  expect(proposed).toMatchObject([{ targetBorn: 0, withdrawnMs: recordedStartMs }])
+})
+
 test('repeated withdrawal is proposed once', async () => {
   await Promise.all([recorder.withdraw('t1', 7, 1), recorder.withdraw('t1', 7, 2)])
   await recorder.withdraw('t1')
--- a/packages/node/src/targets/WithdrawalRecorder.ts
+++ b/packages/node/src/targets/WithdrawalRecorder.ts
@@ -50,7 +50,7 @@
     if (this._recordedKeys.has(key)) return Ok(undefined)
     let pending = this._pending.get(key)
     if (pending === undefined) {
-      const withdrawnMs = clock.readWallTime().getTime()
+      const withdrawnMs = Math.max(clock.readWallTime().getTime(), targets.getRecordedStartMs(id))
       pending = this._record(key, { targetId: id, node, targetBorn, instance, withdrawnMs, recordedMs: 0 })
         .finally(() => this._pending.delete(key))
       this._pending.set(key, pending)
--- a/tests/PlatformSurface.test.ts
+++ b/tests/PlatformSurface.test.ts
@@ -139,6 +139,24 @@
   expect(getState()).toBe(EndpointState.ENDPOINT_STATE_READY)
 }, 30_000)
 
+// Guards against a late removal of an earlier lifetime that withdraws the present one. One that states no start may be of either.
+test.each([
+  ['of an earlier start', { born: 1_000 }, 200, EndpointState.ENDPOINT_STATE_READY],
+  ['of the present start', { born: 2_000 }, 200, EndpointState.ENDPOINT_STATE_DRAINING],
+  ['without a start', undefined, 200, EndpointState.ENDPOINT_STATE_DRAINING],
+  ['without a start, in a body', {}, 200, EndpointState.ENDPOINT_STATE_DRAINING],
+  ['of another writer', { born: 'x' }, 400, EndpointState.ENDPOINT_STATE_READY],
+  ['that can not be read', '{"born":', 400, EndpointState.ENDPOINT_STATE_READY]
+])('removal withdraws the start that it states, else the present one: %s', async (_name, body, status, state) => {
+  await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
+  await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
+  expect((await send(`${localUrl}/-/instances/t1`, 'PUT', { ...HEARTBEAT, born: 1_000 })).status).toBe(200)
+  expect((await send(`${localUrl}/-/instances/t1`, 'PUT', { ...HEARTBEAT, born: 2_000 })).status).toBe(200)
+  expect((await send(`${localUrl}/-/instances/t1`, 'DELETE', body)).status).toBe(status)
+  expect((await send(`${localUrl}/-/instances/t1`, 'PUT', { ...HEARTBEAT, born: 2_000, status: { state: 'ready', sequence: 9 } })).status).toBe(200)
+  expect(node.node?.endpoints.getRecord('t1')?.state).toBe(state)
+}, 30_000)
+
 test.each(['a%0d%0ab', 'a%20b', 'x'.repeat(99)])('heartbeat under an id that no header can carry, or up to the limit: %s', async id => {
   await waitFor('the first configuration', async () => await publish(createConfiguration(3, 0)) === 200)
   await waitFor('readiness', async () => (await send(readyUrl, 'GET')).status === 200)
