Links: keys that are being written end no process

Callers lost a whole process: while its key files were written, an event of the watch read an empty or cut off file and nobody caught the exception. After a file was replaced by another one, later changes were missed until a restart. Cause: the files were read in the middle of their change, one by one, and the watch held the file instead of its name.

--- a/packages/lagoonswitch/src/LagoonProcess.ts
+++ b/packages/lagoonswitch/src/LagoonProcess.ts
@@ -8,7 +8,7 @@
 import { ControlRole } from '@lagoonswitch/control'
 import { NodeRole, listSeedAddresses, type CallDialect } from '@lagoonswitch/node'
 import { isLoopback, type ISettings } from '@lagoonswitch/schema'
-import { PeerChannels, PeerListener, createLinkCredentials } from '@lagoonswitch/transport'
+import { PeerChannels, PeerListener, createLinkCredentials, type ILinkKeys } from '@lagoonswitch/transport'
 import type { ProcessSurface } from './ProcessSurface.js'
 
 const PEER_LISTENER_STOP_TIMEOUT_MS = 2_000
@@ -45,9 +45,12 @@
    * @param _settings - validated settings
    * @param _log - receives events
    * @param _adapter - replacements for the default dialect and surface
+   * @param keys - of the links; read from the files of the settings by default
    */
-  constructor (private readonly _settings: ISettings, private readonly _log: ILog, private readonly _adapter: IPlatformAdapter = {}) {
-    const credentials = createLinkCredentials(_settings.tls)
+  constructor (
+    private readonly _settings: ISettings, private readonly _log: ILog, private readonly _adapter: IPlatformAdapter = {}, keys?: ILinkKeys
+  ) {
+    const credentials = createLinkCredentials(_settings.tls, _log, keys)
     this._channels = new PeerChannels(credentials)
     this._peerListener = new PeerListener(credentials)
     const roleOptions = {
--- a/packages/lagoonswitch/src/Runner.ts
+++ b/packages/lagoonswitch/src/Runner.ts
@@ -2,6 +2,7 @@
  * Runs a process with the settings of a file until it receives a stop signal or fails.
  */
 import { SystemClock, formatError, type SettingsError } from '@lagoonswitch/common'
+import { loadLinkKeys } from '@lagoonswitch/transport'
 import { LagoonProcess, tryStart, type IPlatformAdapter } from './LagoonProcess.js'
 import { PinoLog } from './PinoLog.js'
 import { SettingsWatcher } from './SettingsWatcher.js'
@@ -22,8 +23,10 @@
   const loaded = await loadStartSettings(file, clock)
   if (loaded.err) exitForSettings(loaded.val)
   const { text, settings } = loaded.val
+  const keys = settings.tls.caFile === '' ? undefined : await loadLinkKeys(settings.tls, clock)
+  if (keys?.err === true) exitForSettings([keys.val])
   const log = new PinoLog(settings.log.level)
-  const instance = new LagoonProcess(settings, log, adapter)
+  const instance = new LagoonProcess(settings, log, adapter, keys?.val)
   const watcher = new SettingsWatcher(file, text, clock, log, next => instance.applySettings(next))
   const stop = async (code: number): Promise<void> => {
     watcher.stop()
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -2,6 +2,7 @@
  * Connections between the processes of the system: credentials, gRPC channels and listeners, and sockets for calls.
  */
 export * from './Credentials.js'
+export * from './LinkKeys.js'
 export * from './PeerChannels.js'
 export * from './PeerListener.js'
 export * from './Unary.js'
