Settings: a part of a file that is valid by itself is not taken

Cause: a file was taken for whole once it could be parsed. The tests of the watcher advance their clock by 50 ms between a change and their checks, which are the same as before.

--- a/packages/lagoonswitch/src/SettingsWatcher.test.ts
+++ b/packages/lagoonswitch/src/SettingsWatcher.test.ts
@@ -6,10 +6,13 @@
 import type { ISettings } from '@lagoonswitch/schema'
 import { SettingsWatcher } from './SettingsWatcher.js'
 
+/** Time in which a file must not change. */
+const SETTLE_MS = 50
 let folder: string
 let file: string
 let changes: ISettings[]
 let watcher: SettingsWatcher
+let clock: ManualClock
 
 function formatSettings (service: string, seed = '10.0.0.1:1'): string {
   return `[process]\nname = n\nregion = r\navailability_zone = z\nservice = ${service}\n[control]\nseeds = ${seed}\n`
@@ -17,10 +20,17 @@
 
 /** Creates the watcher of a process that was started with the first settings. */
 function createWatcher (): SettingsWatcher {
-  return new SettingsWatcher(file, formatSettings('desk'), new ManualClock(), new NullLog(), settings => changes.push(settings))
+  return new SettingsWatcher(file, formatSettings('desk'), clock, new NullLog(), settings => changes.push(settings))
+}
+
+/** Reads the file, and again once a change has settled. */
+async function refresh (of = watcher): Promise<void> {
+  of.refresh()
+  await clock.advance(SETTLE_MS)
 }
 
 beforeEach(async () => {
+  clock = new ManualClock()
   folder = await mkdtemp(join(tmpdir(), 'watcher-'))
   file = join(folder, 'n.ini')
   changes = []
@@ -34,13 +44,13 @@
 })
 
 test('unchanged file changes nothing', async () => {
-  await watcher.refresh()
+  await refresh()
   expect(changes).toEqual([])
 })
 
 test('changed file is applied without a signal', async () => {
   await writeFile(file, formatSettings('press', '10.0.0.9:1'))
-  await watcher.refresh()
+  await refresh()
   expect(changes.map(({ process, control }) => [process.service, control.seeds[0]?.host])).toEqual([['press', '10.0.0.9']])
 })
 
@@ -48,20 +58,20 @@
 test('change after a read of the empty file is applied', async () => {
   const started = createWatcher()
   await writeFile(file, '')
-  started.refresh()
+  await refresh(started)
   await writeFile(file, formatSettings('press'))
-  started.refresh()
+  await refresh(started)
   expect(changes.map(({ process }) => process.service)).toEqual(['press'])
 })
 
 test('invalid or missing file keeps the settings until a valid one appears', async () => {
   await writeFile(file, '[process]\nname = n\n')
-  await watcher.refresh()
+  await refresh()
   await rm(file)
-  await watcher.refresh()
+  await refresh()
   expect(changes).toEqual([])
   await writeFile(file, formatSettings('press'))
-  await watcher.refresh()
+  await refresh()
   expect(changes.length).toBe(1)
 })
 
@@ -71,7 +81,7 @@
   await writeFile(file, formatSettings('press'))
   if (signal === 'with a signal') started.refresh()
   started.start()
-  started.refresh()
+  await refresh(started)
   started.stop()
   expect(changes.map(({ process }) => process.service)).toEqual(['press'])
 })
@@ -81,6 +91,25 @@
   await writeFile(file, formatSettings('press'))
   await writeFile(file, formatSettings('desk'))
   started.start()
+  await clock.advance(SETTLE_MS)
   started.stop()
   expect(changes).toEqual([])
 })
+
+// Guards against calls under the wrong service: a part of the file may be valid by itself.
+test('part of a file that is valid by itself is not applied while the rest is being written', async () => {
+  await writeFile(file, formatSettings('press', '10.0.0.9:1').replace('service = press\n', ''))
+  watcher.refresh()
+  watcher.refresh()
+  await writeFile(file, formatSettings('press', '10.0.0.9:1'))
+  await clock.advance(2 * SETTLE_MS)
+  expect(changes.map(({ process }) => process.service)).toEqual(['press'])
+})
+
+test('change that is taken back before it has settled changes nothing', async () => {
+  await writeFile(file, formatSettings('press'))
+  watcher.refresh()
+  await writeFile(file, formatSettings('desk'))
+  await clock.advance(2 * SETTLE_MS)
+  expect(changes).toEqual([])
+})
--- a/packages/lagoonswitch/src/StartSettings.test.ts
+++ b/packages/lagoonswitch/src/StartSettings.test.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { appendFile, mkdtemp, rm, utimes, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterEach, beforeEach, expect, test } from 'vitest'
@@ -25,6 +25,23 @@
   expect(result.ok && [result.val.text, result.val.settings.process.service]).toEqual([SETTINGS, 'desk'])
 })
 
+// Guards against a process that runs without the rest of its settings until its end: a part may be valid by itself.
+test('part of a file that is valid by itself is not taken while the rest is being written', async () => {
+  await writeFile(file, SETTINGS)
+  const loaded = loadStartSettings(file, new SystemClock())
+  setTimeout(() => { void appendFile(file, '[node]\nretry_slack = 7\n') }, 20)
+  expect((await loaded).unwrap().settings.node.retrySlack).toBe(7)
+})
+
+test('file that was written well before the start is read once', async () => {
+  await writeFile(file, SETTINGS)
+  await utimes(file, new Date(), new Date(Date.now() - 1_000))
+  const clock = new SystemClock()
+  const startMs = clock.readMonotonicMs()
+  expect((await loadStartSettings(file, clock)).ok).toBe(true)
+  expect(clock.readMonotonicMs() - startMs).toBeLessThan(50)
+})
+
 test('file that stays invalid is refused with its problems', async () => {
   await writeFile(file, '[process]\nname = n\n')
   const result = await loadStartSettings(file, new SystemClock())
