Configurations: faulty elements of a list can't use up the memory

Callers saw: nothing yet; found by a test. A configuration of 750 kB, within all limits, with 250,000 routes without fields ends a control VM with the heap of the platform (160 MB); one with as many services is answered with 18 MB. On the product such a change is decided by the log, so that every control VM checks it, and again after a restart.

Cause: lists were checked to their end, and each fault of each element was kept, joined and sent.

Evidence: "control VM survives a configuration of many faulty values" ended the deployed program before (heap out of memory), all three cases failed.

--- a/packages/control/src/catalogue/Publisher.ts
+++ b/packages/control/src/catalogue/Publisher.ts
@@ -4,7 +4,7 @@
 import { deflateRawSync } from 'node:zlib'
 import { Err, NoQuorumError, Ok, type IClock, type ILog, type Result } from '@lagoonswitch/common'
 import {
-  CatalogueCommand, ChangeOutcome, ChangeReply, EntryEdits, checkDeclarations, formatDeclaration, parseRecordDeclaration,
+  CatalogueCommand, ChangeOutcome, ChangeReply, EntryEdits, MAX_PROBLEMS, checkDeclarations, formatDeclaration, parseRecordDeclaration,
   splitDeclarations, type CallerLimits, type EntryEdit, type EntryRecord, type IDeclaration, type Publication
 } from '@lagoonswitch/schema'
 import type { CatalogueStore } from '@lagoonswitch/feed'
@@ -126,6 +126,7 @@
   const parsed = new Map<string, IDeclaration>()
   const problems: string[] = []
   for (const { name, declaration } of entries) {
+    if (problems.length >= MAX_PROBLEMS) break
     const result = parseRecordDeclaration(name, declaration)
     if (result.err) problems.push(...result.val.map(error => error.message))
     else if (parsed.has(name)) problems.push(`${name}: it is declared twice; remove one`)
--- a/packages/schema/src/catalogue/AccountSchema.ts
+++ b/packages/schema/src/catalogue/AccountSchema.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod'
 import { DeclarationError, Err, Ok, type Result } from '@lagoonswitch/common'
+import { MAX_PROBLEMS, createListSchema, listProblems } from '../BoundedList.js'
 import { CALL_CLASSES } from './EntrySchema.js'
 
 /** Names of the records of accounts begin with this; names of entries contain no slash. */
@@ -18,7 +19,7 @@
 export const ACCOUNT_SCHEMA = z.strictObject({
   account: ACCOUNT_NAME,
   /** SHA-256 digests of the keys; an account without keys can't be used. */
-  key_digests: z.array(KEY_DIGEST),
+  key_digests: createListSchema(KEY_DIGEST),
   /** Takes precedence over the class of the route. */
   class: z.enum(CALL_CLASSES).optional(),
   /** Usage cap over all nodes, in calls per second; 0 or omitted for no cap. */
@@ -39,10 +40,8 @@
   const parsed = ACCOUNT_SCHEMA.safeParse(value)
   if (!parsed.success) {
     const name = typeof value === 'object' && value !== null && 'account' in value ? String(value.account) : '(unnamed)'
-    return Err(parsed.error.issues.map(issue => {
-      const path = [`${ACCOUNT_RECORD_PREFIX}${name}`, ...issue.path.map(String)].join('.')
-      return new DeclarationError(path, issue.message, 'correct the declaration')
-    }))
+    return Err(listProblems(parsed.error, `${ACCOUNT_RECORD_PREFIX}${name}`)
+      .map(({ path, message }) => new DeclarationError(path, message, 'correct the declaration')))
   }
   return Ok(parsed.data)
 }
@@ -56,10 +55,11 @@
   const owners = new Map<string, string>()
   const errors: DeclarationError[] = []
   for (const { account, key_digests: digests } of accounts.values()) {
+    if (errors.length >= MAX_PROBLEMS) break
     digests.forEach((digest, index) => {
       const other = owners.get(digest)
       if (other === undefined) owners.set(digest, account)
-      else {
+      else if (errors.length < MAX_PROBLEMS) {
         errors.push(new DeclarationError(`${ACCOUNT_RECORD_PREFIX}${account}.key_digests.${index}`,
           other === account ? 'the key appears twice' : `the account ${other} has the same key`, 'remove the key from one'))
       }
--- a/packages/schema/src/catalogue/CatalogueChecks.ts
+++ b/packages/schema/src/catalogue/CatalogueChecks.ts
@@ -2,6 +2,7 @@
  * Checks of single entries and of a catalogue as a whole.
  */
 import { DeclarationError, Err, Ok, parseDurationMs, type Result } from '@lagoonswitch/common'
+import { MAX_PROBLEMS, listProblems } from '../BoundedList.js'
 import { ALL_METHODS, ENTRY_SCHEMA, type IEntry, type IRoute } from './EntrySchema.js'
 import { parseHost } from './HostName.js'
 
@@ -16,10 +17,7 @@
   const parsed = ENTRY_SCHEMA.safeParse(value)
   const name = typeof value === 'object' && value !== null && 'entry' in value ? String(value.entry) : '(unnamed)'
   if (!parsed.success) {
-    return Err(parsed.error.issues.map(issue => {
-      const path = [name, ...issue.path.map(String)].join('.')
-      return new DeclarationError(path, issue.message, 'correct the declaration')
-    }))
+    return Err(listProblems(parsed.error, name).map(({ path, message }) => new DeclarationError(path, message, 'correct the declaration')))
   }
   const errors = checkEntry(parsed.data)
   return errors.length > 0 ? Err(errors) : Ok(parsed.data)
@@ -35,6 +33,7 @@
   const names = new Set<string>()
   const patterns = new Set<string>()
   for (const route of routes) {
+    if (errors.length >= MAX_PROBLEMS) break
     if (names.has(route.name)) {
       errors.push(new DeclarationError(`${entry.entry}.routes.${route.name}`, 'the name appears twice', 'rename one'))
     }
@@ -83,6 +82,7 @@
   const routesByHostAndPath = new Map<string, IEntryRoute[]>()
   for (const entry of entries.values()) {
     for (const route of entry.routes) {
+      if (errors.length >= MAX_PROBLEMS) return errors
       for (const { service } of listWeightedServices(entry, route)) {
         if (entries.has(service)) continue
         errors.push(new DeclarationError(`${formatDeclarationPath(entry, route)}.service`, `no entry is named ${service}`,
--- a/packages/schema/src/catalogue/EntrySchema.ts
+++ b/packages/schema/src/catalogue/EntrySchema.ts
@@ -3,6 +3,7 @@
  */
 import { z } from 'zod'
 import { parseDurationMs } from '@lagoonswitch/common'
+import { createListSchema } from '../BoundedList.js'
 
 const NAME = z.string().regex(/^[A-Za-z0-9]([A-Za-z0-9._-]{0,126}[A-Za-z0-9])?$/,
   'use letters, digits, hyphens, dots and underscores, at most 128')
@@ -23,7 +24,7 @@
   name: NAME,
   path: z.string().startsWith('/', 'start the path with /'),
   /** Defaults to every method. */
-  methods: z.array(METHODS).min(1).optional(),
+  methods: createListSchema(METHODS, 1).optional(),
   /**
    * safe: a read; idempotent: may run more than once; keyed: requires an idempotency key and runs at most once;
    * single-try: runs at most once without a key, so it is never retried once it may have run.
@@ -37,7 +38,7 @@
   anonymous: z.boolean().optional(),
   service: NAME.optional(),
   /** Services among which the calls are split by weight, instead of one service. */
-  parts: z.array(WEIGHTED_SERVICE).min(1).optional(),
+  parts: createListSchema(WEIGHTED_SERVICE, 1).optional(),
   class: z.enum(CALL_CLASSES).optional(),
   deadline: DURATION.optional(),
   /** Latency objective: a later response is worth less to the caller. */
@@ -71,7 +72,7 @@
   class: z.enum(CALL_CLASSES),
   host: z.string().optional(),
   limits: LIMITS,
-  routes: z.array(ROUTE),
+  routes: createListSchema(ROUTE),
   /** Version in use. If omitted, every announced version is used except one that a move introduced or took back. */
   version: VERSION_NAME.optional(),
   move: MOVE.optional()
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -1,6 +1,7 @@
 /**
  * Schemas of the messages, the settings and the catalogue, with their readers and checks.
  */
+export * from './BoundedList.js'
 export * from './announcements/AnnouncementSchema.js'
 export * from './catalogue/CatalogueChecks.js'
 export * from './catalogue/DeclarationReader.js'
--- a/tests/BoundedInput.test.ts
+++ b/tests/BoundedInput.test.ts
@@ -87,6 +87,18 @@
   expect(await publish(2)).toBe(200)
 }, 60_000)
 
+// Within the limits of size and values; guards against a report on each of its faults.
+test.each([
+  ['services', 'services', ['{},', '']],
+  ['routes', 'virtual-hosts', ['{},', '{"host":"h","paths":[']],
+  ['lists of targets', 'virtual-hosts', ['{},', '{"host":"h","paths":[{"weighted-targets":[']]
+])('control VM survives a configuration of many faulty values: %s', async (_name, field, [part = '', prefix = '']) => {
+  const closing = [...prefix].reverse().join('').replace(/[^[{]/g, '').replaceAll('[', ']').replaceAll('{', '}')
+  const statuses = await Promise.all(Array.from({ length: 4 }, async () => await putExtra(field, `[${prefix}${part.repeat(240_000)}{}${closing}]`)))
+  expect(statuses).toEqual([400, 400, 400, 400])
+  expect(await publish(2)).toBe(200)
+}, 60_000)
+
 test('control VM survives a configuration with long strings', async () => {
   const statuses: number[] = []
   for (const bytes of BODY_BYTES) {
