HTTP interfaces: bodies have limits together, and the product's one of values

Callers saw: nothing yet; found by a test. On the operators' interface of the product, 4 MiB of empty routes end a control VM with a heap of 160 MB, as do four bodies of 4 MiB of empty objects at once; a body of 330,000 unknown fields holds it up for 0.4 s, four for 1.2 to 1.3 s with an election timeout of 1 s. On both surfaces bodies without their end add up over connections.

Cause: a limit of bytes for one body only.

Evidence: tests/BoundedInterfaces.test.ts on the code before. "largest body of values" and the four after it: heap out of memory in the first. 30 configurations without their end: 353 MB of 350. 250 announcements of 4 MiB without their end (an earlier form of the test): heap out of memory.

--- a/packages/lagoonswitch/src/http/OperatorController.ts
+++ b/packages/lagoonswitch/src/http/OperatorController.ts
@@ -8,7 +8,7 @@
 import { z } from 'zod'
 import type { ControlRole, IRaftStatus } from '@lagoonswitch/control'
 import {
-  ChangeOutcome, EndpointState, MoveStatus, formatRecordDeclaration, type ChangeReply, type EndpointRecord,
+  ChangeOutcome, EndpointState, MoveStatus, createListSchema, formatRecordDeclaration, listProblems, type ChangeReply, type EndpointRecord,
   type MoveRecord
 } from '@lagoonswitch/schema'
 import type { OperatorTokens } from './OperatorTokens.js'
@@ -20,14 +20,14 @@
 
 const CHANGE = z.strictObject({
   requestId: z.string().min(8).max(128),
-  edits: z.array(z.strictObject({
+  edits: z.array(z.unknown()).max(MAX_EDITS).pipe(createListSchema(z.strictObject({
     name: z.string().min(1).max(MAX_NAME_LENGTH),
     expectedVersion: z.number().int().min(0),
     declaration: z.unknown().nullable()
-  })).min(1).max(MAX_EDITS)
+  }), 1))
 })
 
-const MEMBER = z.strictObject({ name: z.string().min(1), address: z.string().regex(/^\S+:\d+$/, 'use HOST:PORT') })
+const MEMBER = z.strictObject({ name: z.string().min(1).max(MAX_NAME_LENGTH), address: z.string().max(MAX_NAME_LENGTH).regex(/^\S+:\d+$/, 'use HOST:PORT') })
 
 const STATUS_CODES: Readonly<Partial<Record<ChangeOutcome, number>>> = {
   [ChangeOutcome.CHANGE_OUTCOME_ACCEPTED]: 200,
@@ -64,7 +64,7 @@
   async applyChange (@Headers('authorization') authorization: string | undefined, @Body() body: unknown): Promise<object> {
     const operator = this._checkOperator(authorization)
     const change = CHANGE.safeParse(body)
-    if (!change.success) throw new BadRequestException(z.prettifyError(change.error))
+    if (!change.success) throw createBadRequest(change.error)
     const edits = change.data.edits.map(edit => ({
       name: edit.name,
       expectedVersion: edit.expectedVersion,
@@ -117,7 +117,7 @@
   async replaceMember (@Headers('authorization') authorization: string | undefined, @Body() body: unknown): Promise<object> {
     this._checkOperator(authorization)
     const member = MEMBER.safeParse(body)
-    if (!member.success) throw new BadRequestException(z.prettifyError(member.error))
+    if (!member.success) throw createBadRequest(member.error)
     return { groups: await this._control.replaceMember(member.data.name, member.data.address) }
   }
 
@@ -177,3 +177,7 @@
 function toTargetStatus ({ targetId, service, version, node, availabilityZone, state }: EndpointRecord): object {
   return { targetId, service, version, node, availabilityZone, draining: state === EndpointState.ENDPOINT_STATE_DRAINING }
 }
+
+function createBadRequest (error: z.ZodError): BadRequestException {
+  return new BadRequestException(listProblems(error).map(({ path, message }) => path === '' ? message : `${path}: ${message}`).join('\n'))
+}
--- a/packages/lagoonswitch/src/http/ProductSurface.ts
+++ b/packages/lagoonswitch/src/http/ProductSurface.ts
@@ -3,6 +3,7 @@
  */
 import type { INestApplication, Provider, Type } from '@nestjs/common'
 import type { HttpConnections, IClosingConnections, IHttpConnectionsContext } from '@lagoonswitch/transport'
+import { BodyIntake } from '../BodyIntake.js'
 import { ProcessSurface, closeAll, type ISurfaceContext } from '../ProcessSurface.js'
 import { HomesController } from './HomesController.js'
 import { startHttpApp } from './HttpApp.js'
@@ -20,11 +21,12 @@
     const tokens = await OperatorTokens.read(control === undefined ? '' : settings.control.tokenFile)
     if (tokens.err) throw tokens.val
     const { listen } = settings
+    const intake = new BodyIntake(metrics)
     const providers: Provider[] = [{ provide: METRICS, useValue: metrics }]
     if (node !== undefined) {
       const nodeProviders = [...providers, { provide: NODE_ROLE, useValue: node }]
-      await this._startApp([TargetsController, HealthController, MetricsController], nodeProviders, listen.local, { ...context, listener: 'local' })
-      await this._startApp([HomesController], nodeProviders, listen.homes, { ...context, listener: 'homes' })
+      await this._startApp([TargetsController, HealthController, MetricsController], nodeProviders, listen.local, { ...context, listener: 'local' }, intake)
+      await this._startApp([HomesController], nodeProviders, listen.homes, { ...context, listener: 'homes' }, intake)
     }
     if (control !== undefined) {
       const controlProviders = [
@@ -32,7 +34,7 @@
         { provide: CONTROL_ROLE, useValue: control },
         { provide: OPERATOR_TOKENS, useValue: tokens.val }
       ]
-      await this._startApp([OperatorController, MetricsController], controlProviders, listen.operators, { ...context, listener: 'operators' })
+      await this._startApp([OperatorController, MetricsController], controlProviders, listen.operators, { ...context, listener: 'operators' }, intake)
     }
   }
 
@@ -42,8 +44,8 @@
 
   private async _startApp (
     controllers: Array<Type<unknown>>, providers: Provider[], address: { host: string, port: number },
-    context: IHttpConnectionsContext
+    context: IHttpConnectionsContext, intake: BodyIntake
   ): Promise<void> {
-    this._apps.push(await startHttpApp(controllers, providers, address, context))
+    this._apps.push(await startHttpApp(controllers, providers, address, context, intake))
   }
 }
