Links: frames in small chunks don't hold up a process, and have a limit together

Callers saw: nothing yet; found by measuring. A frame of 1 MB in chunks of 100 bytes takes 0.39 s of the event loop, four of them 1.9 s; other processes take a link as silent after 0.45 s. 2,000 links may hold 1 MiB each.

Cause: all that had arrived of a frame was copied with each chunk, and the limit was one of a link.

Links that are closed for what has arrived are reported to the server of the links by reason.

--- a/packages/node/src/links/PeerServer.ts
+++ b/packages/node/src/links/PeerServer.ts
@@ -2,9 +2,8 @@
  * Accepts calls from other processes to the targets of this VM.
  */
 import type { Socket } from 'node:net'
-import type { IClock } from '@lagoonswitch/common'
 import type { CallOpen, PeerFrame } from '@lagoonswitch/schema'
-import { FrameSocket, type IFrameListener } from '@lagoonswitch/transport'
+import { FrameSocket, type IFrameListener, type RefusedFrameReason } from '@lagoonswitch/transport'
 import type { ICallEvents, ICallFailure, ICallHandle, ICallOpener, ITargetLoad } from '../calls/CallTypes.js'
 import { encodeFailure } from './FailureFrames.js'
 import { UrgentBytes, WindowUpdates } from './FlowControl.js'
@@ -22,6 +21,9 @@
 
 type Frame = NonNullable<PeerFrame['frame']>
 
+/** Shared by all links. */
+type IServerContext = Pick<ILinkContext, 'clock' | 'log' | 'metrics'>
+
 /** Serves the links of other processes. */
 export class PeerServer {
   private readonly _links = new Set<IncomingLink>()
@@ -31,11 +33,11 @@
    * @param _opener - the targets of this VM
    * @param _context - shared by all links
    */
-  constructor (private readonly _opener: ICallOpener, private readonly _context: Pick<ILinkContext, 'clock' | 'log' | 'metrics'>) {}
+  constructor (private readonly _opener: ICallOpener, private readonly _context: IServerContext) {}
 
   /** @param socket - connection accepted from another process */
   serve (socket: Socket): void {
-    const link: IncomingLink = new IncomingLink(socket, this._opener, this._context.clock, () => this._links.delete(link))
+    const link: IncomingLink = new IncomingLink(socket, this._opener, this._context, () => this._links.delete(link))
     this._links.add(link)
     if (this._isDraining) link.drain()
   }
@@ -78,10 +80,10 @@
   private _heardMs: number
 
   constructor (
-    socket: Socket, private readonly _opener: ICallOpener, private readonly _clock: IClock, private readonly _onClosed: () => void
+    socket: Socket, private readonly _opener: ICallOpener, private readonly _context: IServerContext, private readonly _onClosed: () => void
   ) {
     this._address = `${socket.remoteAddress}:${socket.remotePort}`
-    this._heardMs = _clock.readMonotonicMs()
+    this._heardMs = _context.clock.readMonotonicMs()
     this._socket = new FrameSocket(socket, this)
   }
 
@@ -95,15 +97,15 @@
    * @returns how the link ended
    */
   async close (endMs: number): Promise<LinkEnd> {
-    const earliestMs = this._clock.readMonotonicMs() + MIN_CLOSE_MS
+    const earliestMs = this._context.clock.readMonotonicMs() + MIN_CLOSE_MS
     const waiting = new AbortController()
     void this._socket.closed.then(() => waiting.abort())
     this._socket.dispose()
     while (!waiting.signal.aborted) {
       const silentMs = Math.max(earliestMs, this._heardMs + MAX_SILENCE_MS)
-      const leftMs = Math.min(endMs, silentMs) - this._clock.readMonotonicMs()
+      const leftMs = Math.min(endMs, silentMs) - this._context.clock.readMonotonicMs()
       if (leftMs <= 0) return silentMs < endMs ? 'silent' : 'cut'
-      await this._clock.sleep(leftMs, waiting.signal)
+      await this._context.clock.sleep(leftMs, waiting.signal)
     }
     return 'peer'
   }
@@ -115,7 +117,7 @@
       calls: this._calls.size,
       unsent: this._socket.unsentBytes,
       unreported: this._socket.unreportedBytes,
-      silent_ms: Math.round(this._clock.readMonotonicMs() - this._heardMs)
+      silent_ms: Math.round(this._context.clock.readMonotonicMs() - this._heardMs)
     }
   }
 
@@ -123,8 +125,12 @@
     this._socket.send({ callId: 0, frame: { $case: 'drain', value: {} } })
   }
 
+  onRefused (reason: RefusedFrameReason): void {
+    this._context.metrics.count('link_frames_refused_total', reason)
+  }
+
   onBytes (): void {
-    this._heardMs = this._clock.readMonotonicMs()
+    this._heardMs = this._context.clock.readMonotonicMs()
   }
 
   onFrame ({ callId, frame }: PeerFrame): void {
--- a/packages/transport/src/FrameSocket.test.ts
+++ b/packages/transport/src/FrameSocket.test.ts
@@ -19,6 +19,7 @@
 let sender: FrameSocket
 let receivedSizes: number[]
 let causes: string[]
+let links: FakeSocket[]
 
 function createData (bytes: number, callId = 7): PeerFrame {
   return { callId, frame: { $case: 'data', value: { chunk: Buffer.alloc(bytes, 'x'), end: false } } }
@@ -31,15 +32,18 @@
 
 beforeEach(() => {
   sending = new FakeSocket()
-  receiving = new FakeSocket()
+  links = Array.from({ length: 4 }, () => new FakeSocket())
+  receiving = links[0] as FakeSocket
   receivedSizes = []
   causes = []
   const listener = { onFrame: () => undefined, onClose: () => undefined }
   sender = new FrameSocket(sending as unknown as Socket, listener)
-  void new FrameSocket(receiving as unknown as Socket, {
-    onFrame: ({ frame }) => { if (frame?.$case === 'data') receivedSizes.push(frame.value.chunk.length) },
-    onClose: cause => causes.push(cause)
-  })
+  for (const link of links) {
+    void new FrameSocket(link as unknown as Socket, {
+      onFrame: ({ frame }) => { if (frame?.$case === 'data') receivedSizes.push(frame.value.chunk.length) },
+      onClose: cause => causes.push(cause)
+    })
+  }
 })
 
 test('frames of one turn are sent in one write, and received whatever the chunks of the stream', async () => {
@@ -65,6 +69,20 @@
   expect(causes).toEqual([])
 })
 
+/** Time without an answer after which other processes send no calls on a link. */
+const SUSPECT_SILENCE_MS = 450
+
+test('large frames in small chunks on several links do not hold up the process', async () => {
+  sender.send(createData(1_000_000))
+  const bytes = await takeWritten()
+  const startMs = performance.now()
+  for (let start = 0; start < bytes.length; start += 100) {
+    for (const link of links) link.emit('data', bytes.subarray(start, start + 100))
+  }
+  expect(performance.now() - startMs).toBeLessThan(SUSPECT_SILENCE_MS)
+  expect(receivedSizes).toEqual([1_000_000, 1_000_000, 1_000_000, 1_000_000])
+}, 20_000)
+
 test('length prefix above the limit closes the connection', () => {
   for (const length of [[0x81, 0x80, 0x40], [0xff, 0xff, 0xff, 0xff, 0x7f]]) {
     causes = []
--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -7,6 +7,7 @@
 import { PeerFrame } from '@lagoonswitch/schema'
 import { BULK_CHUNK_BYTES, BulkQueue, type IBulkChunk } from './BulkQueue.js'
 import { PROCESS_BULK_WINDOW, type BulkWindow } from './BulkWindow.js'
+import { FrameBuffer } from './FrameBuffer.js'
 
 /** Largest frame, in bytes. */
 const MAX_FRAME_BYTES = 1_048_576
@@ -14,6 +15,9 @@
 /** Received bytes of bulk chunks that are reported at once; less than the smallest window, so that a sender never waits for the rest. */
 const REPORT_BYTES = BULK_CHUNK_BYTES / 2
 
+/** Why a connection is closed because of what has arrived: a large frame, one that can't be decoded, or too many incomplete ones. */
+export type RefusedFrameReason = 'too-large' | 'unreadable' | 'memory'
+
 /** Receives the events of a socket. */
 export interface IFrameListener {
   onFrame (frame: PeerFrame): void
@@ -21,6 +25,8 @@
   onBytes? (): void
   /** Called once, with the reason; not called after {@link FrameSocket.dispose}. */
   onClose (cause: string): void
+  /** Called before the connection is closed because of what has arrived, with a reason for a counter. */
+  onRefused? (reason: RefusedFrameReason): void
   /** Called once, when the first frame tells whether the peer grants credit for large request bodies. */
   onBodyCreditKnown? (isGranted: boolean): void
 }
@@ -42,7 +48,7 @@
   private _isBodyCreditKnown = false
   private _outgoing: Uint8Array[] = []
   private _isFlushing = false
-  private _incoming: Buffer = Buffer.alloc(0)
+  private readonly _incoming = new FrameBuffer(() => this._refuse('memory', 'incomplete frames take too much memory'))
   private _isClosed = false
   /** Resolves once the connection is closed on both sides, or lost. */
   readonly closed: Promise<void>
@@ -58,7 +64,10 @@
     _socket.setNoDelay(true)
     _socket.on('data', chunk => this._receive(chunk))
     _socket.on('error', error => this._close(error.message))
-    _socket.on('close', () => this._close('closed'))
+    _socket.on('close', () => {
+      this._incoming.clear()
+      this._close('closed')
+    })
     _socket.on('end', () => this._close('ended'))
     this.closed = new Promise(resolve => _socket.once('close', () => resolve()))
     this._sendReport(0)
@@ -184,12 +193,12 @@
   private _receive (chunk: Buffer): void {
     this._listener.onBytes?.()
     if (this._isClosed) return
-    let data = this._incoming.length === 0 ? chunk : Buffer.concat([this._incoming, chunk])
+    let data = this._incoming.append(chunk)
     while (data.length > 0 && !this._isClosed) {
       const prefix = readLengthPrefix(data)
       if (prefix === undefined) break
       if (prefix.length > MAX_FRAME_BYTES) {
-        this._fail('a frame is too large')
+        this._refuse('too-large', 'a frame is too large')
         return
       }
       const end = prefix.start + prefix.length
@@ -197,7 +206,7 @@
       if (!this._deliver(data.subarray(prefix.start, end))) return
       data = data.subarray(end)
     }
-    this._incoming = data
+    if (!this._isClosed) this._incoming.keep(data)
   }
 
   private _deliver (bytes: Buffer): boolean {
@@ -205,7 +214,7 @@
     try {
       frame = PeerFrame.decode(bytes)
     } catch {
-      this._fail('a frame can\'t be decoded')
+      this._refuse('unreadable', 'a frame can\'t be decoded')
       return false
     }
     if (!this._isBodyCreditKnown) {
@@ -222,7 +231,8 @@
     return true
   }
 
-  private _fail (cause: string): void {
+  private _refuse (reason: RefusedFrameReason, cause: string): void {
+    if (!this._isClosed) this._listener.onRefused?.(reason)
     this._socket.destroy()
     this._close(cause)
   }
