--- a/tests/BoundedInterfaces.test.ts
+++ b/tests/BoundedInterfaces.test.ts
@@ -13,6 +13,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { afterAll, beforeAll, describe, expect, test } from 'vitest'
 import { SeededRandom } from '@lagoonswitch/common'
+import { CallOpen, PeerFrame } from '@lagoonswitch/schema'
 import { findPorts, waitFor } from './support/World.js'
 
 const HEAP_MB = 160
@@ -89,6 +90,19 @@
   return `[${part.repeat(Math.floor(bytes / part.length)).slice(0, -1)}]`
 }
 
+/** A frame that opens a call, with one to three random bytes. */
+function damageFrame (callId: number, random: SeededRandom): Buffer {
+  const frame = Buffer.from(PeerFrame.encode({
+    callId,
+    frame: {
+      $case: 'open',
+      value: CallOpen.fromPartial({ service: 'desk', targetId: 't1', version: 'v1', method: 'GET', path: '/a/x', headers: ['host', 'h'], remainingMs: 100 })
+    }
+  }).finish())
+  for (let count = 0; count < 1 + callId % 3; count++) frame[Math.floor(random.draw() * frame.length)] = Math.floor(random.draw() * 256)
+  return Buffer.concat([Buffer.from([frame.length]), frame])
+}
+
 /** Seeded, so that each run sends the same. */
 function listRawInputs (): Array<[string, Buffer | string]> {
   const random = new SeededRandom(56)
@@ -101,6 +115,9 @@
     ['endless chunk line', `PUT /a/x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n1;${'x'.repeat(MB)}`],
     ['frame beyond the limit', Buffer.concat([Buffer.from([0x81, 0x80, 0x40]), Buffer.alloc(MB)])],
     ['frame that can not be decoded', Buffer.concat([Buffer.from([0xff, 0xff, 0x3f]), Buffer.alloc(MB, 0xff)])],
+    // A frame that can't be decoded closes the connection.
+    ...Array.from({ length: 8 }, (_, index): [string, Buffer] =>
+      [`damaged frames, ${index}`, Buffer.concat(Array.from({ length: 100 }, (_frame, callId) => damageFrame(callId, random)))]),
     ...[1_000, 100_000, MB].map((length): [string, Buffer] => [`${length} random bytes`, drawBytes(length)])
   ]
 }
