--- a/bench/soak/SoakFleet.mjs
+++ b/bench/soak/SoakFleet.mjs
@@ -10,7 +10,7 @@
 
 const ROOT = dirname(dirname(dirname(fileURLToPath(import.meta.url))))
 /** Stop timeout of the processes; they are killed after it. */
-export const STOP_TIMEOUT_MS = 3_000
+const STOP_TIMEOUT_MS = 3_000
 /** Time after which a process that ended by itself is started again, as the platform does. */
 const RESTART_DELAY_MS = 300
 /**
@@ -25,9 +25,13 @@
    * @param controls - number of control VMs
    * @param nodes - number of nodes
    * @param program - bundled program
+   * @param stopTimeoutMs - stop timeout of the processes
    */
-  constructor (controls, nodes, program) {
+  constructor (controls, nodes, program, stopTimeoutMs = STOP_TIMEOUT_MS) {
     this._program = program
+    this._stopTimeoutMs = stopTimeoutMs
+    /** Called with the name of a VM when its process has ended. */
+    this.onExit = () => undefined
     this.folder = mkdtempSync(join(tmpdir(), 'soak-'))
     this.controls = Array.from({ length: controls }, (_, index) => ({ name: `c${index + 1}`, host: `127.0.1.${index + 1}`, role: 'control' }))
     this.nodes = Array.from({ length: nodes }, (_, index) => ({ name: `n${index + 1}`, host: `127.0.2.${index + 1}`, role: 'node' }))
@@ -63,6 +67,7 @@
     child.startedMs = performance.now()
     this.starts.push({ name, atMs: child.startedMs })
     child.on('exit', (code, signal) => {
+      this.onExit(name)
       if (child.expectsEnd) return
       this.ownEnds.push(`${name}: code ${code}, signal ${signal}, last signal of the soak: ${child.lastSignal}`)
       setTimeout(() => this.startProcess(name), RESTART_DELAY_MS)
@@ -89,16 +94,17 @@
     await ended
   }
 
-  /** Sends SIGTERM, and SIGKILL after the stop timeout; waits for the end. */
+  /** Sends SIGTERM, and SIGKILL after the stop timeout; waits for the end. @returns false if it was killed or didn't run */
   async stopProcess (name) {
     const child = this._children.get(name)
-    if (!this.isRunning(name)) return
+    if (!this.isRunning(name)) return false
     child.expectsEnd = true
     const ended = new Promise(resolve => child.on('exit', resolve))
     child.kill('SIGTERM')
-    const timer = setTimeout(() => child.kill('SIGKILL'), STOP_TIMEOUT_MS)
+    const timer = setTimeout(() => child.kill('SIGKILL'), this._stopTimeoutMs)
     await ended
     clearTimeout(timer)
+    return child.signalCode === null
   }
 
   signal (name, signal) {
@@ -142,7 +148,7 @@
 availability_zone = z1
 service = client
 data_folder = ${join(this.folder, name, 'data')}
-stop_timeout = ${STOP_TIMEOUT_MS}ms
+stop_timeout = ${this._stopTimeoutMs}ms
 [listen]
 peers = ${host}:${peers}
 operators = ${host}:${operators}
