Retries: the slack of a restarted node grows from 0

Callers saw nothing; services got more retries than their budget allows when nodes were restarted while targets refused calls. Cause: a node counts retries in memory and had its whole part of the slack at each start, as if nothing had been spent in the window. At a start of all nodes each saw no other yet and took the slack of all. A change of a service's retry budget emptied its counts too. Change: the slack grows from 0 to half within a window after a start, and is whole then. first_start, which nodes are told now, gives it at once. A changed ratio keeps the counts. Worlds of tests state first_start for the processes that they start first.

--- a/bench/platform-world.mjs
+++ b/bench/platform-world.mjs
@@ -58,7 +58,7 @@
     this.controls = Array.from({ length: controls }, (_, index) => `127.0.1.${index + 1}`)
     await Promise.all(this.controls.map(async (host, index) => await this.startControl(`c${index + 1}`, true)))
     this.operator = new StandInOperator(this.controls.map(host => `http://${host}:${this.ports[1]}`))
-    for (let index = 1; index <= nodes; index++) await this.startNode(`n${index}`)
+    for (let index = 1; index <= nodes; index++) await this.startNode(`n${index}`, '3s', true)
     const response = await this.operator.order('PUT', '/-/config', configuration)
     if (response.status !== 200) throw new Error(`the first configuration was refused: ${response.text}`)
     await waitUntil('the configuration at all nodes', () => [...this.processes.values()].every(({ node }) =>
@@ -70,8 +70,8 @@
     await this._startProcess(name, host, `roles = control\ndata_folder = ${join(this.folder, name)}`, `first_start = ${isFirst}`)
   }
 
-  async startNode (name, stopTimeout = '3s') {
-    await this._startProcess(name, `127.0.2.${name.slice(1)}`, `roles = node\nstop_timeout = ${stopTimeout}`, '')
+  async startNode (name, stopTimeout = '3s', isFirst = false) {
+    await this._startProcess(name, `127.0.2.${name.slice(1)}`, `roles = node\nstop_timeout = ${stopTimeout}`, `first_start = ${isFirst}`)
   }
 
   /** Stops a process gracefully. A control VM isn't removed from the members first. */
--- a/packages/node/src/NodeRole.ts
+++ b/packages/node/src/NodeRole.ts
@@ -333,9 +333,12 @@
   private _getRetryBudget ({ service, serviceEntry }: IRoutePart): RetryBudget {
     const ratio = serviceEntry.limits.retry_budget
     const existing = this._retryBudgets.get(service)
-    if (existing?.ratio === ratio) return existing
-    const { retryWindowMs, retrySlack } = this._options.settings.node
-    const bounds = { ratio, windowMs: retryWindowMs, slack: retrySlack, countNodes: () => this._countNodes() }
+    if (existing !== undefined) {
+      existing.setRatio(ratio)
+      return existing
+    }
+    const { node: { retryWindowMs, retrySlack }, control: { firstStart } } = this._options.settings
+    const bounds = { ratio, windowMs: retryWindowMs, slack: retrySlack, countNodes: () => this._countNodes(), isFirstStart: firstStart }
     const budget = new RetryBudget(bounds, this._options.clock)
     this._retryBudgets.set(service, budget)
     return budget
--- a/packages/traffic/src/retries/RetryBudget.ts
+++ b/packages/traffic/src/retries/RetryBudget.ts
@@ -6,6 +6,11 @@
 const BUCKET_COUNT = 10
 /** Fraction of the limit that is used; the rest covers calls that targets make while they run a retry, and nodes that join or leave. */
 const USED_RATIO = 0.6
+/**
+ * Fraction of this node's slack that is there at the end of the first window after a restart. The lifetime before may have spent a whole
+ * slack within the same window; `USED_RATIO` of both is below the limit.
+ */
+const RESTART_RATIO = 0.5
 
 /** Limits of the retries of a service. */
 export interface IRetryBounds {
@@ -16,22 +21,33 @@
   readonly slack: number
   /** Nodes that share the slack, at least 1. */
   readonly countNodes: () => number
+  /** False if this process may have run before, so that retries of the last window are not known. The slack then grows from 0. */
+  readonly isFirstStart: boolean
 }
 
 /** Counts calls and retries in the window. */
 export class RetryBudget {
   private readonly _calls = new Array<number>(BUCKET_COUNT + 1).fill(0)
   private readonly _retries = new Array<number>(BUCKET_COUNT + 1).fill(0)
+  private readonly _startMs: number
   private _currentBucket = 0
+  private _ratio: number
 
   /**
    * @param _bounds - of the service
    * @param _clock - source of time
    */
-  constructor (private readonly _bounds: IRetryBounds, private readonly _clock: IClock) {}
+  constructor (private readonly _bounds: IRetryBounds, private readonly _clock: IClock) {
+    this._startMs = _clock.readMonotonicMs()
+    this._ratio = _bounds.ratio
+  }
 
-  get ratio (): number {
-    return this._bounds.ratio
+  /**
+   * Changes the ratio; what was counted stays, so that a change gives no new slack.
+   * @param ratio - retries per call
+   */
+  setRatio (ratio: number): void {
+    this._ratio = ratio
   }
 
   /** Records a call. */
@@ -59,8 +75,9 @@
   /** @returns true if a retry is allowed now; nothing is deducted */
   canSpend (): boolean {
     this._advance()
-    const { ratio, slack, countNodes } = this._bounds
-    const allowed = USED_RATIO * (ratio * sum(this._calls) + slack / Math.max(1, countNodes()))
+    const { slack, countNodes } = this._bounds
+    const ownSlack = this._computeSlackRatio() * slack / Math.max(1, countNodes())
+    const allowed = USED_RATIO * (this._ratio * sum(this._calls) + ownSlack)
     return sum(this._retries) + 1 <= allowed
   }
 
@@ -70,6 +87,12 @@
     return sum(this._retries)
   }
 
+  /** Grows with the age, so that several lifetimes within a window have no more together than one of that length. */
+  private _computeSlackRatio (): number {
+    const windows = (this._clock.readMonotonicMs() - this._startMs) / this._bounds.windowMs
+    return !this._bounds.isFirstStart && windows < 1 ? RESTART_RATIO * windows : 1
+  }
+
   private _advance (): void {
     const bucket = Math.floor(this._clock.readMonotonicMs() / (this._bounds.windowMs / BUCKET_COUNT))
     const steps = Math.min(BUCKET_COUNT + 1, bucket - this._currentBucket)
--- a/tests/RepeatBudget.test.ts
+++ b/tests/RepeatBudget.test.ts
@@ -18,6 +18,8 @@
 const FAILED_SHARE = 0.6
 const BATCHES = 20
 const BATCH_CALLS = 15
+const RESTARTS = 30
+const CALLS_PER_LIFETIME = 4
 const DEADLINE = { 'x-request-deadline': '2000' }
 const NODES = ['n1', 'n2', 'n3']
 const ROUTE = { name: 'read', path: '/read', methods: ['GET'], idempotency: 'safe', attempts: 3 }
@@ -125,3 +127,21 @@
   await callSequentially('later', BATCH_CALLS)
   expect(countRuns() - before).toBeLessThanOrEqual((1 + RATIO) * BATCH_CALLS)
 })
+
+test('node that restarts again and again stays within the retry budget of a window', async () => {
+  refusedShare = 1
+  const callAtNode = async (life: number): Promise<void> => {
+    for (let call = 0; call < CALLS_PER_LIFETIME; call++) {
+      await world.call('n1', 'GET', '/price', { ...DEADLINE, 'x-attempt-id': `r${life}.${call}` })
+    }
+  }
+  await callAtNode(0)
+  for (let life = 1; life <= RESTARTS; life++) {
+    world.crashNode('n1')
+    await world.startNode('n1', `first_start = false\n[node]\nretry_slack = ${SLACK}\n`)
+    await callAtNode(life)
+  }
+  expect(arrivalsOfRepeats.size).toBeGreaterThan(RESTARTS * CALLS_PER_LIFETIME / 2)
+  const repeats = [...arrivalsOfRepeats.values()].reduce((sum, count) => sum + count - 1, 0)
+  expect(repeats).toBeLessThanOrEqual(RATIO * arrivalsOfRepeats.size + SLACK)
+})
--- a/tests/support/World.ts
+++ b/tests/support/World.ts
@@ -256,6 +256,7 @@
 links = 127.0.0.1:${links}
 [control]
 members = c1=127.0.0.1:${this._controlPort}
+first_start = true
 claim_shards = 2
 heartbeat = 20ms
 election_timeout = 200ms
