--- a/packages/transport/src/FrameSocket.ts
+++ b/packages/transport/src/FrameSocket.ts
@@ -69,7 +69,7 @@
       this._close('closed')
     })
     _socket.on('end', () => this._close('ended'))
-    this.closed = new Promise(resolve => _socket.once('close', () => resolve()))
+    this.closed = new Promise(resolve => _socket.on('close', () => resolve()))
     this._sendReport(0)
   }
 
